Add the build, the platform module and the replicated log

Cause: every promise about configuration rests on a log that survives the loss of replicas, and the log rests on files, clocks and settings.

Change: CMake presets, formatter and linter settings; platform with settings reader, metrics, data folder, executor; wire messages with their generated code; consensus as a deterministic node (pre-vote, check quorum, reads confirmed by a round, one membership change at a time) and a replica that syncs before it sends.

--- /dev/null
+++ b/src/consensus/internal/node.cc
@@ -0,0 +1,529 @@
+#include "consensus/internal/node.h"
+
+#include <algorithm>
+
+#include "consensus/consensus_codec.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr size_t kMaxEntriesPerMessage = 256;
+constexpr size_t kMaxBytesPerMessage = 512 * 1024;
+
+}  // namespace
+
+Node::Node(MemberId self, const ConsensusTimes& times,
+           ConsensusRestored restored, uint64_t seed, Instant now)
+    : self_(std::move(self)),
+      times_(times),
+      random_(seed),
+      vote_(std::move(restored.vote)),
+      log_(restored.snapshot.value_or(ConsensusSnapshot{}),
+           std::move(restored.entries)),
+      commit_index_(log_.Snapshot().last_index),
+      synced_index_(log_.LastIndex()),
+      last_leader_contact_(now - times.election_highest) {
+  SetMembers(std::move(restored.members));
+  ResetElectionDeadline(now);
+}
+
+ConsensusEffects Node::OnTick(Instant now) {
+  if (role_ == ReplicaRole::kLeader) {
+    if (!QuorumAnsweredSince(now - times_.election_highest)) {
+      BecomeFollower(vote_.term, std::nullopt, now);
+      return Take();
+    }
+    if (now >= heartbeat_deadline_) BroadcastAppend(now);
+    return Take();
+  }
+  if (now >= election_deadline_ && IsVoter(self_)) StartElection(true, now);
+  return Take();
+}
+
+ConsensusEffects Node::OnMessage(const ConsensusMessage& message,
+                                 Instant now) {
+  if (message.to != self_ &&
+      !std::holds_alternative<JoinRequest>(message.body)) {
+    return {};
+  }
+  const auto* vote_request = std::get_if<VoteRequest>(&message.body);
+  const auto* vote_reply = std::get_if<VoteReply>(&message.body);
+  const bool pre_vote = (vote_request != nullptr && vote_request->pre_vote) ||
+                        (vote_reply != nullptr && vote_reply->pre_vote &&
+                         vote_reply->granted);
+  // A vote request may not disturb a group whose leader answers.
+  if (vote_request != nullptr && LeaderIsFresh(now)) return {};
+  if (message.term > vote_.term && !pre_vote) {
+    BecomeFollower(message.term, std::nullopt, now);
+  }
+  if (vote_request != nullptr) {
+    OnVoteRequest(message, *vote_request, now);
+  } else if (vote_reply != nullptr) {
+    OnVoteReply(message, *vote_reply, now);
+  } else if (const auto* append = std::get_if<AppendRequest>(&message.body)) {
+    OnAppendRequest(message, *append, now);
+  } else if (const auto* reply = std::get_if<AppendReply>(&message.body)) {
+    OnAppendReply(message, *reply, now);
+  } else if (const auto* install =
+                 std::get_if<InstallSnapshot>(&message.body)) {
+    OnInstallSnapshot(message, *install, now);
+  } else if (const auto* join = std::get_if<JoinRequest>(&message.body)) {
+    OnJoinRequest(*join, now);
+  }
+  return Take();
+}
+
+ConsensusEffects Node::OnSynced(Instant now) {
+  synced_index_ = log_.LastIndex();
+  if (role_ == ReplicaRole::kLeader) AdvanceCommit(now);
+  return Take();
+}
+
+std::optional<std::pair<Term, LogIndex>> Node::Propose(
+    EntryKind kind, std::string command, Instant now,
+    ConsensusEffects& effects) {
+  if (role_ != ReplicaRole::kLeader) return std::nullopt;
+  const LogIndex index = log_.LastIndex() + 1;
+  Append({vote_.term, index, kind, std::move(command)});
+  BroadcastAppend(now);
+  effects = Take();
+  return std::pair(vote_.term, index);
+}
+
+bool Node::RequestRead(uint64_t read, Instant now, ConsensusEffects& effects) {
+  if (role_ != ReplicaRole::kLeader) return false;
+  ++round_;
+  // Until an entry of this term commits, the commit index may be behind what
+  // an earlier leader has acknowledged.
+  pending_reads_.push_back(
+      {read, round_, std::max(commit_index_, term_start_index_)});
+  BroadcastAppend(now);
+  GrantReads();
+  effects = Take();
+  return true;
+}
+
+void Node::Compact(LogIndex through, std::string state) {
+  auto term = log_.TermAt(through);
+  if (!term.has_value() || through > commit_index_ ||
+      through < log_.FirstIndex()) {
+    return;
+  }
+  log_.CompactTo({through, *term, members_, std::move(state)});
+}
+
+std::optional<LogIndex> Node::MatchIndex(const MemberId& member) const {
+  auto found = progress_.find(member);
+  if (role_ != ReplicaRole::kLeader || found == progress_.end()) {
+    return std::nullopt;
+  }
+  return found->second.match;
+}
+
+Instant Node::NextDeadline() const {
+  return role_ == ReplicaRole::kLeader ? heartbeat_deadline_
+                                       : election_deadline_;
+}
+
+void Node::BecomeFollower(Term term, std::optional<MemberId> leader,
+                          Instant now) {
+  if (term > vote_.term) {
+    vote_ = {term, std::nullopt};
+    PersistVote();
+  }
+  role_ = IsVoter(self_) ? ReplicaRole::kFollower : ReplicaRole::kNonVoter;
+  leader_ = std::move(leader);
+  votes_.clear();
+  progress_.clear();
+  FailReads();
+  ResetElectionDeadline(now);
+}
+
+void Node::StartElection(bool pre_vote, Instant now) {
+  role_ = ReplicaRole::kCandidate;
+  leader_.reset();
+  pre_voting_ = pre_vote;
+  votes_ = {self_};
+  ResetElectionDeadline(now);
+  Term term = vote_.term + 1;
+  if (!pre_vote) {
+    vote_ = {term, self_};
+    PersistVote();
+  }
+  for (const Member& member : members_) {
+    if (!member.voter || member.id == self_) continue;
+    Send(member.id, term,
+         VoteRequest{log_.LastIndex(), log_.LastTerm(), pre_vote});
+  }
+  if (votes_.size() < QuorumSize()) return;
+  if (pre_vote) {
+    StartElection(false, now);
+  } else {
+    BecomeLeader(now);
+  }
+}
+
+void Node::BecomeLeader(Instant now) {
+  role_ = ReplicaRole::kLeader;
+  leader_ = self_;
+  progress_.clear();
+  for (const Member& member : members_) {
+    if (member.id == self_) continue;
+    Progress progress;
+    progress.next = log_.LastIndex() + 1;
+    progress.last_reply = now;
+    progress_[member.id] = progress;
+  }
+  term_start_index_ = log_.LastIndex() + 1;
+  Append({vote_.term, term_start_index_, EntryKind::kNoop, ""});
+  BroadcastAppend(now);
+}
+
+void Node::OnVoteRequest(const ConsensusMessage& message,
+                         const VoteRequest& body, Instant now) {
+  const bool log_is_current =
+      std::pair(body.last_term, body.last_index) >=
+      std::pair(log_.LastTerm(), log_.LastIndex());
+  if (body.pre_vote) {
+    const bool granted = message.term > vote_.term && log_is_current;
+    Send(message.from, granted ? message.term : vote_.term,
+         VoteReply{granted, true});
+    return;
+  }
+  const bool free_to_vote =
+      !vote_.voted_for.has_value() || *vote_.voted_for == message.from;
+  const bool granted = message.term == vote_.term && free_to_vote &&
+                       log_is_current && IsVoter(self_);
+  if (granted) {
+    vote_.voted_for = message.from;
+    PersistVote();
+    ResetElectionDeadline(now);
+  }
+  Send(message.from, vote_.term, VoteReply{granted, false});
+}
+
+void Node::OnVoteReply(const ConsensusMessage& message, const VoteReply& body,
+                       Instant now) {
+  if (role_ != ReplicaRole::kCandidate || body.pre_vote != pre_voting_) return;
+  const Term expected = pre_voting_ ? vote_.term + 1 : vote_.term;
+  if (!body.granted || message.term != expected || !IsVoter(message.from)) {
+    return;
+  }
+  votes_.insert(message.from);
+  if (votes_.size() < QuorumSize()) return;
+  if (pre_voting_) {
+    StartElection(false, now);
+  } else {
+    BecomeLeader(now);
+  }
+}
+
+bool Node::LeaderIsFresh(Instant now) const {
+  if (role_ == ReplicaRole::kLeader) return true;
+  return leader_.has_value() &&
+         now - last_leader_contact_ < times_.election_lowest;
+}
+
+void Node::OnAppendRequest(const ConsensusMessage& message,
+                           const AppendRequest& body, Instant now) {
+  if (message.term < vote_.term) {
+    Send(message.from, vote_.term, AppendReply{false, log_.LastIndex(), 0});
+    return;
+  }
+  if (role_ != ReplicaRole::kFollower || leader_ != message.from) {
+    BecomeFollower(message.term, message.from, now);
+  }
+  last_leader_contact_ = now;
+  ResetElectionDeadline(now);
+  auto term_before = log_.TermAt(body.previous_index);
+  if (body.previous_index < commit_index_ && !term_before.has_value()) {
+    Send(message.from, vote_.term,
+         AppendReply{true, commit_index_, body.round});
+    return;
+  }
+  if (!term_before.has_value() || *term_before != body.previous_term) {
+    const LogIndex hint =
+        std::min(log_.LastIndex(),
+                 body.previous_index == 0 ? 0 : body.previous_index - 1);
+    Send(message.from, vote_.term,
+         AppendReply{false, std::max(hint, commit_index_), body.round});
+    return;
+  }
+  AcceptEntries(body.entries);
+  const LogIndex match = body.previous_index + body.entries.size();
+  CommitThrough(std::min(body.commit_index, match));
+  Send(message.from, vote_.term, AppendReply{true, match, body.round});
+}
+
+void Node::AcceptEntries(const std::vector<LogEntry>& entries) {
+  for (const LogEntry& entry : entries) {
+    if (entry.index < log_.FirstIndex()) continue;
+    auto held = log_.TermAt(entry.index);
+    if (held == entry.term) continue;
+    if (held.has_value()) {
+      log_.TruncateFrom(entry.index);
+      synced_index_ = std::min(synced_index_, entry.index - 1);
+    }
+    Append(entry);
+  }
+}
+
+void Node::OnAppendReply(const ConsensusMessage& message,
+                         const AppendReply& body, Instant now) {
+  auto found = progress_.find(message.from);
+  if (role_ != ReplicaRole::kLeader || message.term != vote_.term ||
+      found == progress_.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  progress.last_reply = now;
+  progress.waiting = false;
+  progress.confirmed_round = std::max(progress.confirmed_round, body.round);
+  if (body.matched) {
+    progress.match = std::max(progress.match, body.match_index);
+    progress.next = std::max(progress.next, progress.match + 1);
+    AdvanceCommit(now);
+    PromoteCaughtUp(now);
+  } else {
+    progress.next = std::max<LogIndex>(
+        1, std::min(progress.next - 1, body.match_index + 1));
+  }
+  GrantReads();
+  if (role_ == ReplicaRole::kLeader && progress_.contains(message.from) &&
+      progress_[message.from].next <= log_.LastIndex()) {
+    SendAppend(message.from, now);
+  }
+}
+
+void Node::OnInstallSnapshot(const ConsensusMessage& message,
+                             const InstallSnapshot& body, Instant now) {
+  if (message.term < vote_.term) return;
+  if (role_ != ReplicaRole::kFollower || leader_ != message.from) {
+    BecomeFollower(message.term, message.from, now);
+  }
+  last_leader_contact_ = now;
+  ResetElectionDeadline(now);
+  const ConsensusSnapshot& snapshot = body.snapshot;
+  if (snapshot.last_index > commit_index_) {
+    log_.ResetTo(snapshot);
+    commit_index_ = snapshot.last_index;
+    synced_index_ = snapshot.last_index;
+    members_index_ = snapshot.last_index;
+    SetMembers(snapshot.members);
+    out_.install = snapshot;
+    out_.append.clear();
+    out_.committed.clear();
+  }
+  Send(message.from, vote_.term,
+       AppendReply{true, std::max(snapshot.last_index, commit_index_),
+                   body.round});
+}
+
+void Node::OnJoinRequest(const JoinRequest& body, Instant now) {
+  if (role_ != ReplicaRole::kLeader) return;
+  std::vector<Member> members;
+  for (const Member& member : members_) {
+    if (member.id == body.member.id) return;
+    // An older identity of the same instance has lost its disk.
+    if (member.id.instance != body.member.id.instance) {
+      members.push_back(member);
+    }
+  }
+  Member joining = body.member;
+  joining.voter = false;
+  members.push_back(joining);
+  ProposeMembers(std::move(members), now);
+}
+
+void Node::SendAppend(const MemberId& to, Instant now) {
+  Progress& progress = progress_[to];
+  progress.last_sent = now;
+  auto previous_term = log_.TermAt(progress.next - 1);
+  if (!previous_term.has_value()) {
+    Send(to, vote_.term, InstallSnapshot{log_.Snapshot(), round_});
+    return;
+  }
+  AppendRequest request{progress.next - 1, *previous_term, {}, commit_index_,
+                        round_};
+  size_t bytes = 0;
+  for (LogIndex index = progress.next; index <= log_.LastIndex(); ++index) {
+    if (request.entries.size() >= kMaxEntriesPerMessage ||
+        bytes >= kMaxBytesPerMessage) {
+      break;
+    }
+    bytes += log_.At(index).command.size();
+    request.entries.push_back(log_.At(index));
+  }
+  progress.waiting = !request.entries.empty();
+  Send(to, vote_.term, std::move(request));
+}
+
+void Node::BroadcastAppend(Instant now) {
+  heartbeat_deadline_ = now + times_.heartbeat;
+  for (auto& [id, progress] : progress_) {
+    SendAppend(id, now);
+  }
+}
+
+void Node::AdvanceCommit(Instant now) {
+  std::vector<LogIndex> held;
+  for (const Member& member : members_) {
+    if (!member.voter) continue;
+    held.push_back(member.id == self_ ? synced_index_
+                                      : progress_[member.id].match);
+  }
+  if (held.empty()) return;
+  std::sort(held.begin(), held.end(), std::greater<>());
+  const LogIndex majority = held[QuorumSize() - 1];
+  if (majority <= commit_index_ || log_.TermAt(majority) != vote_.term) return;
+  CommitThrough(majority);
+  GrantReads();
+  BroadcastAppend(now);
+}
+
+void Node::CommitThrough(LogIndex index) {
+  while (commit_index_ < std::min(index, log_.LastIndex())) {
+    ++commit_index_;
+    out_.committed.push_back(log_.At(commit_index_));
+  }
+}
+
+void Node::Append(LogEntry entry) {
+  if (entry.kind == EntryKind::kMembers) {
+    members_index_ = entry.index;
+    SetMembers(DecodeMembers(entry.command));
+  }
+  out_.append.push_back(entry);
+  log_.Append(std::move(entry));
+}
+
+void Node::GrantReads() {
+  if (role_ != ReplicaRole::kLeader) return;
+  const uint64_t confirmed = QuorumRound();
+  std::vector<PendingRead> waiting;
+  for (const PendingRead& read : pending_reads_) {
+    if (read.round <= confirmed && read.index <= commit_index_) {
+      out_.reads.push_back({read.read, true, read.index});
+    } else {
+      waiting.push_back(read);
+    }
+  }
+  pending_reads_ = std::move(waiting);
+}
+
+void Node::FailReads() {
+  for (const PendingRead& read : pending_reads_) {
+    out_.reads.push_back({read.read, false, 0});
+  }
+  pending_reads_.clear();
+}
+
+uint64_t Node::QuorumRound() const {
+  std::vector<uint64_t> rounds;
+  for (const Member& member : members_) {
+    if (!member.voter) continue;
+    auto found = progress_.find(member.id);
+    if (member.id == self_) {
+      rounds.push_back(round_);
+    } else {
+      rounds.push_back(found == progress_.end()
+                           ? 0
+                           : found->second.confirmed_round);
+    }
+  }
+  if (rounds.empty()) return 0;
+  std::sort(rounds.begin(), rounds.end(), std::greater<>());
+  return rounds[QuorumSize() - 1];
+}
+
+bool Node::QuorumAnsweredSince(Instant since) const {
+  size_t answered = 0;
+  for (const Member& member : members_) {
+    if (!member.voter) continue;
+    auto found = progress_.find(member.id);
+    const bool fresh = member.id == self_ ||
+                       (found != progress_.end() &&
+                        found->second.last_reply >= since);
+    if (fresh) ++answered;
+  }
+  return answered >= QuorumSize();
+}
+
+void Node::SetMembers(std::vector<Member> members) {
+  members_ = std::move(members);
+  if (role_ == ReplicaRole::kLeader) {
+    for (const Member& member : members_) {
+      if (member.id == self_ || progress_.contains(member.id)) continue;
+      progress_[member.id].next = log_.LastIndex() + 1;
+    }
+    std::erase_if(progress_, [this](const auto& item) {
+      return std::none_of(
+          members_.begin(), members_.end(),
+          [&item](const Member& member) { return member.id == item.first; });
+    });
+    return;
+  }
+  role_ = IsVoter(self_) ? ReplicaRole::kFollower : ReplicaRole::kNonVoter;
+}
+
+bool Node::ProposeMembers(std::vector<Member> members, Instant now) {
+  // One change at a time, and only once this term has committed an entry.
+  const bool change_open = members_index_ > commit_index_;
+  if (change_open || commit_index_ < term_start_index_) return false;
+  const LogIndex index = log_.LastIndex() + 1;
+  Append({vote_.term, index, EntryKind::kMembers, EncodeMembers(members)});
+  BroadcastAppend(now);
+  return true;
+}
+
+void Node::PromoteCaughtUp(Instant now) {
+  std::vector<Member> members = members_;
+  for (Member& member : members) {
+    if (member.voter || progress_[member.id].match < commit_index_) continue;
+    member.voter = true;
+    ProposeMembers(std::move(members), now);
+    return;
+  }
+}
+
+bool Node::IsVoter(const MemberId& id) const {
+  return std::any_of(
+      members_.begin(), members_.end(),
+      [&id](const Member& member) { return member.id == id && member.voter; });
+}
+
+size_t Node::QuorumSize() const {
+  auto voters = std::count_if(members_.begin(), members_.end(),
+                              [](const Member& m) { return m.voter; });
+  return static_cast<size_t>(voters) / 2 + 1;
+}
+
+void Node::Send(const MemberId& to, Term term,
+                decltype(ConsensusMessage::body) body) {
+  out_.send.push_back({self_, to, term, std::move(body)});
+}
+
+void Node::PersistVote() { out_.vote = vote_; }
+
+void Node::ResetElectionDeadline(Instant now) {
+  const Duration spread = times_.election_highest - times_.election_lowest;
+  const auto jitter =
+      random_.Below(static_cast<uint64_t>(spread.count()) + 1);
+  election_deadline_ =
+      now + times_.election_lowest + Duration(static_cast<int64_t>(jitter));
+}
+
+ConsensusEffects Node::Take() {
+  ConsensusEffects effects = std::move(out_);
+  out_ = {};
+  return effects;
+}
+
+std::unique_ptr<ConsensusNode> MakeConsensusNode(const MemberId& self,
+                                                 const ConsensusTimes& times,
+                                                 ConsensusRestored restored,
+                                                 uint64_t seed, Instant now) {
+  return std::make_unique<Node>(self, times, std::move(restored), seed, now);
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/consensus/internal/replica.cc
@@ -0,0 +1,312 @@
+#include "consensus/replica.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <utility>
+
+#include "consensus/consensus_codec.h"
+#include "consensus/consensus_result_codes.h"
+#include "consensus/internal/entry_store.h"
+#include "consensus/internal/record_format.h"
+#include "platform/log.h"
+#include "platform/platform_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr char kIdentityFile[] = "identity";
+constexpr Duration kJoinInterval = std::chrono::milliseconds(500);
+constexpr Duration kProposalTimeout = std::chrono::seconds(5);
+constexpr uint64_t kCompactionBytes = 4U << 20U;
+
+struct OpenProposal {
+  Term term;
+  Instant deadline;
+  ReplicaCallback done;
+};
+
+struct OpenRead {
+  std::string query;
+  Instant deadline;
+  ReplicaCallback done;
+};
+
+class ReplicaImpl : public Replica {
+ public:
+  ReplicaImpl(Member self, std::vector<Member> known, EntryStore store,
+              std::unique_ptr<ConsensusNode> node, ConsensusLink& link,
+              ReplicatedState& state, LogIndex applied)
+      : self_(std::move(self)),
+        known_(std::move(known)),
+        store_(std::move(store)),
+        node_(std::move(node)),
+        link_(link),
+        state_(state),
+        applied_(applied) {}
+
+  void OnTick(Instant now) override {
+    if (failure_) return;
+    Absorb(node_->OnTick(now));
+    AskToJoin(now);
+    ExpireCallbacks(now);
+  }
+
+  void OnMessage(const ConsensusMessage& message, Instant now) override {
+    if (failure_) return;
+    Absorb(node_->OnMessage(message, now));
+  }
+
+  void Propose(std::string command, Instant now,
+               ReplicaCallback done) override {
+    ConsensusEffects effects;
+    std::optional<std::pair<Term, LogIndex>> place;
+    if (!failure_) {
+      place = node_->Propose(EntryKind::kCommand, std::move(command), now,
+                             effects);
+    }
+    if (!place.has_value()) {
+      done({ConsensusCode::kNotLeader, ""});
+      return;
+    }
+    proposals_[place->second] = {place->first, now + kProposalTimeout,
+                                 std::move(done)};
+    Absorb(std::move(effects));
+  }
+
+  void Read(std::string query, Instant now, ReplicaCallback done) override {
+    ConsensusEffects effects;
+    const uint64_t read = ++last_read_;
+    if (failure_ || !node_->RequestRead(read, now, effects)) {
+      done({ConsensusCode::kNotLeader, ""});
+      return;
+    }
+    reads_[read] = {std::move(query), now + kProposalTimeout, std::move(done)};
+    Absorb(std::move(effects));
+  }
+
+  void Flush(Instant now) override {
+    while (!failure_ && HasPending()) {
+      ConsensusEffects effects = std::move(pending_);
+      pending_ = {};
+      failure_ = Persist(effects);
+      if (failure_) {
+        Log(LogLevel::kError, "consensus",
+            "The replica stops: " + failure_.message() + ".");
+        return;
+      }
+      for (const ConsensusMessage& message : effects.send) SendOut(message);
+      Absorb(node_->OnSynced(now));
+      for (const LogEntry& entry : effects.committed) Apply(entry);
+      for (const ReadGrant& grant : effects.reads) AnswerRead(grant);
+      CompactIfLarge();
+    }
+  }
+
+  const ConsensusNode& Node() const override { return *node_; }
+
+  std::string LeaderAddress() const override {
+    auto leader = node_->Leader();
+    return leader.has_value() ? AddressOf(*leader) : "";
+  }
+
+  std::error_code Failure() const override { return failure_; }
+
+ private:
+  bool HasPending() const { return pending_ != ConsensusEffects{}; }
+
+  void Absorb(ConsensusEffects effects) {
+    if (effects.vote.has_value()) pending_.vote = effects.vote;
+    if (effects.install.has_value()) {
+      pending_.install = std::move(effects.install);
+      pending_.append.clear();
+      pending_.committed.clear();
+    }
+    auto move_all = [](auto& from, auto& to) {
+      for (auto& item : from) to.push_back(std::move(item));
+    };
+    move_all(effects.append, pending_.append);
+    move_all(effects.send, pending_.send);
+    move_all(effects.committed, pending_.committed);
+    move_all(effects.reads, pending_.reads);
+  }
+
+  std::error_code Persist(const ConsensusEffects& effects) {
+    std::error_code error;
+    if (effects.vote.has_value()) error = store_.SaveVote(*effects.vote);
+    if (error) return error;
+    if (effects.install.has_value()) {
+      if (!state_.Restore(effects.install->state)) {
+        return PlatformCode::kFileDamaged;
+      }
+      applied_ = effects.install->last_index;
+      error = store_.SaveSnapshot(*effects.install, effects.append);
+      return error;
+    }
+    if (effects.append.empty()) return {};
+    error = store_.Append(effects.append);
+    return error ? error : store_.Sync();
+  }
+
+  void SendOut(const ConsensusMessage& message) {
+    std::string address = AddressOf(message.to);
+    if (!address.empty()) link_.SendConsensus(address, message);
+  }
+
+  std::string AddressOf(const MemberId& id) const {
+    for (const Member& member : node_->Members()) {
+      if (member.id == id) return member.address;
+    }
+    // A replica that has not been taken in yet holds no members.
+    for (const Member& member : known_) {
+      if (member.id.instance == id.instance) return member.address;
+    }
+    return "";
+  }
+
+  void Apply(const LogEntry& entry) {
+    if (entry.index <= applied_) return;
+    applied_ = entry.index;
+    std::string result;
+    if (entry.kind == EntryKind::kCommand) result = state_.Apply(entry.command);
+    auto open = proposals_.find(entry.index);
+    if (open == proposals_.end()) return;
+    OpenProposal proposal = std::move(open->second);
+    proposals_.erase(open);
+    if (proposal.term == entry.term) {
+      proposal.done({{}, std::move(result)});
+    } else {
+      // Another entry took the place, so this proposal never commits.
+      proposal.done({ConsensusCode::kNotLeader, ""});
+    }
+  }
+
+  void AnswerRead(const ReadGrant& grant) {
+    auto open = reads_.find(grant.read);
+    if (open == reads_.end()) return;
+    OpenRead read = std::move(open->second);
+    reads_.erase(open);
+    if (!grant.granted) {
+      read.done({ConsensusCode::kNotLeader, ""});
+      return;
+    }
+    read.done({{}, state_.Read(read.query)});
+  }
+
+  void ExpireCallbacks(Instant now) {
+    auto expire = [now](auto& open, ConsensusCode code) {
+      for (auto item = open.begin(); item != open.end();) {
+        if (item->second.deadline > now) {
+          ++item;
+          continue;
+        }
+        ReplicaCallback done = std::move(item->second.done);
+        item = open.erase(item);
+        done({code, ""});
+      }
+    };
+    expire(proposals_, ConsensusCode::kOutcomeUnknown);
+    expire(reads_, ConsensusCode::kNoQuorum);
+  }
+
+  void AskToJoin(Instant now) {
+    if (node_->Role() != ReplicaRole::kNonVoter || now < next_join_) return;
+    next_join_ = now + kJoinInterval;
+    for (const Member& member : known_) {
+      if (member.address == self_.address) continue;
+      ConsensusMessage message{self_.id, {}, 0, JoinRequest{self_}};
+      link_.SendConsensus(member.address, message);
+    }
+  }
+
+  void CompactIfLarge() {
+    if (store_.LogBytes() < kCompactionBytes || applied_ == 0) return;
+    node_->Compact(applied_, state_.Snapshot());
+    failure_ = store_.SaveSnapshot(node_->LastSnapshot(),
+                                   node_->EntriesAfterSnapshot());
+  }
+
+  Member self_;
+  std::vector<Member> known_;
+  EntryStore store_;
+  std::unique_ptr<ConsensusNode> node_;
+  ConsensusLink& link_;
+  ReplicatedState& state_;
+  LogIndex applied_;
+
+  ConsensusEffects pending_;
+  std::map<LogIndex, OpenProposal> proposals_;
+  std::map<uint64_t, OpenRead> reads_;
+  uint64_t last_read_ = 0;
+  Instant next_join_;
+  std::error_code failure_;
+};
+
+std::error_code SaveIdentity(DataFolder& folder,
+                             const ReplicaIdentity& identity) {
+  std::string record;
+  AppendRecord(EncodeIdentity(identity), record);
+  return folder.WriteAtomically(kIdentityFile, record);
+}
+
+std::optional<ReplicaIdentity> LoadIdentity(DataFolder& folder,
+                                            std::error_code& error) {
+  auto content = folder.Read(kIdentityFile, error);
+  if (!content.has_value()) return std::nullopt;
+  std::string_view rest = *content;
+  auto bytes = TakeRecord(rest);
+  auto identity = bytes.has_value() ? DecodeIdentity(*bytes) : std::nullopt;
+  if (!identity.has_value()) error = PlatformCode::kFileDamaged;
+  return identity;
+}
+
+uint64_t NewIdentity() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32U) | device() | 1U;
+}
+
+}  // namespace
+
+std::error_code FoundReplica(DataFolder& folder, const std::string& instance,
+                             const std::vector<Member>& founders) {
+  if (!folder.Names().empty()) return ConsensusCode::kFolderNotEmpty;
+  return SaveIdentity(folder, {{instance, 0}, founders});
+}
+
+std::unique_ptr<Replica> OpenReplica(
+    DataFolder& folder, const std::string& prefix, const Member& self,
+    const std::vector<Member>& known, const ConsensusTimes& times,
+    ConsensusLink& link, ReplicatedState& state, uint64_t seed, Instant now,
+    std::error_code& error) {
+  auto identity = LoadIdentity(folder, error);
+  if (error) return nullptr;
+  if (!identity.has_value()) {
+    identity = ReplicaIdentity{{self.id.instance, NewIdentity()}, {}};
+    error = SaveIdentity(folder, *identity);
+    if (error) return nullptr;
+  }
+  if (identity->id.instance != self.id.instance) {
+    error = ConsensusCode::kWrongInstance;
+    return nullptr;
+  }
+  EntryStore store(folder, prefix);
+  ConsensusRestored restored;
+  error = store.Load(restored);
+  if (error) return nullptr;
+  if (restored.members.empty()) restored.members = identity->founders;
+  LogIndex applied = 0;
+  if (restored.snapshot.has_value()) {
+    applied = restored.snapshot->last_index;
+    if (!state.Restore(restored.snapshot->state)) {
+      error = PlatformCode::kFileDamaged;
+      return nullptr;
+    }
+  }
+  Member own = self;
+  own.id = identity->id;
+  auto node = MakeConsensusNode(own.id, times, std::move(restored), seed, now);
+  return std::make_unique<ReplicaImpl>(own, known, std::move(store),
+                                       std::move(node), link, state, applied);
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/consensus/tests/replica_group.h
@@ -0,0 +1,207 @@
+#ifndef HIBISCUSGLADE_CONSENSUS_TESTS_REPLICA_GROUP_H_
+#define HIBISCUSGLADE_CONSENSUS_TESTS_REPLICA_GROUP_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "consensus/replica.h"
+
+namespace hibiscusglade {
+
+/// Data folder in memory. Appended bytes last only once synced.
+class FakeDataFolder : public DataFolder {
+ public:
+  std::optional<std::string> Read(const std::string& name,
+                                  std::error_code&) override {
+    auto found = files_.find(name);
+    if (found == files_.end()) return std::nullopt;
+    return found->second;
+  }
+  std::error_code WriteAtomically(const std::string& name,
+                                  std::string_view content) override {
+    files_[name] = std::string(content);
+    return {};
+  }
+  std::unique_ptr<AppendFile> OpenAppend(const std::string& name,
+                                         std::error_code&) override {
+    return std::make_unique<File>(files_[name]);
+  }
+  std::error_code Remove(const std::string& name) override {
+    files_.erase(name);
+    return {};
+  }
+  std::vector<std::string> Names() const override {
+    std::vector<std::string> names;
+    for (const auto& [name, content] : files_) names.push_back(name);
+    return names;
+  }
+  std::string& ContentOf(const std::string& name) { return files_[name]; }
+
+ private:
+  class File : public AppendFile {
+   public:
+    explicit File(std::string& content) : content_(content) {}
+    std::error_code Append(std::string_view bytes) override {
+      unsynced_ += bytes;
+      return {};
+    }
+    std::error_code Sync() override {
+      content_ += std::exchange(unsynced_, "");
+      return {};
+    }
+    std::error_code Truncate(uint64_t size) override {
+      content_.resize(size);
+      return {};
+    }
+
+   private:
+    std::string& content_;
+    std::string unsynced_;
+  };
+
+  std::map<std::string, std::string> files_;
+};
+
+/// State that keeps its commands in order.
+class ListState : public ReplicatedState {
+ public:
+  std::string Apply(std::string_view command) override {
+    commands_.emplace_back(command);
+    return "applied " + std::string(command);
+  }
+  std::string Read(std::string_view) const override { return Snapshot(); }
+  std::string Snapshot() const override {
+    std::string joined;
+    for (const std::string& command : commands_) joined += command + "\n";
+    return joined;
+  }
+  bool Restore(std::string_view snapshot) override {
+    commands_.clear();
+    while (!snapshot.empty()) {
+      size_t end = snapshot.find('\n');
+      commands_.emplace_back(snapshot.substr(0, end));
+      snapshot.remove_prefix(end + 1);
+    }
+    return true;
+  }
+  const std::vector<std::string>& Commands() const { return commands_; }
+
+ private:
+  std::vector<std::string> commands_;
+};
+
+/// Several replicas joined by queues that a test can cut.
+class ReplicaGroup : public ConsensusLink {
+ public:
+  explicit ReplicaGroup(int size) {
+    for (int i = 0; i < size; ++i) {
+      const std::string name(1, static_cast<char>('a' + i));
+      founders_.push_back({{name, 0}, true, name, "domain-" + name});
+    }
+    for (const Member& member : founders_) {
+      FoundReplica(seats_[member.address].folder, member.id.instance,
+                   founders_);
+      Start(member.address);
+    }
+  }
+
+  void Start(const std::string& name) {
+    Seat& seat = seats_[name];
+    seat.state = {};
+    Member self{{name, 0}, false, name, "domain-" + name};
+    seat.replica = OpenReplica(seat.folder, "g-", self, founders_, {}, *this,
+                               seat.state, ++seed_, now_, seat.error);
+  }
+  void Stop(const std::string& name) { seats_[name].replica.reset(); }
+  void Wipe(const std::string& name) { seats_[name].folder = {}; }
+
+  /// Cuts or heals all links of a replica.
+  void Isolate(const std::string& name) { isolated_.insert(name); }
+  void Heal(const std::string& name) { isolated_.erase(name); }
+
+  void SendConsensus(const std::string& address,
+                     const ConsensusMessage& message) override {
+    queue_.emplace_back(address, message);
+  }
+
+  /// Lets time pass in steps, delivering all messages of each step.
+  void Run(Duration length) {
+    const Instant end = now_ + length;
+    while (now_ < end) {
+      now_ += std::chrono::milliseconds(10);
+      for (auto& [name, seat] : seats_) {
+        if (seat.replica != nullptr) seat.replica->OnTick(now_);
+      }
+      FlushAll();
+      for (int round = 0; round < 8 && !queue_.empty(); ++round) Deliver();
+    }
+  }
+
+  std::string LeaderName() const {
+    std::string leader;
+    Term highest = 0;
+    for (const auto& [name, seat] : seats_) {
+      if (seat.replica == nullptr) continue;
+      const ConsensusNode& node = seat.replica->Node();
+      if (node.Role() == ReplicaRole::kLeader &&
+          node.CurrentTerm() > highest) {
+        leader = name;
+        highest = node.CurrentTerm();
+      }
+    }
+    return leader;
+  }
+
+  Replica& At(const std::string& name) { return *seats_[name].replica; }
+  ListState& StateOf(const std::string& name) { return seats_[name].state; }
+  FakeDataFolder& FolderOf(const std::string& name) {
+    return seats_[name].folder;
+  }
+  std::error_code ErrorOf(const std::string& name) {
+    return seats_[name].error;
+  }
+  Instant Now() const { return now_; }
+
+ private:
+  struct Seat {
+    FakeDataFolder folder;
+    ListState state;
+    std::unique_ptr<Replica> replica;
+    std::error_code error;
+  };
+
+  void FlushAll() {
+    for (auto& [name, seat] : seats_) {
+      if (seat.replica != nullptr) seat.replica->Flush(now_);
+    }
+  }
+
+  void Deliver() {
+    auto batch = std::exchange(queue_, {});
+    for (auto& [address, message] : batch) {
+      const bool cut = isolated_.contains(address) ||
+                       isolated_.contains(message.from.instance);
+      Seat& seat = seats_[address];
+      if (!cut && seat.replica != nullptr) {
+        seat.replica->OnMessage(message, now_);
+      }
+    }
+    FlushAll();
+  }
+
+  std::vector<Member> founders_;
+  std::map<std::string, Seat> seats_;
+  std::set<std::string> isolated_;
+  std::deque<std::pair<std::string, ConsensusMessage>> queue_;
+  uint64_t seed_ = 0;
+  Instant now_ = Instant(std::chrono::seconds(1000));
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_CONSENSUS_TESTS_REPLICA_GROUP_H_
--- /dev/null
+++ b/src/consensus/types/consensus_types.h
@@ -0,0 +1,129 @@
+#ifndef HIBISCUSGLADE_CONSENSUS_TYPES_CONSENSUS_TYPES_H_
+#define HIBISCUSGLADE_CONSENSUS_TYPES_CONSENSUS_TYPES_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hibiscusglade {
+
+using Term = uint64_t;
+using LogIndex = uint64_t;
+
+/// Names one replica with one data folder. A replica that lost its disk comes
+/// back under a new identity, so that its old votes are never cast again.
+struct MemberId {
+  std::string instance;
+  uint64_t identity = 0;
+
+  friend auto operator<=>(const MemberId&, const MemberId&) = default;
+};
+
+/// One replica of a group.
+struct Member {
+  MemberId id;
+  bool voter = false;
+  std::string address;  ///< Control address, "ip:port".
+  std::string failure_domain;
+
+  friend bool operator==(const Member&, const Member&) = default;
+};
+
+enum class EntryKind : uint8_t { kNoop = 0, kCommand = 1, kMembers = 2 };
+
+struct LogEntry {
+  Term term = 0;
+  LogIndex index = 0;
+  EntryKind kind = EntryKind::kNoop;
+  std::string command;
+
+  friend bool operator==(const LogEntry&, const LogEntry&) = default;
+};
+
+/// What must be synced before a replica answers in a term.
+struct VoteState {
+  Term term = 0;
+  std::optional<MemberId> voted_for;
+
+  friend bool operator==(const VoteState&, const VoteState&) = default;
+};
+
+/// State of a group up to an index; replaces the log before it.
+struct ConsensusSnapshot {
+  LogIndex last_index = 0;
+  Term last_term = 0;
+  std::vector<Member> members;
+  std::string state;
+
+  friend bool operator==(const ConsensusSnapshot&,
+                         const ConsensusSnapshot&) = default;
+};
+
+struct VoteRequest {
+  LogIndex last_index = 0;
+  Term last_term = 0;
+  bool pre_vote = false;
+
+  friend bool operator==(const VoteRequest&, const VoteRequest&) = default;
+};
+
+struct VoteReply {
+  bool granted = false;
+  bool pre_vote = false;
+
+  friend bool operator==(const VoteReply&, const VoteReply&) = default;
+};
+
+struct AppendRequest {
+  LogIndex previous_index = 0;
+  Term previous_term = 0;
+  std::vector<LogEntry> entries;
+  LogIndex commit_index = 0;
+  uint64_t round = 0;  ///< Confirms leadership for reads when answered.
+
+  friend bool operator==(const AppendRequest&, const AppendRequest&) = default;
+};
+
+struct AppendReply {
+  bool matched = false;
+  LogIndex match_index = 0;  ///< When not matched: where to try next.
+  uint64_t round = 0;
+
+  friend bool operator==(const AppendReply&, const AppendReply&) = default;
+};
+
+struct InstallSnapshot {
+  ConsensusSnapshot snapshot;
+  uint64_t round = 0;
+
+  friend bool operator==(const InstallSnapshot&,
+                         const InstallSnapshot&) = default;
+};
+
+/// A replica with a new identity asks to be taken in as a non-voter.
+struct JoinRequest {
+  Member member;
+
+  friend bool operator==(const JoinRequest&, const JoinRequest&) = default;
+};
+
+struct ConsensusMessage {
+  MemberId from;
+  MemberId to;
+  Term term = 0;
+  std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
+               InstallSnapshot, JoinRequest>
+      body;
+
+  friend bool operator==(const ConsensusMessage&,
+                         const ConsensusMessage&) = default;
+};
+
+enum class ReplicaRole { kNonVoter, kFollower, kCandidate, kLeader };
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_CONSENSUS_TYPES_CONSENSUS_TYPES_H_
--- /dev/null
+++ b/src/platform/executor.h
@@ -0,0 +1,37 @@
+#ifndef HIBISCUSGLADE_PLATFORM_EXECUTOR_H_
+#define HIBISCUSGLADE_PLATFORM_EXECUTOR_H_
+
+#include <functional>
+#include <mutex>
+#include <vector>
+
+namespace hibiscusglade {
+
+/// Hands work to a thread that polls a file descriptor.
+class Executor {
+ public:
+  using Task = std::function<void()>;
+
+  Executor();
+  ~Executor();
+  Executor(const Executor&) = delete;
+  Executor& operator=(const Executor&) = delete;
+
+  /// Queues a task; any thread may call it.
+  void Post(Task task);
+
+  /// @return the descriptor that is readable while tasks wait.
+  int WakeDescriptor() const { return wake_descriptor_; }
+
+  /// Runs all waiting tasks on the calling thread.
+  void RunPending();
+
+ private:
+  int wake_descriptor_;
+  std::mutex mutex_;
+  std::vector<Task> tasks_;
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_PLATFORM_EXECUTOR_H_
--- /dev/null
+++ b/src/platform/internal/platform_result_codes.cc
@@ -0,0 +1,35 @@
+#include "platform/platform_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr ResultCodeInfo kCodes[] = {
+    {1001, "settings-unreadable", "the settings file can't be read", 500,
+     Certainty::kNotApplicable, "Check the path and its rights."},
+    {1002, "settings-invalid", "the settings have faults", 500,
+     Certainty::kNotApplicable,
+     "Run hibiscusgladectl check-settings and mend every fault listed."},
+    {1003, "file-unreadable", "a file of the data folder can't be read", 500,
+     Certainty::kNotApplicable, "Check the disk and the folder's rights."},
+    {1004, "file-unwritable", "a file of the data folder can't be written",
+     500, Certainty::kNotApplicable, "Check free space and rights."},
+    {1005, "sync-failed", "the disk did not confirm a write", 500,
+     Certainty::kNotApplicable,
+     "Replace the disk and let the replica join as a new member."},
+    {1006, "file-damaged", "a file of the data folder is damaged", 500,
+     Certainty::kNotApplicable,
+     "Move the folder away and let the replica join as a new member."},
+};
+
+}  // namespace
+
+const ResultCodeCategory& PlatformCategory() {
+  static const ResultCodeCategory category("platform", kCodes);
+  return category;
+}
+
+std::error_code make_error_code(PlatformCode code) {
+  return {static_cast<int>(code), PlatformCategory()};
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/platform/internal/settings_reader.cc
@@ -0,0 +1,239 @@
+#include "platform/settings_reader.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace hibiscusglade {
+
+using nlohmann::json;
+
+struct SettingsReader::Shared {
+  json root = json::object();
+  bool describing = false;
+  std::vector<SettingsFault> faults;
+  std::vector<SettingDoc> docs;
+
+  const json* At(const std::string& pointer) const {
+    const json::json_pointer place(pointer);
+    if (!root.contains(place)) return nullptr;
+    return &root.at(place);
+  }
+};
+
+namespace {
+
+std::string EscapedToken(std::string_view name) {
+  std::string escaped;
+  for (char c : name) {
+    if (c == '~') {
+      escaped += "~0";
+    } else if (c == '/') {
+      escaped += "~1";
+    } else {
+      escaped += c;
+    }
+  }
+  return escaped;
+}
+
+std::string RangeText(const NumberSpec& spec) {
+  return std::to_string(spec.lowest) + " to " + std::to_string(spec.highest);
+}
+
+std::string NumberExpectation(const NumberSpec& spec) {
+  std::string text = "expected a whole number from " + RangeText(spec);
+  if (!spec.unit.empty()) text += " (" + std::string(spec.unit) + ")";
+  return text;
+}
+
+std::string Joined(const std::vector<std::string_view>& words) {
+  std::string joined;
+  for (std::string_view word : words) {
+    if (!joined.empty()) joined += ", ";
+    joined += word;
+  }
+  return joined;
+}
+
+bool IsIpAddress(const std::string& text) {
+  unsigned char buffer[sizeof(in6_addr)];
+  return inet_pton(AF_INET, text.c_str(), buffer) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), buffer) == 1;
+}
+
+}  // namespace
+
+SettingsReader::SettingsReader(std::string_view text)
+    : shared_(std::make_shared<Shared>()) {
+  try {
+    shared_->root = json::parse(text, nullptr, true, true);
+  } catch (const json::parse_error& error) {
+    shared_->faults.push_back({"", error.what()});
+    shared_->root = json::object();
+    return;
+  }
+  if (!shared_->root.is_object()) {
+    shared_->faults.push_back({"", "expected an object"});
+    shared_->root = json::object();
+  }
+}
+
+SettingsReader::SettingsReader(std::shared_ptr<Shared> shared,
+                               std::string pointer)
+    : shared_(std::move(shared)), pointer_(std::move(pointer)) {}
+
+SettingsReader::~SettingsReader() {
+  if (shared_ != nullptr && !pointer_.empty()) Finish();
+}
+
+SettingsReader::SettingsReader(SettingsReader&&) noexcept = default;
+
+SettingsReader SettingsReader::Describing() {
+  SettingsReader reader("{}");
+  reader.shared_->describing = true;
+  return reader;
+}
+
+int64_t SettingsReader::Number(std::string_view name, const NumberSpec& spec) {
+  const std::string fallback =
+      spec.required ? "required" : std::to_string(spec.default_value);
+  Describe(name, {"", "number", std::string(spec.unit), RangeText(spec),
+                  fallback, std::string(spec.text)});
+  const json* value = shared_->At(PointerOf(name));
+  if (value == nullptr) {
+    if (spec.required) Fault(name, "missing; " + NumberExpectation(spec));
+    return spec.default_value;
+  }
+  if (!value->is_number_integer() || *value < spec.lowest ||
+      *value > spec.highest) {
+    Fault(name, NumberExpectation(spec) + ", found " + value->dump());
+    return spec.default_value;
+  }
+  return value->get<int64_t>();
+}
+
+std::string SettingsReader::Text(std::string_view name, const TextSpec& spec) {
+  const std::string fallback =
+      spec.required ? "required" : std::string(spec.default_value);
+  Describe(name, {"", "text", "", Joined(spec.allowed), fallback,
+                  std::string(spec.text)});
+  const json* value = shared_->At(PointerOf(name));
+  if (value == nullptr) {
+    if (spec.required) Fault(name, "missing; expected a text");
+    return std::string(spec.default_value);
+  }
+  if (!value->is_string() || (spec.required && value->empty()) ||
+      (spec.required && *value == "")) {
+    Fault(name, "expected a text, found " + value->dump());
+    return std::string(spec.default_value);
+  }
+  auto text = value->get<std::string>();
+  const bool allowed =
+      spec.allowed.empty() || std::find(spec.allowed.begin(),
+                                        spec.allowed.end(),
+                                        text) != spec.allowed.end();
+  if (allowed) return text;
+  Fault(name, "expected one of " + Joined(spec.allowed) + ", found " +
+                  value->dump());
+  return std::string(spec.default_value);
+}
+
+bool SettingsReader::Flag(std::string_view name, bool default_value,
+                          std::string_view text) {
+  Describe(name, {"", "flag", "", "true, false",
+                  default_value ? "true" : "false", std::string(text)});
+  const json* value = shared_->At(PointerOf(name));
+  if (value == nullptr) return default_value;
+  if (value->is_boolean()) return value->get<bool>();
+  Fault(name, "expected true or false, found " + value->dump());
+  return default_value;
+}
+
+std::string SettingsReader::IpAddress(std::string_view name,
+                                      const TextSpec& spec) {
+  std::string text = Text(name, spec);
+  if (!text.empty() && !IsIpAddress(text)) {
+    Fault(name, "expected an IP address in figures, found \"" + text + "\"");
+  }
+  return text;
+}
+
+SettingsReader SettingsReader::Object(std::string_view name,
+                                      std::string_view text) {
+  Describe(name, {"", "object", "", "", "", std::string(text)});
+  const json* value = shared_->At(PointerOf(name));
+  if (value != nullptr && !value->is_object()) {
+    Fault(name, "expected an object, found " + value->dump());
+  }
+  return {shared_, PointerOf(name)};
+}
+
+bool SettingsReader::Has(std::string_view name) const {
+  return shared_->describing || shared_->At(PointerOf(name)) != nullptr;
+}
+
+void SettingsReader::Array(std::string_view name, std::string_view text,
+                           const std::function<void(SettingsReader&)>& read) {
+  Describe(name, {"", "array", "", "", "", std::string(text)});
+  if (shared_->describing) {
+    SettingsReader element(shared_, PointerOf(name) + "/*");
+    read(element);
+    return;
+  }
+  const json* value = shared_->At(PointerOf(name));
+  if (value == nullptr) return;
+  if (!value->is_array()) {
+    Fault(name, "expected an array, found " + value->dump());
+    return;
+  }
+  for (size_t i = 0; i < value->size(); ++i) {
+    SettingsReader element(shared_, PointerOf(name) + "/" + std::to_string(i));
+    if (!value->at(i).is_object()) {
+      element.Fault("", "expected an object, found " + value->at(i).dump());
+      continue;
+    }
+    read(element);
+  }
+}
+
+void SettingsReader::Fault(std::string_view name, const std::string& message) {
+  if (shared_->describing) return;
+  shared_->faults.push_back(
+      {name.empty() ? pointer_ : PointerOf(name), message});
+}
+
+void SettingsReader::Finish() {
+  if (shared_->describing) return;
+  const json* value = shared_->At(pointer_);
+  if (value == nullptr || !value->is_object()) return;
+  for (const auto& [name, field] : value->items()) {
+    if (std::find(asked_.begin(), asked_.end(), name) == asked_.end()) {
+      Fault(name, "unknown field");
+    }
+  }
+}
+
+const std::vector<SettingsFault>& SettingsReader::Faults() const {
+  return shared_->faults;
+}
+
+const std::vector<SettingDoc>& SettingsReader::Docs() const {
+  return shared_->docs;
+}
+
+std::string SettingsReader::PointerOf(std::string_view name) const {
+  return pointer_ + "/" + EscapedToken(name);
+}
+
+void SettingsReader::Describe(std::string_view name, const SettingDoc& doc) {
+  asked_.emplace_back(name);
+  if (!shared_->describing) return;
+  SettingDoc row = doc;
+  row.pointer = PointerOf(name);
+  shared_->docs.push_back(std::move(row));
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/platform/random.h
@@ -0,0 +1,35 @@
+#ifndef HIBISCUSGLADE_PLATFORM_RANDOM_H_
+#define HIBISCUSGLADE_PLATFORM_RANDOM_H_
+
+#include <cstdint>
+#include <random>
+
+namespace hibiscusglade {
+
+/// Seeded source of random numbers for state machines, so that a session can
+/// be run again with the same choices.
+class Random {
+ public:
+  /// @param seed any number; equal seeds give equal sequences.
+  explicit Random(uint64_t seed) : engine_(seed) {}
+
+  /// @return a number in [0, bound); 0 when bound is 0.
+  uint64_t Below(uint64_t bound) {
+    return bound == 0 ? 0 : engine_() % bound;
+  }
+
+  /// @return a number in [0, 1).
+  double Fraction() {
+    return static_cast<double>(engine_() >> 11U) * 0x1.0p-53;
+  }
+
+  /// @return a full 64-bit number.
+  uint64_t Bits() { return engine_(); }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_PLATFORM_RANDOM_H_
