--- a/src/platform/internal/settings_reader.cc
+++ b/src/platform/internal/settings_reader.cc
@@ -199,12 +199,78 @@
   }
 }
 
+void SettingsReader::Map(
+    std::string_view name, std::string_view text,
+    const std::function<void(const std::string&, SettingsReader&)>& read) {
+  Describe(name, {"", "object of objects", "", "", "", std::string(text)});
+  if (shared_->describing) {
+    SettingsReader element(shared_, PointerOf(name) + "/*");
+    read("*", element);
+    return;
+  }
+  const json* value = shared_->At(PointerOf(name));
+  if (value == nullptr) return;
+  if (!value->is_object()) {
+    Fault(name, "expected an object, found " + value->dump());
+    return;
+  }
+  for (const auto& [key, field] : value->items()) {
+    SettingsReader element(shared_, PointerOf(name) + "/" + EscapedToken(key));
+    if (!field.is_object()) {
+      element.Fault("", "expected an object, found " + field.dump());
+      continue;
+    }
+    read(key, element);
+  }
+}
+
+std::vector<std::string> SettingsReader::Texts(std::string_view name,
+                                               const TextSpec& spec) {
+  Describe(name, {"", "array of texts", "", Joined(spec.allowed),
+                  std::string(spec.default_value), std::string(spec.text)});
+  std::vector<std::string> texts;
+  const json* value = shared_->At(PointerOf(name));
+  if (value == nullptr) {
+    if (spec.required) Fault(name, "missing; expected an array of texts");
+    return texts;
+  }
+  if (!value->is_array()) {
+    Fault(name, "expected an array of texts, found " + value->dump());
+    return texts;
+  }
+  for (size_t i = 0; i < value->size(); ++i) {
+    const std::string element = std::string(name) + "/" + std::to_string(i);
+    const json& text = value->at(i);
+    const bool allowed =
+        text.is_string() &&
+        (spec.allowed.empty() ||
+         std::find(spec.allowed.begin(), spec.allowed.end(),
+                   text.get<std::string>()) != spec.allowed.end());
+    if (allowed) {
+      texts.push_back(text.get<std::string>());
+      continue;
+    }
+    shared_->faults.push_back(
+        {pointer_ + "/" + element, "expected a text" +
+                                       (spec.allowed.empty()
+                                            ? std::string()
+                                            : " out of " + Joined(spec.allowed)) +
+                                       ", found " + text.dump()});
+  }
+  return texts;
+}
+
 void SettingsReader::Fault(std::string_view name, const std::string& message) {
   if (shared_->describing) return;
   shared_->faults.push_back(
       {name.empty() ? pointer_ : PointerOf(name), message});
 }
 
+void SettingsReader::FaultAt(const std::string& pointer,
+                             const std::string& message) {
+  if (!shared_->describing) shared_->faults.push_back({pointer, message});
+}
+
 void SettingsReader::Finish() {
   if (shared_->describing) return;
   const json* value = shared_->At(pointer_);
--- a/src/platform/settings_reader.h
+++ b/src/platform/settings_reader.h
@@ -83,10 +83,20 @@
   void Array(std::string_view name, std::string_view text,
              const std::function<void(SettingsReader&)>& read);
 
+  /// Calls `read` with the name and a reader of each object in an object.
+  void Map(std::string_view name, std::string_view text,
+           const std::function<void(const std::string&, SettingsReader&)>& read);
+
+  /// Reads an array of texts.
+  std::vector<std::string> Texts(std::string_view name, const TextSpec& spec);
+
   /// Records a fault at a field of this object; an empty name means the
   /// object itself.
   void Fault(std::string_view name, const std::string& message);
 
+  /// Records a fault at a pointer of the file.
+  void FaultAt(const std::string& pointer, const std::string& message);
+
   /// Records a fault for each field that was never asked for. Called by the
   /// destructor of object readers; call it on the root before Faults().
   void Finish();
--- /dev/null
+++ b/src/versions/internal/config_reader.cc
@@ -0,0 +1,191 @@
+#include "versions/config_reader.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace hibiscusglade {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr int64_t kMaxConnections = 129;
+constexpr int64_t kMaxQueue = 10000;
+constexpr int64_t kMaxMillis = 600'000;
+constexpr int64_t kMaxBodyBytes = 8 << 20;
+constexpr int64_t kDefaultBodyBytes = 1 << 20;
+
+ServiceConfig ReadService(const std::string& name, SettingsReader& reader) {
+  ServiceConfig service;
+  service.name = name;
+  service.max_connections = static_cast<uint32_t>(reader.Number(
+      "max_connections", {1, kMaxConnections, 100, "connections",
+                          "Most connections to one upstream."}));
+  service.max_queue = static_cast<uint32_t>(reader.Number(
+      "max_queue", {0, kMaxQueue, 64, "requests",
+                    "Most requests that wait at one upstream."}));
+  service.ramp = milliseconds(
+      reader.Number("ramp_ms", {0, kMaxMillis, 5000, "ms",
+                                "Time from start to full load."}));
+  return service;
+}
+
+ClassConfig ReadClass(const std::string& name, SettingsReader& reader) {
+  ClassConfig config;
+  config.name = name;
+  config.reserved_percent = static_cast<uint32_t>(
+      reader.Number("reserved_percent",
+                    {0, 100, 0, "%", "Slots that no other class may take."}));
+  config.max_percent = static_cast<uint32_t>(reader.Number(
+      "max_percent", {1, 100, 100, "%", "Slots the class may take."}));
+  config.max_wait = milliseconds(reader.Number(
+      "max_wait_ms",
+      {0, kMaxMillis, 1000, "ms", "Longest wait for a slot."}));
+  config.priority = static_cast<uint32_t>(reader.Number(
+      "priority", {0, 9, 5, "", "Higher is shed later."}));
+  if (config.reserved_percent > config.max_percent) {
+    reader.Fault("reserved_percent", "is above max_percent");
+  }
+  return config;
+}
+
+RouteConfig ReadRoute(const std::string& name, SettingsReader& reader) {
+  RouteConfig route;
+  route.name = name;
+  route.path_prefix = reader.Text(
+      "path_prefix", {"", "Start of the paths of the route.", true});
+  if (!route.path_prefix.empty() && route.path_prefix[0] != '/') {
+    reader.Fault("path_prefix", "expected a path that starts with /");
+  }
+  route.methods = reader.Texts(
+      "methods", {"",
+                  "Methods of the route; none named allows all.",
+                  false,
+                  {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}});
+  route.service =
+      reader.Text("service", {"", "Service that runs the requests.", true});
+  route.request_class =
+      reader.Text("class", {"", "Class of the requests.", true});
+  route.repeatable = reader.Flag("repeatable", false,
+                                 "Whether a request may run more than once.");
+  route.hedge = reader.Flag("hedge", false,
+                            "Whether a late request is sent a second time.");
+  route.timeout = milliseconds(reader.Number(
+      "timeout_ms", {1, kMaxMillis, 10'000, "ms", "Longest time of a call."}));
+  route.max_attempts = static_cast<uint32_t>(reader.Number(
+      "max_attempts", {1, 10, 3, "attempts", "Most attempts of a call."}));
+  if (route.hedge && !route.repeatable) {
+    reader.Fault("hedge", "only a repeatable route may hedge");
+  }
+  return route;
+}
+
+LimitsConfig ReadLimits(SettingsReader reader) {
+  LimitsConfig limits;
+  limits.retry_budget_percent = static_cast<uint32_t>(reader.Number(
+      "retry_budget_percent", {0, 100, 10, "%", "Retries per request."}));
+  limits.hedge_budget_percent = static_cast<uint32_t>(reader.Number(
+      "hedge_budget_percent", {0, 100, 5, "%", "Hedges per request."}));
+  limits.max_ejected_percent = static_cast<uint32_t>(
+      reader.Number("max_ejected_percent",
+                    {0, 100, 30, "%", "Slow upstreams left out at once."}));
+  limits.max_request_body_bytes = static_cast<uint64_t>(reader.Number(
+      "max_request_body_bytes",
+      {0, kMaxBodyBytes, kDefaultBodyBytes, "bytes", "Largest body taken."}));
+  return limits;
+}
+
+void CheckReferences(const ConfigDocument& document, SettingsReader& reader) {
+  for (const auto& [name, route] : document.routes) {
+    const std::string place = "/routes/" + name;
+    if (!route.service.empty() && !document.services.contains(route.service)) {
+      reader.FaultAt(place + "/service",
+                     "service \"" + route.service + "\" does not exist");
+    }
+    if (!route.request_class.empty() &&
+        !document.classes.contains(route.request_class)) {
+      reader.FaultAt(place + "/class",
+                     "class \"" + route.request_class + "\" does not exist");
+    }
+  }
+  uint32_t reserved = 0;
+  for (const auto& [name, config] : document.classes) {
+    reserved += config.reserved_percent;
+  }
+  if (reserved > 100) {
+    reader.FaultAt("/classes", "reserved_percent adds up to " +
+                                   std::to_string(reserved) + " of 100");
+  }
+}
+
+}  // namespace
+
+ConfigDocument ReadConfigDocument(SettingsReader& reader) {
+  ConfigDocument document;
+  reader.Map("services", "Services by name.",
+             [&](const std::string& name, SettingsReader& item) {
+               document.services[name] = ReadService(name, item);
+             });
+  reader.Map("classes", "Classes of requests by name.",
+             [&](const std::string& name, SettingsReader& item) {
+               document.classes[name] = ReadClass(name, item);
+             });
+  reader.Map("routes", "Routes by name.",
+             [&](const std::string& name, SettingsReader& item) {
+               document.routes[name] = ReadRoute(name, item);
+             });
+  document.limits = ReadLimits(reader.Object("limits", "Limits of the mesh."));
+  CheckReferences(document, reader);
+  return document;
+}
+
+ConfigParse ParseConfigDocument(std::string_view text) {
+  SettingsReader reader(text);
+  ConfigDocument document = ReadConfigDocument(reader);
+  reader.Finish();
+  if (!reader.Faults().empty()) return {std::nullopt, reader.Faults()};
+  return {std::move(document), {}};
+}
+
+std::optional<std::string> ApplyPatch(std::string_view text,
+                                      std::string_view patch,
+                                      std::vector<SettingsFault>& faults) {
+  const json operations = json::parse(patch, nullptr, false);
+  if (operations.is_discarded() || !operations.is_array()) {
+    faults.push_back({"", "expected a JSON array of patch operations"});
+    return std::nullopt;
+  }
+  try {
+    return json::parse(text).patch(operations).dump();
+  } catch (const json::exception& error) {
+    faults.push_back({"", std::string("the patch does not apply: ") +
+                              error.what()});
+    return std::nullopt;
+  }
+}
+
+ConfigVersionPtr MakeConfigVersion(uint64_t number, uint64_t parent,
+                                   std::string text, std::string patch,
+                                   std::vector<SettingsFault>& faults) {
+  ConfigParse parse = ParseConfigDocument(text);
+  if (!parse.document.has_value()) {
+    faults.insert(faults.end(), parse.faults.begin(), parse.faults.end());
+    return nullptr;
+  }
+  const Digest digest = DigestOf(text);
+  return std::make_shared<const ConfigVersion>(
+      ConfigVersion{number, parent, digest, std::move(text), std::move(patch),
+                    std::move(*parse.document)});
+}
+
+ConfigVersionPtr EmptyConfigVersion() {
+  static const ConfigVersionPtr empty = [] {
+    std::vector<SettingsFault> faults;
+    return MakeConfigVersion(
+        0, 0, R"({"classes":{},"limits":{},"routes":{},"services":{}})", "[]",
+        faults);
+  }();
+  return empty;
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/versions/internal/versions_result_codes.cc
@@ -0,0 +1,35 @@
+#include "versions/versions_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr ResultCodeInfo kCodes[] = {
+    {2001, "conflict", "the patch names a version that is not the latest", 409,
+     Certainty::kNotApplicable,
+     "Look at the latest version and propose against it."},
+    {2002, "invalid-document", "the patched document has faults", 422,
+     Certainty::kNotApplicable, "Mend every fault named and propose again."},
+    {2003, "invalid-patch", "the patch can't be read or applied", 422,
+     Certainty::kNotApplicable, "Check the patch against the named version."},
+    {2004, "patch-id-reused", "the patch id was used for another patch", 409,
+     Certainty::kNotApplicable, "Propose under a new patch id."},
+    {2005, "no-such-version", "the version does not exist or is compacted",
+     404, Certainty::kNotApplicable, "See hibiscusgladectl history."},
+    {2006, "missing-patch-id", "the proposal names no patch id", 400,
+     Certainty::kNotApplicable, "Name a patch id, so that it can be resent."},
+    {2007, "damaged-command", "the command can't be decoded", 400,
+     Certainty::kNotApplicable, "Check that all daemons run one release."},
+};
+
+}  // namespace
+
+const ResultCodeCategory& VersionsCategory() {
+  static const ResultCodeCategory category("versions", kCodes);
+  return category;
+}
+
+std::error_code make_error_code(VersionsCode code) {
+  return {static_cast<int>(code), VersionsCategory()};
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/versions/types/config_document.h
@@ -0,0 +1,96 @@
+#ifndef HIBISCUSGLADE_VERSIONS_TYPES_CONFIG_DOCUMENT_H_
+#define HIBISCUSGLADE_VERSIONS_TYPES_CONFIG_DOCUMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "platform/clock.h"
+#include "platform/digest.h"
+#include "platform/settings_reader.h"
+
+namespace hibiscusglade {
+
+/// A service whose upstreams run requests.
+struct ServiceConfig {
+  std::string name;
+  uint32_t max_connections = 0;  ///< To one upstream.
+  uint32_t max_queue = 0;        ///< Requests waiting at one upstream.
+  Duration ramp{};  ///< How long a started upstream takes to full load.
+
+  friend bool operator==(const ServiceConfig&, const ServiceConfig&) = default;
+};
+
+/// A class of requests that share slots.
+struct ClassConfig {
+  std::string name;
+  uint32_t reserved_percent = 0;  ///< Slots no other class may take.
+  uint32_t max_percent = 100;     ///< Slots the class may take at most.
+  Duration max_wait{};            ///< Longest wait in the owner's queue.
+  uint32_t priority = 0;          ///< Higher is shed later.
+
+  friend bool operator==(const ClassConfig&, const ClassConfig&) = default;
+};
+
+/// Which requests go to which service, and how.
+struct RouteConfig {
+  std::string name;
+  std::string path_prefix;
+  std::vector<std::string> methods;  ///< Empty allows all.
+  std::string service;
+  std::string request_class;
+  bool repeatable = false;  ///< Whether a request may run twice.
+  bool hedge = false;
+  Duration timeout{};
+  uint32_t max_attempts = 1;
+
+  friend bool operator==(const RouteConfig&, const RouteConfig&) = default;
+};
+
+/// Limits of the whole mesh.
+struct LimitsConfig {
+  uint32_t retry_budget_percent = 0;  ///< Retries per hundred requests.
+  uint32_t hedge_budget_percent = 0;
+  uint32_t max_ejected_percent = 0;  ///< Of a service's upstreams.
+  uint64_t max_request_body_bytes = 0;
+
+  friend bool operator==(const LimitsConfig&, const LimitsConfig&) = default;
+};
+
+/// Content of one configuration version.
+struct ConfigDocument {
+  std::map<std::string, ServiceConfig> services;
+  std::map<std::string, ClassConfig> classes;
+  std::map<std::string, RouteConfig> routes;
+  LimitsConfig limits;
+
+  friend bool operator==(const ConfigDocument&,
+                         const ConfigDocument&) = default;
+};
+
+/// Outcome of reading a document: the document, or every fault in it.
+struct ConfigParse {
+  std::optional<ConfigDocument> document;
+  std::vector<SettingsFault> faults;
+};
+
+/// One accepted version. Shared by all who use it; never changed.
+struct ConfigVersion {
+  uint64_t number = 0;
+  uint64_t parent = 0;
+  Digest digest = 0;    ///< Of `text`.
+  std::string text;     ///< Canonical JSON.
+  std::string patch;    ///< RFC 6902 patch from the parent; may be empty.
+  ConfigDocument document;
+
+  friend bool operator==(const ConfigVersion&, const ConfigVersion&) = default;
+};
+
+using ConfigVersionPtr = std::shared_ptr<const ConfigVersion>;
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_VERSIONS_TYPES_CONFIG_DOCUMENT_H_
--- /dev/null
+++ b/src/versions/version_ledger.h
@@ -0,0 +1,65 @@
+#ifndef HIBISCUSGLADE_VERSIONS_VERSION_LEDGER_H_
+#define HIBISCUSGLADE_VERSIONS_VERSION_LEDGER_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "consensus/replicated_state.h"
+#include "versions/types/config_document.h"
+
+namespace hibiscusglade {
+
+namespace wire {
+class PatchCommand;
+class PatchVerdict;
+class VersionQuery;
+class VersionQueryAnswer;
+}  // namespace wire
+
+/// The accepted versions and the verdict on every patch, as driven by the
+/// replicated log. Commands are wire::PatchCommand, results
+/// wire::PatchVerdict, reads wire::VersionQuery and wire::VersionQueryAnswer.
+class VersionLedger : public ReplicatedState {
+ public:
+  using Listener = std::function<void(const ConfigVersionPtr&)>;
+
+  /// @param listener called with each version as it is accepted, and with the
+  /// latest one after a restore.
+  explicit VersionLedger(Listener listener);
+  ~VersionLedger() override;
+
+  std::string Apply(std::string_view command) override;
+  std::string Read(std::string_view query) const override;
+  std::string Snapshot() const override;
+  bool Restore(std::string_view snapshot) override;
+
+  /// @return the latest accepted version.
+  const ConfigVersionPtr& Latest() const { return versions_.back().version; }
+
+ private:
+  struct Held {
+    ConfigVersionPtr version;
+    std::string patch_id;
+    std::string author;
+    uint64_t accepted_at = 0;  ///< Calendar time in microseconds.
+  };
+  struct Verdict;
+
+  Verdict Judge(const wire::PatchCommand& command);
+  ConfigVersionPtr BuildNext(const wire::PatchCommand& command,
+                             std::vector<SettingsFault>& faults,
+                             int& code) const;
+  const Held* Find(uint64_t number) const;
+  void Remember(const std::string& patch_id, Verdict verdict);
+
+  Listener listener_;
+  std::deque<Held> versions_;
+  std::map<std::string, Verdict> verdicts_;
+  std::deque<std::string> verdict_order_;
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_VERSIONS_VERSION_LEDGER_H_
