Add distribution of versions and membership

Cause: a daemon must learn newer versions from its peers and who serves what.

Change: version follower (notices, pulls of deltas or the whole, floor by a majority of replicas before anything is in use) and membership (records with incarnation and sequence, gossip, lease of the local upstream).

--- /dev/null
+++ b/src/distribution/internal/version_history.cc
@@ -0,0 +1,86 @@
+#include "distribution/internal/version_history.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "versions/config_reader.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr size_t kKeptSteps = 600;
+
+}  // namespace
+
+VersionHistory::VersionHistory() : latest_(EmptyConfigVersion()) {}
+
+bool VersionHistory::Take(const ConfigVersionPtr& version) {
+  if (version->number <= latest_->number) return false;
+  if (version->number == latest_->number + 1) {
+    steps_.push_back({version->number, latest_->digest, version->patch});
+    if (steps_.size() > kKeptSteps) steps_.pop_front();
+  } else {
+    steps_.clear();
+  }
+  latest_ = version;
+  return true;
+}
+
+ConfigVersionPtr VersionHistory::TakeAnswer(const VersionPullAnswer& answer) {
+  if (answer.number <= latest_->number) return nullptr;
+  std::vector<SettingsFault> faults;
+  std::string text = answer.whole;
+  std::vector<Step> steps;
+  if (text.empty()) {
+    if (answer.base_number != latest_->number ||
+        answer.base_digest != latest_->digest ||
+        answer.number != answer.base_number + answer.patches.size()) {
+      return nullptr;
+    }
+    text = latest_->text;
+    uint64_t number = answer.base_number;
+    for (const std::string& patch : answer.patches) {
+      steps.push_back({++number, DigestOf(text), patch});
+      auto next = ApplyPatch(text, patch, faults);
+      if (!next.has_value()) return nullptr;
+      text = std::move(*next);
+    }
+  }
+  if (DigestOf(text) != answer.digest) return nullptr;
+  const std::string patch = steps.empty() ? "" : steps.back().patch;
+  ConfigVersionPtr version = MakeConfigVersion(
+      answer.number, answer.number - 1, std::move(text), patch, faults);
+  if (version == nullptr) return nullptr;
+  if (steps.empty()) steps_.clear();
+  for (Step& step : steps) steps_.push_back(std::move(step));
+  while (steps_.size() > kKeptSteps) steps_.pop_front();
+  latest_ = version;
+  return version;
+}
+
+VersionPullAnswer VersionHistory::AnswerTo(const VersionPull& pull) const {
+  VersionPullAnswer answer;
+  answer.number = latest_->number;
+  answer.digest = latest_->digest;
+  auto first = std::find_if(steps_.begin(), steps_.end(),
+                            [&pull](const Step& step) {
+                              return step.number == pull.have_number + 1;
+                            });
+  size_t bytes = 0;
+  if (first != steps_.end() && first->base_digest == pull.have_digest) {
+    answer.base_number = pull.have_number;
+    answer.base_digest = pull.have_digest;
+    for (auto step = first; step != steps_.end(); ++step) {
+      bytes += step->patch.size();
+      answer.patches.push_back(step->patch);
+    }
+    if (bytes <= latest_->text.size()) return answer;
+    answer.patches.clear();
+    answer.base_number = 0;
+    answer.base_digest = 0;
+  }
+  answer.whole = latest_->text;
+  return answer;
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/distribution/version_follower.h
@@ -0,0 +1,76 @@
+#ifndef HIBISCUSGLADE_DISTRIBUTION_VERSION_FOLLOWER_H_
+#define HIBISCUSGLADE_DISTRIBUTION_VERSION_FOLLOWER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "distribution/types/distribution_types.h"
+#include "platform/clock.h"
+#include "versions/types/config_document.h"
+
+namespace hibiscusglade {
+
+/// Who this daemon is and whom it may ask.
+struct FollowerConfig {
+  std::string instance;
+  std::string failure_domain;
+  bool replica = false;               ///< A control replica runs here.
+  std::vector<std::string> replicas;  ///< Control addresses of all replicas.
+  Duration notice_interval = std::chrono::milliseconds(500);
+  Duration pull_timeout = std::chrono::seconds(2);
+  Duration floor_interval = std::chrono::milliseconds(500);
+};
+
+/// What the caller of a follower must do.
+struct FollowerEffects {
+  std::vector<DistributionSend> send;
+  /// The version to put in use; empty when it does not change. Its number is
+  /// always above that of the version in use.
+  ConfigVersionPtr activate;
+};
+
+/// One daemon's copy of the configuration: learns of newer versions from its
+/// peers, pulls them, and puts each in use whole or not at all. Until it knows
+/// a floor below which it may not serve, it has no version in use.
+class VersionFollower {
+ public:
+  virtual ~VersionFollower() = default;
+
+  virtual FollowerEffects OnTick(Instant now) = 0;
+
+  /// Handles a message of a peer.
+  /// @param from control address to answer to.
+  virtual FollowerEffects OnMessage(const std::string& from,
+                                    const DistributionMessage& message,
+                                    Instant now) = 0;
+
+  /// Takes a version that the local replica applied as committed.
+  virtual FollowerEffects OnCommitted(const ConfigVersionPtr& version,
+                                      Instant now) = 0;
+
+  /// Tells that the local replica was confirmed current by its leader, through
+  /// a version.
+  virtual FollowerEffects OnReplicaCurrent(uint64_t number, Instant now) = 0;
+
+  /// Replaces the peers known to be alive.
+  virtual void SetPeers(std::vector<DistributionPeer> peers) = 0;
+
+  /// @return the version in use; nullptr until the floor is known.
+  virtual const ConfigVersionPtr& InUse() const = 0;
+
+  /// @return whether the floor is known and held.
+  virtual bool FloorKnown() const = 0;
+
+  /// @return a short sentence on why there is no version in use; empty else.
+  virtual std::string WaitingFor() const = 0;
+};
+
+std::unique_ptr<VersionFollower> MakeVersionFollower(FollowerConfig config,
+                                                     uint64_t seed,
+                                                     Instant now);
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_DISTRIBUTION_VERSION_FOLLOWER_H_
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,117 @@
+#ifndef HIBISCUSGLADE_MEMBERSHIP_MEMBERSHIP_H_
+#define HIBISCUSGLADE_MEMBERSHIP_MEMBERSHIP_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "membership/types/instance_record.h"
+#include "platform/clock.h"
+
+namespace hibiscusglade {
+
+struct MembershipConfig {
+  InstanceRecord self;             ///< Without an upstream.
+  std::vector<std::string> seeds;  ///< Control addresses to start from.
+  Duration gossip_interval = std::chrono::milliseconds(500);
+  Duration probe_interval = std::chrono::seconds(1);
+  Duration probe_timeout = std::chrono::milliseconds(400);
+  Duration suspicion = std::chrono::seconds(3);
+  Duration announcement_lease = std::chrono::seconds(5);
+  Duration forget_after = std::chrono::minutes(10);
+};
+
+struct GossipMessage {
+  std::vector<InstanceRecord> records;
+  uint64_t table_digest = 0;
+  bool wants_answer = false;
+  bool whole = false;
+
+  friend bool operator==(const GossipMessage&, const GossipMessage&) = default;
+};
+
+struct ProbeMessage {
+  uint64_t sequence = 0;
+  std::string on_behalf_of;  ///< Control address of the asker, when indirect.
+
+  friend bool operator==(const ProbeMessage&, const ProbeMessage&) = default;
+};
+
+struct ProbeAckMessage {
+  uint64_t sequence = 0;
+  std::string instance;
+
+  friend bool operator==(const ProbeAckMessage&,
+                         const ProbeAckMessage&) = default;
+};
+
+struct IndirectProbeMessage {
+  uint64_t sequence = 0;
+  std::string target_instance;
+  std::string target_address;
+
+  friend bool operator==(const IndirectProbeMessage&,
+                         const IndirectProbeMessage&) = default;
+};
+
+using MembershipMessage = std::variant<GossipMessage, ProbeMessage,
+                                       ProbeAckMessage, IndirectProbeMessage>;
+
+struct MembershipSend {
+  std::string address;
+  MembershipMessage message;
+
+  friend bool operator==(const MembershipSend&,
+                         const MembershipSend&) = default;
+};
+
+struct MembershipEffects {
+  std::vector<MembershipSend> send;
+  bool changed = false;  ///< Records() gives another answer than before.
+};
+
+/// One daemon's view of who runs, where, and with which upstream.
+/// Deterministic: time, messages and announcements are passed in.
+class Membership {
+ public:
+  virtual ~Membership() = default;
+
+  virtual MembershipEffects OnTick(Instant now) = 0;
+
+  /// @param from control address to answer to.
+  virtual MembershipEffects OnMessage(const std::string& from,
+                                      const MembershipMessage& message,
+                                      Instant now) = 0;
+
+  /// Takes an announcement or renewal of the upstream beside this daemon.
+  virtual MembershipEffects OnAnnounce(const UpstreamAnnouncement& upstream,
+                                       Instant now) = 0;
+
+  /// The upstream has gone, or its lease has ended.
+  virtual MembershipEffects OnUpstreamGone(Instant now) = 0;
+
+  /// Tells peers which version this daemon has in use.
+  virtual void SetVersionInUse(uint64_t number, Digest digest) = 0;
+
+  /// Tells peers that this daemon leaves on purpose.
+  virtual MembershipEffects Leave(Instant now) = 0;
+
+  /// @return all records held, this daemon's own included.
+  virtual std::vector<InstanceRecord> Records() const = 0;
+
+  /// @return the announcement in force of the local upstream, if any.
+  virtual std::optional<UpstreamAnnouncement> LocalUpstream() const = 0;
+
+  /// @return whether a failure domain answers at all. A domain of which every
+  /// instance is silent at once is cut off rather than dead.
+  virtual bool DomainReachable(const std::string& failure_domain) const = 0;
+};
+
+std::unique_ptr<Membership> MakeMembership(MembershipConfig config,
+                                           uint64_t seed, Instant now);
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_MEMBERSHIP_MEMBERSHIP_H_
--- /dev/null
+++ b/src/membership/types/instance_record.h
@@ -0,0 +1,66 @@
+#ifndef HIBISCUSGLADE_MEMBERSHIP_TYPES_INSTANCE_RECORD_H_
+#define HIBISCUSGLADE_MEMBERSHIP_TYPES_INSTANCE_RECORD_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "platform/digest.h"
+
+namespace hibiscusglade {
+
+/// State of a daemon as seen by its peers.
+enum class InstanceState : uint8_t { kAlive = 0, kSuspected = 1, kDead = 2, kLeft = 3 };
+
+/// State of the upstream beside a daemon.
+enum class UpstreamState : uint8_t {
+  kNone = 0,
+  kStarting = 1,
+  kServing = 2,
+  kDraining = 3,
+};
+
+/// What one daemon tells about itself and its upstream. Only that daemon
+/// raises the sequence; others may only add a suspicion of death.
+struct InstanceRecord {
+  std::string instance;
+  std::string region;
+  std::string failure_domain;
+  uint64_t incarnation = 0;  ///< Of the daemon's process; later is larger.
+  uint64_t sequence = 0;
+  InstanceState state = InstanceState::kAlive;
+  std::string control_address;
+  std::string request_address;
+  std::string service;  ///< Empty while no upstream has announced itself.
+  uint32_t slots = 0;
+  UpstreamState upstream_state = UpstreamState::kNone;
+  uint64_t version_in_use = 0;
+  Digest version_digest = 0;
+  bool replica = false;
+
+  friend bool operator==(const InstanceRecord&,
+                         const InstanceRecord&) = default;
+};
+
+/// @return whether `a` replaces `b`, a record of the same instance.
+inline bool Supersedes(const InstanceRecord& a, const InstanceRecord& b) {
+  if (a.incarnation != b.incarnation) return a.incarnation > b.incarnation;
+  if (a.sequence != b.sequence) return a.sequence > b.sequence;
+  return a.state > b.state;
+}
+
+/// What an upstream says when it announces itself or renews.
+struct UpstreamAnnouncement {
+  std::string service;
+  std::string address;  ///< "ip:port" of its HTTP server.
+  uint32_t slots = 0;
+  uint32_t connections = 0;
+  UpstreamState state = UpstreamState::kServing;
+
+  friend bool operator==(const UpstreamAnnouncement&,
+                         const UpstreamAnnouncement&) = default;
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_MEMBERSHIP_TYPES_INSTANCE_RECORD_H_
