Add routing, admission, claims, entry and owner

Cause: a caller's request needs an entry that chooses, an owner that alone knows its upstream, and a ledger for requests that may not be repeated.

Change: thin forms of each decision behind its final interface. One queue, one budget, no hedges, no ejection yet.

--- /dev/null
+++ b/src/claims/claims_result_codes.h
@@ -0,0 +1,27 @@
+#ifndef HIBISCUSGLADE_CLAIMS_CLAIMS_RESULT_CODES_H_
+#define HIBISCUSGLADE_CLAIMS_CLAIMS_RESULT_CODES_H_
+
+#include "platform/result_code.h"
+
+namespace hibiscusglade {
+
+/// Result codes 6000 to 6999.
+enum class ClaimsCode {
+  kMissingKey = 6001,
+  kKeyReused = 6002,
+  kOutcomeUnknown = 6003,
+  kLedgerUnavailable = 6004,
+  kLedgerSilent = 6005,
+  kAlreadyDone = 6006,
+  kDamagedCommand = 6007,
+};
+
+const ResultCodeCategory& ClaimsCategory();
+std::error_code make_error_code(ClaimsCode code);
+
+}  // namespace hibiscusglade
+
+template <>
+struct std::is_error_code_enum<hibiscusglade::ClaimsCode> : std::true_type {};
+
+#endif  // HIBISCUSGLADE_CLAIMS_CLAIMS_RESULT_CODES_H_
--- /dev/null
+++ b/src/claims/internal/claims_result_codes.cc
@@ -0,0 +1,34 @@
+#include "claims/claims_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr ResultCodeInfo kCodes[] = {
+    {6001, "missing-key", "the route needs an Idempotency-Key", 400,
+     Certainty::kNotRun, "The caller must send an Idempotency-Key."},
+    {6002, "key-reused", "the key was used for another request", 422,
+     Certainty::kNotRun, "The caller must use a new key for each request."},
+    {6003, "outcome-unknown", "an earlier attempt may have run", 409,
+     Certainty::kUnknown, "Look the outcome up at the service."},
+    {6004, "ledger-unavailable", "no majority can record the claim", 503,
+     Certainty::kNotRun, "Restore replicas or links, then resend."},
+    {6005, "ledger-silent", "the ledger's answer was lost", 503,
+     Certainty::kNotRun, "Resend with the same key."},
+    {6006, "already-done", "the request ran; its answer was kept", 200,
+     Certainty::kNotApplicable, "Nothing."},
+    {6007, "damaged-command", "the claim can't be decoded", 400,
+     Certainty::kNotRun, "Check that all daemons run one release."},
+};
+
+}  // namespace
+
+const ResultCodeCategory& ClaimsCategory() {
+  static const ResultCodeCategory category("claims", kCodes);
+  return category;
+}
+
+std::error_code make_error_code(ClaimsCode code) {
+  return {static_cast<int>(code), ClaimsCategory()};
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/routing/internal/route_table.cc
@@ -0,0 +1,61 @@
+#include "routing/types/route_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hibiscusglade {
+
+RouteTable::RouteTable(ConfigVersionPtr version,
+                       const std::vector<InstanceRecord>& records)
+    : version_(std::move(version)) {
+  for (const auto& [name, service] : version_->document.services) {
+    upstreams_[name];
+  }
+  for (const auto& [name, route] : version_->document.routes) {
+    by_length_.push_back(&route);
+  }
+  std::stable_sort(by_length_.begin(), by_length_.end(),
+                   [](const RouteConfig* a, const RouteConfig* b) {
+                     return a->path_prefix.size() > b->path_prefix.size();
+                   });
+  for (const InstanceRecord& record : records) {
+    auto service = upstreams_.find(record.service);
+    const bool takes_work =
+        record.state == InstanceState::kAlive &&
+        (record.upstream_state == UpstreamState::kServing ||
+         record.upstream_state == UpstreamState::kStarting);
+    if (service == upstreams_.end() || !takes_work) continue;
+    service->second.push_back({record.instance, record.failure_domain,
+                               record.request_address, record.slots,
+                               record.incarnation});
+  }
+  for (auto& [name, targets] : upstreams_) {
+    std::sort(targets.begin(), targets.end(),
+              [](const UpstreamTarget& a, const UpstreamTarget& b) {
+                return a.instance < b.instance;
+              });
+  }
+}
+
+const RouteConfig* RouteTable::Match(std::string_view method,
+                                     std::string_view target) const {
+  const std::string_view path = target.substr(0, target.find('?'));
+  for (const RouteConfig* route : by_length_) {
+    if (!path.starts_with(route->path_prefix)) continue;
+    if (route->methods.empty() ||
+        std::find(route->methods.begin(), route->methods.end(), method) !=
+            route->methods.end()) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const std::vector<UpstreamTarget>& RouteTable::UpstreamsOf(
+    const std::string& service) const {
+  static const std::vector<UpstreamTarget> none;
+  auto found = upstreams_.find(service);
+  return found == upstreams_.end() ? none : found->second;
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/routing/internal/routing_result_codes.cc
@@ -0,0 +1,38 @@
+#include "routing/routing_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr ResultCodeInfo kCodes[] = {
+    {4001, "no-route", "no route matches method and path", 404,
+     Certainty::kNotRun, "Check the routes of the version in use."},
+    {4002, "no-upstream", "the service has no upstream here", 503,
+     Certainty::kNotRun, "Check hibiscusgladectl upstreams."},
+    {4003, "no-version", "the daemon has no version it may use yet", 503,
+     Certainty::kNotRun, "See what it waits for in hibiscusgladectl status."},
+    {4004, "attempts-spent", "every attempt allowed was refused", 503,
+     Certainty::kNotRun, "Look at the refusals of the upstreams' daemons."},
+    {4005, "deadline-passed", "the deadline passed before an answer", 504,
+     Certainty::kUnknown, "Look for slow upstreams."},
+    {4006, "owner-lost", "the daemon beside the upstream fell silent", 504,
+     Certainty::kUnknown, "Check that instance and the links to it."},
+    {4007, "answer-broken", "the answer ended before it was whole", 502,
+     Certainty::kUnknown, "Check the upstream that broke off."},
+    {4008, "caller-gone", "the caller went away", 499, Certainty::kUnknown,
+     "Nothing."},
+    {4009, "stopping", "the daemon is stopping", 503, Certainty::kNotRun,
+     "Send the request to another daemon."},
+};
+
+}  // namespace
+
+const ResultCodeCategory& RoutingCategory() {
+  static const ResultCodeCategory category("routing", kCodes);
+  return category;
+}
+
+std::error_code make_error_code(RoutingCode code) {
+  return {static_cast<int>(code), RoutingCategory()};
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/routing/retry_budget.h
@@ -0,0 +1,38 @@
+#ifndef HIBISCUSGLADE_ROUTING_RETRY_BUDGET_H_
+#define HIBISCUSGLADE_ROUTING_RETRY_BUDGET_H_
+
+#include <algorithm>
+#include <cstdint>
+
+namespace hibiscusglade {
+
+/// Bounds extra attempts to a share of the requests that came in.
+class RetryBudget {
+ public:
+  /// @param percent extra attempts allowed per hundred requests.
+  /// @param burst extra attempts that may be saved up.
+  explicit RetryBudget(uint32_t percent, double burst = 10.0)
+      : percent_(percent), burst_(burst), balance_(burst) {}
+
+  /// A request came in.
+  void OnRequest() { balance_ = std::min(burst_, balance_ + percent_ / 100.0); }
+
+  /// Takes one extra attempt.
+  /// @return false when the budget is spent.
+  bool TryTake() {
+    if (balance_ < 1.0) return false;
+    balance_ -= 1.0;
+    return true;
+  }
+
+  void SetPercent(uint32_t percent) { percent_ = percent; }
+
+ private:
+  uint32_t percent_;
+  double burst_;
+  double balance_;
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_ROUTING_RETRY_BUDGET_H_
