--- /dev/null
+++ b/src/caller/internal/caller_result_codes.cc
@@ -0,0 +1,28 @@
+#include "caller/caller_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr ResultCodeInfo kCodes[] = {
+    {7001, "listen-failed", "the callers' address can't be listened on", 500,
+     Certainty::kNotApplicable, "Check the address and that it is free."},
+    {7002, "body-too-large", "the request's body is too large", 413,
+     Certainty::kNotRun, "Raise max_request_body_bytes, or send less."},
+    {7003, "method-unknown", "the method is not supported", 405,
+     Certainty::kNotRun, "Use GET, HEAD, POST, PUT, PATCH or DELETE."},
+    {7004, "header-invalid", "a header field has no valid value", 400,
+     Certainty::kNotRun, "Correct the header field named."},
+};
+
+}  // namespace
+
+const ResultCodeCategory& CallerCategory() {
+  static const ResultCodeCategory category("caller", kCodes);
+  return category;
+}
+
+std::error_code make_error_code(CallerCode code) {
+  return {static_cast<int>(code), CallerCategory()};
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/control/internal/control_codec.cc
@@ -0,0 +1,178 @@
+#include "control/internal/control_codec.h"
+
+namespace hibiscusglade {
+namespace {
+
+struct DistributionFiller {
+  wire::Envelope& out;
+
+  void operator()(const VersionNotice& m) const {
+    auto* to = out.mutable_version_notice();
+    to->set_number(m.number);
+    to->set_digest(m.digest);
+  }
+  void operator()(const VersionPull& m) const {
+    auto* to = out.mutable_version_pull();
+    to->set_have_number(m.have_number);
+    to->set_have_digest(m.have_digest);
+  }
+  void operator()(const VersionPullAnswer& m) const {
+    auto* to = out.mutable_version_pull_answer();
+    to->set_base_number(m.base_number);
+    to->set_base_digest(m.base_digest);
+    for (const std::string& patch : m.patches) to->add_patches(patch);
+    to->set_whole(m.whole);
+    to->set_number(m.number);
+    to->set_digest(m.digest);
+    to->set_busy(m.busy);
+  }
+  void operator()(const FloorQuery& m) const {
+    out.mutable_floor_query()->set_query(m.query);
+  }
+  void operator()(const FloorAnswer& m) const {
+    auto* to = out.mutable_floor_answer();
+    to->set_query(m.query);
+    to->set_committed(m.committed);
+    to->set_replica(m.replica);
+    to->set_current(m.current);
+    to->set_highest_in_use(m.highest_in_use);
+  }
+};
+
+void Fill(const InstanceRecord& record, wire::InstanceRecord& out) {
+  out.set_instance(record.instance);
+  out.set_region(record.region);
+  out.set_failure_domain(record.failure_domain);
+  out.set_incarnation(record.incarnation);
+  out.set_sequence(record.sequence);
+  out.set_state(static_cast<uint32_t>(record.state));
+  out.set_control_address(record.control_address);
+  out.set_request_address(record.request_address);
+  out.set_service(record.service);
+  out.set_slots(record.slots);
+  out.set_upstream_state(static_cast<uint32_t>(record.upstream_state));
+  out.set_version_in_use(record.version_in_use);
+  out.set_version_digest(record.version_digest);
+  out.set_replica(record.replica);
+}
+
+InstanceRecord From(const wire::InstanceRecord& in) {
+  InstanceRecord record;
+  record.instance = in.instance();
+  record.region = in.region();
+  record.failure_domain = in.failure_domain();
+  record.incarnation = in.incarnation();
+  record.sequence = in.sequence();
+  record.state = static_cast<InstanceState>(in.state());
+  record.control_address = in.control_address();
+  record.request_address = in.request_address();
+  record.service = in.service();
+  record.slots = in.slots();
+  record.upstream_state = static_cast<UpstreamState>(in.upstream_state());
+  record.version_in_use = in.version_in_use();
+  record.version_digest = in.version_digest();
+  record.replica = in.replica();
+  return record;
+}
+
+struct MembershipFiller {
+  wire::Envelope& out;
+
+  void operator()(const GossipMessage& m) const {
+    auto* to = out.mutable_gossip();
+    for (const InstanceRecord& record : m.records) {
+      Fill(record, *to->add_records());
+    }
+    to->set_table_digest(m.table_digest);
+    to->set_wants_answer(m.wants_answer);
+    to->set_whole(m.whole);
+  }
+  void operator()(const ProbeMessage& m) const {
+    out.mutable_probe()->set_sequence(m.sequence);
+    out.mutable_probe()->set_on_behalf_of(m.on_behalf_of);
+  }
+  void operator()(const ProbeAckMessage& m) const {
+    out.mutable_probe_ack()->set_sequence(m.sequence);
+    out.mutable_probe_ack()->set_instance(m.instance);
+  }
+  void operator()(const IndirectProbeMessage& m) const {
+    auto* to = out.mutable_indirect_probe();
+    to->set_sequence(m.sequence);
+    to->set_target_instance(m.target_instance);
+    to->set_target_address(m.target_address);
+  }
+};
+
+VersionPullAnswer From(const wire::VersionPullAnswer& in) {
+  VersionPullAnswer answer;
+  answer.base_number = in.base_number();
+  answer.base_digest = in.base_digest();
+  answer.patches.assign(in.patches().begin(), in.patches().end());
+  answer.whole = in.whole();
+  answer.number = in.number();
+  answer.digest = in.digest();
+  answer.busy = in.busy();
+  return answer;
+}
+
+}  // namespace
+
+void ToWire(const DistributionMessage& message, wire::Envelope& out) {
+  std::visit(DistributionFiller{out}, message);
+}
+
+void ToWire(const MembershipMessage& message, wire::Envelope& out) {
+  std::visit(MembershipFiller{out}, message);
+}
+
+std::optional<DistributionMessage> DistributionFromWire(
+    const wire::Envelope& in) {
+  switch (in.body_case()) {
+    case wire::Envelope::kVersionNotice:
+      return VersionNotice{in.version_notice().number(),
+                           in.version_notice().digest()};
+    case wire::Envelope::kVersionPull:
+      return VersionPull{in.version_pull().have_number(),
+                         in.version_pull().have_digest()};
+    case wire::Envelope::kVersionPullAnswer:
+      return From(in.version_pull_answer());
+    case wire::Envelope::kFloorQuery:
+      return FloorQuery{in.floor_query().query()};
+    case wire::Envelope::kFloorAnswer:
+      return FloorAnswer{in.floor_answer().query(),
+                         in.floor_answer().committed(),
+                         in.floor_answer().replica(),
+                         in.floor_answer().current(),
+                         in.floor_answer().highest_in_use()};
+    default:
+      return std::nullopt;
+  }
+}
+
+std::optional<MembershipMessage> MembershipFromWire(const wire::Envelope& in) {
+  switch (in.body_case()) {
+    case wire::Envelope::kGossip: {
+      GossipMessage gossip;
+      for (const wire::InstanceRecord& record : in.gossip().records()) {
+        gossip.records.push_back(From(record));
+      }
+      gossip.table_digest = in.gossip().table_digest();
+      gossip.wants_answer = in.gossip().wants_answer();
+      gossip.whole = in.gossip().whole();
+      return gossip;
+    }
+    case wire::Envelope::kProbe:
+      return ProbeMessage{in.probe().sequence(), in.probe().on_behalf_of()};
+    case wire::Envelope::kProbeAck:
+      return ProbeAckMessage{in.probe_ack().sequence(),
+                             in.probe_ack().instance()};
+    case wire::Envelope::kIndirectProbe:
+      return IndirectProbeMessage{in.indirect_probe().sequence(),
+                                  in.indirect_probe().target_instance(),
+                                  in.indirect_probe().target_address()};
+    default:
+      return std::nullopt;
+  }
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/control/internal/control_loop.cc
@@ -0,0 +1,648 @@
+#include "control/control_loop.h"
+
+#include <atomic>
+#include <future>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "claims/claim_codec.h"
+#include "claims/claims_result_codes.h"
+#include "consensus/consensus_codec.h"
+#include "consensus/consensus_result_codes.h"
+#include "control/internal/control_codec.h"
+#include "control/internal/group_client.h"
+#include "control/internal/replica_host.h"
+#include "distribution/version_follower.h"
+#include "membership/membership.h"
+#include "operator/operator_result_codes.h"
+#include "platform/log.h"
+#include "versions/versions_result_codes.h"
+#include "wire/peer.pb.h"
+#include "wire/storage.pb.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+constexpr std::chrono::seconds kOperatorWait{6};
+constexpr Duration kConfirmInterval = std::chrono::milliseconds(300);
+
+std::error_code ErrorFromNumber(int number) {
+  if (number == 0) return {};
+  if (ConsensusCategory().Find(number) != nullptr) {
+    return static_cast<ConsensusCode>(number);
+  }
+  return static_cast<VersionsCode>(number);
+}
+
+std::vector<std::string> AddressesOf(const std::vector<Member>& members) {
+  std::vector<std::string> addresses;
+  for (const Member& member : members) addresses.push_back(member.address);
+  return addresses;
+}
+
+VersionRow RowOf(const wire::StoredVersion& in) {
+  return {in.number(),   in.parent(), in.digest(),      in.patch_id(),
+          in.author(),   in.accepted_at(), in.whole()};
+}
+
+ProposalVerdict VerdictOfWire(const wire::PatchVerdict& in) {
+  ProposalVerdict verdict{ErrorFromNumber(in.code()), in.number(), in.latest(),
+                          {}};
+  for (const wire::PatchFault& fault : in.faults()) {
+    verdict.faults.push_back({fault.pointer(), fault.message()});
+  }
+  return verdict;
+}
+
+class ControlLoopImpl : public ControlLoop {
+ public:
+  ControlLoopImpl(const ControlConfig& config, const Clock& clock,
+                  Metrics& metrics, RouteTableHolder& routes,
+                  LocalUpstreamListener& listener)
+      : config_(config),
+        clock_(clock),
+        metrics_(metrics),
+        routes_(routes),
+        listener_(listener),
+        transport_(
+            MakePeerTransport(config.identity, "control", clock, metrics)),
+        groups_(AddressesOf(config.replicas),
+                [this](const std::string& address,
+                       const GroupRequest& request) {
+                  SendGroupRequest(address, request);
+                }),
+        replicas_(
+            [this](GroupId group, const std::string& address,
+                   const ConsensusMessage& message) {
+              SendConsensus(group, address, message);
+            },
+            [this](const ConfigVersionPtr& version) {
+              accepted_.push_back(version);
+            }) {}
+
+  ~ControlLoopImpl() override { Stop(); }
+
+  std::error_code Start() override {
+    const Instant now = clock_.Now();
+    membership_ = MakeMembership(MembershipSettings(), config_.seed, now);
+    FollowerConfig follower;
+    follower.instance = config_.identity.instance;
+    follower.failure_domain = config_.identity.failure_domain;
+    follower.replica = IsReplica();
+    follower.replicas = AddressesOf(config_.replicas);
+    follower_ = MakeVersionFollower(follower, config_.seed + 1, now);
+    if (IsReplica()) {
+      Member self{{config_.identity.instance, 0},
+                  false,
+                  config_.control_address,
+                  config_.identity.failure_domain};
+      std::error_code error = replicas_.Open(
+          config_.data_folder, self, config_.replicas, config_.seed + 2, now);
+      if (error) return error;
+    }
+    std::error_code error = transport_->Listen(config_.control_address);
+    if (error) return error;
+    transport_->SetReceiver([this](const std::string& from,
+                                   const ReturnPath& path,
+                                   const wire::Envelope& message) {
+      OnPeerMessage(from, path, message);
+    });
+    thread_ = std::thread([this] { Run(); });
+    return {};
+  }
+
+  void BeginStop() override {
+    executor_.Post([this] {
+      stopping_ = true;
+      auto upstream = membership_->LocalUpstream();
+      if (!upstream.has_value()) return;
+      upstream->state = UpstreamState::kDraining;
+      TakeAnnouncement(*upstream);
+    });
+  }
+
+  void Stop() override {
+    if (!thread_.joinable()) return;
+    executor_.Post([this] {
+      Follow(membership_->Leave(clock_.Now()));
+      ended_ = true;
+    });
+    thread_.join();
+  }
+
+  std::unique_ptr<ClaimStore> MakeClaimStore(Executor& executor) override {
+    return std::make_unique<LedgerClaimStore>(*this, executor);
+  }
+
+  // AnnouncementSink.
+  void Announce(const UpstreamAnnouncement& upstream) override {
+    executor_.Post([this, upstream] {
+      UpstreamAnnouncement taken = upstream;
+      if (stopping_ || draining_) taken.state = UpstreamState::kDraining;
+      TakeAnnouncement(taken);
+    });
+  }
+
+  void Gone() override {
+    executor_.Post([this] { Follow(membership_->OnUpstreamGone(clock_.Now())); });
+  }
+
+  // OperatorBackend.
+  ProposalVerdict Propose(const PatchProposal& proposal) override {
+    wire::PatchCommand command;
+    command.set_patch_id(proposal.patch_id);
+    command.set_base(proposal.base);
+    command.set_patch(proposal.patch);
+    command.set_author(proposal.author);
+    command.set_restore_content_of(proposal.restore_content_of);
+    command.set_proposed_at(static_cast<uint64_t>(clock_.UnixMicros()));
+    ReplicaResult result = SubmitAndWait(command.SerializeAsString(), false);
+    if (result.error) return {result.error, 0, 0, {}};
+    wire::PatchVerdict verdict;
+    verdict.ParseFromString(result.result);
+    return VerdictOfWire(verdict);
+  }
+
+  ProposalVerdict VerdictOf(const std::string& patch_id) override {
+    wire::VersionQuery query;
+    query.set_kind(wire::VersionQuery::VERDICT);
+    query.set_patch_id(patch_id);
+    std::error_code error;
+    const wire::VersionQueryAnswer answer = Query(query, error);
+    if (error) return {error, 0, 0, {}};
+    return VerdictOfWire(answer.verdict());
+  }
+
+  VersionRows Version(uint64_t number) override {
+    wire::VersionQuery query;
+    query.set_kind(number == 0 ? wire::VersionQuery::LATEST
+                               : wire::VersionQuery::NUMBER);
+    query.set_number(number);
+    return Rows(query);
+  }
+
+  VersionRows History(uint32_t most) override {
+    wire::VersionQuery query;
+    query.set_kind(wire::VersionQuery::HISTORY);
+    query.set_most(most);
+    return Rows(query);
+  }
+
+  std::vector<DomainProgress> InForce(uint64_t number) override {
+    std::map<std::string, DomainProgress> domains;
+    for (const InstanceRecord& record : Instances()) {
+      if (record.state == InstanceState::kLeft ||
+          record.state == InstanceState::kDead) {
+        continue;
+      }
+      DomainProgress& domain = domains[record.failure_domain];
+      domain.failure_domain = record.failure_domain;
+      domain.reachable |= record.state == InstanceState::kAlive;
+      ++domain.daemons;
+      if (record.version_in_use >= number) {
+        ++domain.in_force;
+      } else {
+        domain.lagging.push_back(record.instance);
+      }
+    }
+    std::vector<DomainProgress> progress;
+    for (auto& [name, domain] : domains) progress.push_back(std::move(domain));
+    return progress;
+  }
+
+  std::vector<InstanceRecord> Instances() override {
+    return OnLoop<std::vector<InstanceRecord>>(
+        [this] { return membership_->Records(); });
+  }
+
+  DaemonStatus Status() override {
+    return OnLoop<DaemonStatus>([this] {
+      DaemonStatus status;
+      status.mesh = config_.identity.mesh;
+      status.instance = config_.identity.instance;
+      status.failure_domain = config_.identity.failure_domain;
+      status.waiting_for = follower_->WaitingFor();
+      status.stopping = stopping_;
+      if (follower_->InUse() != nullptr) {
+        status.version_in_use = follower_->InUse()->number;
+        status.version_age_ms = static_cast<uint64_t>(
+            (clock_.Now() - activated_at_).count() / 1000);
+      }
+      if (IsReplica()) {
+        status.replica_role = NameOf(replicas_.Role(GroupId::kVersions));
+        status.leader_address = replicas_.LeaderAddress(GroupId::kVersions);
+      }
+      return status;
+    });
+  }
+
+  std::string MetricsText() override { return metrics_.Exposition(); }
+
+  void DrainUpstream() override {
+    executor_.Post([this] {
+      draining_ = true;
+      auto upstream = membership_->LocalUpstream();
+      if (!upstream.has_value()) return;
+      upstream->state = UpstreamState::kDraining;
+      TakeAnnouncement(*upstream);
+    });
+  }
+
+ private:
+  /// Submits claims from another thread and tells it the outcome.
+  class LedgerClaimStore : public ClaimStore {
+   public:
+    LedgerClaimStore(ControlLoopImpl& loop, Executor& executor)
+        : loop_(loop), executor_(executor) {}
+
+    void Submit(const ClaimCommand& command, Done done) override {
+      loop_.executor_.Post([this, bytes = EncodeClaim(command),
+                            done = std::move(done)] {
+        loop_.groups_.Submit(GroupId::kClaims, bytes, false,
+                             loop_.clock_.Now(),
+                             [this, done](const ReplicaResult& result) {
+                               ClaimOutcome outcome = OutcomeOf(result);
+                               executor_.Post([done, outcome] {
+                                 done(outcome);
+                               });
+                             });
+      });
+    }
+
+   private:
+    static ClaimOutcome OutcomeOf(const ReplicaResult& result) {
+      if (!result.error) return DecodeClaimOutcome(result.result);
+      if (result.error == ConsensusCode::kNoQuorum) {
+        return {ClaimsCode::kLedgerUnavailable, ""};
+      }
+      return {ClaimsCode::kLedgerSilent, ""};
+    }
+
+    ControlLoopImpl& loop_;
+    Executor& executor_;
+  };
+
+  static std::string NameOf(ReplicaRole role) {
+    switch (role) {
+      case ReplicaRole::kLeader:
+        return "leader";
+      case ReplicaRole::kFollower:
+        return "follower";
+      case ReplicaRole::kCandidate:
+        return "candidate";
+      case ReplicaRole::kNonVoter:
+        break;
+    }
+    return "non-voter";
+  }
+
+  bool IsReplica() const { return !config_.data_folder.empty(); }
+
+  MembershipConfig MembershipSettings() const {
+    MembershipConfig settings;
+    InstanceRecord& self = settings.self;
+    self.instance = config_.identity.instance;
+    self.region = config_.region;
+    self.failure_domain = config_.identity.failure_domain;
+    self.incarnation = config_.identity.incarnation;
+    self.control_address = config_.control_address;
+    self.request_address = config_.request_address;
+    self.replica = IsReplica();
+    settings.seeds = config_.seeds;
+    for (const Member& member : config_.replicas) {
+      settings.seeds.push_back(member.address);
+    }
+    return settings;
+  }
+
+  void Run() {
+    while (!ended_) {
+      transport_->Poll(executor_.WakeDescriptor(), kTickInterval);
+      executor_.RunPending();
+      const Instant now = clock_.Now();
+      if (now >= next_tick_) {
+        next_tick_ = now + kTickInterval;
+        Tick(now);
+      }
+      if (IsReplica()) replicas_.Flush(now);
+      TakeAccepted(now);
+      RunLocal();
+    }
+  }
+
+  void Tick(Instant now) {
+    Follow(membership_->OnTick(now));
+    Follow(follower_->OnTick(now));
+    groups_.OnTick(now);
+    if (!IsReplica()) return;
+    replicas_.OnTick(now);
+    ConfirmReplica(now);
+  }
+
+  /// Asks the leader which version is the latest until the local replica is
+  /// known to hold it.
+  void ConfirmReplica(Instant now) {
+    if (confirmed_ || now < next_confirm_) return;
+    next_confirm_ = now + kConfirmInterval;
+    const uint64_t held = replicas_.Versions().Latest()->number;
+    if (confirmed_latest_.has_value() && held >= *confirmed_latest_) {
+      confirmed_ = true;
+      Follow(follower_->OnReplicaCurrent(*confirmed_latest_, now));
+      return;
+    }
+    wire::VersionQuery query;
+    groups_.Submit(GroupId::kVersions, query.SerializeAsString(), true, now,
+                   [this](const ReplicaResult& result) {
+                     wire::VersionQueryAnswer answer;
+                     if (result.error ||
+                         !answer.ParseFromString(result.result) ||
+                         answer.versions().empty()) {
+                       return;
+                     }
+                     confirmed_latest_ = answer.versions(0).number();
+                   });
+  }
+
+  void TakeAccepted(Instant now) {
+    for (const ConfigVersionPtr& version : std::exchange(accepted_, {})) {
+      Follow(follower_->OnCommitted(version, now));
+    }
+  }
+
+  /// Runs what was queued while other work was in progress.
+  void RunLocal() {
+    for (Executor::Task& task : std::exchange(local_, {})) task();
+  }
+
+  void TakeAnnouncement(const UpstreamAnnouncement& upstream) {
+    Follow(membership_->OnAnnounce(upstream, clock_.Now()));
+  }
+
+  void Follow(const MembershipEffects& effects) {
+    for (const MembershipSend& sent : effects.send) {
+      wire::Envelope message;
+      ToWire(sent.message, message);
+      transport_->Send(sent.address, message);
+    }
+    if (!effects.changed) return;
+    std::vector<DistributionPeer> peers;
+    for (const InstanceRecord& record : membership_->Records()) {
+      if (record.instance == config_.identity.instance ||
+          record.state > InstanceState::kSuspected) {
+        continue;
+      }
+      peers.push_back({record.instance, record.failure_domain,
+                       record.control_address, record.replica});
+    }
+    follower_->SetPeers(std::move(peers));
+    PublishRoutes();
+  }
+
+  void Follow(const FollowerEffects& effects) {
+    for (const DistributionSend& sent : effects.send) {
+      wire::Envelope message;
+      ToWire(sent.message, message);
+      SendOrDeliver(sent.address, message);
+    }
+    if (effects.activate == nullptr) return;
+    activated_at_ = clock_.Now();
+    membership_->SetVersionInUse(effects.activate->number,
+                                 effects.activate->digest);
+    Log(LogLevel::kInfo, "distribution",
+        "Version " + std::to_string(effects.activate->number) +
+            " is in use.");
+    PublishRoutes();
+  }
+
+  void PublishRoutes() {
+    const ConfigVersionPtr& version = follower_->InUse();
+    if (version == nullptr) return;
+    routes_.Publish(std::make_shared<const RouteTable>(
+        version, membership_->Records()));
+    listener_.OnLocalUpstream(membership_->LocalUpstream(),
+                              LimitsOf(*version));
+  }
+
+  AdmissionConfig LimitsOf(const ConfigVersion& version) const {
+    AdmissionConfig limits;
+    limits.classes = version.document.classes;
+    auto upstream = membership_->LocalUpstream();
+    if (!upstream.has_value()) return limits;
+    limits.slots = upstream->slots;
+    auto service = version.document.services.find(upstream->service);
+    if (service != version.document.services.end()) {
+      limits.max_queue = service->second.max_queue;
+    }
+    return limits;
+  }
+
+  /// Sends a message; one to this daemon itself is handled after the current
+  /// work.
+  void SendOrDeliver(const std::string& address, wire::Envelope& message) {
+    if (address != config_.control_address) {
+      transport_->Send(address, message);
+      return;
+    }
+    local_.emplace_back([this, message] {
+      OnPeerMessage(config_.control_address, "", message);
+    });
+  }
+
+  void SendConsensus(GroupId group, const std::string& address,
+                     const ConsensusMessage& message) {
+    wire::Envelope envelope;
+    wire::ConsensusMessage* out = envelope.mutable_consensus();
+    ToWire(message, *out);
+    out->set_group(static_cast<uint32_t>(group));
+    transport_->Send(address, envelope);
+  }
+
+  void SendGroupRequest(const std::string& address,
+                        const GroupRequest& request) {
+    wire::Envelope envelope;
+    wire::ProposeRequest* out = envelope.mutable_propose_request();
+    out->set_group(static_cast<uint32_t>(request.group));
+    out->set_request(request.request);
+    out->set_command(request.command);
+    out->set_read(request.read);
+    SendOrDeliver(address, envelope);
+  }
+
+  /// Answers on the way a message came in.
+  void AnswerTo(const std::string& from, const ReturnPath& path,
+                wire::Envelope& message) {
+    if (path.empty()) {
+      SendOrDeliver(from, message);
+    } else {
+      transport_->Reply(path, message);
+    }
+  }
+
+  void OnPeerMessage(const std::string& from, const ReturnPath& path,
+                     const wire::Envelope& message) {
+    const Instant now = clock_.Now();
+    if (message.has_consensus()) {
+      auto taken = FromWire(message.consensus());
+      if (!taken.has_value() || !IsReplica()) return;
+      replicas_.OnMessage(static_cast<GroupId>(message.consensus().group()),
+                          *taken, now);
+      return;
+    }
+    if (message.has_propose_request()) {
+      OnProposeRequest(from, path, message.propose_request(), now);
+      return;
+    }
+    if (message.has_propose_answer()) {
+      const wire::ProposeAnswer& answer = message.propose_answer();
+      groups_.OnAnswer({answer.request(), ErrorFromNumber(answer.code()),
+                        answer.result(), answer.leader_address()},
+                       now);
+      return;
+    }
+    if (auto distribution = DistributionFromWire(message)) {
+      AnswerEffects(from, path, follower_->OnMessage(kSender, *distribution, now));
+      return;
+    }
+    if (auto membership = MembershipFromWire(message)) {
+      MembershipEffects effects =
+          membership_->OnMessage(kSender, *membership, now);
+      for (const MembershipSend& sent : effects.send) {
+        wire::Envelope answer;
+        ToWire(sent.message, answer);
+        SendBack(sent.address, from, path, answer);
+      }
+      effects.send.clear();
+      Follow(effects);
+    }
+  }
+
+  void AnswerEffects(const std::string& from, const ReturnPath& path,
+                     FollowerEffects effects) {
+    for (const DistributionSend& sent : effects.send) {
+      wire::Envelope answer;
+      ToWire(sent.message, answer);
+      SendBack(sent.address, from, path, answer);
+    }
+    effects.send.clear();
+    Follow(effects);
+  }
+
+  void SendBack(const std::string& address, const std::string& from,
+                const ReturnPath& path, wire::Envelope& answer) {
+    if (address == kSender) {
+      AnswerTo(from, path, answer);
+    } else {
+      SendOrDeliver(address, answer);
+    }
+  }
+
+  void OnProposeRequest(const std::string& from, const ReturnPath& path,
+                        const wire::ProposeRequest& in, Instant now) {
+    const GroupRequest request{in.request(), static_cast<GroupId>(in.group()),
+                               in.command(), in.read()};
+    auto answer = [this, from, path, request](const ReplicaResult& result) {
+      wire::Envelope envelope;
+      wire::ProposeAnswer* out = envelope.mutable_propose_answer();
+      out->set_request(request.request);
+      out->set_code(result.error.value());
+      out->set_result(result.result);
+      if (IsReplica()) {
+        out->set_leader_address(replicas_.LeaderAddress(request.group));
+      }
+      AnswerTo(from, path, envelope);
+    };
+    if (!IsReplica() || in.group() > static_cast<uint32_t>(GroupId::kClaims)) {
+      answer({ConsensusCode::kNotLeader, ""});
+      return;
+    }
+    replicas_.Submit(request, now, answer);
+  }
+
+  template <typename Result>
+  Result OnLoop(std::function<Result()> work) {
+    auto promise = std::make_shared<std::promise<Result>>();
+    auto future = promise->get_future();
+    executor_.Post([promise, work] { promise->set_value(work()); });
+    if (future.wait_for(kOperatorWait) != std::future_status::ready) {
+      return Result{};
+    }
+    return future.get();
+  }
+
+  ReplicaResult SubmitAndWait(std::string command, bool read) {
+    auto promise = std::make_shared<std::promise<ReplicaResult>>();
+    auto future = promise->get_future();
+    executor_.Post([this, promise, command = std::move(command), read] {
+      groups_.Submit(GroupId::kVersions, command, read, clock_.Now(),
+                     [promise](const ReplicaResult& result) {
+                       promise->set_value(result);
+                     });
+    });
+    if (future.wait_for(kOperatorWait) != std::future_status::ready) {
+      return {OperatorCode::kInternalTimeout, ""};
+    }
+    return future.get();
+  }
+
+  wire::VersionQueryAnswer Query(const wire::VersionQuery& query,
+                                 std::error_code& error) {
+    wire::VersionQueryAnswer answer;
+    ReplicaResult result = SubmitAndWait(query.SerializeAsString(), true);
+    error = result.error;
+    if (error) return answer;
+    answer.ParseFromString(result.result);
+    if (!answer.found()) error = VersionsCode::kNoSuchVersion;
+    return answer;
+  }
+
+  VersionRows Rows(const wire::VersionQuery& query) {
+    VersionRows rows;
+    const wire::VersionQueryAnswer answer = Query(query, rows.error);
+    for (const wire::StoredVersion& version : answer.versions()) {
+      rows.rows.push_back(RowOf(version));
+    }
+    return rows;
+  }
+
+  /// Stands for whoever sent the message being handled.
+  static constexpr char kSender[] = "sender";
+
+  ControlConfig config_;
+  const Clock& clock_;
+  Metrics& metrics_;
+  RouteTableHolder& routes_;
+  LocalUpstreamListener& listener_;
+  Executor executor_;
+  std::unique_ptr<PeerTransport> transport_;
+  GroupClient groups_;
+  std::vector<ConfigVersionPtr> accepted_;
+  ReplicaHost replicas_;
+  std::unique_ptr<Membership> membership_;
+  std::unique_ptr<VersionFollower> follower_;
+  std::vector<Executor::Task> local_;
+
+  Instant next_tick_;
+  Instant next_confirm_;
+  Instant activated_at_;
+  std::optional<uint64_t> confirmed_latest_;
+  bool confirmed_ = false;
+  bool stopping_ = false;
+  bool draining_ = false;
+  bool ended_ = false;
+  std::thread thread_;
+};
+
+}  // namespace
+
+std::unique_ptr<ControlLoop> MakeControlLoop(const ControlConfig& config,
+                                             const Clock& clock,
+                                             Metrics& metrics,
+                                             RouteTableHolder& routes,
+                                             LocalUpstreamListener& listener) {
+  return std::make_unique<ControlLoopImpl>(config, clock, metrics, routes,
+                                           listener);
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/control/internal/replica_host.cc
@@ -0,0 +1,65 @@
+#include "control/internal/replica_host.h"
+
+#include <utility>
+
+namespace hibiscusglade {
+
+ReplicaHost::ReplicaHost(ConsensusSender sender,
+                         VersionLedger::Listener listener)
+    : sender_(std::move(sender)), versions_(std::move(listener)) {
+  for (GroupId group : {GroupId::kVersions, GroupId::kClaims}) {
+    links_.emplace(group, GroupLink(group, sender_));
+  }
+}
+
+std::error_code ReplicaHost::Open(const std::string& path, const Member& self,
+                                  const std::vector<Member>& known,
+                                  uint64_t seed, Instant now) {
+  std::error_code error;
+  folder_ = OpenDataFolder(path, error);
+  if (error) return error;
+  auto open = [&](GroupId group, const char* prefix, ReplicatedState& state) {
+    if (error) return;
+    const uint64_t group_seed = seed + static_cast<uint64_t>(group);
+    replicas_[group] =
+        OpenReplica(*folder_, prefix, self, known, ConsensusTimes{},
+                    links_.at(group), state, group_seed, now, error);
+  };
+  open(GroupId::kVersions, "versions-", versions_);
+  open(GroupId::kClaims, "claims-", claims_);
+  return error;
+}
+
+void ReplicaHost::OnTick(Instant now) {
+  for (auto& [group, replica] : replicas_) replica->OnTick(now);
+}
+
+void ReplicaHost::OnMessage(GroupId group, const ConsensusMessage& message,
+                            Instant now) {
+  auto found = replicas_.find(group);
+  if (found != replicas_.end()) found->second->OnMessage(message, now);
+}
+
+void ReplicaHost::Submit(const GroupRequest& request, Instant now,
+                         ReplicaCallback done) {
+  Replica& replica = *replicas_.at(request.group);
+  if (request.read) {
+    replica.Read(request.command, now, std::move(done));
+  } else {
+    replica.Propose(request.command, now, std::move(done));
+  }
+}
+
+void ReplicaHost::Flush(Instant now) {
+  for (auto& [group, replica] : replicas_) replica->Flush(now);
+}
+
+std::string ReplicaHost::LeaderAddress(GroupId group) const {
+  return replicas_.at(group)->LeaderAddress();
+}
+
+ReplicaRole ReplicaHost::Role(GroupId group) const {
+  return replicas_.at(group)->Node().Role();
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/ctl/main.cc
@@ -0,0 +1,36 @@
+#include <gflags/gflags.h>
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "ctl/commands.h"
+
+DEFINE_string(api, "127.0.0.1:7003", "operators' API of a daemon, ip:port");
+DEFINE_bool(json, false, "print the answer as JSON");
+DEFINE_string(patch_id, "", "propose: id that makes a resend safe");
+DEFINE_int64(base, -1, "propose: version that the patch is made against");
+DEFINE_string(patch, "", "propose: file with an RFC 6902 patch");
+DEFINE_int64(restore, 0, "propose: go back to the content of this version");
+DEFINE_string(author, "", "propose: who proposes");
+DEFINE_int32(most, 20, "history: rows");
+DEFINE_int32(timeout, 30, "watch: longest wait in seconds");
+DEFINE_string(settings, "", "found-replica: settings file of the replica");
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(hibiscusglade::UsageText());
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  hibiscusglade::CommandOptions options;
+  options.api = FLAGS_api;
+  options.json = FLAGS_json;
+  options.patch_id = FLAGS_patch_id;
+  options.base = FLAGS_base;
+  options.patch_file = FLAGS_patch;
+  options.restore = FLAGS_restore;
+  options.author = FLAGS_author;
+  options.most = FLAGS_most;
+  options.timeout_s = FLAGS_timeout;
+  options.settings_file = FLAGS_settings;
+  options.words.assign(argv + 1, argv + argc);
+  return hibiscusglade::RunCommand(options, std::cout, std::cerr);
+}
--- /dev/null
+++ b/src/operator/internal/operator_api.cc
@@ -0,0 +1,233 @@
+#include "operator/operator_api.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "operator/operator_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+using nlohmann::json;
+
+constexpr uint32_t kDefaultHistoryRows = 20;
+
+HttpResponse JsonResponse(int status, const json& body) {
+  return {status, "application/json", body.dump() + "\n"};
+}
+
+json ErrorJson(const std::error_code& error) {
+  json body = {{"code", error.value()}, {"message", error.message()}};
+  const ResultCodeInfo* info = FindResultCode(error);
+  if (info != nullptr) {
+    body["name"] = info->name;
+    body["outcome"] = CertaintyName(info->certainty);
+  }
+  return body;
+}
+
+int StatusOf(const std::error_code& error) {
+  const ResultCodeInfo* info = FindResultCode(error);
+  return info == nullptr ? 500 : info->http_status;
+}
+
+HttpResponse ErrorResponse(const std::error_code& error,
+                           const std::string& detail = "") {
+  json body = ErrorJson(error);
+  if (!detail.empty()) body["detail"] = detail;
+  return JsonResponse(StatusOf(error), body);
+}
+
+HttpResponse VerdictResponse(const ProposalVerdict& verdict) {
+  if (!verdict.error) {
+    return JsonResponse(200, {{"number", verdict.number},
+                              {"latest", verdict.latest}});
+  }
+  json body = ErrorJson(verdict.error);
+  body["latest"] = verdict.latest;
+  body["faults"] = json::array();
+  for (const SettingsFault& fault : verdict.faults) {
+    body["faults"].push_back(
+        {{"pointer", fault.pointer}, {"message", fault.message}});
+  }
+  return JsonResponse(StatusOf(verdict.error), body);
+}
+
+json RowJson(const VersionRow& row) {
+  json out = {{"number", row.number},     {"parent", row.parent},
+              {"digest", row.digest},     {"patch_id", row.patch_id},
+              {"author", row.author},     {"accepted_at", row.accepted_at}};
+  if (!row.text.empty()) out["document"] = json::parse(row.text);
+  return out;
+}
+
+std::optional<uint64_t> NumberIn(const std::string& text) {
+  uint64_t number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc{} || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+HttpResponse Propose(OperatorBackend& backend, const std::string& body) {
+  SettingsReader reader(body);
+  PatchProposal proposal;
+  proposal.patch_id =
+      reader.Text("patch_id", {"", "Id that makes a resend safe.", true});
+  proposal.base = static_cast<uint64_t>(
+      reader.Number("base", {0, INT64_MAX, 0, "version",
+                             "Version the patch is made against.", true}));
+  proposal.author = reader.Text("author", {"", "Who proposes."});
+  proposal.restore_content_of = static_cast<uint64_t>(reader.Number(
+      "restore_content_of",
+      {0, INT64_MAX, 0, "version", "Older version to go back to."}));
+  reader.Has("patch");
+  if (!reader.Faults().empty()) {
+    const SettingsFault& fault = reader.Faults().front();
+    return ErrorResponse(OperatorCode::kMalformedRequest,
+                         fault.pointer + ": " + fault.message);
+  }
+  proposal.patch = json::parse(body).value("patch", json::array()).dump();
+  return VerdictResponse(backend.Propose(proposal));
+}
+
+HttpResponse Version(OperatorBackend& backend, const std::string& name) {
+  const auto number = name == "latest" ? uint64_t{0} : NumberIn(name);
+  if (!number.has_value()) {
+    return ErrorResponse(OperatorCode::kMalformedRequest,
+                         "expected a version number or latest");
+  }
+  VersionRows found = backend.Version(*number);
+  if (found.error) return ErrorResponse(found.error);
+  return JsonResponse(200, RowJson(found.rows.front()));
+}
+
+HttpResponse History(OperatorBackend& backend, const HttpRequest& request) {
+  uint32_t most = kDefaultHistoryRows;
+  auto asked = request.query.find("most");
+  if (asked != request.query.end()) {
+    most = static_cast<uint32_t>(NumberIn(asked->second).value_or(most));
+  }
+  VersionRows found = backend.History(most);
+  if (found.error) return ErrorResponse(found.error);
+  json rows = json::array();
+  for (const VersionRow& row : found.rows) rows.push_back(RowJson(row));
+  return JsonResponse(200, rows);
+}
+
+HttpResponse InForce(OperatorBackend& backend, const std::string& name) {
+  const auto number = NumberIn(name);
+  if (!number.has_value()) {
+    return ErrorResponse(OperatorCode::kMalformedRequest,
+                         "expected a version number");
+  }
+  json domains = json::array();
+  bool everywhere = true;
+  for (const DomainProgress& progress : backend.InForce(*number)) {
+    everywhere = everywhere && progress.reachable &&
+                 progress.in_force == progress.daemons;
+    domains.push_back({{"failure_domain", progress.failure_domain},
+                       {"daemons", progress.daemons},
+                       {"in_force", progress.in_force},
+                       {"lagging", progress.lagging},
+                       {"reachable", progress.reachable}});
+  }
+  return JsonResponse(200, {{"number", *number},
+                            {"everywhere", everywhere},
+                            {"domains", domains}});
+}
+
+const char* NameOf(UpstreamState state) {
+  switch (state) {
+    case UpstreamState::kStarting:
+      return "starting";
+    case UpstreamState::kServing:
+      return "serving";
+    case UpstreamState::kDraining:
+      return "draining";
+    case UpstreamState::kNone:
+      break;
+  }
+  return "none";
+}
+
+const char* NameOf(InstanceState state) {
+  switch (state) {
+    case InstanceState::kAlive:
+      return "alive";
+    case InstanceState::kSuspected:
+      return "suspected";
+    case InstanceState::kDead:
+      return "dead";
+    case InstanceState::kLeft:
+      break;
+  }
+  return "left";
+}
+
+HttpResponse Instances(OperatorBackend& backend) {
+  json rows = json::array();
+  for (const InstanceRecord& record : backend.Instances()) {
+    rows.push_back({{"instance", record.instance},
+                    {"failure_domain", record.failure_domain},
+                    {"state", NameOf(record.state)},
+                    {"service", record.service},
+                    {"slots", record.slots},
+                    {"upstream", NameOf(record.upstream_state)},
+                    {"version_in_use", record.version_in_use},
+                    {"replica", record.replica}});
+  }
+  return JsonResponse(200, rows);
+}
+
+HttpResponse Status(OperatorBackend& backend) {
+  const DaemonStatus status = backend.Status();
+  return JsonResponse(200, {{"mesh", status.mesh},
+                            {"instance", status.instance},
+                            {"failure_domain", status.failure_domain},
+                            {"version_in_use", status.version_in_use},
+                            {"version_age_ms", status.version_age_ms},
+                            {"waiting_for", status.waiting_for},
+                            {"replica_role", status.replica_role},
+                            {"leader_address", status.leader_address},
+                            {"stopping", status.stopping}});
+}
+
+/// @return what follows a prefix of the path, if it has that prefix.
+std::optional<std::string> After(const std::string& path,
+                                 std::string_view prefix) {
+  if (!path.starts_with(prefix)) return std::nullopt;
+  return path.substr(prefix.size());
+}
+
+}  // namespace
+
+HttpResponse AnswerOperator(OperatorBackend& backend,
+                            const HttpRequest& request) {
+  const std::string& path = request.path;
+  if (request.method == "POST") {
+    if (path == "/v1/patches") return Propose(backend, request.body);
+    if (path == "/v1/drain") {
+      backend.DrainUpstream();
+      return JsonResponse(200, json::object());
+    }
+    return ErrorResponse(OperatorCode::kUnknownResource);
+  }
+  if (request.method != "GET") {
+    return ErrorResponse(OperatorCode::kUnknownResource);
+  }
+  if (path == "/metrics") return {200, "text/plain", backend.MetricsText()};
+  if (path == "/v1/status") return Status(backend);
+  if (path == "/v1/instances") return Instances(backend);
+  if (path == "/v1/versions") return History(backend, request);
+  if (auto id = After(path, "/v1/patches/")) {
+    return VerdictResponse(backend.VerdictOf(*id));
+  }
+  if (auto name = After(path, "/v1/versions/")) return Version(backend, *name);
+  if (auto name = After(path, "/v1/in-force/")) return InForce(backend, *name);
+  return ErrorResponse(OperatorCode::kUnknownResource);
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/operator/internal/operator_result_codes.cc
@@ -0,0 +1,30 @@
+#include "operator/operator_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr ResultCodeInfo kCodes[] = {
+    {9501, "unknown-resource", "the operators' API has no such resource", 404,
+     Certainty::kNotApplicable, "Check method and path."},
+    {9502, "malformed-request", "the request can't be read", 400,
+     Certainty::kNotApplicable, "Correct the place named."},
+    {9503, "unreachable", "the daemon's operators' API does not answer", 503,
+     Certainty::kNotApplicable, "Check address, port and the daemon."},
+    {9504, "watch-timeout", "the version is not in force everywhere yet", 504,
+     Certainty::kNotApplicable, "Look at the daemons that lag."},
+    {9505, "internal-timeout", "the daemon's control loop did not answer", 503,
+     Certainty::kNotApplicable, "Look at the daemon's log and its load."},
+};
+
+}  // namespace
+
+const ResultCodeCategory& OperatorCategory() {
+  static const ResultCodeCategory category("operator", kCodes);
+  return category;
+}
+
+std::error_code make_error_code(OperatorCode code) {
+  return {static_cast<int>(code), OperatorCategory()};
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/requests/internal/call_codec.cc
@@ -0,0 +1,104 @@
+#include "requests/internal/call_codec.h"
+
+#include "admission/admission_result_codes.h"
+#include "claims/claims_result_codes.h"
+#include "peer/peer_result_codes.h"
+#include "routing/routing_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+template <typename Message>
+void FillHeaders(const std::vector<HeaderField>& fields, Message& out) {
+  for (const HeaderField& field : fields) {
+    wire::Header* header = out.add_headers();
+    header->set_name(field.name);
+    header->set_value(field.value);
+  }
+}
+
+template <typename Message>
+std::vector<HeaderField> HeadersOf(const Message& in) {
+  std::vector<HeaderField> fields;
+  for (const wire::Header& header : in.headers()) {
+    fields.push_back({header.name(), header.value()});
+  }
+  return fields;
+}
+
+}  // namespace
+
+void ToWire(const CallAttempt& attempt, wire::CallStart& out) {
+  const CallRequest& request = attempt.request;
+  out.set_attempt(attempt.id);
+  out.set_request_id(request.request_id);
+  out.set_service(attempt.service);
+  out.set_route(attempt.route);
+  out.set_request_class(attempt.request_class);
+  out.set_method(request.method);
+  out.set_target(request.target);
+  FillHeaders(request.headers, out);
+  out.set_body(request.body);
+  out.set_remaining_micros(static_cast<uint64_t>(attempt.remaining.count()));
+  out.set_repeatable(attempt.repeatable);
+  out.set_idempotency_key(request.idempotency_key);
+  out.set_depth(request.depth);
+  out.set_credit_bytes(attempt.credit_bytes);
+  out.set_version(attempt.version);
+  out.set_caller(request.caller);
+}
+
+CallAttempt FromWire(const wire::CallStart& in) {
+  CallAttempt attempt;
+  attempt.id = in.attempt();
+  attempt.request.request_id = in.request_id();
+  attempt.request.caller = in.caller();
+  attempt.request.method = in.method();
+  attempt.request.target = in.target();
+  attempt.request.headers = HeadersOf(in);
+  attempt.request.body = in.body();
+  attempt.request.depth = in.depth();
+  attempt.request.idempotency_key = in.idempotency_key();
+  attempt.service = in.service();
+  attempt.route = in.route();
+  attempt.request_class = in.request_class();
+  attempt.repeatable = in.repeatable();
+  attempt.remaining = Duration(static_cast<int64_t>(in.remaining_micros()));
+  attempt.credit_bytes = in.credit_bytes();
+  attempt.version = in.version();
+  return attempt;
+}
+
+void ToWire(const AnswerHead& head, wire::AnswerHead& out) {
+  out.set_status(static_cast<uint32_t>(head.status));
+  FillHeaders(head.headers, out);
+  out.set_content_length(head.content_length);
+}
+
+AnswerHead FromWire(const wire::AnswerHead& in) {
+  return {static_cast<int>(in.status()), HeadersOf(in), in.content_length()};
+}
+
+void ToWire(const LoadReport& load, wire::LoadReport& out) {
+  out.set_running(load.running);
+  out.set_queued(load.queued);
+  out.set_slots(load.slots);
+  out.set_service_micros(static_cast<uint32_t>(load.service_time.count()));
+  out.set_state(load.serving ? 1 : 0);
+}
+
+LoadReport FromWire(const wire::LoadReport& in) {
+  return {in.running(), in.queued(), in.slots(), Duration(in.service_micros()),
+          in.state() == 1};
+}
+
+std::error_code ResultCodeFromNumber(int number) {
+  for (const ResultCodeCategory* category :
+       {&RoutingCategory(), &AdmissionCategory(), &ClaimsCategory(),
+        &PeerCategory()}) {
+    if (category->Find(number) != nullptr) return {number, *category};
+  }
+  return RoutingCode::kOwnerLost;
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/requests/internal/call_codec.h
@@ -0,0 +1,23 @@
+#ifndef HIBISCUSGLADE_REQUESTS_INTERNAL_CALL_CODEC_H_
+#define HIBISCUSGLADE_REQUESTS_INTERNAL_CALL_CODEC_H_
+
+#include "calls/types/call_types.h"
+#include "wire/peer.pb.h"
+
+namespace hibiscusglade {
+
+void ToWire(const CallAttempt& attempt, wire::CallStart& out);
+CallAttempt FromWire(const wire::CallStart& in);
+
+void ToWire(const AnswerHead& head, wire::AnswerHead& out);
+AnswerHead FromWire(const wire::AnswerHead& in);
+
+void ToWire(const LoadReport& load, wire::LoadReport& out);
+LoadReport FromWire(const wire::LoadReport& in);
+
+/// Finds the result code that a number of another daemon stands for.
+std::error_code ResultCodeFromNumber(int number);
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_REQUESTS_INTERNAL_CALL_CODEC_H_
--- /dev/null
+++ b/src/requests/internal/request_loop.cc
@@ -0,0 +1,398 @@
+#include "requests/request_loop.h"
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "admission/quarantine.h"
+#include "entry/entry.h"
+#include "owner/owner.h"
+#include "platform/log.h"
+#include "requests/internal/call_codec.h"
+#include "routing/upstream_chooser.h"
+#include "upstream/http_upstream_client.h"
+#include "wire/peer.pb.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(5);
+constexpr Duration kPingInterval = std::chrono::milliseconds(500);
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(1500);
+
+class RequestLoopImpl : public RequestLoop, OwnerLink, EntryLink {
+ public:
+  RequestLoopImpl(const RequestLoopConfig& config, const Clock& clock,
+                  Metrics& metrics, const RouteTableHolder& routes)
+      : config_(config),
+        clock_(clock),
+        metrics_(metrics),
+        transport_(
+            MakePeerTransport(config.identity, "request", clock, metrics)),
+        chooser_(MakeUpstreamChooser(ChoicePolicy::kTwoChoices,
+                                     config.identity.failure_domain,
+                                     config.seed)),
+        quarantine_(MakeQuarantine()),
+        entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
+                         {*this, routes, *chooser_, metrics})) {}
+
+  ~RequestLoopImpl() override { Stop(); }
+
+  Executor& Queue() override { return executor_; }
+
+  std::error_code Start(ClaimStore& claims) override {
+    upstream_ = MakeHttpUpstreamClient({config_.upstream_connections},
+                                       run_events_, executor_, clock_);
+    owner_ = MakeOwner(config_.identity.instance,
+                       {*this, *upstream_, claims, *quarantine_, metrics_});
+    run_events_.owner = owner_.get();
+    std::error_code error = transport_->Listen(config_.request_address);
+    if (error) return error;
+    transport_->SetReceiver([this](const std::string& from,
+                                   const ReturnPath& path,
+                                   const wire::Envelope& message) {
+      OnPeerMessage(from, path, message);
+    });
+    thread_ = std::thread([this] { Run(); });
+    return {};
+  }
+
+  void Drain() override {
+    executor_.Post([this] {
+      entry_->Stop();
+      owner_->Drain(clock_.Now());
+    });
+  }
+
+  bool Idle() override {
+    auto promise = std::make_shared<std::promise<bool>>();
+    auto future = promise->get_future();
+    executor_.Post([this, promise] {
+      promise->set_value(entry_->Idle() && owner_->Idle());
+    });
+    return future.get();
+  }
+
+  void Stop() override {
+    if (!thread_.joinable()) return;
+    executor_.Post([this] { ended_ = true; });
+    thread_.join();
+    upstream_.reset();
+  }
+
+  // CallHandler.
+  CallHandle Begin(CallRequest request,
+                   std::unique_ptr<CallerStream> stream) override {
+    const CallHandle call = ++last_call_;
+    auto shared = std::make_shared<std::unique_ptr<CallerStream>>(
+        std::move(stream));
+    executor_.Post([this, call, request = std::move(request), shared] {
+      entry_->Begin(call, request, std::move(*shared), clock_.Now());
+    });
+    return call;
+  }
+
+  void Consumed(CallHandle call, uint64_t bytes) override {
+    executor_.Post([this, call, bytes] {
+      entry_->OnCallerConsumed(call, bytes, clock_.Now());
+    });
+  }
+
+  void Cancel(CallHandle call) override {
+    executor_.Post([this, call] { entry_->OnCallerGone(call, clock_.Now()); });
+  }
+
+  // LocalUpstreamListener.
+  void OnLocalUpstream(const std::optional<UpstreamAnnouncement>& upstream,
+                       const AdmissionConfig& limits) override {
+    executor_.Post([this, upstream, limits] {
+      owner_->SetUpstream(upstream, limits, clock_.Now());
+    });
+  }
+
+  // OwnerLink.
+  void Start(const std::string& owner, const CallAttempt& attempt) override {
+    if (IsSelf(owner)) {
+      executor_.Post([this, attempt] {
+        owner_->OnStart("", attempt, clock_.Now());
+      });
+      return;
+    }
+    wire::Envelope message;
+    ToWire(attempt, *message.mutable_call_start());
+    Send(owner, message);
+  }
+
+  void Credit(const std::string& owner, const AttemptId& attempt,
+              uint64_t bytes) override {
+    if (IsSelf(owner)) {
+      executor_.Post([this, attempt, bytes] {
+        owner_->OnCredit("", attempt, bytes, clock_.Now());
+      });
+      return;
+    }
+    wire::Envelope message;
+    message.mutable_call_credit()->set_attempt(attempt);
+    message.mutable_call_credit()->set_bytes(bytes);
+    Send(owner, message);
+  }
+
+  void Cancel(const std::string& owner, const AttemptId& attempt) override {
+    if (IsSelf(owner)) {
+      executor_.Post([this, attempt] {
+        owner_->OnCancel("", attempt, clock_.Now());
+      });
+      return;
+    }
+    wire::Envelope message;
+    message.mutable_call_cancel()->set_attempt(attempt);
+    Send(owner, message);
+  }
+
+  // EntryLink.
+  void SendHead(const EntryRef& entry, const AttemptId& attempt,
+                const AnswerHead& head, const LoadReport& load) override {
+    wire::Envelope message;
+    wire::AnswerHead* out = message.mutable_answer_head();
+    ToWire(head, *out);
+    out->set_attempt(attempt);
+    ToWire(load, *out->mutable_load());
+    SendToEntry(entry, message);
+  }
+
+  void SendChunk(const EntryRef& entry, const AttemptId& attempt,
+                 uint64_t sequence, std::string data) override {
+    wire::Envelope message;
+    wire::AnswerChunk* out = message.mutable_answer_chunk();
+    out->set_attempt(attempt);
+    out->set_sequence(sequence);
+    out->set_data(std::move(data));
+    SendToEntry(entry, message);
+  }
+
+  void SendEnd(const EntryRef& entry, const AttemptId& attempt,
+               const AnswerEnd& end, const LoadReport& load) override {
+    wire::Envelope message;
+    wire::AnswerEnd* out = message.mutable_answer_end();
+    out->set_attempt(attempt);
+    out->set_chunks(end.chunks);
+    out->set_bytes(end.bytes);
+    out->set_digest(end.digest);
+    ToWire(load, *out->mutable_load());
+    SendToEntry(entry, message);
+  }
+
+  void SendRefused(const EntryRef& entry, const AttemptId& attempt,
+                   const Refusal& refusal, const LoadReport& load) override {
+    wire::Envelope message;
+    wire::AnswerRefused* out = message.mutable_answer_refused();
+    out->set_attempt(attempt);
+    out->set_code(refusal.code.value());
+    out->set_certainty(static_cast<uint32_t>(refusal.certainty));
+    out->set_detail(refusal.detail);
+    out->set_retry_after_micros(
+        static_cast<uint64_t>(refusal.retry_after.count()));
+    ToWire(load, *out->mutable_load());
+    SendToEntry(entry, message);
+  }
+
+ private:
+  /// Hands run events to the owner, which is made after the client.
+  struct RunEventsRelay : public RunEvents {
+    void OnRunHead(RunId run, const AnswerHead& head, Instant now) override {
+      owner->OnRunHead(run, head, now);
+    }
+    void OnRunData(RunId run, std::string data, Instant now) override {
+      owner->OnRunData(run, std::move(data), now);
+    }
+    void OnRunEnd(RunId run, Instant now) override {
+      owner->OnRunEnd(run, now);
+    }
+    void OnRunFailed(RunId run, RunProgress progress,
+                     const std::string& reason, Instant now) override {
+      owner->OnRunFailed(run, progress, reason, now);
+    }
+    Owner* owner = nullptr;
+  };
+
+  /// What is known of the connection to one owner.
+  struct LinkState {
+    Instant last_heard;
+    Instant last_ping;
+    uint64_t ping = 0;
+  };
+
+  bool IsSelf(const std::string& owner) const {
+    return owner == config_.request_address;
+  }
+
+  void Run() {
+    while (!ended_) {
+      transport_->Poll(executor_.WakeDescriptor(), kTickInterval);
+      executor_.RunPending();
+      const Instant now = clock_.Now();
+      if (now < next_tick_) continue;
+      next_tick_ = now + kTickInterval;
+      entry_->OnTick(now);
+      owner_->OnTick(now);
+      CheckLinks(now);
+    }
+  }
+
+  void Send(const std::string& owner, wire::Envelope& message) {
+    auto [link, is_new] = links_.try_emplace(owner);
+    const Instant now = clock_.Now();
+    if (is_new) link->second = {now, now, 0};
+    transport_->Send(owner, message);
+  }
+
+  void SendToEntry(const EntryRef& entry, wire::Envelope& message) {
+    if (!entry.empty()) {
+      transport_->Reply(entry, message);
+      return;
+    }
+    executor_.Post([this, message] { OnAnswer(message, clock_.Now()); });
+  }
+
+  /// Pings owners with open attempts; replaces a connection that is silent.
+  void CheckLinks(Instant now) {
+    for (auto item = links_.begin(); item != links_.end();) {
+      LinkState& link = item->second;
+      const std::vector<AttemptId> open = entry_->OpenAttempts(item->first);
+      if (open.empty()) {
+        item = links_.erase(item);
+        continue;
+      }
+      if (now - link.last_heard > kSilenceLimit) {
+        const std::string owner = item->first;
+        Log(LogLevel::kWarning, "requests",
+            "The connection to " + owner + " is silent and is replaced.");
+        metrics_.CounterOf("silent_links_total", "").Add();
+        transport_->Reset(owner);
+        item = links_.erase(item);
+        executor_.Post(
+            [this, owner] { entry_->OnOwnerLost(owner, clock_.Now()); });
+        continue;
+      }
+      if (now - link.last_ping >= kPingInterval) Ping(item->first, open, now);
+      ++item;
+    }
+  }
+
+  void Ping(const std::string& owner, const std::vector<AttemptId>& open,
+            Instant now) {
+    LinkState& link = links_[owner];
+    link.last_ping = now;
+    wire::Envelope message;
+    wire::LinkPing* ping = message.mutable_link_ping();
+    ping->set_sequence(++link.ping);
+    for (const AttemptId& attempt : open) ping->add_attempts(attempt);
+    transport_->Send(owner, message);
+  }
+
+  void OnPeerMessage(const std::string& from, const ReturnPath& path,
+                     const wire::Envelope& message) {
+    const Instant now = clock_.Now();
+    auto link = links_.find(from);
+    if (link != links_.end()) link->second.last_heard = now;
+    switch (message.body_case()) {
+      case wire::Envelope::kCallStart:
+        owner_->OnStart(path, FromWire(message.call_start()), now);
+        break;
+      case wire::Envelope::kCallCredit:
+        owner_->OnCredit(path, message.call_credit().attempt(),
+                         message.call_credit().bytes(), now);
+        break;
+      case wire::Envelope::kCallCancel:
+        owner_->OnCancel(path, message.call_cancel().attempt(), now);
+        break;
+      case wire::Envelope::kLinkPing:
+        AnswerPing(path, message.link_ping());
+        break;
+      case wire::Envelope::kLinkPong:
+        for (const std::string& attempt :
+             message.link_pong().unknown_attempts()) {
+          entry_->OnAttemptUnknown(attempt, now);
+        }
+        break;
+      default:
+        OnAnswer(message, now);
+    }
+  }
+
+  void AnswerPing(const ReturnPath& path, const wire::LinkPing& ping) {
+    wire::Envelope message;
+    wire::LinkPong* pong = message.mutable_link_pong();
+    pong->set_sequence(ping.sequence());
+    for (const std::string& attempt : ping.attempts()) {
+      if (!owner_->Knows(attempt)) pong->add_unknown_attempts(attempt);
+    }
+    transport_->Reply(path, message);
+  }
+
+  void OnAnswer(const wire::Envelope& message, Instant now) {
+    switch (message.body_case()) {
+      case wire::Envelope::kAnswerHead: {
+        const wire::AnswerHead& in = message.answer_head();
+        entry_->OnAnswerHead(in.attempt(), FromWire(in), FromWire(in.load()),
+                             now);
+        break;
+      }
+      case wire::Envelope::kAnswerChunk:
+        entry_->OnAnswerChunk(message.answer_chunk().attempt(),
+                              message.answer_chunk().sequence(),
+                              message.answer_chunk().data(), now);
+        break;
+      case wire::Envelope::kAnswerEnd: {
+        const wire::AnswerEnd& in = message.answer_end();
+        entry_->OnAnswerEnd(in.attempt(),
+                            {in.chunks(), in.bytes(), in.digest()},
+                            FromWire(in.load()), now);
+        break;
+      }
+      case wire::Envelope::kAnswerRefused: {
+        const wire::AnswerRefused& in = message.answer_refused();
+        entry_->OnAnswerRefused(
+            in.attempt(),
+            {ResultCodeFromNumber(in.code()),
+             static_cast<Certainty>(in.certainty()), in.detail(),
+             Duration(static_cast<int64_t>(in.retry_after_micros()))},
+            FromWire(in.load()), now);
+        break;
+      }
+      default:
+        break;
+    }
+  }
+
+  RequestLoopConfig config_;
+  const Clock& clock_;
+  Metrics& metrics_;
+  Executor executor_;
+  std::unique_ptr<PeerTransport> transport_;
+  std::unique_ptr<UpstreamChooser> chooser_;
+  std::unique_ptr<Quarantine> quarantine_;
+  std::unique_ptr<Entry> entry_;
+  RunEventsRelay run_events_;
+  std::unique_ptr<UpstreamClient> upstream_;
+  std::unique_ptr<Owner> owner_;
+  std::map<std::string, LinkState> links_;
+  std::atomic<CallHandle> last_call_{0};
+  Instant next_tick_;
+  bool ended_ = false;
+  std::thread thread_;
+};
+
+}  // namespace
+
+std::unique_ptr<RequestLoop> MakeRequestLoop(const RequestLoopConfig& config,
+                                             const Clock& clock,
+                                             Metrics& metrics,
+                                             const RouteTableHolder& routes) {
+  return std::make_unique<RequestLoopImpl>(config, clock, metrics, routes);
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/upstream/internal/announcement_api.cc
@@ -0,0 +1,82 @@
+#include "upstream/announcement_api.h"
+
+#include <nlohmann/json.hpp>
+
+#include "platform/settings_reader.h"
+#include "upstream/upstream_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+using nlohmann::json;
+
+constexpr int64_t kMaxSlots = 10000;
+constexpr char kPath[] = "/v1/announcement";
+
+HttpResponse ErrorResponse(UpstreamCode code, const json& faults) {
+  const std::error_code error = code;
+  const json body = {{"code", error.value()},
+                     {"message", error.message()},
+                     {"faults", faults}};
+  return {FindResultCode(error)->http_status, "application/json",
+          body.dump() + "\n"};
+}
+
+UpstreamState StateOf(const std::string& name) {
+  if (name == "starting") return UpstreamState::kStarting;
+  if (name == "draining") return UpstreamState::kDraining;
+  return UpstreamState::kServing;
+}
+
+UpstreamAnnouncement ReadAnnouncement(SettingsReader& reader) {
+  UpstreamAnnouncement upstream;
+  upstream.service =
+      reader.Text("service", {"", "Service that the upstream runs.", true});
+  const std::string ip =
+      reader.IpAddress("address", {"", "IP address of the upstream.", true});
+  const int64_t port = reader.Number(
+      "port", {1, 65535, 0, "port", "Port of the upstream.", true});
+  upstream.address = ip + ":" + std::to_string(port);
+  upstream.slots = static_cast<uint32_t>(
+      reader.Number("slots", {1, kMaxSlots, 1, "requests",
+                              "Requests the upstream runs at once.", true}));
+  upstream.connections = static_cast<uint32_t>(
+      reader.Number("connections", {1, kMaxSlots, 130, "connections",
+                                    "Connections the upstream takes."}));
+  upstream.state = StateOf(
+      reader.Text("state", {"serving",
+                            "State of the upstream.",
+                            false,
+                            {"starting", "serving", "draining"}}));
+  reader.Finish();
+  return upstream;
+}
+
+}  // namespace
+
+HttpResponse AnswerAnnouncement(AnnouncementSink& sink,
+                                const HttpRequest& request) {
+  if (request.path != kPath) {
+    return ErrorResponse(UpstreamCode::kUnknownResource, json::array());
+  }
+  if (request.method == "DELETE") {
+    sink.Gone();
+    return {200, "application/json", "{}\n"};
+  }
+  if (request.method != "PUT") {
+    return ErrorResponse(UpstreamCode::kUnknownResource, json::array());
+  }
+  SettingsReader reader(request.body);
+  const UpstreamAnnouncement upstream = ReadAnnouncement(reader);
+  if (reader.Faults().empty()) {
+    sink.Announce(upstream);
+    return {200, "application/json", "{}\n"};
+  }
+  json faults = json::array();
+  for (const SettingsFault& fault : reader.Faults()) {
+    faults.push_back({{"pointer", fault.pointer}, {"message", fault.message}});
+  }
+  return ErrorResponse(UpstreamCode::kMalformedAnnouncement, faults);
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -0,0 +1,268 @@
+#include "upstream/http_upstream_client.h"
+
+#include <curl/curl.h>
+#include <strings.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace hibiscusglade {
+namespace {
+
+constexpr int kPollMs = 1000;
+
+/// One run on the client's thread.
+struct Run {
+  RunId id = 0;
+  CURL* easy = nullptr;
+  curl_slist* fields = nullptr;
+  CallRequest request;
+  AnswerHead head;
+  bool head_told = false;
+  bool sent = false;
+  bool paused = false;
+  class Client* client = nullptr;
+};
+
+class Client : public UpstreamClient {
+ public:
+  Client(const UpstreamClientConfig& config, RunEvents& events,
+         Executor& executor, const Clock& clock)
+      : config_(config), events_(events), executor_(executor), clock_(clock) {
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                      static_cast<long>(config_.max_connections));
+    thread_ = std::thread([this] { Loop(); });
+  }
+
+  ~Client() override {
+    stopping_ = true;
+    curl_multi_wakeup(multi_);
+    thread_.join();
+    for (auto& [id, run] : runs_) Release(*run);
+    curl_multi_cleanup(multi_);
+  }
+
+  void Start(RunId run, const std::string& address,
+             const CallAttempt& attempt) override {
+    Post([this, run, address, attempt] { StartHere(run, address, attempt); });
+  }
+
+  void SetPaused(RunId run, bool paused) override {
+    Post([this, run, paused] {
+      auto found = runs_.find(run);
+      if (found == runs_.end()) return;
+      found->second->paused = paused;
+      if (!paused) curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
+    });
+  }
+
+  void Cancel(RunId run) override {
+    Post([this, run] {
+      auto found = runs_.find(run);
+      if (found == runs_.end()) return;
+      Release(*found->second);
+      runs_.erase(found);
+    });
+  }
+
+ private:
+  void Post(Executor::Task task) {
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      tasks_.push_back(std::move(task));
+    }
+    curl_multi_wakeup(multi_);
+  }
+
+  void Loop() {
+    while (!stopping_) {
+      std::vector<Executor::Task> tasks;
+      {
+        std::lock_guard<std::mutex> lock(mutex_);
+        tasks.swap(tasks_);
+      }
+      for (Executor::Task& task : tasks) task();
+      int running = 0;
+      curl_multi_perform(multi_, &running);
+      ReadFinished();
+      curl_multi_poll(multi_, nullptr, 0, kPollMs, nullptr);
+    }
+  }
+
+  void StartHere(RunId id, const std::string& address,
+                 const CallAttempt& attempt) {
+    auto run = std::make_unique<Run>();
+    run->id = id;
+    run->client = this;
+    run->request = attempt.request;
+    run->easy = curl_easy_init();
+    SetOptions(*run, address, attempt);
+    curl_multi_add_handle(multi_, run->easy);
+    runs_[id] = std::move(run);
+  }
+
+  void SetOptions(Run& run, const std::string& address,
+                  const CallAttempt& attempt) {
+    const CallRequest& request = run.request;
+    CURL* easy = run.easy;
+    const std::string url = "http://" + address + request.target;
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+                     static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(
+        easy, CURLOPT_CONNECTTIMEOUT_MS,
+        static_cast<long>(config_.connect_timeout.count() / 1000));
+    const auto remaining_ms = std::max<int64_t>(
+        1, std::chrono::ceil<std::chrono::milliseconds>(attempt.remaining)
+               .count());
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(remaining_ms));
+    if (request.method == "HEAD") {
+      curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    } else {
+      curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    }
+    if (!request.body.empty()) {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request.body.size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+    }
+    for (const HeaderField& field : request.headers) {
+      AddField(run, field.name, field.value);
+    }
+    AddField(run, "X-Request-Id", request.request_id);
+    AddField(run, "X-Request-Timeout-Ms", std::to_string(remaining_ms));
+    AddField(run, "X-Request-Depth", std::to_string(request.depth + 1));
+    run.fields = curl_slist_append(run.fields, "Expect:");
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, run.fields);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Client::OnField);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &run);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Client::OnBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &run);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &run);
+  }
+
+  static void AddField(Run& run, const std::string& name,
+                       const std::string& value) {
+    const std::string line = value.empty() ? name + ";" : name + ": " + value;
+    run.fields = curl_slist_append(run.fields, line.c_str());
+  }
+
+  static size_t OnField(char* data, size_t size, size_t count, void* cls) {
+    auto* run = static_cast<Run*>(cls);
+    const std::string line(data, size * count);
+    if (line.starts_with("HTTP/")) {
+      run->head = {};
+    } else if (const size_t colon = line.find(':');
+               colon != std::string::npos) {
+      const size_t first = line.find_first_not_of(" \t", colon + 1);
+      const size_t last = line.find_last_not_of(" \t\r\n");
+      std::string value = first == std::string::npos || last < first
+                              ? ""
+                              : line.substr(first, last - first + 1);
+      run->head.headers.push_back({line.substr(0, colon), std::move(value)});
+    } else {
+      run->client->TellHead(*run);
+    }
+    return size * count;
+  }
+
+  void TellHead(Run& run) {
+    long status = 0;
+    curl_easy_getinfo(run.easy, CURLINFO_RESPONSE_CODE, &status);
+    if (status < 200 || run.head_told) return;
+    run.head_told = true;
+    run.head.status = static_cast<int>(status);
+    for (const HeaderField& field : run.head.headers) {
+      if (strcasecmp(field.name.c_str(), "Content-Length") == 0) {
+        run.head.content_length = std::strtoll(field.value.c_str(), nullptr, 10);
+      }
+    }
+    executor_.Post([this, id = run.id, head = run.head] {
+      events_.OnRunHead(id, head, clock_.Now());
+    });
+  }
+
+  static size_t OnBody(char* data, size_t size, size_t count, void* cls) {
+    auto* run = static_cast<Run*>(cls);
+    if (run->paused) return CURL_WRITEFUNC_PAUSE;
+    std::string bytes(data, size * count);
+    Client* self = run->client;
+    self->executor_.Post([self, id = run->id, bytes = std::move(bytes)] {
+      self->events_.OnRunData(id, bytes, self->clock_.Now());
+    });
+    return size * count;
+  }
+
+  void ReadFinished() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      const CURLcode result = message->data.result;
+      Run* run = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &run);
+      Finish(*run, result);
+    }
+  }
+
+  void Finish(Run& run, CURLcode result) {
+    const RunId id = run.id;
+    if (result == CURLE_OK) {
+      executor_.Post([this, id] { events_.OnRunEnd(id, clock_.Now()); });
+    } else {
+      const RunProgress progress = ProgressOf(run, result);
+      executor_.Post([this, id, progress,
+                      reason = std::string(curl_easy_strerror(result))] {
+        events_.OnRunFailed(id, progress, reason, clock_.Now());
+      });
+    }
+    Release(run);
+    runs_.erase(id);
+  }
+
+  static RunProgress ProgressOf(const Run& run, CURLcode result) {
+    if (run.head_told) return RunProgress::kAnswering;
+    long request_bytes = 0;
+    curl_easy_getinfo(run.easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+    const bool sent = request_bytes > 0;
+    return sent ? RunProgress::kSent : RunProgress::kNotSent;
+  }
+
+  void Release(Run& run) {
+    curl_multi_remove_handle(multi_, run.easy);
+    curl_easy_cleanup(run.easy);
+    curl_slist_free_all(run.fields);
+    run.easy = nullptr;
+    run.fields = nullptr;
+  }
+
+  UpstreamClientConfig config_;
+  RunEvents& events_;
+  Executor& executor_;
+  const Clock& clock_;
+  CURLM* multi_ = nullptr;
+  std::mutex mutex_;
+  std::vector<Executor::Task> tasks_;
+  std::map<RunId, std::unique_ptr<Run>> runs_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace
+
+std::unique_ptr<UpstreamClient> MakeHttpUpstreamClient(
+    const UpstreamClientConfig& config, RunEvents& events, Executor& executor,
+    const Clock& clock) {
+  return std::make_unique<Client>(config, events, executor, clock);
+}
+
+}  // namespace hibiscusglade
