--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -14,8 +14,7 @@
 
 class AdmissionImpl : public Admission {
  public:
-  AdmissionEffects OnRequest(const SlotRequest& request,
-                             Instant now) override {
+  AdmissionEffects OnRequest(const SlotRequest& request, Instant now) override {
     if (draining_) return Refused(request.ticket, AdmissionCode::kDraining);
     if (config_.slots == 0) {
       return Refused(request.ticket, AdmissionCode::kNotServing);
@@ -24,8 +23,8 @@
     if (waiting_.size() >= config_.max_queue) {
       return Refused(request.ticket, AdmissionCode::kQueueFull);
     }
-    waiting_.push_back({request, std::min(request.deadline,
-                                          now + MaxWait(request))});
+    waiting_.push_back(
+        {request, std::min(request.deadline, now + MaxWait(request))});
     return {};
   }
 
@@ -56,8 +55,7 @@
     return effects;
   }
 
-  AdmissionEffects Configure(const AdmissionConfig& config,
-                             Instant) override {
+  AdmissionEffects Configure(const AdmissionConfig& config, Instant) override {
     config_ = config;
     AdmissionEffects effects;
     AdmitWaiting(effects);
@@ -90,8 +88,7 @@
 
   Duration MaxWait(const SlotRequest& request) const {
     auto found = config_.classes.find(request.request_class);
-    return found == config_.classes.end() ? Duration{}
-                                          : found->second.max_wait;
+    return found == config_.classes.end() ? Duration{} : found->second.max_wait;
   }
 
   static AdmissionEffects Refused(Ticket ticket, AdmissionCode code) {
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -39,8 +39,8 @@
         metrics_(MakeMetrics()),
         identity_{settings.mesh, settings.instance, settings.failure_domain,
                   static_cast<uint64_t>(clock_.UnixMicros())},
-        requests_(MakeRequestLoop(RequestSettings(), clock_, *metrics_,
-                                  routes_)),
+        requests_(
+            MakeRequestLoop(RequestSettings(), clock_, *metrics_, routes_)),
         control_(MakeControlLoop(ControlSettings(), clock_, *metrics_, routes_,
                                  *requests_)),
         claims_(control_->MakeClaimStore(requests_->Queue())),
--- a/src/caller/internal/caller_gateway.cc
+++ b/src/caller/internal/caller_gateway.cc
@@ -121,8 +121,7 @@
       return CallerCode::kListenFailed;
     }
     daemon_ = MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
-            MHD_USE_ITC,
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
         config_.port, nullptr, nullptr, &Gateway::OnRequest, this,
         MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
         &Gateway::OnCompleted, this, MHD_OPTION_URI_LOG_CALLBACK,
@@ -196,9 +195,9 @@
         exchange.buffer->PutRefusal(
             {*code, Certainty::kNotRun, code->message(), {}});
       } else {
-        exchange.call = handler_.Begin(
-            exchange.request,
-            std::make_unique<BufferedStream>(exchange.buffer));
+        exchange.call =
+            handler_.Begin(exchange.request,
+                           std::make_unique<BufferedStream>(exchange.buffer));
       }
     }
     if (exchange.answered || !exchange.buffer->SuspendUntilHead()) {
@@ -222,9 +221,9 @@
   MHD_Result SendRefusal(MHD_Connection* connection, const Exchange& exchange,
                          const Refusal& refusal) {
     const ResultCodeInfo* info = FindResultCode(refusal.code);
-    const unsigned status =
-        info == nullptr ? MHD_HTTP_BAD_GATEWAY
-                        : static_cast<unsigned>(info->http_status);
+    const unsigned status = info == nullptr
+                                ? MHD_HTTP_BAD_GATEWAY
+                                : static_cast<unsigned>(info->http_status);
     std::string certainty(CertaintyName(refusal.certainty));
     std::string body = "{\"code\":" + std::to_string(refusal.code.value()) +
                        ",\"outcome\":\"" + certainty + "\",\"message\":\"" +
@@ -246,8 +245,7 @@
     return queued;
   }
 
-  static MHD_Result SendAnswer(MHD_Connection* connection,
-                               Exchange& exchange) {
+  static MHD_Result SendAnswer(MHD_Connection* connection, Exchange& exchange) {
     const AnswerHead head = *exchange.buffer->Head();
     const uint64_t size = head.content_length < 0
                               ? MHD_SIZE_UNKNOWN
@@ -301,8 +299,7 @@
 }  // namespace
 
 std::unique_ptr<CallerGateway> MakeCallerGateway(
-    const CallerGatewayConfig& config, CallHandler& handler,
-    Metrics& metrics) {
+    const CallerGatewayConfig& config, CallHandler& handler, Metrics& metrics) {
   return std::make_unique<Gateway>(config, handler, metrics);
 }
 
--- a/src/claims/internal/claim_ledger.cc
+++ b/src/claims/internal/claim_ledger.cc
@@ -35,8 +35,7 @@
   return is_new ? ClaimOutcome{} : Meet(place->second, command);
 }
 
-ClaimOutcome ClaimLedger::Meet(const Claim& held,
-                               const ClaimCommand& command) {
+ClaimOutcome ClaimLedger::Meet(const Claim& held, const ClaimCommand& command) {
   if (held.command.request_digest != command.request_digest) {
     return {ClaimsCode::kKeyReused, ""};
   }
--- a/src/claims/tests/claim_ledger_test.cc
+++ b/src/claims/tests/claim_ledger_test.cc
@@ -41,8 +41,7 @@
   Apply(ClaimKind::kClaim, "a1");
   Apply(ClaimKind::kBurn, "a1");
   EXPECT_FALSE(Apply(ClaimKind::kClaim, "a2").error);
-  EXPECT_EQ(Apply(ClaimKind::kFinish, "a1").error,
-            ClaimsCode::kOutcomeUnknown);
+  EXPECT_EQ(Apply(ClaimKind::kFinish, "a1").error, ClaimsCode::kOutcomeUnknown);
 }
 
 TEST_F(ALedgerOfClaims, ComesBackFromItsSnapshot) {
--- a/src/consensus/consensus_node.h
+++ b/src/consensus/consensus_node.h
@@ -104,9 +104,10 @@
 /// @param self this replica.
 /// @param restored state read from the data folder, empty for a new one.
 /// @param seed seed of the election timeouts.
-std::unique_ptr<ConsensusNode> MakeConsensusNode(
-    const MemberId& self, const ConsensusTimes& times,
-    ConsensusRestored restored, uint64_t seed, Instant now);
+std::unique_ptr<ConsensusNode> MakeConsensusNode(const MemberId& self,
+                                                 const ConsensusTimes& times,
+                                                 ConsensusRestored restored,
+                                                 uint64_t seed, Instant now);
 
 }  // namespace hibiscusglade
 
--- a/src/consensus/internal/consensus_codec.cc
+++ b/src/consensus/internal/consensus_codec.cc
@@ -91,8 +91,11 @@
 };
 
 AppendRequest From(const wire::AppendRequest& in) {
-  AppendRequest body{in.previous_index(), in.previous_term(), {},
-                     in.commit_index(), in.round()};
+  AppendRequest body{in.previous_index(),
+                     in.previous_term(),
+                     {},
+                     in.commit_index(),
+                     in.round()};
   for (const wire::LogEntry& entry : in.entries()) {
     body.entries.push_back(From(entry));
   }
@@ -100,9 +103,9 @@
 }
 
 InstallSnapshot From(const wire::InstallSnapshot& in) {
-  return {{in.last_index(), in.last_term(), MembersFrom(in.members()),
-           in.state()},
-          in.round()};
+  return {
+      {in.last_index(), in.last_term(), MembersFrom(in.members()), in.state()},
+      in.round()};
 }
 
 template <typename Message>
@@ -132,8 +135,8 @@
                                  in.vote_request().pre_vote()};
       return message;
     case wire::ConsensusMessage::kVoteReply:
-      message.body = VoteReply{in.vote_reply().granted(),
-                               in.vote_reply().pre_vote()};
+      message.body =
+          VoteReply{in.vote_reply().granted(), in.vote_reply().pre_vote()};
       return message;
     case wire::ConsensusMessage::kAppendRequest:
       message.body = From(in.append_request());
--- a/src/consensus/internal/entry_store.cc
+++ b/src/consensus/internal/entry_store.cc
@@ -66,8 +66,7 @@
 }
 
 std::error_code EntryStore::SaveVote(const VoteState& vote) {
-  return folder_.WriteAtomically(NameOf(kVoteFile),
-                                 RecordOf(EncodeVote(vote)));
+  return folder_.WriteAtomically(NameOf(kVoteFile), RecordOf(EncodeVote(vote)));
 }
 
 std::error_code EntryStore::SaveSnapshot(const ConsensusSnapshot& snapshot,
--- a/src/consensus/internal/node.cc
+++ b/src/consensus/internal/node.cc
@@ -40,17 +40,16 @@
   return Take();
 }
 
-ConsensusEffects Node::OnMessage(const ConsensusMessage& message,
-                                 Instant now) {
+ConsensusEffects Node::OnMessage(const ConsensusMessage& message, Instant now) {
   if (message.to != self_ &&
       !std::holds_alternative<JoinRequest>(message.body)) {
     return {};
   }
   const auto* vote_request = std::get_if<VoteRequest>(&message.body);
   const auto* vote_reply = std::get_if<VoteReply>(&message.body);
-  const bool pre_vote = (vote_request != nullptr && vote_request->pre_vote) ||
-                        (vote_reply != nullptr && vote_reply->pre_vote &&
-                         vote_reply->granted);
+  const bool pre_vote =
+      (vote_request != nullptr && vote_request->pre_vote) ||
+      (vote_reply != nullptr && vote_reply->pre_vote && vote_reply->granted);
   // A vote request may not disturb a group whose leader answers.
   if (vote_request != nullptr && LeaderIsFresh(now)) return {};
   if (message.term > vote_.term && !pre_vote) {
@@ -181,9 +180,8 @@
 
 void Node::OnVoteRequest(const ConsensusMessage& message,
                          const VoteRequest& body, Instant now) {
-  const bool log_is_current =
-      std::pair(body.last_term, body.last_index) >=
-      std::pair(log_.LastTerm(), log_.LastIndex());
+  const bool log_is_current = std::pair(body.last_term, body.last_index) >=
+                              std::pair(log_.LastTerm(), log_.LastIndex());
   if (body.pre_vote) {
     const bool granted = message.term > vote_.term && log_is_current;
     Send(message.from, granted ? message.term : vote_.term,
@@ -332,7 +330,7 @@
   Member joining = body.member;
   joining.voter = false;
   members.push_back(joining);
-  ProposeMembers(std::move(members), now);
+  ProposeMembers(members, now);
 }
 
 void Node::SendAppend(const MemberId& to, Instant now) {
@@ -343,8 +341,8 @@
     Send(to, vote_.term, InstallSnapshot{log_.Snapshot(), round_});
     return;
   }
-  AppendRequest request{progress.next - 1, *previous_term, {}, commit_index_,
-                        round_};
+  AppendRequest request{
+      progress.next - 1, *previous_term, {}, commit_index_, round_};
   size_t bytes = 0;
   for (LogIndex index = progress.next; index <= log_.LastIndex(); ++index) {
     if (request.entries.size() >= kMaxEntriesPerMessage ||
@@ -426,9 +424,8 @@
     if (member.id == self_) {
       rounds.push_back(round_);
     } else {
-      rounds.push_back(found == progress_.end()
-                           ? 0
-                           : found->second.confirmed_round);
+      rounds.push_back(
+          found == progress_.end() ? 0 : found->second.confirmed_round);
     }
   }
   if (rounds.empty()) return 0;
@@ -441,9 +438,9 @@
   for (const Member& member : members_) {
     if (!member.voter) continue;
     auto found = progress_.find(member.id);
-    const bool fresh = member.id == self_ ||
-                       (found != progress_.end() &&
-                        found->second.last_reply >= since);
+    const bool fresh =
+        member.id == self_ ||
+        (found != progress_.end() && found->second.last_reply >= since);
     if (fresh) ++answered;
   }
   return answered >= QuorumSize();
@@ -466,7 +463,7 @@
   role_ = IsVoter(self_) ? ReplicaRole::kFollower : ReplicaRole::kNonVoter;
 }
 
-bool Node::ProposeMembers(std::vector<Member> members, Instant now) {
+bool Node::ProposeMembers(const std::vector<Member>& members, Instant now) {
   // One change at a time, and only once this term has committed an entry.
   const bool change_open = members_index_ > commit_index_;
   if (change_open || commit_index_ < term_start_index_) return false;
@@ -481,7 +478,7 @@
   for (Member& member : members) {
     if (member.voter || progress_[member.id].match < commit_index_) continue;
     member.voter = true;
-    ProposeMembers(std::move(members), now);
+    ProposeMembers(members, now);
     return;
   }
 }
@@ -507,8 +504,7 @@
 
 void Node::ResetElectionDeadline(Instant now) {
   const Duration spread = times_.election_highest - times_.election_lowest;
-  const auto jitter =
-      random_.Below(static_cast<uint64_t>(spread.count()) + 1);
+  const auto jitter = random_.Below(static_cast<uint64_t>(spread.count()) + 1);
   election_deadline_ =
       now + times_.election_lowest + Duration(static_cast<int64_t>(jitter));
 }
--- a/src/consensus/internal/node.h
+++ b/src/consensus/internal/node.h
@@ -96,7 +96,7 @@
 
   // Members.
   void SetMembers(std::vector<Member> members);
-  bool ProposeMembers(std::vector<Member> members, Instant now);
+  bool ProposeMembers(const std::vector<Member>& members, Instant now);
   void PromoteCaughtUp(Instant now);
   bool IsVoter(const MemberId& id) const;
   size_t QuorumSize() const;
--- a/src/consensus/internal/replica.cc
+++ b/src/consensus/internal/replica.cc
@@ -62,8 +62,8 @@
     ConsensusEffects effects;
     std::optional<std::pair<Term, LogIndex>> place;
     if (!failure_) {
-      place = node_->Propose(EntryKind::kCommand, std::move(command), now,
-                             effects);
+      place =
+          node_->Propose(EntryKind::kCommand, std::move(command), now, effects);
     }
     if (!place.has_value()) {
       done({ConsensusCode::kNotLeader, ""});
--- a/src/consensus/tests/replica_group.h
+++ b/src/consensus/tests/replica_group.h
@@ -148,8 +148,7 @@
     for (const auto& [name, seat] : seats_) {
       if (seat.replica == nullptr) continue;
       const ConsensusNode& node = seat.replica->Node();
-      if (node.Role() == ReplicaRole::kLeader &&
-          node.CurrentTerm() > highest) {
+      if (node.Role() == ReplicaRole::kLeader && node.CurrentTerm() > highest) {
         leader = name;
         highest = node.CurrentTerm();
       }
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -30,8 +30,8 @@
   std::string request_address;     ///< Own, "ip:port".
   std::vector<std::string> seeds;  ///< Control addresses of other daemons.
   std::vector<Member> replicas;    ///< Instances with the replica role.
-  std::string data_folder;  ///< Set when this instance is a replica.
-  uint64_t seed = 0;        ///< Of all random choices.
+  std::string data_folder;         ///< Set when this instance is a replica.
+  uint64_t seed = 0;               ///< Of all random choices.
 };
 
 /// Told of the local upstream and its limits; called on the control thread.
--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -139,11 +139,10 @@
     case wire::Envelope::kFloorQuery:
       return FloorQuery{in.floor_query().query()};
     case wire::Envelope::kFloorAnswer:
-      return FloorAnswer{in.floor_answer().query(),
-                         in.floor_answer().committed(),
-                         in.floor_answer().replica(),
-                         in.floor_answer().current(),
-                         in.floor_answer().highest_in_use()};
+      return FloorAnswer{
+          in.floor_answer().query(), in.floor_answer().committed(),
+          in.floor_answer().replica(), in.floor_answer().current(),
+          in.floor_answer().highest_in_use()};
     default:
       return std::nullopt;
   }
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -43,13 +43,13 @@
 }
 
 VersionRow RowOf(const wire::StoredVersion& in) {
-  return {in.number(),   in.parent(), in.digest(),      in.patch_id(),
-          in.author(),   in.accepted_at(), in.whole()};
+  return {in.number(), in.parent(),      in.digest(), in.patch_id(),
+          in.author(), in.accepted_at(), in.whole()};
 }
 
 ProposalVerdict VerdictOfWire(const wire::PatchVerdict& in) {
-  ProposalVerdict verdict{ErrorFromNumber(in.code()), in.number(), in.latest(),
-                          {}};
+  ProposalVerdict verdict{
+      ErrorFromNumber(in.code()), in.number(), in.latest(), {}};
   for (const wire::PatchFault& fault : in.faults()) {
     verdict.faults.push_back({fault.pointer(), fault.message()});
   }
@@ -68,11 +68,11 @@
         listener_(listener),
         transport_(
             MakePeerTransport(config.identity, "control", clock, metrics)),
-        groups_(AddressesOf(config.replicas),
-                [this](const std::string& address,
-                       const GroupRequest& request) {
-                  SendGroupRequest(address, request);
-                }),
+        groups_(
+            AddressesOf(config.replicas),
+            [this](const std::string& address, const GroupRequest& request) {
+              SendGroupRequest(address, request);
+            }),
         replicas_(
             [this](GroupId group, const std::string& address,
                    const ConsensusMessage& message) {
@@ -146,7 +146,8 @@
   }
 
   void Gone() override {
-    executor_.Post([this] { Follow(membership_->OnUpstreamGone(clock_.Now())); });
+    executor_.Post(
+        [this] { Follow(membership_->OnUpstreamGone(clock_.Now())); });
   }
 
   // OperatorBackend.
@@ -258,17 +259,15 @@
         : loop_(loop), executor_(executor) {}
 
     void Submit(const ClaimCommand& command, Done done) override {
-      loop_.executor_.Post([this, bytes = EncodeClaim(command),
-                            done = std::move(done)] {
-        loop_.groups_.Submit(GroupId::kClaims, bytes, false,
-                             loop_.clock_.Now(),
-                             [this, done](const ReplicaResult& result) {
-                               ClaimOutcome outcome = OutcomeOf(result);
-                               executor_.Post([done, outcome] {
-                                 done(outcome);
-                               });
-                             });
-      });
+      loop_.executor_.Post(
+          [this, bytes = EncodeClaim(command), done = std::move(done)] {
+            loop_.groups_.Submit(
+                GroupId::kClaims, bytes, false, loop_.clock_.Now(),
+                [this, done](const ReplicaResult& result) {
+                  ClaimOutcome outcome = OutcomeOf(result);
+                  executor_.Post([done, outcome] { done(outcome); });
+                });
+          });
     }
 
    private:
@@ -411,18 +410,16 @@
     membership_->SetVersionInUse(effects.activate->number,
                                  effects.activate->digest);
     Log(LogLevel::kInfo, "distribution",
-        "Version " + std::to_string(effects.activate->number) +
-            " is in use.");
+        "Version " + std::to_string(effects.activate->number) + " is in use.");
     PublishRoutes();
   }
 
   void PublishRoutes() {
     const ConfigVersionPtr& version = follower_->InUse();
     if (version == nullptr) return;
-    routes_.Publish(std::make_shared<const RouteTable>(
-        version, membership_->Records()));
-    listener_.OnLocalUpstream(membership_->LocalUpstream(),
-                              LimitsOf(*version));
+    routes_.Publish(
+        std::make_shared<const RouteTable>(version, membership_->Records()));
+    listener_.OnLocalUpstream(membership_->LocalUpstream(), LimitsOf(*version));
   }
 
   AdmissionConfig LimitsOf(const ConfigVersion& version) const {
@@ -502,7 +499,8 @@
       return;
     }
     if (auto distribution = DistributionFromWire(message)) {
-      AnswerEffects(from, path, follower_->OnMessage(kSender, *distribution, now));
+      AnswerEffects(from, path,
+                    follower_->OnMessage(kSender, *distribution, now));
       return;
     }
     if (auto membership = MembershipFromWire(message)) {
--- a/src/control/internal/group_client.cc
+++ b/src/control/internal/group_client.cc
@@ -57,9 +57,9 @@
   for (uint64_t request : late) {
     const bool unknown =
         open_[request].may_have_run && !open_[request].request.read;
-    Finish(request, {unknown ? ConsensusCode::kOutcomeUnknown
-                             : ConsensusCode::kNoQuorum,
-                     ""});
+    Finish(request,
+           {unknown ? ConsensusCode::kOutcomeUnknown : ConsensusCode::kNoQuorum,
+            ""});
   }
 }
 
--- a/src/ctl/internal/commands.cc
+++ b/src/ctl/internal/commands.cc
@@ -67,8 +67,7 @@
   }
   const json& body = answer.body;
   context.err << "refused: " << body.value("message", "") << " ("
-              << body.value("code", 0) << " " << body.value("name", "")
-              << ")";
+              << body.value("code", 0) << " " << body.value("name", "") << ")";
   if (body.contains("latest")) {
     context.err << "; latest version is " << body["latest"];
   }
@@ -248,27 +247,37 @@
   std::error_code error;
   auto folder = OpenDataFolder(load.settings->data_folder, error);
   if (!error) {
-    error = FoundReplica(*folder, load.settings->instance,
-                         load.settings->replicas);
+    error =
+        FoundReplica(*folder, load.settings->instance, load.settings->replicas);
   }
   if (error) {
-    context.err << load.settings->data_folder << ": " << error.message()
-                << " (" << error.value() << ")\n";
+    context.err << load.settings->data_folder << ": " << error.message() << " ("
+                << error.value() << ")\n";
     return kExitInvalid;
   }
   context.out << "founded " << load.settings->data_folder << "\n";
   return kExitOk;
 }
 
+int DescribeSettings(const Context& context) {
+  context.out << DescribeDaemonSettings();
+  return kExitOk;
+}
+
 using Command = int (*)(const Context&);
 
 const std::map<std::string, Command>& Commands() {
   static const std::map<std::string, Command> commands = {
-      {"propose", &Propose},       {"show", &ShowVersion},
-      {"history", &History},       {"watch", &Watch},
-      {"status", &Status},         {"upstreams", &Upstreams},
-      {"drain", &Drain},           {"check-settings", &CheckSettings},
-      {"found-replica", &FoundReplicaCommand}};
+      {"propose", &Propose},
+      {"show", &ShowVersion},
+      {"history", &History},
+      {"watch", &Watch},
+      {"status", &Status},
+      {"upstreams", &Upstreams},
+      {"drain", &Drain},
+      {"check-settings", &CheckSettings},
+      {"found-replica", &FoundReplicaCommand},
+      {"describe-settings", &DescribeSettings}};
   return commands;
 }
 
@@ -291,6 +300,7 @@
          "  drain               take the local upstream out of service\n"
          "Files:\n"
          "  check-settings FILE          list every fault\n"
+         "  describe-settings            print all settings as a table\n"
          "  found-replica --settings F   prepare a new mesh's replica\n\n"
          "Exit status: 0 done, 1 usage, 2 invalid, 3 conflict, 4 not "
          "accepted,\n5 outcome unknown, 6 timeout, 7 unreachable, 8 not "
--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -30,8 +30,7 @@
       OnNotice(from, *notice, now, effects);
     } else if (const auto* pull = std::get_if<VersionPull>(&message)) {
       effects.send.push_back({from, history_.AnswerTo(*pull)});
-    } else if (const auto* answer =
-                   std::get_if<VersionPullAnswer>(&message)) {
+    } else if (const auto* answer = std::get_if<VersionPullAnswer>(&message)) {
       pull_open_until_ = now;
       history_.TakeAnswer(*answer);
       Activate(effects);
@@ -126,9 +125,11 @@
 
   void SendNotices(Instant now, FollowerEffects& effects) {
     if (now < next_notice_ || peers_.empty()) return;
-    const auto interval = static_cast<uint64_t>(config_.notice_interval.count());
-    next_notice_ = now + Duration(static_cast<int64_t>(
-                             interval / 2 + random_.Below(interval)));
+    const auto interval =
+        static_cast<uint64_t>(config_.notice_interval.count());
+    next_notice_ =
+        now +
+        Duration(static_cast<int64_t>(interval / 2 + random_.Below(interval)));
     const VersionNotice notice{history_.Latest()->number,
                                history_.Latest()->digest};
     for (size_t i = 0; i < std::min(kNoticeFanout, peers_.size()); ++i) {
--- a/src/distribution/internal/version_history.cc
+++ b/src/distribution/internal/version_history.cc
@@ -48,8 +48,8 @@
   }
   if (DigestOf(text) != answer.digest) return nullptr;
   const std::string patch = steps.empty() ? "" : steps.back().patch;
-  ConfigVersionPtr version = MakeConfigVersion(
-      answer.number, answer.number - 1, std::move(text), patch, faults);
+  ConfigVersionPtr version = MakeConfigVersion(answer.number, answer.number - 1,
+                                               std::move(text), patch, faults);
   if (version == nullptr) return nullptr;
   if (steps.empty()) steps_.clear();
   for (Step& step : steps) steps_.push_back(std::move(step));
@@ -62,10 +62,10 @@
   VersionPullAnswer answer;
   answer.number = latest_->number;
   answer.digest = latest_->digest;
-  auto first = std::find_if(steps_.begin(), steps_.end(),
-                            [&pull](const Step& step) {
-                              return step.number == pull.have_number + 1;
-                            });
+  auto first =
+      std::find_if(steps_.begin(), steps_.end(), [&pull](const Step& step) {
+        return step.number == pull.have_number + 1;
+      });
   size_t bytes = 0;
   if (first != steps_.end() && first->base_digest == pull.have_digest) {
     answer.base_number = pull.have_number;
--- a/src/distribution/types/distribution_types.h
+++ b/src/distribution/types/distribution_types.h
@@ -58,9 +58,9 @@
   friend bool operator==(const FloorAnswer&, const FloorAnswer&) = default;
 };
 
-using DistributionMessage = std::variant<VersionNotice, VersionPull,
-                                         VersionPullAnswer, FloorQuery,
-                                         FloorAnswer>;
+using DistributionMessage =
+    std::variant<VersionNotice, VersionPull, VersionPullAnswer, FloorQuery,
+                 FloorAnswer>;
 
 /// A peer as the distribution sees it.
 struct DistributionPeer {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -39,9 +39,8 @@
                              std::string data, Instant now) = 0;
   virtual void OnAnswerEnd(const AttemptId& attempt, const AnswerEnd& end,
                            const LoadReport& load, Instant now) = 0;
-  virtual void OnAnswerRefused(const AttemptId& attempt,
-                               const Refusal& refusal, const LoadReport& load,
-                               Instant now) = 0;
+  virtual void OnAnswerRefused(const AttemptId& attempt, const Refusal& refusal,
+                               const LoadReport& load, Instant now) = 0;
 
   /// The link to an owner is silent or was replaced: what was open on it is
   /// resolved as unknown.
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -46,8 +46,7 @@
 
 class EntryImpl : public Entry {
  public:
-  EntryImpl(std::string instance, uint64_t incarnation,
-            const EntryParts& parts)
+  EntryImpl(std::string instance, uint64_t incarnation, const EntryParts& parts)
       : prefix_(std::move(instance) + "/" + std::to_string(incarnation) + "/"),
         parts_(parts) {}
 
@@ -66,8 +65,7 @@
       Refuse(call, RefusalOf(RoutingCode::kNoVersion, Certainty::kNotRun));
       return;
     }
-    call.route =
-        call.table->Match(call.request.method, call.request.target);
+    call.route = call.table->Match(call.request.method, call.request.target);
     if (call.route == nullptr) {
       Refuse(call, RefusalOf(RoutingCode::kNoRoute, Certainty::kNotRun));
       return;
@@ -77,8 +75,7 @@
       timeout = std::min(timeout, call.request.timeout);
     }
     call.deadline = now + timeout;
-    budget_.SetPercent(
-        call.table->Document().limits.retry_budget_percent);
+    budget_.SetPercent(call.table->Document().limits.retry_budget_percent);
     budget_.OnRequest();
     OpenCall& open = calls_[handle] = std::move(call);
     SendAttempt(handle, open, now);
@@ -180,8 +177,7 @@
 
   void Stop() override { stopping_ = true; }
 
-  std::vector<AttemptId> OpenAttempts(
-      const std::string& owner) const override {
+  std::vector<AttemptId> OpenAttempts(const std::string& owner) const override {
     std::vector<AttemptId> open;
     for (const auto& [id, attempt] : attempts_) {
       if (attempt.owner == owner) open.push_back(id);
@@ -197,9 +193,8 @@
     auto choice = parts_.chooser.Choose(
         {candidates, call.route->request_class, call.tried}, now);
     if (!choice.has_value()) {
-      const RoutingCode code = call.attempts == 0
-                                   ? RoutingCode::kNoUpstream
-                                   : RoutingCode::kAttemptsSpent;
+      const RoutingCode code = call.attempts == 0 ? RoutingCode::kNoUpstream
+                                                  : RoutingCode::kAttemptsSpent;
       Refuse(call, RefusalOf(code, Certainty::kNotRun));
       calls_.erase(handle);
       return;
@@ -224,16 +219,14 @@
     parts_.owners.Start(target.owner_address, attempt);
   }
 
-  void ResolveFailed(const AttemptId& id, const Refusal& refusal,
-                     Instant now) {
+  void ResolveFailed(const AttemptId& id, const Refusal& refusal, Instant now) {
     auto found = attempts_.find(id);
     if (found == attempts_.end()) return;
     const CallHandle handle = found->second.call;
     const bool not_run = refusal.certainty == Certainty::kNotRun;
-    EndAttempt(id,
-               not_run ? AttemptOutcome::kRefusedNotRun
-                       : AttemptOutcome::kFailed,
-               now);
+    EndAttempt(
+        id, not_run ? AttemptOutcome::kRefusedNotRun : AttemptOutcome::kFailed,
+        now);
     OpenCall& call = calls_[handle];
     const bool may_run_again = not_run || call.route->repeatable;
     const bool may_retry = may_run_again && !call.head_passed &&
--- a/src/http/internal/simple_http_server.cc
+++ b/src/http/internal/simple_http_server.cc
@@ -43,19 +43,18 @@
     daemon_ = MHD_start_daemon(
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
             MHD_USE_POLL,
-        port, nullptr, nullptr, &Server::OnRequest, this,
-        MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
-        &Server::OnCompleted, nullptr, MHD_OPTION_CONNECTION_LIMIT,
-        kMaxConnections, MHD_OPTION_CONNECTION_TIMEOUT, kIdleTimeoutSeconds,
-        MHD_OPTION_END);
+        port, nullptr, nullptr, &Server::OnRequest, this, MHD_OPTION_SOCK_ADDR,
+        &address, MHD_OPTION_NOTIFY_COMPLETED, &Server::OnCompleted, nullptr,
+        MHD_OPTION_CONNECTION_LIMIT, kMaxConnections,
+        MHD_OPTION_CONNECTION_TIMEOUT, kIdleTimeoutSeconds, MHD_OPTION_END);
     return daemon_ != nullptr;
   }
 
  private:
   static MHD_Result OnRequest(void* cls, MHD_Connection* connection,
-                              const char* path, const char* method,
-                              const char*, const char* upload,
-                              size_t* upload_size, void** state) {
+                              const char* path, const char* method, const char*,
+                              const char* upload, size_t* upload_size,
+                              void** state) {
     if (*state == nullptr) {
       auto exchange = std::make_unique<Exchange>();
       exchange->request.method = method;
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -37,7 +37,8 @@
         Merge(record, now, effects);
       }
       if (gossip->wants_answer) {
-        effects.send.push_back({from, GossipMessage{Records(), 0, false, true}});
+        effects.send.push_back(
+            {from, GossipMessage{Records(), 0, false, true}});
       }
     }
     return effects;
@@ -93,12 +94,11 @@
   }
 
   bool DomainReachable(const std::string& failure_domain) const override {
-    return std::any_of(
-        records_.begin(), records_.end(), [&](const auto& item) {
-          const InstanceRecord& record = item.second.record;
-          return record.failure_domain == failure_domain &&
-                 record.state == InstanceState::kAlive;
-        });
+    return std::any_of(records_.begin(), records_.end(), [&](const auto& item) {
+      const InstanceRecord& record = item.second.record;
+      return record.failure_domain == failure_domain &&
+             record.state == InstanceState::kAlive;
+    });
   }
 
  private:
@@ -132,8 +132,8 @@
   void RefuteIfWrong(const InstanceRecord& record, Instant now,
                      MembershipEffects& effects) {
     InstanceRecord& self = Self();
-    if (record.incarnation != self.incarnation ||
-        !Supersedes(record, self) || self.state == InstanceState::kLeft) {
+    if (record.incarnation != self.incarnation || !Supersedes(record, self) ||
+        self.state == InstanceState::kLeft) {
       return;
     }
     self.sequence = record.sequence;
@@ -157,8 +157,9 @@
   void SendGossip(Instant now, MembershipEffects& effects) {
     const auto interval =
         static_cast<uint64_t>(config_.gossip_interval.count());
-    next_gossip_ = now + Duration(static_cast<int64_t>(
-                             interval / 2 + random_.Below(interval)));
+    next_gossip_ =
+        now +
+        Duration(static_cast<int64_t>(interval / 2 + random_.Below(interval)));
     std::vector<std::string> targets = config_.seeds;
     for (const auto& [instance, held] : records_) {
       if (held.record.state <= InstanceState::kSuspected) {
--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -10,7 +10,12 @@
 namespace hibiscusglade {
 
 /// State of a daemon as seen by its peers.
-enum class InstanceState : uint8_t { kAlive = 0, kSuspected = 1, kDead = 2, kLeft = 3 };
+enum class InstanceState : uint8_t {
+  kAlive = 0,
+  kSuspected = 1,
+  kDead = 2,
+  kLeft = 3
+};
 
 /// State of the upstream beside a daemon.
 enum class UpstreamState : uint8_t {
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -40,8 +40,8 @@
 
 HttpResponse VerdictResponse(const ProposalVerdict& verdict) {
   if (!verdict.error) {
-    return JsonResponse(200, {{"number", verdict.number},
-                              {"latest", verdict.latest}});
+    return JsonResponse(
+        200, {{"number", verdict.number}, {"latest", verdict.latest}});
   }
   json body = ErrorJson(verdict.error);
   body["latest"] = verdict.latest;
@@ -54,9 +54,9 @@
 }
 
 json RowJson(const VersionRow& row) {
-  json out = {{"number", row.number},     {"parent", row.parent},
-              {"digest", row.digest},     {"patch_id", row.patch_id},
-              {"author", row.author},     {"accepted_at", row.accepted_at}};
+  json out = {{"number", row.number}, {"parent", row.parent},
+              {"digest", row.digest}, {"patch_id", row.patch_id},
+              {"author", row.author}, {"accepted_at", row.accepted_at}};
   if (!row.text.empty()) out["document"] = json::parse(row.text);
   return out;
 }
@@ -134,9 +134,9 @@
                        {"lagging", progress.lagging},
                        {"reachable", progress.reachable}});
   }
-  return JsonResponse(200, {{"number", *number},
-                            {"everywhere", everywhere},
-                            {"domains", domains}});
+  return JsonResponse(
+      200,
+      {{"number", *number}, {"everywhere", everywhere}, {"domains", domains}});
 }
 
 const char* NameOf(UpstreamState state) {
--- a/src/operator/operator_backend.h
+++ b/src/operator/operator_backend.h
@@ -68,7 +68,7 @@
   std::string instance;
   std::string failure_domain;
   uint64_t version_in_use = 0;
-  std::string waiting_for;  ///< Why no version is in use; empty else.
+  std::string waiting_for;   ///< Why no version is in use; empty else.
   std::string replica_role;  ///< Empty without the replica role.
   std::string leader_address;
   bool stopping = false;
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -149,7 +149,7 @@
       job.kept_body += data;
       return;
     }
-    SendData(job, std::move(data));
+    SendData(job, data);
     if (job.credit > 0 || job.paused) return;
     job.paused = true;
     parts_.upstream.SetPaused(run, true);
@@ -181,10 +181,11 @@
       FreeSlot(run, now);
       return;
     }
-    Refusal refusal = RefusalOf(progress == RunProgress::kNotSent
-                                    ? make_error_code(AdmissionCode::kNotServing)
-                                    : make_error_code(RoutingCode::kAnswerBroken),
-                                certainty);
+    Refusal refusal =
+        RefusalOf(progress == RunProgress::kNotSent
+                      ? make_error_code(AdmissionCode::kNotServing)
+                      : make_error_code(RoutingCode::kAnswerBroken),
+                  certainty);
     refusal.detail = reason;
     parts_.entries.SendRefused(job.entry, job.attempt.id, refusal,
                                admission_->Load());
@@ -214,10 +215,10 @@
   void AskForSlot(Ticket ticket, Instant now) {
     Job& job = jobs_[ticket];
     job.stage = JobStage::kWaiting;
-    Follow(admission_->OnRequest({ticket, job.attempt.request_class,
-                                  job.attempt.request.caller, job.deadline,
-                                  Duration{}},
-                                 now),
+    Follow(admission_->OnRequest(
+               {ticket, job.attempt.request_class, job.attempt.request.caller,
+                job.deadline, Duration{}},
+               now),
            now);
   }
 
@@ -264,26 +265,24 @@
     ClaimCommand command = CommandOf(job, ClaimKind::kFinish);
     command.answer = EncodeKeptAnswer({job.head, job.kept_body});
     // The answer goes out once it is kept, so that a resend gets the same.
-    parts_.claims.Submit(command,
-                         [this, ticket, answer = command.answer](
-                             const ClaimOutcome&) {
-                           auto found = jobs_.find(ticket);
-                           if (found == jobs_.end()) return;
-                           SendKept(found->second, answer);
-                           Forget(ticket);
-                         });
-    FreeSlot(ticket, now);
-  }
-
-  void BurnAndRefuse(Ticket ticket, std::error_code code, Instant) {
     parts_.claims.Submit(
-        CommandOf(jobs_[ticket], ClaimKind::kBurn),
-        [this, ticket, code](const ClaimOutcome& outcome) {
+        command, [this, ticket, answer = command.answer](const ClaimOutcome&) {
           auto found = jobs_.find(ticket);
           if (found == jobs_.end()) return;
-          SendRefused(found->second, code, Certainty::kNotRun);
+          SendKept(found->second, answer);
           Forget(ticket);
         });
+    FreeSlot(ticket, now);
+  }
+
+  void BurnAndRefuse(Ticket ticket, std::error_code code, Instant) {
+    parts_.claims.Submit(CommandOf(jobs_[ticket], ClaimKind::kBurn),
+                         [this, ticket, code](const ClaimOutcome& outcome) {
+                           auto found = jobs_.find(ticket);
+                           if (found == jobs_.end()) return;
+                           SendRefused(found->second, code, Certainty::kNotRun);
+                           Forget(ticket);
+                         });
   }
 
   void Follow(const AdmissionEffects& effects, Instant now) {
@@ -308,7 +307,7 @@
     parts_.upstream.Start(ticket, upstream_->address, job.attempt);
   }
 
-  void SendData(Job& job, std::string data) {
+  void SendData(Job& job, const std::string& data) {
     for (size_t at = 0; at < data.size(); at += kMaxChunkBytes) {
       std::string chunk = data.substr(at, kMaxChunkBytes);
       job.digest = DigestOf(chunk, job.digest);
@@ -333,7 +332,7 @@
     }
     parts_.entries.SendHead(job.entry, job.attempt.id, answer->head,
                             admission_->Load());
-    SendData(job, std::move(answer->body));
+    SendData(job, answer->body);
     SendEnd(job);
   }
 
--- a/src/peer/internal/zmq_transport.cc
+++ b/src/peer/internal/zmq_transport.cc
@@ -66,11 +66,11 @@
                         wire::Envelope& message) override {
     const std::string frame = FrameOf(message);
     try {
-      auto sent = router_.send(zmq::buffer(path), zmq::send_flags::sndmore |
-                                                      zmq::send_flags::dontwait);
+      auto sent =
+          router_.send(zmq::buffer(path),
+                       zmq::send_flags::sndmore | zmq::send_flags::dontwait);
       if (sent.has_value()) {
-        sent =
-            router_.send(zmq::buffer(frame), zmq::send_flags::dontwait);
+        sent = router_.send(zmq::buffer(frame), zmq::send_flags::dontwait);
       }
       return CheckSent(sent, frame.size());
     } catch (const zmq::error_t&) {
@@ -93,8 +93,7 @@
       items.push_back({connection.socket.handle(), 0, ZMQ_POLLIN, 0});
       addresses.push_back(address);
     }
-    const auto wait =
-        std::chrono::ceil<std::chrono::milliseconds>(longest);
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(longest);
     try {
       zmq::poll(items, wait);
     } catch (const zmq::error_t&) {
@@ -204,8 +203,7 @@
               const zmq::message_t& frame) {
     received_bytes_.Add(frame.size());
     wire::Envelope message;
-    if (!message.ParseFromArray(frame.data(),
-                                static_cast<int>(frame.size()))) {
+    if (!message.ParseFromArray(frame.data(), static_cast<int>(frame.size()))) {
       Count(PeerCode::kDamagedMessage);
       return;
     }
--- a/src/platform/internal/executor.cc
+++ b/src/platform/internal/executor.cc
@@ -22,8 +22,7 @@
   }
   if (!was_empty) return;
   uint64_t one = 1;
-  [[maybe_unused]] ssize_t written =
-      write(wake_descriptor_, &one, sizeof(one));
+  [[maybe_unused]] ssize_t written = write(wake_descriptor_, &one, sizeof(one));
 }
 
 void Executor::RunPending() {
--- a/src/platform/internal/metrics.cc
+++ b/src/platform/internal/metrics.cc
@@ -30,8 +30,8 @@
   double QuantileMicros(double quantile) const override {
     uint64_t total = Count();
     if (total == 0) return 0;
-    auto wanted = static_cast<uint64_t>(
-        std::ceil(quantile * static_cast<double>(total)));
+    auto wanted =
+        static_cast<uint64_t>(std::ceil(quantile * static_cast<double>(total)));
     uint64_t seen = 0;
     for (int i = -1; i <= kBuckets; ++i) {
       seen += histogram_.at(i).load();
@@ -62,8 +62,7 @@
   }
 
  private:
-  using Storage =
-      bh::dense_storage<bh::accumulators::thread_safe<uint64_t>>;
+  using Storage = bh::dense_storage<bh::accumulators::thread_safe<uint64_t>>;
   using Axis = bh::axis::regular<double, bh::axis::transform::log>;
 
   double EdgeAbove(int bucket) const {
--- a/src/platform/internal/posix_data_folder.cc
+++ b/src/platform/internal/posix_data_folder.cc
@@ -156,8 +156,7 @@
   }
 
   std::error_code SyncFolder() const {
-    Descriptor folder(
-        open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    Descriptor folder(open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
     if (!folder.Ok() || fsync(folder.Value()) != 0) {
       return PlatformCode::kSyncFailed;
     }
--- a/src/platform/internal/settings_reader.cc
+++ b/src/platform/internal/settings_reader.cc
@@ -131,13 +131,12 @@
     return std::string(spec.default_value);
   }
   auto text = value->get<std::string>();
-  const bool allowed =
-      spec.allowed.empty() || std::find(spec.allowed.begin(),
-                                        spec.allowed.end(),
-                                        text) != spec.allowed.end();
+  const bool allowed = spec.allowed.empty() ||
+                       std::find(spec.allowed.begin(), spec.allowed.end(),
+                                 text) != spec.allowed.end();
   if (allowed) return text;
-  Fault(name, "expected one of " + Joined(spec.allowed) + ", found " +
-                  value->dump());
+  Fault(name,
+        "expected one of " + Joined(spec.allowed) + ", found " + value->dump());
   return std::string(spec.default_value);
 }
 
@@ -251,11 +250,11 @@
       continue;
     }
     shared_->faults.push_back(
-        {pointer_ + "/" + element, "expected a text" +
-                                       (spec.allowed.empty()
-                                            ? std::string()
-                                            : " out of " + Joined(spec.allowed)) +
-                                       ", found " + text.dump()});
+        {pointer_ + "/" + element,
+         "expected a text" +
+             (spec.allowed.empty() ? std::string()
+                                   : " out of " + Joined(spec.allowed)) +
+             ", found " + text.dump()});
   }
   return texts;
 }
--- a/src/platform/random.h
+++ b/src/platform/random.h
@@ -14,9 +14,7 @@
   explicit Random(uint64_t seed) : engine_(seed) {}
 
   /// @return a number in [0, bound); 0 when bound is 0.
-  uint64_t Below(uint64_t bound) {
-    return bound == 0 ? 0 : engine_() % bound;
-  }
+  uint64_t Below(uint64_t bound) { return bound == 0 ? 0 : engine_() % bound; }
 
   /// @return a number in [0, 1).
   double Fraction() {
--- a/src/platform/settings_reader.h
+++ b/src/platform/settings_reader.h
@@ -84,8 +84,9 @@
              const std::function<void(SettingsReader&)>& read);
 
   /// Calls `read` with the name and a reader of each object in an object.
-  void Map(std::string_view name, std::string_view text,
-           const std::function<void(const std::string&, SettingsReader&)>& read);
+  void Map(
+      std::string_view name, std::string_view text,
+      const std::function<void(const std::string&, SettingsReader&)>& read);
 
   /// Reads an array of texts.
   std::vector<std::string> Texts(std::string_view name, const TextSpec& spec);
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -87,8 +87,8 @@
   CallHandle Begin(CallRequest request,
                    std::unique_ptr<CallerStream> stream) override {
     const CallHandle call = ++last_call_;
-    auto shared = std::make_shared<std::unique_ptr<CallerStream>>(
-        std::move(stream));
+    auto shared =
+        std::make_shared<std::unique_ptr<CallerStream>>(std::move(stream));
     executor_.Post([this, call, request = std::move(request), shared] {
       entry_->Begin(call, request, std::move(*shared), clock_.Now());
     });
@@ -116,9 +116,8 @@
   // OwnerLink.
   void Start(const std::string& owner, const CallAttempt& attempt) override {
     if (IsSelf(owner)) {
-      executor_.Post([this, attempt] {
-        owner_->OnStart("", attempt, clock_.Now());
-      });
+      executor_.Post(
+          [this, attempt] { owner_->OnStart("", attempt, clock_.Now()); });
       return;
     }
     wire::Envelope message;
@@ -142,9 +141,8 @@
 
   void Cancel(const std::string& owner, const AttemptId& attempt) override {
     if (IsSelf(owner)) {
-      executor_.Post([this, attempt] {
-        owner_->OnCancel("", attempt, clock_.Now());
-      });
+      executor_.Post(
+          [this, attempt] { owner_->OnCancel("", attempt, clock_.Now()); });
       return;
     }
     wire::Envelope message;
@@ -211,8 +209,8 @@
     void OnRunEnd(RunId run, Instant now) override {
       owner->OnRunEnd(run, now);
     }
-    void OnRunFailed(RunId run, RunProgress progress,
-                     const std::string& reason, Instant now) override {
+    void OnRunFailed(RunId run, RunProgress progress, const std::string& reason,
+                     Instant now) override {
       owner->OnRunFailed(run, progress, reason, now);
     }
     Owner* owner = nullptr;
--- a/src/routing/internal/route_table.cc
+++ b/src/routing/internal/route_table.cc
@@ -20,10 +20,9 @@
                    });
   for (const InstanceRecord& record : records) {
     auto service = upstreams_.find(record.service);
-    const bool takes_work =
-        record.state == InstanceState::kAlive &&
-        (record.upstream_state == UpstreamState::kServing ||
-         record.upstream_state == UpstreamState::kStarting);
+    const bool takes_work = record.state == InstanceState::kAlive &&
+                            (record.upstream_state == UpstreamState::kServing ||
+                             record.upstream_state == UpstreamState::kStarting);
     if (service == upstreams_.end() || !takes_work) continue;
     service->second.push_back({record.instance, record.failure_domain,
                                record.request_address, record.slots,
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -19,8 +19,7 @@
   Chooser(ChoicePolicy policy, std::string own_domain, uint64_t seed)
       : policy_(policy), own_domain_(std::move(own_domain)), random_(seed) {}
 
-  std::optional<size_t> Choose(const ChoiceRequest& request,
-                               Instant) override {
+  std::optional<size_t> Choose(const ChoiceRequest& request, Instant) override {
     std::vector<size_t> allowed = Allowed(request);
     if (allowed.empty()) return std::nullopt;
     switch (policy_) {
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -16,9 +16,7 @@
   std::string address;
   uint16_t port = 0;
 
-  std::string HostPort() const {
-    return address + ":" + std::to_string(port);
-  }
+  std::string HostPort() const { return address + ":" + std::to_string(port); }
   friend bool operator==(const ListenerSettings&,
                          const ListenerSettings&) = default;
 };
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -71,8 +71,9 @@
       settings.replicas.begin(), settings.replicas.end(),
       [&](const Member& m) { return m.id.instance == settings.instance; });
   if (!listed) {
-    reader.Fault("replicas", "does not list this instance, which has a "
-                             "replica's data folder");
+    reader.Fault("replicas",
+                 "does not list this instance, which has a "
+                 "replica's data folder");
   }
 }
 
@@ -93,9 +94,9 @@
     settings.callers = ReadListener(callers);
     settings.caller_threads = static_cast<uint32_t>(
         callers.Number("threads", {1, 64, 2, "threads", "Server threads."}));
-    settings.max_caller_connections = static_cast<uint32_t>(
-        callers.Number("max_connections", {1, 100000, 1000, "connections",
-                                           "Connections taken at once."}));
+    settings.max_caller_connections = static_cast<uint32_t>(callers.Number(
+        "max_connections",
+        {1, 100000, 1000, "connections", "Connections taken at once."}));
   }
   {
     SettingsReader operators = reader.Object("operators", "Operators' API.");
@@ -111,21 +112,21 @@
   {
     SettingsReader replica = reader.Object("replica", "Replica role.");
     settings.data_folder = replica.Text(
-        "data_folder", {"", "Folder of the replica's state; a replica runs "
-                            "here when it is set."});
+        "data_folder", {"",
+                        "Folder of the replica's state; a replica runs "
+                        "here when it is set."});
   }
   ReadReplicas(reader, settings);
   {
     SettingsReader log = reader.Object("log", "Logs.");
-    settings.log_level = LevelOf(
-        log.Text("level", {"info",
-                           "Lowest level written.",
-                           false,
-                           {"debug", "info", "warning", "error"}}));
+    settings.log_level =
+        LevelOf(log.Text("level", {"info",
+                                   "Lowest level written.",
+                                   false,
+                                   {"debug", "info", "warning", "error"}}));
   }
-  settings.stop_timeout_s = static_cast<uint32_t>(
-      reader.Number("stop_timeout_s", {1, 3600, 30, "s",
-                                       "Longest planned stop."}));
+  settings.stop_timeout_s = static_cast<uint32_t>(reader.Number(
+      "stop_timeout_s", {1, 3600, 30, "s", "Longest planned stop."}));
   CheckReplicaRole(reader, settings);
   return settings;
 }
@@ -160,8 +161,8 @@
       << "|---|---|---|---|---|---|\n";
   for (const SettingDoc& doc : reader.Docs()) {
     out << "| `" << doc.pointer << "` | " << doc.type << " | " << doc.unit
-        << " | " << doc.range << " | " << doc.default_value << " | "
-        << doc.text << " |\n";
+        << " | " << doc.range << " | " << doc.default_value << " | " << doc.text
+        << " |\n";
   }
   return out.str();
 }
--- a/src/upstream/internal/announcement_api.cc
+++ b/src/upstream/internal/announcement_api.cc
@@ -40,14 +40,14 @@
   upstream.slots = static_cast<uint32_t>(
       reader.Number("slots", {1, kMaxSlots, 1, "requests",
                               "Requests the upstream runs at once.", true}));
-  upstream.connections = static_cast<uint32_t>(
-      reader.Number("connections", {1, kMaxSlots, 130, "connections",
-                                    "Connections the upstream takes."}));
-  upstream.state = StateOf(
-      reader.Text("state", {"serving",
-                            "State of the upstream.",
-                            false,
-                            {"starting", "serving", "draining"}}));
+  upstream.connections = static_cast<uint32_t>(reader.Number(
+      "connections",
+      {1, kMaxSlots, 130, "connections", "Connections the upstream takes."}));
+  upstream.state =
+      StateOf(reader.Text("state", {"serving",
+                                    "State of the upstream.",
+                                    false,
+                                    {"starting", "serving", "draining"}}));
   reader.Finish();
   return upstream;
 }
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -119,9 +119,8 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
                      static_cast<long>(CURL_HTTP_VERSION_1_1));
-    curl_easy_setopt(
-        easy, CURLOPT_CONNECTTIMEOUT_MS,
-        static_cast<long>(config_.connect_timeout.count() / 1000));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(config_.connect_timeout.count() / 1000));
     const auto remaining_ms = std::max<int64_t>(
         1, std::chrono::ceil<std::chrono::milliseconds>(attempt.remaining)
                .count());
@@ -184,7 +183,8 @@
     run.head.status = static_cast<int>(status);
     for (const HeaderField& field : run.head.headers) {
       if (strcasecmp(field.name.c_str(), "Content-Length") == 0) {
-        run.head.content_length = std::strtoll(field.value.c_str(), nullptr, 10);
+        run.head.content_length =
+            std::strtoll(field.value.c_str(), nullptr, 10);
       }
     }
     executor_.Post([this, id = run.id, head = run.head] {
--- a/src/versions/internal/config_reader.cc
+++ b/src/versions/internal/config_reader.cc
@@ -18,15 +18,14 @@
 ServiceConfig ReadService(const std::string& name, SettingsReader& reader) {
   ServiceConfig service;
   service.name = name;
-  service.max_connections = static_cast<uint32_t>(reader.Number(
-      "max_connections", {1, kMaxConnections, 100, "connections",
-                          "Most connections to one upstream."}));
-  service.max_queue = static_cast<uint32_t>(reader.Number(
-      "max_queue", {0, kMaxQueue, 64, "requests",
-                    "Most requests that wait at one upstream."}));
-  service.ramp = milliseconds(
-      reader.Number("ramp_ms", {0, kMaxMillis, 5000, "ms",
-                                "Time from start to full load."}));
+  service.max_connections = static_cast<uint32_t>(
+      reader.Number("max_connections", {1, kMaxConnections, 100, "connections",
+                                        "Most connections to one upstream."}));
+  service.max_queue = static_cast<uint32_t>(
+      reader.Number("max_queue", {0, kMaxQueue, 64, "requests",
+                                  "Most requests that wait at one upstream."}));
+  service.ramp = milliseconds(reader.Number(
+      "ramp_ms", {0, kMaxMillis, 5000, "ms", "Time from start to full load."}));
   return service;
 }
 
@@ -39,10 +38,9 @@
   config.max_percent = static_cast<uint32_t>(reader.Number(
       "max_percent", {1, 100, 100, "%", "Slots the class may take."}));
   config.max_wait = milliseconds(reader.Number(
-      "max_wait_ms",
-      {0, kMaxMillis, 1000, "ms", "Longest wait for a slot."}));
-  config.priority = static_cast<uint32_t>(reader.Number(
-      "priority", {0, 9, 5, "", "Higher is shed later."}));
+      "max_wait_ms", {0, kMaxMillis, 1000, "ms", "Longest wait for a slot."}));
+  config.priority = static_cast<uint32_t>(
+      reader.Number("priority", {0, 9, 5, "", "Higher is shed later."}));
   if (config.reserved_percent > config.max_percent) {
     reader.Fault("reserved_percent", "is above max_percent");
   }
@@ -158,8 +156,8 @@
   try {
     return json::parse(text).patch(operations).dump();
   } catch (const json::exception& error) {
-    faults.push_back({"", std::string("the patch does not apply: ") +
-                              error.what()});
+    faults.push_back(
+        {"", std::string("the patch does not apply: ") + error.what()});
     return std::nullopt;
   }
 }
--- a/src/versions/internal/version_ledger.cc
+++ b/src/versions/internal/version_ledger.cc
@@ -62,8 +62,7 @@
   return verdict.SerializeAsString();
 }
 
-VersionLedger::Verdict VersionLedger::Judge(
-    const wire::PatchCommand& command) {
+VersionLedger::Verdict VersionLedger::Judge(const wire::PatchCommand& command) {
   Verdict made;
   made.patch_digest = DigestOfPatch(command);
   wire::PatchVerdict& verdict = made.verdict;
--- a/src/versions/tests/version_ledger_test.cc
+++ b/src/versions/tests/version_ledger_test.cc
@@ -57,9 +57,9 @@
 }
 
 TEST_F(ALedger, RefusesAnInvalidDocumentWholeAndNamesEveryFault) {
-  wire::PatchVerdict verdict = Propose(
-      "p1", 0,
-      R"([{"op":"add","path":"/routes/r","value":{"path_prefix":"x",
+  wire::PatchVerdict verdict =
+      Propose("p1", 0,
+              R"([{"op":"add","path":"/routes/r","value":{"path_prefix":"x",
           "service":"none","class":"none"}}])");
   EXPECT_EQ(verdict.code(), NumberOf(VersionsCode::kInvalidDocument));
   EXPECT_EQ(verdict.faults_size(), 3);
--- a/src/versions/types/config_document.h
+++ b/src/versions/types/config_document.h
@@ -81,9 +81,9 @@
 struct ConfigVersion {
   uint64_t number = 0;
   uint64_t parent = 0;
-  Digest digest = 0;    ///< Of `text`.
-  std::string text;     ///< Canonical JSON.
-  std::string patch;    ///< RFC 6902 patch from the parent; may be empty.
+  Digest digest = 0;  ///< Of `text`.
+  std::string text;   ///< Canonical JSON.
+  std::string patch;  ///< RFC 6902 patch from the parent; may be empty.
   ConfigDocument document;
 
   friend bool operator==(const ConfigVersion&, const ConfigVersion&) = default;
--- a/tests/tools/standin_upstream.cc
+++ b/tests/tools/standin_upstream.cc
@@ -33,11 +33,11 @@
 void Announce(const std::string& state) {
   CURL* easy = curl_easy_init();
   const std::string url = "http://" + FLAGS_daemon + "/v1/announcement";
-  const std::string body =
-      "{\"service\":\"" + FLAGS_service + "\",\"address\":\"" +
-      FLAGS_address + "\",\"port\":" + std::to_string(FLAGS_port) +
-      ",\"slots\":" + std::to_string(FLAGS_slots) + ",\"state\":\"" + state +
-      "\"}";
+  const std::string body = "{\"service\":\"" + FLAGS_service +
+                           "\",\"address\":\"" + FLAGS_address +
+                           "\",\"port\":" + std::to_string(FLAGS_port) +
+                           ",\"slots\":" + std::to_string(FLAGS_slots) +
+                           ",\"state\":\"" + state + "\"}";
   curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 1000L);
