Add a harness for failure tests with real processes

Cause: kills, cuts, silent links and races can only be shown on the programs themselves.

The daemon learns an advertised address and connects from its own address, so that a relay can tell the ends apart.

--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -38,7 +38,8 @@
       : settings_(settings),
         metrics_(MakeMetrics()),
         identity_{settings.mesh, settings.instance, settings.failure_domain,
-                  static_cast<uint64_t>(clock_.UnixMicros())},
+                  static_cast<uint64_t>(clock_.UnixMicros()),
+                  settings.peer_address},
         requests_(
             MakeRequestLoop(RequestSettings(), clock_, *metrics_, routes_)),
         control_(MakeControlLoop(ControlSettings(), clock_, *metrics_, routes_,
@@ -93,6 +94,7 @@
  private:
   RequestLoopConfig RequestSettings() const {
     return {identity_, settings_.RequestAddress(),
+            settings_.AdvertisedRequestAddress(),
             settings_.upstream_connections, RandomSeed()};
   }
 
@@ -100,8 +102,9 @@
     ControlConfig config;
     config.identity = identity_;
     config.region = settings_.region;
-    config.control_address = settings_.ControlAddress();
-    config.request_address = settings_.RequestAddress();
+    config.listen_address = settings_.ControlAddress();
+    config.control_address = settings_.AdvertisedControlAddress();
+    config.request_address = settings_.AdvertisedRequestAddress();
     config.seeds = settings_.seeds;
     config.replicas = settings_.replicas;
     config.data_folder = settings_.data_folder;
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -26,8 +26,9 @@
 struct ControlConfig {
   PeerIdentity identity;
   std::string region;
-  std::string control_address;     ///< Own, "ip:port".
-  std::string request_address;     ///< Own, "ip:port".
+  std::string listen_address;      ///< Of the control plane, "ip:port".
+  std::string control_address;     ///< Own, as peers reach it.
+  std::string request_address;     ///< Own, as peers reach it.
   std::vector<std::string> seeds;  ///< Control addresses of other daemons.
   std::vector<Member> replicas;    ///< Instances with the replica role.
   std::string data_folder;         ///< Set when this instance is a replica.
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -102,7 +102,7 @@
           config_.data_folder, self, config_.replicas, config_.seed + 2, now);
       if (error) return error;
     }
-    std::error_code error = transport_->Listen(config_.control_address);
+    std::error_code error = transport_->Listen(config_.listen_address);
     if (error) return error;
     transport_->SetReceiver([this](const std::string& from,
                                    const ReturnPath& path,
--- a/src/peer/internal/zmq_transport.cc
+++ b/src/peer/internal/zmq_transport.cc
@@ -132,7 +132,10 @@
     if (found != connections_.end()) return found->second;
     zmq::socket_t socket(context_, zmq::socket_type::dealer);
     Configure(socket);
-    socket.connect("tcp://" + address);
+    const std::string source = identity_.source_address.empty()
+                                   ? ""
+                                   : identity_.source_address + ":0;";
+    socket.connect("tcp://" + source + address);
     return connections_
         .emplace(address, Connection{std::move(socket), clock_.Now()})
         .first->second;
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -22,6 +22,7 @@
   std::string instance;
   std::string failure_domain;
   uint64_t incarnation = 0;
+  std::string source_address;  ///< IP address to connect from; may be empty.
 };
 
 /// Names the connection a message came in on, for an answer. Empty for an
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -49,7 +49,7 @@
     owner_ = MakeOwner(config_.identity.instance,
                        {*this, *upstream_, claims, *quarantine_, metrics_});
     run_events_.owner = owner_.get();
-    std::error_code error = transport_->Listen(config_.request_address);
+    std::error_code error = transport_->Listen(config_.listen_address);
     if (error) return error;
     transport_->SetReceiver([this](const std::string& from,
                                    const ReturnPath& path,
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -18,7 +18,8 @@
 
 struct RequestLoopConfig {
   PeerIdentity identity;
-  std::string request_address;  ///< Own, "ip:port".
+  std::string listen_address;   ///< Of the request plane, "ip:port".
+  std::string request_address;  ///< Own, as peers reach it.
   uint32_t upstream_connections = 100;
   uint64_t seed = 0;
 };
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -32,6 +32,9 @@
   std::string peer_address;
   uint16_t control_port = 0;
   uint16_t request_port = 0;
+  std::string advertised_address;  ///< Where other daemons connect to.
+  uint16_t advertised_control_port = 0;
+  uint16_t advertised_request_port = 0;
   std::vector<std::string> seeds;  ///< Control addresses, "ip:port".
 
   ListenerSettings callers;
@@ -52,6 +55,12 @@
   std::string RequestAddress() const {
     return peer_address + ":" + std::to_string(request_port);
   }
+  std::string AdvertisedControlAddress() const {
+    return advertised_address + ":" + std::to_string(advertised_control_port);
+  }
+  std::string AdvertisedRequestAddress() const {
+    return advertised_address + ":" + std::to_string(advertised_request_port);
+  }
   friend bool operator==(const DaemonSettings&,
                          const DaemonSettings&) = default;
 };
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -30,6 +30,22 @@
   return listener;
 }
 
+void ReadAdvertised(SettingsReader& peer, DaemonSettings& settings) {
+  SettingsReader reader =
+      peer.Object("advertised",
+                  "Where other daemons reach this one, when a relay or "
+                  "address translation stands between.");
+  settings.advertised_address = reader.IpAddress(
+      "address",
+      {settings.peer_address, "IP address; that of the peer by default."});
+  settings.advertised_control_port = static_cast<uint16_t>(
+      reader.Number("control_port", {1, 65535, settings.control_port, "port",
+                                     "Port; that of the peer by default."}));
+  settings.advertised_request_port = static_cast<uint16_t>(
+      reader.Number("request_port", {1, 65535, settings.request_port, "port",
+                                     "Port; that of the peer by default."}));
+}
+
 void ReadPeer(SettingsReader reader, DaemonSettings& settings) {
   settings.peer_address = reader.IpAddress(
       "address", {"", "IP address for other daemons, in figures.", true});
@@ -41,6 +57,7 @@
       settings.control_port != 0) {
     reader.Fault("request_port", "must differ from control_port");
   }
+  ReadAdvertised(reader, settings);
   reader.Array("seeds", "Daemons to start from.", [&](SettingsReader& seed) {
     const ListenerSettings address = ReadListener(seed);
     settings.seeds.push_back(address.HostPort());
--- /dev/null
+++ b/tests/harness/mesh.cc
@@ -0,0 +1,278 @@
+#include "tests/harness/mesh.h"
+
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+
+namespace hibiscusglade {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kControlPort = 7001;
+constexpr int kRequestPort = 7002;
+constexpr int kCallerPort = 7000;
+constexpr int kOperatorPort = 7003;
+constexpr int kAnnouncementPort = 7004;
+constexpr int kUpstreamPort = 7005;
+constexpr int kRelayedControlPort = 7011;
+constexpr int kRelayedRequestPort = 7012;
+constexpr int kSeatsPerSubnet = 250;
+constexpr std::chrono::milliseconds kPollInterval{20};
+
+std::string ProgramPath(const std::string& name) {
+  return std::string(HG_BINARY_DIR) + "/bin/" + name;
+}
+
+}  // namespace
+
+struct Mesh::Seat {
+  SeatSpec spec;
+  std::string ip;
+  std::unique_ptr<ChildProcess> daemon;
+  std::unique_ptr<ChildProcess> upstream;
+};
+
+Mesh::Mesh(int network, std::vector<SeatSpec> seats) : network_(network) {
+  folder_ = std::filesystem::temp_directory_path() /
+            ("hibiscusglade-" + std::to_string(getpid()) + "-" +
+             std::to_string(network));
+  std::filesystem::remove_all(folder_);
+  std::filesystem::create_directories(folder_);
+  int place = 0;
+  for (SeatSpec& spec : seats) {
+    auto seat = std::make_unique<Seat>();
+    seat->spec = std::move(spec);
+    seat->ip = "127." + std::to_string(network) + "." +
+               std::to_string(place / kSeatsPerSubnet) + "." +
+               std::to_string(place % kSeatsPerSubnet + 1);
+    ++place;
+    seats_.push_back(std::move(seat));
+  }
+  for (const auto& seat : seats_) {
+    WriteSettings(*seat);
+    auto relay = [&](int from, int to) {
+      relay_.Add(seat->ip + ":" + std::to_string(from),
+                 seat->ip + ":" + std::to_string(to));
+    };
+    relay(kRelayedControlPort, kControlPort);
+    relay(kRelayedRequestPort, kRequestPort);
+  }
+  relay_.Start();
+}
+
+Mesh::~Mesh() {
+  for (auto& seat : seats_) {
+    seat->upstream.reset();
+    seat->daemon.reset();
+  }
+  if (std::getenv("HG_KEEP_MESH") == nullptr) {
+    std::filesystem::remove_all(folder_);
+  }
+}
+
+void Mesh::Start() {
+  for (const auto& seat : seats_) {
+    if (!seat->spec.replica) continue;
+    ChildProcess found(
+        {ProgramPath("hibiscusgladectl"), "found-replica", "--settings",
+         folder_ + "/" + seat->spec.instance + ".jsonc"},
+        LogFile(seat->spec.instance), folder_);
+    if (found.Wait(5000) != 0) throw std::runtime_error("found-replica failed");
+  }
+  for (const auto& seat : seats_) {
+    StartDaemon(seat->spec.instance);
+    if (!seat->spec.service.empty()) StartUpstream(seat->spec.instance);
+  }
+}
+
+void Mesh::StartDaemon(const std::string& instance) {
+  auto& seat = const_cast<Seat&>(SeatOf(instance));
+  seat.daemon.reset();
+  seat.daemon = std::make_unique<ChildProcess>(
+      std::vector<std::string>{ProgramPath("hibiscusgladed"), "--settings",
+                               folder_ + "/" + instance + ".jsonc"},
+      LogFile(instance), folder_);
+}
+
+void Mesh::StartUpstream(const std::string& instance) {
+  auto& seat = const_cast<Seat&>(SeatOf(instance));
+  seat.upstream.reset();
+  std::vector<std::string> command = {
+      ProgramPath("standin_upstream"),
+      "--service=" + seat.spec.service,
+      "--instance=" + instance,
+      "--address=" + seat.ip,
+      "--port=" + std::to_string(kUpstreamPort),
+      "--daemon=" + seat.ip + ":" + std::to_string(kAnnouncementPort),
+      "--slots=" + std::to_string(seat.spec.slots)};
+  for (const std::string& flag : seat.spec.upstream_flags) {
+    command.push_back(flag);
+  }
+  seat.upstream =
+      std::make_unique<ChildProcess>(command, LogFile(instance), folder_);
+}
+
+ChildProcess& Mesh::Daemon(const std::string& instance) {
+  return *SeatOf(instance).daemon;
+}
+
+ChildProcess& Mesh::Upstream(const std::string& instance) {
+  return *SeatOf(instance).upstream;
+}
+
+void Mesh::KillDaemon(const std::string& instance) {
+  const_cast<Seat&>(SeatOf(instance)).daemon.reset();
+}
+
+void Mesh::KillUpstream(const std::string& instance) {
+  const_cast<Seat&>(SeatOf(instance)).upstream.reset();
+}
+
+void Mesh::WipeData(const std::string& instance) {
+  std::filesystem::remove_all(DataFolder(instance));
+}
+
+std::string Mesh::DataFolder(const std::string& instance) const {
+  return folder_ + "/data-" + instance;
+}
+
+std::string Mesh::LogFile(const std::string& instance) const {
+  return folder_ + "/" + instance + ".log";
+}
+
+std::string Mesh::IpOf(const std::string& instance) const {
+  return SeatOf(instance).ip;
+}
+
+std::string Mesh::DomainOfIp(const std::string& ip) const {
+  for (const auto& seat : seats_) {
+    if (seat->ip == ip) return seat->spec.failure_domain;
+  }
+  return "";
+}
+
+std::string Mesh::CallerUrl(const std::string& instance) const {
+  return "http://" + IpOf(instance) + ":" + std::to_string(kCallerPort);
+}
+
+std::string Mesh::OperatorUrl(const std::string& instance) const {
+  return "http://" + IpOf(instance) + ":" + std::to_string(kOperatorPort);
+}
+
+std::string Mesh::UpstreamUrl(const std::string& instance) const {
+  return "http://" + IpOf(instance) + ":" + std::to_string(kUpstreamPort);
+}
+
+HttpAnswer Mesh::Propose(const std::string& instance,
+                         const std::string& patch_id, uint64_t base,
+                         const std::string& patch) const {
+  const json body = {
+      {"patch_id", patch_id}, {"base", base}, {"patch", json::parse(patch)}};
+  return SendHttp("POST", OperatorUrl(instance) + "/v1/patches", body.dump());
+}
+
+std::optional<uint64_t> Mesh::VersionInUse(const std::string& instance) const {
+  const HttpAnswer answer =
+      SendHttp("GET", OperatorUrl(instance) + "/v1/status", "", {}, 2000);
+  if (answer.status != 200) return std::nullopt;
+  return json::parse(answer.body).value("version_in_use", uint64_t{0});
+}
+
+bool Mesh::Eventually(const std::function<bool()>& condition,
+                      std::chrono::milliseconds timeout) {
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= deadline) return false;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+bool Mesh::WaitForVersion(uint64_t number,
+                          std::chrono::milliseconds timeout) const {
+  return Eventually(
+      [&] {
+        for (const auto& seat : seats_) {
+          if (seat->daemon == nullptr) continue;
+          if (VersionInUse(seat->spec.instance).value_or(0) < number) {
+            return false;
+          }
+        }
+        return true;
+      },
+      timeout);
+}
+
+bool Mesh::WaitForUpstreams(const std::string& instance, int count,
+                            std::chrono::milliseconds timeout) const {
+  return Eventually(
+      [&] {
+        const HttpAnswer answer =
+            SendHttp("GET", OperatorUrl(instance) + "/v1/instances");
+        if (answer.status != 200) return false;
+        int serving = 0;
+        for (const json& row : json::parse(answer.body)) {
+          if (row["upstream"] == "serving" && row["state"] == "alive") {
+            ++serving;
+          }
+        }
+        return serving >= count;
+      },
+      timeout);
+}
+
+double Mesh::Metric(const std::string& instance,
+                    const std::string& line) const {
+  const HttpAnswer answer = SendHttp("GET", OperatorUrl(instance) + "/metrics");
+  const std::string wanted = "hibiscusglade_" + line + " ";
+  const size_t at = answer.body.find(wanted);
+  if (at == std::string::npos) return 0;
+  return std::strtod(answer.body.c_str() + at + wanted.size(), nullptr);
+}
+
+void Mesh::WriteSettings(const Seat& seat) const {
+  json replicas = json::array();
+  for (const auto& other : seats_) {
+    if (!other->spec.replica) continue;
+    replicas.push_back({{"instance", other->spec.instance},
+                        {"failure_domain", other->spec.failure_domain},
+                        {"address", other->ip},
+                        {"port", kRelayedControlPort}});
+  }
+  json settings = {
+      {"mesh", "test-" + std::to_string(network_)},
+      {"instance", seat.spec.instance},
+      {"failure_domain", seat.spec.failure_domain},
+      {"peer",
+       {{"address", seat.ip},
+        {"control_port", kControlPort},
+        {"request_port", kRequestPort},
+        {"advertised",
+         {{"address", seat.ip},
+          {"control_port", kRelayedControlPort},
+          {"request_port", kRelayedRequestPort}}}}},
+      {"callers", {{"address", seat.ip}, {"port", kCallerPort}}},
+      {"operators", {{"address", seat.ip}, {"port", kOperatorPort}}},
+      {"upstream", {{"address", seat.ip}, {"port", kAnnouncementPort}}},
+      {"replicas", replicas}};
+  if (seat.spec.replica) {
+    settings["replica"] = {{"data_folder", DataFolder(seat.spec.instance)}};
+  }
+  std::ofstream file(folder_ + "/" + seat.spec.instance + ".jsonc");
+  file << settings.dump(2) << "\n";
+}
+
+const Mesh::Seat& Mesh::SeatOf(const std::string& instance) const {
+  for (const auto& seat : seats_) {
+    if (seat->spec.instance == instance) return *seat;
+  }
+  throw std::out_of_range("no instance " + instance);
+}
+
+}  // namespace hibiscusglade
