--- a/cmake/Module.cmake
+++ b/cmake/Module.cmake
@@ -8,6 +8,7 @@
   target_link_libraries(hg_${NAME} PUBLIC ${ARG_DEPS} Threads::Threads)
   if(ARG_TESTS AND BUILD_TESTING)
     add_executable(${NAME}_test ${ARG_TESTS})
+    target_include_directories(${NAME}_test PRIVATE ${PROJECT_SOURCE_DIR})
     target_link_libraries(${NAME}_test PRIVATE hg_${NAME} GTest::gmock GTest::gtest_main rapidcheck)
     target_compile_definitions(${NAME}_test
       PRIVATE HG_TEST_DATA_DIR="${CMAKE_CURRENT_SOURCE_DIR}/tests/data"
--- /dev/null
+++ b/models/drain.pml
@@ -0,0 +1,69 @@
+// A planned stop. An owner that drains refuses what has not begun and ends
+// only when nothing runs; the entry resends what was refused as not run.
+// Checked: no request is cut off, none runs after the refusal, all are
+// answered.
+// broken: EXIT_EARLY the owner ends while a request still runs
+// broken: REFUSE_RUNNING the owner refuses, as not run, what it has begun
+#define REQUESTS 3
+
+mtype = { waiting, running, done, refused, cut }
+mtype state[REQUESTS] = waiting;
+bool ran[REQUESTS];
+bool draining = false;
+bool ended = false;
+
+inline for_each_end(i) {
+  i = 0;
+  do
+  :: i < REQUESTS ->
+     if
+     :: state[i] == running -> state[i] = cut
+     :: else -> skip
+     fi;
+     i++
+  :: else -> break
+  od
+}
+
+active proctype Drain() {
+  draining = true;
+  byte i = 0;
+#ifdef REFUSE_RUNNING
+  atomic {
+    do
+    :: i < REQUESTS -> if :: state[i] == running -> state[i] = refused :: else -> skip fi; i++
+    :: else -> break
+    od
+  }
+#endif
+#ifndef EXIT_EARLY
+  (state[0] != running && state[1] != running && state[2] != running);
+#endif
+  atomic {
+    for_each_end(i);
+    ended = true
+  }
+}
+
+proctype Request(byte me) {
+  if
+  :: atomic { !draining && !ended && state[me] == waiting -> state[me] = running; ran[me] = true }
+  :: atomic { (draining || ended) && state[me] == waiting -> state[me] = refused }
+  fi;
+  if
+  :: atomic { state[me] == running -> state[me] = done }
+  :: state[me] != running -> skip
+  fi;
+  assert(state[me] != cut);
+  assert(!(state[me] == refused && ran[me]))
+}
+
+init {
+  byte i = 0;
+  atomic {
+    do
+    :: i < REQUESTS -> run Request(i); i++
+    :: else -> break
+    od
+  }
+}
