--- a/src/versions/tests/version_ledger_test.cc
+++ b/src/versions/tests/version_ledger_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <sstream>
+
 #include "versions/versions_result_codes.h"
 #include "wire/storage.pb.h"
 
@@ -80,5 +83,20 @@
   EXPECT_EQ(other.Snapshot(), ledger_.Snapshot());
 }
 
+TEST_F(ALedger, AcceptsTheFirstVersionOfEachExample) {
+  for (const char* mesh : {"quickstart", "andes-norte", "ro-nord"}) {
+    std::ifstream file(std::string(HG_SOURCE_DIR "/examples/") + mesh +
+                       "/version-1.json");
+    std::ostringstream patch;
+    patch << file.rdbuf();
+    VersionLedger ledger([](const ConfigVersionPtr&) {});
+    wire::PatchCommand command;
+    command.set_patch_id(mesh);
+    command.set_patch(patch.str());
+    ledger.Apply(command.SerializeAsString());
+    EXPECT_EQ(ledger.Latest()->number, 1u) << mesh;
+  }
+}
+
 }  // namespace
 }  // namespace hibiscusglade
