Let the stand-in upstream keep its slots and misbehave on request

Cause: the stand-in ran any number of requests at once, took 64 connections and built whole bodies in memory, so admission, slow upstreams, stragglers and archives could not be tried. Change: requests beyond the slots wait inside; /standin/set changes service time, slowdown, stragglers (every n-th request) and cold start at run time; /standin/load stays good; /standin/keys counts runs per idempotency key; bodies are streamed from a function of the offset with 'Range: bytes=N-'; a closed connection ends the request and frees the slot; 130 connections. Ruled out: enlarging the operators' HTTP server: it answers whole bodies on purpose.

--- a/tests/tools/standin_upstream.cc
+++ b/tests/tools/standin_upstream.cc
@@ -1,45 +1,65 @@
-// A small upstream for tests and measurements: announces itself, answers
+// A small upstream for tests and measurements: announces itself and answers
 // every path after a given time with a body that the caller can predict.
+//   ?ms=N  service time   ?bytes=N  length of the body
+//   /standin/runs   runs per request     /standin/keys  runs per key
+//   /standin/state  slots as they were used
+//   /standin/load   a load report that stays good whatever happens
+//   /standin/set?NAME=VALUE  changes a field of StandinSettings
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <gflags/gflags.h>
+#include <microhttpd.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <chrono>
-#include <map>
-#include <mutex>
+#include <memory>
 #include <string>
 #include <thread>
 
-#include "http/simple_http_server.h"
 #include "platform/stop_signal.h"
+#include "tests/tools/standin_behavior.h"
 
 DEFINE_string(service, "", "service that the upstream runs");
-DEFINE_string(instance, "", "name put into answers");
+DEFINE_string(instance, "", "name of the instance, for the process list");
 DEFINE_string(address, "127.0.0.1", "IP address to listen on");
 DEFINE_int32(port, 0, "port to listen on");
 DEFINE_string(daemon, "", "announcements' address of the daemon, ip:port");
 DEFINE_int32(slots, 6, "requests run at once");
 DEFINE_int32(service_ms, 2, "time of a request in ms");
 DEFINE_int32(drain_ms, 1500, "time from the drain to the exit in ms");
+DEFINE_int32(cold_ms, 0, "time after the start in which it is cold, in ms");
+DEFINE_int32(cold_factor, 1, "factor on service times while cold");
+DEFINE_int32(straggler_every, 0, "every n-th request is a straggler; 0: none");
+DEFINE_int32(straggler_factor, 1, "how many times longer a straggler runs");
+DEFINE_int32(max_connections, 130, "connections taken at once");
 
 namespace hibiscusglade {
 namespace {
 
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
 constexpr int kRenewMs = 1000;
 constexpr int kCrashStatus = 9;
+constexpr size_t kBlockBytes = 64 * 1024;
+/// Connections beyond the upstream's own, for tests that look at it.
+constexpr int kSpareConnections = 20;
 
 /// Sends the announcement, with the state, to the daemon beside it.
 void Announce(const std::string& state) {
   CURL* easy = curl_easy_init();
   const std::string url = "http://" + FLAGS_daemon + "/v1/announcement";
-  const std::string body = "{\"service\":\"" + FLAGS_service +
-                           "\",\"address\":\"" + FLAGS_address +
-                           "\",\"port\":" + std::to_string(FLAGS_port) +
-                           ",\"slots\":" + std::to_string(FLAGS_slots) +
-                           ",\"state\":\"" + state + "\"}";
+  const std::string body =
+      "{\"service\":\"" + FLAGS_service + "\",\"address\":\"" + FLAGS_address +
+      "\",\"port\":" + std::to_string(FLAGS_port) +
+      ",\"slots\":" + std::to_string(FLAGS_slots) +
+      ",\"connections\":" + std::to_string(FLAGS_max_connections) +
+      ",\"state\":\"" + state + "\"}";
   curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 1000L);
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
   curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.c_str());
@@ -50,63 +70,215 @@
   curl_easy_cleanup(easy);
 }
 
-class Upstream {
+/// One request as far as it has come in.
+struct Exchange {
+  std::string body;
+};
+
+/// An answer under way; holds its slot until it is sent.
+struct Transfer {
+  StandinBody body;
+  uint64_t offset;
+  StandinSlots& slots;
+};
+
+class Standin {
  public:
-  HttpResponse Answer(const HttpRequest& request) {
-    if (request.path == "/standin/runs") return Runs();
-    if (request.body.find("crash-marker") != std::string::npos) {
-      _exit(kCrashStatus);
+  Standin() : slots_(FLAGS_slots), began_(steady_clock::now()) {
+    settings_.service_ms = FLAGS_service_ms;
+    settings_.cold_ms = FLAGS_cold_ms;
+    settings_.cold_factor = FLAGS_cold_factor;
+    settings_.straggler_every = FLAGS_straggler_every;
+    settings_.straggler_factor = FLAGS_straggler_factor;
+  }
+
+  MHD_Daemon* Start() {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(FLAGS_port));
+    inet_pton(AF_INET, FLAGS_address.c_str(), &address.sin_addr);
+    return MHD_start_daemon(
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
+            MHD_USE_POLL,
+        static_cast<uint16_t>(FLAGS_port), nullptr, nullptr,
+        &Standin::OnRequest, this, MHD_OPTION_SOCK_ADDR, &address,
+        MHD_OPTION_NOTIFY_COMPLETED, &Standin::OnCompleted, nullptr,
+        MHD_OPTION_CONNECTION_LIMIT,
+        static_cast<unsigned>(FLAGS_max_connections + kSpareConnections),
+        MHD_OPTION_END);
+  }
+
+ private:
+  static MHD_Result OnRequest(void* cls, MHD_Connection* connection,
+                              const char* path, const char* method, const char*,
+                              const char* upload, size_t* upload_size,
+                              void** state) {
+    if (*state == nullptr) {
+      *state = new Exchange;
+      return MHD_YES;
     }
-    {
-      std::lock_guard<std::mutex> lock(mutex_);
-      ++runs_[request.method + " " + request.path + " " + request.body];
+    auto* exchange = static_cast<Exchange*>(*state);
+    if (*upload_size > 0) {
+      exchange->body.append(upload, *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
     }
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds(Option(request, "ms", FLAGS_service_ms)));
-    std::string body = FLAGS_service + " answers " + request.method + " " +
-                       request.path + "\n";
-    const int bytes = Option(request, "bytes", 0);
-    for (int i = 0; static_cast<int>(body.size()) < bytes; ++i) {
-      body += std::to_string(i) + " " + request.path + "\n";
+    auto* self = static_cast<Standin*>(cls);
+    if (std::string(path).starts_with("/standin/")) {
+      return self->Inspect(connection, path + sizeof("/standin/") - 1);
     }
-    return {200, "text/plain", body};
+    return self->Serve(connection, method, path, exchange->body);
   }
 
- private:
-  static int Option(const HttpRequest& request, const std::string& name,
-                    int fallback) {
-    auto found = request.query.find(name);
-    return found == request.query.end() ? fallback : std::stoi(found->second);
+  static void OnCompleted(void*, MHD_Connection*, void** state,
+                          MHD_RequestTerminationCode) {
+    delete static_cast<Exchange*>(*state);
+    *state = nullptr;
   }
 
-  HttpResponse Runs() {
-    std::lock_guard<std::mutex> lock(mutex_);
-    std::string body;
-    for (const auto& [request, count] : runs_) {
-      body += std::to_string(count) + " " + request + "\n";
+  MHD_Result Serve(MHD_Connection* connection, const std::string& method,
+                   const std::string& path, const std::string& body) {
+    if (body.find("crash-marker") != std::string::npos) _exit(kCrashStatus);
+    slots_.Take();
+    const uint64_t number = runs_.Add(method + " " + path + " " + body,
+                                      Field(connection, "Idempotency-Key"));
+    const StandinSettings settings = Settings();
+    const auto up =
+        std::chrono::duration_cast<milliseconds>(steady_clock::now() - began_);
+    const auto time = settings.ServiceTime(
+        number, Option(connection, "ms", settings.service_ms), up);
+    if (CallerLeft(connection, time)) {
+      ++cancelled_;
+      slots_.Give();
+      return MHD_NO;
+    }
+    StandinBody answer(FLAGS_service + " answers " + method + " " + path + "\n",
+                       static_cast<uint64_t>(Option(connection, "bytes", 0)));
+    return SendBody(connection, std::move(answer));
+  }
+
+  MHD_Result SendBody(MHD_Connection* connection, StandinBody body) {
+    const uint64_t size = body.Size();
+    const uint64_t first = RangeStart(connection, size);
+    auto transfer =
+        std::make_unique<Transfer>(Transfer{std::move(body), first, slots_});
+    MHD_Response* response = MHD_create_response_from_callback(
+        size - first, kBlockBytes, &Standin::ReadBody, transfer.release(),
+        &Standin::FreeTransfer);
+    MHD_add_response_header(response, "Content-Type", "text/plain");
+    MHD_add_response_header(response, "Accept-Ranges", "bytes");
+    unsigned status = MHD_HTTP_OK;
+    if (first > 0) {
+      status = MHD_HTTP_PARTIAL_CONTENT;
+      const std::string range = "bytes " + std::to_string(first) + "-" +
+                                std::to_string(size - 1) + "/" +
+                                std::to_string(size);
+      MHD_add_response_header(response, "Content-Range", range.c_str());
+    }
+    const MHD_Result queued = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return queued;
+  }
+
+  static ssize_t ReadBody(void* cls, uint64_t, char* out, size_t most) {
+    auto* transfer = static_cast<Transfer*>(cls);
+    const size_t count = transfer->body.Read(transfer->offset, out, most);
+    transfer->offset += count;
+    return count == 0 ? MHD_CONTENT_READER_END_OF_STREAM
+                      : static_cast<ssize_t>(count);
+  }
+
+  static void FreeTransfer(void* cls) {
+    std::unique_ptr<Transfer> transfer(static_cast<Transfer*>(cls));
+    transfer->slots.Give();
+  }
+
+  /// Passes the service time.
+  /// @return true at once when the caller closes its connection meanwhile.
+  static bool CallerLeft(MHD_Connection* connection, milliseconds time) {
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    pollfd watched{info->connect_fd, POLLRDHUP, 0};
+    return poll(&watched, 1, static_cast<int>(time.count())) > 0;
+  }
+
+  MHD_Result Inspect(MHD_Connection* connection, const std::string& what) {
+    std::string text;
+    if (what == "runs") text = runs_.ByRequest();
+    if (what == "keys") text = runs_.ByKey();
+    if (what == "load") text = "{\"state\":\"good\",\"running\":0}\n";
+    if (what == "state") {
+      text = "waited " + std::to_string(slots_.Waited()) + "\nmost_at_once " +
+             std::to_string(slots_.MostAtOnce()) + "\ncancelled " +
+             std::to_string(cancelled_.load()) + "\n";
+    }
+    if (what == "set") {
+      MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
+                                &Standin::OnSet, this);
     }
-    return {200, "text/plain", body};
+    MHD_Response* response = MHD_create_response_from_buffer(
+        text.size(), text.data(), MHD_RESPMEM_MUST_COPY);
+    const MHD_Result queued =
+        MHD_queue_response(connection, MHD_HTTP_OK, response);
+    MHD_destroy_response(response);
+    return queued;
+  }
+
+  static MHD_Result OnSet(void* cls, MHD_ValueKind, const char* name,
+                          const char* value) {
+    auto* self = static_cast<Standin*>(cls);
+    std::lock_guard<std::mutex> lock(self->mutex_);
+    self->settings_.Set(name, value == nullptr ? 0 : std::atoi(value));
+    return MHD_YES;
+  }
+
+  StandinSettings Settings() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return settings_;
+  }
+
+  static std::string Field(MHD_Connection* connection, const char* name) {
+    const char* value =
+        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+    return value == nullptr ? "" : value;
+  }
+
+  static int Option(MHD_Connection* connection, const char* name,
+                    int fallback) {
+    const char* value =
+        MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
+    return value == nullptr ? fallback : std::atoi(value);
+  }
+
+  /// @return the first byte wanted by a field "Range: bytes=N-"; else 0.
+  static uint64_t RangeStart(MHD_Connection* connection, uint64_t size) {
+    const std::string range = Field(connection, "Range");
+    constexpr std::string_view kUnit = "bytes=";
+    if (!range.starts_with(kUnit)) return 0;
+    const uint64_t first =
+        std::strtoull(range.c_str() + kUnit.size(), nullptr, 10);
+    return first < size ? first : 0;
   }
 
+  StandinSlots slots_;
+  StandinRuns runs_;
   std::mutex mutex_;
-  std::map<std::string, int> runs_;
+  StandinSettings settings_;
+  steady_clock::time_point began_;
+  std::atomic<uint64_t> cancelled_{0};
 };
 
 int Run() {
   BlockStopSignals();
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  Upstream upstream;
-  std::error_code error;
-  auto server = StartSimpleHttpServer(
-      FLAGS_address, static_cast<uint16_t>(FLAGS_port),
-      [&](const HttpRequest& request) { return upstream.Answer(request); },
-      error);
-  if (error) return 1;
+  Standin standin;
+  MHD_Daemon* server = standin.Start();
+  if (server == nullptr) return 1;
   do {
     Announce("serving");
   } while (!WaitForStopSignal(kRenewMs));
   Announce("draining");
-  std::this_thread::sleep_for(std::chrono::milliseconds(FLAGS_drain_ms));
+  std::this_thread::sleep_for(milliseconds(FLAGS_drain_ms));
   return 0;
 }
 
