Admit by class, deadline, priority and caller

Cause: one queue let short work wait behind archives, nothing refused work that could not finish, and an upstream that had drained once was refused for good, also after its restart (found by reading; the test ServesAgainAfterItsUpstreamHadDrained holds it). Change: SlotShares divides the slots by reserved and largest share per class; waiting work is taken by priority, then age; a request that cannot finish by the learned median of its class is refused as 5005 before it waits; a full queue sheds lower priorities first, then the newest request of the caller with most waiting (5008); a started upstream gets its slots over the service's ramp; every refusal carries retry_after. An owner passes 'draining' with the limits; a run broken off teaches no service time. control_loop passes ramp. Ruled out: a mean as the estimate (a straggler of 50 times pulls it above every deadline); refusing without an exception for an idle class (a wrong estimate could never be unlearned).

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -51,6 +51,8 @@
   uint32_t slots = 0;
   uint32_t max_queue = 0;
   std::map<std::string, ClassConfig> classes;
+  Duration ramp{};        ///< From the upstream's start to all its slots.
+  bool draining = false;  ///< The upstream takes no new work for now.
 
   friend bool operator==(const AdmissionConfig&,
                          const AdmissionConfig&) = default;
@@ -66,7 +68,8 @@
                                      Instant now) = 0;
 
   /// A running request has ended.
-  /// @param service_time time in the upstream, without the queue.
+  /// @param service_time time in the upstream, without the queue; zero when
+  /// it was broken off and says nothing.
   virtual AdmissionEffects OnFinished(Ticket ticket, Duration service_time,
                                       Instant now) = 0;
 
@@ -80,7 +83,8 @@
   virtual AdmissionEffects Configure(const AdmissionConfig& config,
                                      Instant now) = 0;
 
-  /// From now on every new or waiting request is refused as not run.
+  /// From now on every new or waiting request is refused as not run, whatever
+  /// is configured later.
   virtual AdmissionEffects Drain(Instant now) = 0;
 
   /// @return what is known of the upstream's load.
--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -1,41 +1,60 @@
 #include "admission/admission.h"
 
 #include <algorithm>
-#include <deque>
-#include <set>
+#include <list>
+#include <map>
 #include <utility>
 
 #include "admission/admission_result_codes.h"
+#include "admission/internal/service_estimate.h"
+#include "admission/internal/slot_shares.h"
 
 namespace hibiscusglade {
 namespace {
 
 constexpr double kSmoothing = 0.1;
+constexpr double kRampStart = 0.25;  ///< Share of the slots at the start.
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(10);
+
+struct Waiting {
+  SlotRequest request;
+  Instant until;
+};
 
 class AdmissionImpl : public Admission {
  public:
   AdmissionEffects OnRequest(const SlotRequest& request, Instant now) override {
-    if (draining_) return Refused(request.ticket, AdmissionCode::kDraining);
+    if (Draining()) return Refused(request.ticket, AdmissionCode::kDraining);
     if (config_.slots == 0) {
       return Refused(request.ticket, AdmissionCode::kNotServing);
     }
-    if (running_.size() < config_.slots) return Admitted(request.ticket);
-    if (waiting_.size() >= config_.max_queue) {
+    GrowSlots(now);
+    if (!CanFinish(request, WaitOf(request.request_class), now)) {
+      return Refused(request.ticket, AdmissionCode::kDeadlineTooNear);
+    }
+    AdmissionEffects effects;
+    if (WaitingOf(request.request_class) == 0 &&
+        shares_.MayRun(request.request_class)) {
+      Admit(request, effects);
+      return effects;
+    }
+    if (waiting_.size() >= config_.max_queue && !MakeRoom(request, effects)) {
       return Refused(request.ticket, AdmissionCode::kQueueFull);
     }
     waiting_.push_back(
         {request, std::min(request.deadline, now + MaxWait(request))});
-    return {};
+    return effects;
   }
 
   AdmissionEffects OnFinished(Ticket ticket, Duration service_time,
                               Instant now) override {
-    running_.erase(ticket);
-    const double sample = static_cast<double>(service_time.count());
-    service_micros_ += kSmoothing * (sample - service_micros_);
-    AdmissionEffects effects = OnTick(now);
-    AdmitWaiting(effects);
-    return effects;
+    auto found = running_.find(ticket);
+    if (found != running_.end()) {
+      shares_.OnEnded(found->second);
+      Learn(found->second, service_time);
+      running_.erase(found);
+    }
+    return OnTick(now);
   }
 
   bool Withdraw(Ticket ticket) override {
@@ -46,73 +65,205 @@
 
   AdmissionEffects OnTick(Instant now) override {
     AdmissionEffects effects;
+    GrowSlots(now);
     std::erase_if(waiting_, [&](const Waiting& waiting) {
       if (waiting.until > now) return false;
-      effects.refused.push_back(
-          {waiting.request.ticket, AdmissionCode::kWaitedTooLong, {}});
+      Refuse(waiting, AdmissionCode::kWaitedTooLong, effects);
       return true;
     });
+    AdmitWaiting(now, effects);
     return effects;
   }
 
-  AdmissionEffects Configure(const AdmissionConfig& config, Instant) override {
+  AdmissionEffects Configure(const AdmissionConfig& config,
+                             Instant now) override {
+    if (config_.slots == 0) serving_since_ = now;
     config_ = config;
-    AdmissionEffects effects;
-    AdmitWaiting(effects);
-    return effects;
+    shares_.Divide(config.slots, config.classes);
+    if (Draining()) return RefuseAllWaiting(AdmissionCode::kDraining);
+    if (config_.slots == 0) return RefuseAllWaiting(AdmissionCode::kNotServing);
+    return OnTick(now);
   }
 
   AdmissionEffects Drain(Instant) override {
-    draining_ = true;
-    AdmissionEffects effects;
-    for (const Waiting& waiting : waiting_) {
-      effects.refused.push_back(
-          {waiting.request.ticket, AdmissionCode::kDraining, {}});
-    }
-    waiting_.clear();
-    return effects;
+    drained_ = true;
+    return RefuseAllWaiting(AdmissionCode::kDraining);
   }
 
   LoadReport Load() const override {
     return {static_cast<uint32_t>(running_.size()),
-            static_cast<uint32_t>(waiting_.size()), config_.slots,
+            static_cast<uint32_t>(waiting_.size()), shares_.Slots(),
             Duration(static_cast<int64_t>(service_micros_)),
-            !draining_ && config_.slots > 0};
+            !Draining() && config_.slots > 0};
   }
 
  private:
-  struct Waiting {
-    SlotRequest request;
-    Instant until;
-  };
+  bool Draining() const { return drained_ || config_.draining; }
+
+  /// A started upstream gets its slots by and by, over the ramp.
+  void GrowSlots(Instant now) {
+    uint32_t slots = config_.slots;
+    const Duration served = now - serving_since_;
+    if (served < config_.ramp) {
+      const double done = static_cast<double>(served.count()) /
+                          static_cast<double>(config_.ramp.count());
+      const double share = kRampStart + (1 - kRampStart) * done;
+      slots = std::max<uint32_t>(1, static_cast<uint32_t>(slots * share));
+    }
+    if (slots != shares_.Slots()) shares_.Divide(slots, config_.classes);
+  }
+
+  void Learn(const std::string& request_class, Duration service_time) {
+    if (service_time <= Duration{}) return;
+    const double sample = static_cast<double>(service_time.count());
+    service_micros_ += kSmoothing * (sample - service_micros_);
+    estimates_[request_class].Add(service_time);
+  }
+
+  Duration Expected(const SlotRequest& request) const {
+    if (request.expected > Duration{}) return request.expected;
+    auto found = estimates_.find(request.request_class);
+    return found == estimates_.end() ? Duration{} : found->second.Median();
+  }
+
+  /// @return how long a new request of the class will wait for a slot.
+  Duration WaitOf(const std::string& request_class) const {
+    if (shares_.MayRun(request_class)) return {};
+    auto found = estimates_.find(request_class);
+    if (found == estimates_.end()) return {};
+    const int64_t lanes =
+        std::max<int64_t>(1, std::max(shares_.RunningOf(request_class),
+                                      shares_.ShareOf(request_class).reserved));
+    const auto ahead = static_cast<int64_t>(WaitingOf(request_class));
+    return found->second.Median() * (ahead + 1) / lanes;
+  }
+
+  /// A class of which nothing runs is let through, so that a wrong estimate
+  /// can be unlearned.
+  bool CanFinish(const SlotRequest& request, Duration wait, Instant now) const {
+    if (request.deadline <= now) return false;
+    if (shares_.RunningOf(request.request_class) == 0) return true;
+    return now + wait + Expected(request) <= request.deadline;
+  }
 
   Duration MaxWait(const SlotRequest& request) const {
     auto found = config_.classes.find(request.request_class);
     return found == config_.classes.end() ? Duration{} : found->second.max_wait;
   }
 
-  static AdmissionEffects Refused(Ticket ticket, AdmissionCode code) {
-    return {{}, {{ticket, code, {}}}};
+  uint32_t PriorityOf(const std::string& request_class) const {
+    auto found = config_.classes.find(request_class);
+    return found == config_.classes.end() ? 0 : found->second.priority;
+  }
+
+  size_t WaitingOf(const std::string& request_class) const {
+    return static_cast<size_t>(std::count_if(
+        waiting_.begin(), waiting_.end(), [&](const Waiting& waiting) {
+          return waiting.request.request_class == request_class;
+        }));
+  }
+
+  /// Refuses one waiting request in favour of a new one: of a lower priority,
+  /// else of a caller with more waiting in the same class.
+  bool MakeRoom(const SlotRequest& request, AdmissionEffects& effects) {
+    auto victim = waiting_.end();
+    uint32_t lowest = PriorityOf(request.request_class);
+    for (auto item = waiting_.begin(); item != waiting_.end(); ++item) {
+      const uint32_t priority = PriorityOf(item->request.request_class);
+      if (priority >= lowest && victim == waiting_.end()) continue;
+      if (priority > lowest) continue;
+      victim = item;
+      lowest = priority;
+    }
+    if (victim == waiting_.end()) victim = NewestOfGreediest(request);
+    if (victim == waiting_.end()) return false;
+    Refuse(*victim, AdmissionCode::kShed, effects);
+    waiting_.erase(victim);
+    return true;
   }
 
-  AdmissionEffects Admitted(Ticket ticket) {
-    running_.insert(ticket);
-    return {{ticket}, {}};
+  std::list<Waiting>::iterator NewestOfGreediest(const SlotRequest& request) {
+    std::map<std::string, size_t> by_caller;
+    for (const Waiting& waiting : waiting_) {
+      if (waiting.request.request_class == request.request_class) {
+        ++by_caller[waiting.request.caller];
+      }
+    }
+    // The new request must leave its caller with fewer than the other had.
+    size_t most = by_caller[request.caller] + 1;
+    auto victim = waiting_.end();
+    for (auto item = waiting_.begin(); item != waiting_.end(); ++item) {
+      if (item->request.request_class != request.request_class) continue;
+      const size_t count = by_caller[item->request.caller];
+      if (count < most || (count == most && victim == waiting_.end())) continue;
+      most = count;
+      victim = item;
+    }
+    return victim;
+  }
+
+  void AdmitWaiting(Instant now, AdmissionEffects& effects) {
+    for (auto next = NextToRun(); next != waiting_.end(); next = NextToRun()) {
+      if (CanFinish(next->request, {}, now)) {
+        Admit(next->request, effects);
+      } else {
+        Refuse(*next, AdmissionCode::kDeadlineTooNear, effects);
+      }
+      waiting_.erase(next);
+    }
   }
 
-  void AdmitWaiting(AdmissionEffects& effects) {
-    while (running_.size() < config_.slots && !waiting_.empty()) {
-      const Ticket ticket = waiting_.front().request.ticket;
-      waiting_.pop_front();
-      running_.insert(ticket);
-      effects.admitted.push_back(ticket);
+  /// @return the oldest request of the highest priority that may run.
+  std::list<Waiting>::iterator NextToRun() {
+    auto best = waiting_.end();
+    for (auto item = waiting_.begin(); item != waiting_.end(); ++item) {
+      const std::string& name = item->request.request_class;
+      if (!shares_.MayRun(name)) continue;
+      if (best == waiting_.end() ||
+          PriorityOf(name) > PriorityOf(best->request.request_class)) {
+        best = item;
+      }
     }
+    return best;
+  }
+
+  void Admit(const SlotRequest& request, AdmissionEffects& effects) {
+    running_[request.ticket] = request.request_class;
+    shares_.OnStarted(request.request_class);
+    effects.admitted.push_back(request.ticket);
+  }
+
+  Duration RetryAfter() const {
+    const double waiting = static_cast<double>(waiting_.size());
+    const double slots = std::max<double>(1, shares_.Slots());
+    const Duration drain(
+        static_cast<int64_t>(service_micros_ * waiting / slots));
+    return std::max(kMinRetryAfter, drain);
+  }
+
+  void Refuse(const Waiting& waiting, AdmissionCode code,
+              AdmissionEffects& effects) const {
+    effects.refused.push_back({waiting.request.ticket, code, RetryAfter()});
+  }
+
+  AdmissionEffects Refused(Ticket ticket, AdmissionCode code) const {
+    return {{}, {{ticket, code, RetryAfter()}}};
+  }
+
+  AdmissionEffects RefuseAllWaiting(AdmissionCode code) {
+    AdmissionEffects effects;
+    for (const Waiting& waiting : waiting_) Refuse(waiting, code, effects);
+    waiting_.clear();
+    return effects;
   }
 
   AdmissionConfig config_;
-  std::set<Ticket> running_;
-  std::deque<Waiting> waiting_;
-  bool draining_ = false;
+  SlotShares shares_;
+  std::map<Ticket, std::string> running_;
+  std::list<Waiting> waiting_;  ///< Oldest first.
+  std::map<std::string, ServiceEstimate> estimates_;
+  Instant serving_since_;
+  bool drained_ = false;
   double service_micros_ = 0;
 };
 
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -4,6 +4,7 @@
 
 #include "admission/admission_result_codes.h"
 #include "admission/quarantine.h"
+#include "tests/golden/golden.h"
 
 namespace hibiscusglade {
 namespace {
@@ -11,7 +12,7 @@
 class AnUpstreamWithOneSlot : public testing::Test {
  protected:
   AnUpstreamWithOneSlot() {
-    AdmissionConfig config{1, 1, {}};
+    AdmissionConfig config{1, 1, {}, {}};
     config.classes["short"].max_wait = std::chrono::seconds(1);
     admission_->Configure(config, now_);
   }
@@ -50,6 +51,113 @@
   EXPECT_EQ(Request(3).refused[0].code, AdmissionCode::kDraining);
 }
 
+TEST_F(AnUpstreamWithOneSlot, ServesAgainAfterItsUpstreamHadDrained) {
+  AdmissionConfig config{1, 1, {}, {}, true};
+  admission_->Configure(config, now_);
+  EXPECT_EQ(Request(1).refused[0].code, AdmissionCode::kDraining);
+  config.draining = false;
+  admission_->Configure(config, now_);
+  EXPECT_EQ(Request(2).admitted, std::vector<Ticket>{2});
+}
+
+/// Six slots: one reserved for short work, archives hold at most three.
+class AnUpstreamWithTwoClasses : public testing::Test {
+ protected:
+  AnUpstreamWithTwoClasses() {
+    config_.slots = 6;
+    config_.max_queue = 4;
+    config_.classes["short"] = {"short", 20, 100, std::chrono::seconds(1), 9};
+    config_.classes["archive"] = {"archive", 0, 50, std::chrono::seconds(9), 1};
+    admission_->Configure(config_, now_);
+  }
+
+  AdmissionEffects Request(const std::string& request_class,
+                           const std::string& caller = "c",
+                           Duration time = std::chrono::seconds(20)) {
+    ++last_;
+    return Tell("request " + std::to_string(last_) + " " + request_class + " " +
+                    caller + " within " + std::to_string(time.count()),
+                admission_->OnRequest(
+                    {last_, request_class, caller, now_ + time, {}}, now_));
+  }
+
+  AdmissionEffects Finish(Ticket ticket, Duration time) {
+    now_ += time;
+    return Tell("finished " + std::to_string(ticket),
+                admission_->OnFinished(ticket, time, now_));
+  }
+
+  AdmissionEffects Tell(const std::string& event,
+                        const AdmissionEffects& effects) {
+    session_ += event + "\n";
+    for (Ticket ticket : effects.admitted) {
+      session_ += "  runs " + std::to_string(ticket) + "\n";
+    }
+    for (const SlotRefusal& refusal : effects.refused) {
+      session_ += "  refused " + std::to_string(refusal.ticket) + " code " +
+                  std::to_string(refusal.code.value()) + " retry after " +
+                  std::to_string(refusal.retry_after.count()) + "\n";
+    }
+    return effects;
+  }
+
+  Instant now_ = Instant(std::chrono::seconds(1000));
+  AdmissionConfig config_;
+  Ticket last_ = 0;
+  std::string session_;
+  std::unique_ptr<Admission> admission_ = MakeAdmission();
+};
+
+TEST_F(AnUpstreamWithTwoClasses, RunsShortWorkPastWaitingArchives) {
+  for (int i = 0; i < 4; ++i) Request("archive", "certifier");
+  for (int i = 0; i < 3; ++i) Request("short", "inspector");
+  Request("short", "inspector");
+  Finish(5, std::chrono::milliseconds(2));
+  Finish(1, std::chrono::seconds(1));
+  ExpectGolden(HG_TEST_DATA_DIR "/two_classes.txt", session_);
+}
+
+TEST_F(AnUpstreamWithTwoClasses, ShedsByPriorityAndThenByCaller) {
+  for (int i = 0; i < 5; ++i) Request("archive", "certifier");
+  for (int i = 0; i < 3; ++i) Request("short", "greedy");
+  for (int i = 0; i < 4; ++i) Request("short", "greedy");
+  Request("short", "modest");
+  Request("short", "greedy");
+  Request("archive", "certifier");
+  ExpectGolden(HG_TEST_DATA_DIR "/crest.txt", session_);
+}
+
+TEST_F(AnUpstreamWithTwoClasses, RefusesEarlyWhatCannotFinishInTime) {
+  Request("short");
+  Finish(1, std::chrono::milliseconds(100));
+  for (int i = 0; i < 6; ++i) Request("short");
+  Request("short", "c", std::chrono::milliseconds(90));
+  Request("short", "c", std::chrono::milliseconds(150));
+  ExpectGolden(HG_TEST_DATA_DIR "/deadlines.txt", session_);
+}
+
+TEST_F(AnUpstreamWithTwoClasses, LetsOneThroughToUnlearnAWrongEstimate) {
+  Request("short");
+  Finish(1, std::chrono::seconds(5));
+  EXPECT_EQ(Request("short", "c", std::chrono::seconds(1)).admitted.size(), 1u);
+  EXPECT_EQ(Request("short", "c", std::chrono::seconds(1)).refused[0].code,
+            AdmissionCode::kDeadlineTooNear);
+}
+
+TEST_F(AnUpstreamWithTwoClasses, GivesAStartedUpstreamItsSlotsByAndBy) {
+  config_.ramp = std::chrono::seconds(10);
+  admission_ = MakeAdmission();
+  admission_->Configure(config_, now_);
+  EXPECT_EQ(Request("short").admitted.size(), 1u);
+  EXPECT_EQ(admission_->Load().slots, 1u);
+  now_ += std::chrono::seconds(5);
+  admission_->OnTick(now_);
+  EXPECT_EQ(admission_->Load().slots, 3u);
+  now_ += std::chrono::seconds(5);
+  admission_->OnTick(now_);
+  EXPECT_EQ(admission_->Load().slots, 6u);
+}
+
 class ARequestThatKillsUpstreams : public testing::Test {
  protected:
   Instant now_ = Instant(std::chrono::seconds(1000));
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -431,6 +431,7 @@
     auto service = version.document.services.find(upstream->service);
     if (service != version.document.services.end()) {
       limits.max_queue = service->second.max_queue;
+      limits.ramp = service->second.ramp;
     }
     return limits;
   }
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -92,6 +92,7 @@
     if (!job.attempt.repeatable) return;
     if (job.stage == JobStage::kRunning) {
       parts_.upstream.Cancel(ticket);
+      job.run_began = now;  // A run broken off teaches no service time.
       FinishRun(ticket, now);
     } else {
       admission_->Withdraw(ticket);
@@ -106,10 +107,9 @@
     upstream_ = upstream;
     AdmissionConfig limits = config;
     limits.slots = upstream.has_value() ? upstream->slots : 0;
+    limits.draining =
+        upstream.has_value() && upstream->state == UpstreamState::kDraining;
     Follow(admission_->Configure(limits, now), now);
-    if (upstream.has_value() && upstream->state == UpstreamState::kDraining) {
-      Drain(now);
-    }
   }
 
   void OnUpstreamDeath(Instant now) override {
