--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -87,8 +87,10 @@
   /// is configured later.
   virtual AdmissionEffects Drain(Instant now) = 0;
 
+  /// @param request_class whose median service time is reported; zero while
+  /// none was learned.
   /// @return what is known of the upstream's load.
-  virtual LoadReport Load() const = 0;
+  virtual LoadReport Load(const std::string& request_class) const = 0;
 };
 
 std::unique_ptr<Admission> MakeAdmission();
--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -90,10 +90,11 @@
     return RefuseAllWaiting(AdmissionCode::kDraining);
   }
 
-  LoadReport Load() const override {
+  LoadReport Load(const std::string& request_class) const override {
+    auto learned = estimates_.find(request_class);
     return {static_cast<uint32_t>(running_.size()),
             static_cast<uint32_t>(waiting_.size()), shares_.Slots(),
-            Duration(static_cast<int64_t>(service_micros_)),
+            learned == estimates_.end() ? Duration{} : learned->second.Median(),
             !Draining() && config_.slots > 0};
   }
 
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -149,13 +149,13 @@
   admission_ = MakeAdmission();
   admission_->Configure(config_, now_);
   EXPECT_EQ(Request("short").admitted.size(), 1u);
-  EXPECT_EQ(admission_->Load().slots, 1u);
+  EXPECT_EQ(admission_->Load("short").slots, 1u);
   now_ += std::chrono::seconds(5);
   admission_->OnTick(now_);
-  EXPECT_EQ(admission_->Load().slots, 3u);
+  EXPECT_EQ(admission_->Load("short").slots, 3u);
   now_ += std::chrono::seconds(5);
   admission_->OnTick(now_);
-  EXPECT_EQ(admission_->Load().slots, 6u);
+  EXPECT_EQ(admission_->Load("short").slots, 6u);
 }
 
 class ARequestThatKillsUpstreams : public testing::Test {
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -1,5 +1,6 @@
 #include "app/daemon.h"
 
+#include <cstdlib>
 #include <memory>
 #include <random>
 #include <thread>
@@ -93,9 +94,22 @@
 
  private:
   RequestLoopConfig RequestSettings() const {
-    return {identity_, settings_.RequestAddress(),
+    return {identity_,
+            settings_.RequestAddress(),
             settings_.AdvertisedRequestAddress(),
-            settings_.upstream_connections, RandomSeed()};
+            settings_.upstream_connections,
+            RandomSeed(),
+            ChoiceFromEnv()};
+  }
+
+  /// The environment selects other ways to choose, for measurements.
+  static ChooserConfig ChoiceFromEnv() {
+    ChooserConfig choice;
+    if (const char* name = std::getenv("HIBISCUSGLADE_CHOICE_POLICY")) {
+      choice.policy = ChoicePolicyOf(name).value_or(choice.policy);
+    }
+    choice.ejects = std::getenv("HIBISCUSGLADE_NO_EJECTION") == nullptr;
+    return choice;
   }
 
   ControlConfig ControlSettings() const {
--- /dev/null
+++ b/src/entry/internal/call_table.h
@@ -0,0 +1,119 @@
+#ifndef HIBISCUSGLADE_ENTRY_INTERNAL_CALL_TABLE_H_
+#define HIBISCUSGLADE_ENTRY_INTERNAL_CALL_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "calls/call_handler.h"
+#include "platform/digest.h"
+#include "routing/types/route_table.h"
+
+namespace hibiscusglade {
+
+/// One attempt under way.
+struct OpenAttempt {
+  CallHandle call = 0;
+  std::string instance;
+  std::string owner;
+  Instant sent;
+  bool is_hedge = false;
+};
+
+/// One caller's request. Its answer comes from one attempt only, the first
+/// whose head arrives.
+struct OpenCall {
+  CallRequest request;
+  std::unique_ptr<CallerStream> stream;
+  RouteTablePtr table;
+  const RouteConfig* route = nullptr;
+  Instant began;
+  Instant deadline;
+  std::set<AttemptId> open;
+  AttemptId answering;  ///< Attempt whose answer is passed on.
+  uint32_t attempts = 0;
+  std::set<std::string> tried;
+  std::optional<Refusal> last_refusal;
+  std::optional<Instant> retry_at;
+  bool hedged = false;
+  uint64_t next_chunk = 0;
+  uint64_t bytes = 0;
+  Digest digest = 0;
+
+  bool HeadPassed() const { return !answering.empty(); }
+
+  /// Keeps the refusal to tell the caller: one that leaves it open whether
+  /// the request ran is never replaced by one that says it did not.
+  void KeepRefusal(const Refusal& refusal) {
+    if (last_refusal.has_value() &&
+        last_refusal->certainty == Certainty::kUnknown &&
+        refusal.certainty == Certainty::kNotRun) {
+      return;
+    }
+    last_refusal = refusal;
+  }
+};
+
+/// The calls and attempts that are open at one entry.
+class CallTable {
+ public:
+  OpenCall& Add(CallHandle handle, OpenCall call) {
+    return calls_[handle] = std::move(call);
+  }
+
+  /// @return nullptr when the call is not open.
+  OpenCall* Find(CallHandle handle) {
+    auto found = calls_.find(handle);
+    return found == calls_.end() ? nullptr : &found->second;
+  }
+
+  /// @return nullptr when the attempt is not open.
+  const OpenAttempt* FindAttempt(const AttemptId& id) const {
+    auto found = attempts_.find(id);
+    return found == attempts_.end() ? nullptr : &found->second;
+  }
+
+  void AddAttempt(const AttemptId& id, OpenAttempt attempt) {
+    calls_[attempt.call].open.insert(id);
+    attempts_[id] = std::move(attempt);
+  }
+
+  /// Takes an attempt out.
+  OpenAttempt EndAttempt(const AttemptId& id) {
+    OpenAttempt attempt = std::move(attempts_.at(id));
+    attempts_.erase(id);
+    calls_[attempt.call].open.erase(id);
+    return attempt;
+  }
+
+  /// Takes a call out; its attempts must have ended.
+  void Remove(CallHandle handle) { calls_.erase(handle); }
+
+  std::vector<AttemptId> AttemptsAt(const std::string& owner) const {
+    std::vector<AttemptId> open;
+    for (const auto& [id, attempt] : attempts_) {
+      if (attempt.owner == owner) open.push_back(id);
+    }
+    return open;
+  }
+
+  std::vector<CallHandle> Handles() const {
+    std::vector<CallHandle> handles;
+    for (const auto& [handle, call] : calls_) handles.push_back(handle);
+    return handles;
+  }
+
+  bool Empty() const { return calls_.empty(); }
+
+ private:
+  std::map<CallHandle, OpenCall> calls_;
+  std::map<AttemptId, OpenAttempt> attempts_;
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_ENTRY_INTERNAL_CALL_TABLE_H_
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -1,49 +1,25 @@
 #include "entry/entry.h"
 
-#include <map>
-#include <set>
 #include <utility>
 #include <vector>
 
+#include "entry/internal/attempt_policy.h"
+#include "entry/internal/call_table.h"
 #include "platform/digest.h"
-#include "routing/retry_budget.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
 
 constexpr uint64_t kInitialCreditBytes = 256 * 1024;
+constexpr Duration kLeastRetryPause = std::chrono::milliseconds(10);
+constexpr uint64_t kPauseSteps = 8;
 
 Refusal RefusalOf(RoutingCode code, Certainty certainty) {
   const std::error_code error = code;
   return {error, certainty, error.message(), {}};
 }
 
-/// One attempt under way.
-struct OpenAttempt {
-  CallHandle call = 0;
-  std::string instance;
-  std::string owner;
-  Instant sent;
-};
-
-/// One caller's request.
-struct OpenCall {
-  CallRequest request;
-  std::unique_ptr<CallerStream> stream;
-  RouteTablePtr table;
-  const RouteConfig* route = nullptr;
-  Instant began;
-  Instant deadline;
-  AttemptId current;
-  uint32_t attempts = 0;
-  std::set<std::string> tried;
-  bool head_passed = false;
-  uint64_t next_chunk = 0;
-  uint64_t bytes = 0;
-  Digest digest = 0;
-};
-
 class EntryImpl : public Entry {
  public:
   EntryImpl(std::string instance, uint64_t incarnation, const EntryParts& parts)
@@ -57,17 +33,8 @@
     call.stream = std::move(stream);
     call.table = parts_.routes.Current();
     call.began = now;
-    if (stopping_) {
-      Refuse(call, RefusalOf(RoutingCode::kStopping, Certainty::kNotRun));
-      return;
-    }
-    if (call.table == nullptr) {
-      Refuse(call, RefusalOf(RoutingCode::kNoVersion, Certainty::kNotRun));
-      return;
-    }
-    call.route = call.table->Match(call.request.method, call.request.target);
-    if (call.route == nullptr) {
-      Refuse(call, RefusalOf(RoutingCode::kNoRoute, Certainty::kNotRun));
+    if (auto refused = FindRoute(call)) {
+      Refuse(call, RefusalOf(*refused, Certainty::kNotRun));
       return;
     }
     Duration timeout = call.route->timeout;
@@ -75,45 +42,46 @@
       timeout = std::min(timeout, call.request.timeout);
     }
     call.deadline = now + timeout;
-    budget_.SetPercent(call.table->Document().limits.retry_budget_percent);
-    budget_.OnRequest();
-    OpenCall& open = calls_[handle] = std::move(call);
-    SendAttempt(handle, open, now);
+    policy_.OnCall(call.route->service, call.table->Document().limits);
+    SendAttempt(handle, calls_.Add(handle, std::move(call)), false, now);
   }
 
   void OnCallerConsumed(CallHandle handle, uint64_t bytes, Instant) override {
-    auto found = calls_.find(handle);
-    if (found == calls_.end()) return;
-    auto attempt = attempts_.find(found->second.current);
-    if (attempt == attempts_.end()) return;
-    parts_.owners.Credit(attempt->second.owner, attempt->first, bytes);
+    const OpenCall* call = calls_.Find(handle);
+    if (call == nullptr) return;
+    const OpenAttempt* attempt = calls_.FindAttempt(call->answering);
+    if (attempt == nullptr) return;
+    parts_.owners.Credit(attempt->owner, call->answering, bytes);
   }
 
   void OnCallerGone(CallHandle handle, Instant now) override {
-    auto found = calls_.find(handle);
-    if (found == calls_.end()) return;
-    CancelCurrent(found->second, now);
+    OpenCall* call = calls_.Find(handle);
+    if (call == nullptr) return;
+    call->answering.clear();
+    CancelOpen(*call, now);
     Count("call_refusals_total", RoutingCode::kCallerGone);
-    calls_.erase(found);
+    calls_.Remove(handle);
   }
 
   void OnAnswerHead(const AttemptId& id, const AnswerHead& head,
                     const LoadReport& load, Instant now) override {
-    auto attempt = attempts_.find(id);
-    if (attempt == attempts_.end()) return;
-    parts_.chooser.OnLoad(attempt->second.instance, load, now);
-    OpenCall& call = calls_[attempt->second.call];
-    call.head_passed = true;
-    call.stream->OnHead(head);
+    OpenCall* call = CallOf(id, load, now);
+    if (call == nullptr || call->HeadPassed()) return;
+    const OpenAttempt& attempt = *calls_.FindAttempt(id);
+    policy_.OnFirstByte(call->route->name, now - attempt.sent);
+    if (attempt.is_hedge) CountReason("hedges_total", "won");
+    call->answering = id;
+    CancelOpen(*call, now);
+    call->stream->OnHead(head);
   }
 
   void OnAnswerChunk(const AttemptId& id, uint64_t sequence, std::string data,
                      Instant now) override {
-    auto attempt = attempts_.find(id);
-    if (attempt == attempts_.end()) return;
-    const CallHandle handle = attempt->second.call;
-    OpenCall& call = calls_[handle];
-    if (sequence != call.next_chunk || !call.head_passed) {
+    const OpenAttempt* attempt = calls_.FindAttempt(id);
+    if (attempt == nullptr) return;
+    const CallHandle handle = attempt->call;
+    OpenCall& call = *calls_.Find(handle);
+    if (call.answering != id || sequence != call.next_chunk) {
       FinishBroken(handle, now);
       return;
     }
@@ -125,35 +93,28 @@
 
   void OnAnswerEnd(const AttemptId& id, const AnswerEnd& end,
                    const LoadReport& load, Instant now) override {
-    auto attempt = attempts_.find(id);
-    if (attempt == attempts_.end()) return;
-    parts_.chooser.OnLoad(attempt->second.instance, load, now);
-    const CallHandle handle = attempt->second.call;
-    OpenCall& call = calls_[handle];
-    const AnswerEnd seen{call.next_chunk, call.bytes, call.digest};
-    if (!call.head_passed || seen != end) {
+    OpenCall* call = CallOf(id, load, now);
+    if (call == nullptr) return;
+    const CallHandle handle = calls_.FindAttempt(id)->call;
+    const AnswerEnd seen{call->next_chunk, call->bytes, call->digest};
+    if (call->answering != id || seen != end) {
       FinishBroken(handle, now);
       return;
     }
     EndAttempt(id, AttemptOutcome::kAnswered, now);
-    call.stream->OnEnd();
-    parts_.metrics.HistogramOf("call_seconds", "").Record(now - call.began);
-    calls_.erase(handle);
+    call->stream->OnEnd();
+    parts_.metrics.HistogramOf("call_seconds", "").Record(now - call->began);
+    calls_.Remove(handle);
   }
 
   void OnAnswerRefused(const AttemptId& id, const Refusal& refusal,
                        const LoadReport& load, Instant now) override {
-    auto attempt = attempts_.find(id);
-    if (attempt == attempts_.end()) return;
-    parts_.chooser.OnLoad(attempt->second.instance, load, now);
+    if (CallOf(id, load, now) == nullptr) return;
     ResolveFailed(id, refusal, now);
   }
 
   void OnOwnerLost(const std::string& owner, Instant now) override {
-    for (const AttemptId& id : OpenAttempts(owner)) {
-      ResolveFailed(id, RefusalOf(RoutingCode::kOwnerLost, Certainty::kUnknown),
-                    now);
-    }
+    for (const AttemptId& id : OpenAttempts(owner)) OnAttemptUnknown(id, now);
   }
 
   void OnAttemptUnknown(const AttemptId& id, Instant now) override {
@@ -162,51 +123,76 @@
   }
 
   void OnTick(Instant now) override {
-    std::vector<CallHandle> late;
-    for (const auto& [handle, call] : calls_) {
-      if (now >= call.deadline) late.push_back(handle);
-    }
-    for (CallHandle handle : late) {
-      OpenCall& call = calls_[handle];
-      CancelCurrent(call, now);
-      Refuse(call,
-             RefusalOf(RoutingCode::kDeadlinePassed, Certainty::kUnknown));
-      calls_.erase(handle);
+    for (CallHandle handle : calls_.Handles()) {
+      OpenCall& call = *calls_.Find(handle);
+      if (now >= call.deadline) {
+        FinishLate(handle, call, now);
+      } else if (call.retry_at.has_value() && now >= *call.retry_at) {
+        call.retry_at.reset();
+        call.tried.clear();
+        SendAttempt(handle, call, false, now);
+      } else {
+        ConsiderHedge(handle, call, now);
+      }
     }
+    TellEjections();
   }
 
   void Stop() override { stopping_ = true; }
 
   std::vector<AttemptId> OpenAttempts(const std::string& owner) const override {
-    std::vector<AttemptId> open;
-    for (const auto& [id, attempt] : attempts_) {
-      if (attempt.owner == owner) open.push_back(id);
-    }
-    return open;
+    return calls_.AttemptsAt(owner);
   }
 
-  bool Idle() const override { return calls_.empty(); }
+  bool Idle() const override { return calls_.Empty(); }
 
  private:
-  void SendAttempt(CallHandle handle, OpenCall& call, Instant now) {
+  std::optional<RoutingCode> FindRoute(OpenCall& call) const {
+    if (stopping_) return RoutingCode::kStopping;
+    if (call.table == nullptr) return RoutingCode::kNoVersion;
+    call.route = call.table->Match(call.request.method, call.request.target);
+    if (call.route == nullptr) return RoutingCode::kNoRoute;
+    return std::nullopt;
+  }
+
+  /// Hands on the load report of an answer.
+  /// @return the call of an open attempt; nullptr for any other.
+  OpenCall* CallOf(const AttemptId& id, const LoadReport& load, Instant now) {
+    const OpenAttempt* attempt = calls_.FindAttempt(id);
+    if (attempt == nullptr) return nullptr;
+    OpenCall* call = calls_.Find(attempt->call);
+    parts_.chooser.OnLoad(attempt->instance, call->route->request_class, load,
+                          now);
+    return call;
+  }
+
+  void SendAttempt(CallHandle handle, OpenCall& call, bool is_hedge,
+                   Instant now) {
     const auto& candidates = call.table->UpstreamsOf(call.route->service);
     auto choice = parts_.chooser.Choose(
-        {candidates, call.route->request_class, call.tried}, now);
+        {candidates, call.route->service, call.route->request_class, call.tried,
+         call.table->Document().limits.max_ejected_percent},
+        now);
     if (!choice.has_value()) {
-      const RoutingCode code = call.attempts == 0 ? RoutingCode::kNoUpstream
-                                                  : RoutingCode::kAttemptsSpent;
-      Refuse(call, RefusalOf(code, Certainty::kNotRun));
-      calls_.erase(handle);
+      if (!is_hedge) WaitOrRefuse(handle, call, now);
       return;
     }
-    const UpstreamTarget& target = candidates[*choice];
-    call.current = prefix_ + std::to_string(++last_attempt_);
+    CountChoice(choice->reason);
+    if (is_hedge) CountReason("hedges_total", "sent");
+    const UpstreamTarget& target = candidates[choice->index];
+    const AttemptId id = prefix_ + std::to_string(++last_attempt_);
     ++call.attempts;
     call.tried.insert(target.instance);
-    attempts_[call.current] = {handle, target.instance, target.owner_address,
-                               now};
+    calls_.AddAttempt(
+        id, {handle, target.instance, target.owner_address, now, is_hedge});
+    parts_.chooser.OnSent(target.instance, now);
+    parts_.owners.Start(target.owner_address, AttemptOf(id, call, now));
+  }
+
+  static CallAttempt AttemptOf(const AttemptId& id, const OpenCall& call,
+                               Instant now) {
     CallAttempt attempt;
-    attempt.id = call.current;
+    attempt.id = id;
     attempt.request = call.request;
     attempt.service = call.route->service;
     attempt.route = call.route->name;
@@ -215,75 +201,150 @@
     attempt.remaining = call.deadline - now;
     attempt.credit_bytes = kInitialCreditBytes;
     attempt.version = call.table->VersionNumber();
-    parts_.chooser.OnSent(target.instance, now);
-    parts_.owners.Start(target.owner_address, attempt);
+    return attempt;
+  }
+
+  /// Every upstream was tried: begins again after the pause that was asked
+  /// for, if the deadline allows it.
+  void WaitOrRefuse(CallHandle handle, OpenCall& call, Instant now) {
+    if (!call.last_refusal.has_value()) {
+      call.last_refusal =
+          RefusalOf(RoutingCode::kNoUpstream, Certainty::kNotRun);
+    } else {
+      // Spread by the handle, so that callers do not come back in step.
+      const Duration pause =
+          std::max(kLeastRetryPause, call.last_refusal->retry_after) *
+          (kPauseSteps + handle % kPauseSteps) / kPauseSteps;
+      if (now + pause < call.deadline) {
+        call.retry_at = now + pause;
+        return;
+      }
+    }
+    Refuse(call, *call.last_refusal);
+    calls_.Remove(handle);
+  }
+
+  void ConsiderHedge(CallHandle handle, OpenCall& call, Instant now) {
+    if (!call.route->hedge || call.hedged || call.HeadPassed()) return;
+    if (call.open.size() != 1 || call.attempts != 1) return;
+    const Duration delay = policy_.HedgeDelay(call.route->name);
+    if (now - call.began < delay) return;
+    call.hedged = true;
+    const AttemptVerdict verdict = policy_.Hedge(ProgressOf(call));
+    if (verdict == AttemptVerdict::kAllowed) {
+      SendAttempt(handle, call, true, now);
+    } else {
+      CountReason("hedges_total", AttemptVerdictName(verdict));
+    }
   }
 
   void ResolveFailed(const AttemptId& id, const Refusal& refusal, Instant now) {
-    auto found = attempts_.find(id);
-    if (found == attempts_.end()) return;
-    const CallHandle handle = found->second.call;
+    const OpenAttempt* attempt = calls_.FindAttempt(id);
+    if (attempt == nullptr) return;
+    const CallHandle handle = attempt->call;
+    OpenCall& call = *calls_.Find(handle);
     const bool not_run = refusal.certainty == Certainty::kNotRun;
+    if (not_run) {
+      parts_.chooser.OnRefused(attempt->instance, call.route->request_class,
+                               now);
+    }
     EndAttempt(
         id, not_run ? AttemptOutcome::kRefusedNotRun : AttemptOutcome::kFailed,
         now);
-    OpenCall& call = calls_[handle];
-    const bool may_run_again = not_run || call.route->repeatable;
-    const bool may_retry = may_run_again && !call.head_passed &&
-                           call.attempts < call.route->max_attempts &&
-                           now < call.deadline && budget_.TryTake();
-    if (may_retry) {
+    call.KeepRefusal(refusal);
+    if (!call.open.empty()) return;  // A hedge may still bring the answer.
+    const AttemptVerdict verdict = policy_.Retry(ProgressOf(call), refusal);
+    if (verdict == AttemptVerdict::kAllowed) {
       Count("retries_total", refusal.code);
-      SendAttempt(handle, call, now);
+      SendAttempt(handle, call, false, now);
       return;
     }
-    if (call.head_passed) {
-      call.stream->OnBroken(refusal);
-      Count("call_refusals_total", refusal.code);
-    } else {
-      Refuse(call, refusal);
-    }
-    calls_.erase(handle);
+    CountReason("retries_denied_total", AttemptVerdictName(verdict));
+    Refuse(call, *call.last_refusal);
+    calls_.Remove(handle);
+  }
+
+  static CallProgress ProgressOf(const OpenCall& call) {
+    return {*call.route, call.request.depth, call.attempts, call.HeadPassed()};
   }
 
   void FinishBroken(CallHandle handle, Instant now) {
-    OpenCall& call = calls_[handle];
-    CancelCurrent(call, now);
-    const Refusal refusal =
-        RefusalOf(RoutingCode::kAnswerBroken, Certainty::kUnknown);
-    Count("call_refusals_total", refusal.code);
-    if (call.head_passed) {
-      call.stream->OnBroken(refusal);
-    } else {
-      call.stream->OnRefused(refusal);
-    }
-    calls_.erase(handle);
+    Finish(handle, RefusalOf(RoutingCode::kAnswerBroken, Certainty::kUnknown),
+           now);
+  }
+
+  void FinishLate(CallHandle handle, const OpenCall& call, Instant now) {
+    const bool may_have_run =
+        !call.open.empty() ||
+        (call.last_refusal.has_value() &&
+         call.last_refusal->certainty != Certainty::kNotRun);
+    Finish(handle,
+           RefusalOf(RoutingCode::kDeadlinePassed,
+                     may_have_run ? Certainty::kUnknown : Certainty::kNotRun),
+           now);
+  }
+
+  /// Cancels all attempts of a call and ends it without an answer.
+  void Finish(CallHandle handle, const Refusal& refusal, Instant now) {
+    OpenCall& call = *calls_.Find(handle);
+    const bool head_passed = call.HeadPassed();
+    call.answering.clear();
+    CancelOpen(call, now);
+    Tell(call, refusal, head_passed);
+    calls_.Remove(handle);
   }
 
-  void CancelCurrent(const OpenCall& call, Instant now) {
-    auto attempt = attempts_.find(call.current);
-    if (attempt == attempts_.end()) return;
-    parts_.owners.Cancel(attempt->second.owner, attempt->first);
-    EndAttempt(call.current, AttemptOutcome::kCancelled, now);
+  /// Cancels every open attempt but the one that answers.
+  void CancelOpen(OpenCall& call, Instant now) {
+    const std::set<AttemptId> open = call.open;
+    for (const AttemptId& id : open) {
+      if (id == call.answering) continue;
+      parts_.owners.Cancel(calls_.FindAttempt(id)->owner, id);
+      EndAttempt(id, AttemptOutcome::kCancelled, now);
+    }
   }
 
   void EndAttempt(const AttemptId& id, AttemptOutcome outcome, Instant now) {
-    auto attempt = attempts_.find(id);
-    if (attempt == attempts_.end()) return;
-    parts_.chooser.OnEnded(attempt->second.instance, outcome,
-                           now - attempt->second.sent, now);
-    attempts_.erase(attempt);
+    const OpenAttempt attempt = calls_.EndAttempt(id);
+    parts_.chooser.OnEnded(attempt.instance, outcome, now - attempt.sent, now);
   }
 
   void Refuse(OpenCall& call, const Refusal& refusal) {
+    Tell(call, refusal, call.HeadPassed());
+  }
+
+  void Tell(OpenCall& call, const Refusal& refusal, bool head_passed) {
     Count("call_refusals_total", refusal.code);
-    if (call.head_passed) {
+    if (head_passed) {
       call.stream->OnBroken(refusal);
     } else {
       call.stream->OnRefused(refusal);
     }
   }
 
+  void TellEjections() {
+    const ChooserCounts counts = parts_.chooser.Counts();
+    if (counts == told_) return;
+    parts_.metrics.CounterOf("upstream_ejections_total", "")
+        .Add(counts.ejections - told_.ejections);
+    parts_.metrics.CounterOf("upstream_returns_total", "")
+        .Add(counts.returns - told_.returns);
+    told_ = counts;
+  }
+
+  void CountChoice(ChoiceReason reason) {
+    if (reason == ChoiceReason::kSpillOver) {
+      CountReason("choices_total", "spill_over");
+    } else if (reason == ChoiceReason::kProbe) {
+      CountReason("choices_total", "probe");
+    }
+  }
+
+  void CountReason(std::string_view name, std::string_view reason) {
+    parts_.metrics.CounterOf(name, "reason=\"" + std::string(reason) + "\"")
+        .Add();
+  }
+
   void Count(std::string_view name, const std::error_code& code) {
     parts_.metrics
         .CounterOf(name, "code=\"" + std::to_string(code.value()) + "\"")
@@ -292,10 +353,10 @@
 
   std::string prefix_;
   EntryParts parts_;
-  RetryBudget budget_{10};
-  std::map<CallHandle, OpenCall> calls_;
-  std::map<AttemptId, OpenAttempt> attempts_;
+  AttemptPolicy policy_;
+  CallTable calls_;
   uint64_t last_attempt_ = 0;
+  ChooserCounts told_;
   bool stopping_ = false;
 };
 
--- /dev/null
+++ b/src/entry/tests/entry_test.cc
@@ -0,0 +1,220 @@
+#include "entry/entry.h"
+
+#include <gtest/gtest.h>
+
+#include "admission/admission_result_codes.h"
+#include "routing/routing_result_codes.h"
+#include "versions/config_reader.h"
+
+namespace hibiscusglade {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kDocument[] = R"({
+  "services": {"plots": {}},
+  "classes": {"short": {}},
+  "routes": {
+    "reads": {"path_prefix": "/reads/", "service": "plots", "class": "short",
+              "repeatable": true, "hedge": true, "timeout_ms": 1000,
+              "max_attempts": 3},
+    "tags": {"path_prefix": "/tags/", "service": "plots", "class": "short",
+             "repeatable": false, "timeout_ms": 1000, "max_attempts": 3}}})";
+
+/// Writes down what goes to owners.
+struct SentAttempts : public OwnerLink {
+  void Start(const std::string& owner, const CallAttempt& attempt) override {
+    started.push_back({owner, attempt.id});
+  }
+  void Credit(const std::string&, const AttemptId&, uint64_t) override {}
+  void Cancel(const std::string&, const AttemptId& attempt) override {
+    cancelled.push_back(attempt);
+  }
+  std::vector<std::pair<std::string, AttemptId>> started;
+  std::vector<AttemptId> cancelled;
+};
+
+/// Writes down what the caller sees.
+class SeenAnswer : public CallerStream {
+ public:
+  explicit SeenAnswer(std::string& seen) : seen_(seen) {}
+  void OnHead(const AnswerHead& head) override {
+    seen_ += "head " + std::to_string(head.status) + " ";
+  }
+  void OnData(std::string data) override { seen_ += data + " "; }
+  void OnEnd() override { seen_ += "end"; }
+  void OnBroken(const Refusal& reason) override { Tell("broken", reason); }
+  void OnRefused(const Refusal& reason) override { Tell("refused", reason); }
+
+ private:
+  void Tell(const std::string& what, const Refusal& reason) {
+    seen_ += what + " " + std::to_string(reason.code.value()) + " " +
+             std::string(CertaintyName(reason.certainty));
+  }
+  std::string& seen_;
+};
+
+class AnEntry : public testing::Test {
+ protected:
+  AnEntry() {
+    std::vector<InstanceRecord> records;
+    for (const char* name : {"x", "y", "z"}) {
+      InstanceRecord record;
+      record.instance = name;
+      record.service = "plots";
+      record.request_address = name;
+      record.upstream_state = UpstreamState::kServing;
+      records.push_back(record);
+    }
+    std::vector<SettingsFault> faults;
+    routes_.Publish(std::make_shared<const RouteTable>(
+        MakeConfigVersion(1, 0, kDocument, "", faults), records));
+  }
+
+  void Begin(const std::string& target, uint32_t depth = 0) {
+    CallRequest request;
+    request.method = "GET";
+    request.target = target;
+    request.depth = depth;
+    seen_.clear();
+    owners_.started.clear();
+    entry_->Begin(++last_call_, request, std::make_unique<SeenAnswer>(seen_),
+                  now_);
+  }
+
+  AttemptId Attempt(size_t number) { return owners_.started.at(number).second; }
+
+  void Answer(const AttemptId& id, const std::string& body) {
+    entry_->OnAnswerHead(id, {200, {}, -1}, kLoad, now_);
+    entry_->OnAnswerChunk(id, 0, body, now_);
+    entry_->OnAnswerEnd(id, {1, body.size(), DigestOf(body, 0)}, kLoad, now_);
+  }
+
+  void Refuse(const AttemptId& id, std::error_code code, Certainty certainty) {
+    entry_->OnAnswerRefused(id, {code, certainty, "", {}}, kLoad, now_);
+  }
+
+  /// Makes the entry learn how long reads take.
+  void LearnReads() {
+    for (int i = 0; i < 60; ++i) {
+      Begin("/reads/1");
+      now_ += milliseconds(10);
+      Answer(Attempt(0), "body");
+    }
+  }
+
+  double Counted(const std::string& line) {
+    const std::string text = metrics_->Exposition();
+    const size_t at = text.find(line + " ");
+    return at == std::string::npos
+               ? 0
+               : std::strtod(text.c_str() + at + line.size() + 1, nullptr);
+  }
+
+  const LoadReport kLoad{1, 0, 6, milliseconds(5), true};
+  Instant now_ = Instant(seconds(1000));
+  std::string seen_;
+  CallHandle last_call_ = 0;
+  SentAttempts owners_;
+  RouteTableHolder routes_;
+  std::unique_ptr<Metrics> metrics_ = MakeMetrics();
+  std::unique_ptr<UpstreamChooser> chooser_ = MakeUpstreamChooser({});
+  std::unique_ptr<Entry> entry_ =
+      MakeEntry("e", 1, {owners_, routes_, *chooser_, *metrics_});
+};
+
+TEST_F(AnEntry, RetriesElsewhereWhatDidNotRun) {
+  Begin("/tags/1");
+  Refuse(Attempt(0), AdmissionCode::kQueueFull, Certainty::kNotRun);
+  ASSERT_EQ(owners_.started.size(), 2u);
+  EXPECT_NE(owners_.started[0].first, owners_.started[1].first);
+  Answer(Attempt(1), "tag");
+  EXPECT_EQ(seen_, "head 200 tag end");
+  EXPECT_EQ(Counted("retries_total{code=\"5003\"}"), 1);
+}
+
+TEST_F(AnEntry, NeverRetriesARegistrationThatMayHaveRun) {
+  Begin("/tags/1");
+  entry_->OnOwnerLost(owners_.started[0].first, now_);
+  EXPECT_EQ(owners_.started.size(), 1u);
+  EXPECT_EQ(seen_, "refused 4006 unknown");
+  EXPECT_EQ(Counted("retries_denied_total{reason=\"not_repeatable\"}"), 1);
+}
+
+TEST_F(AnEntry, SaysUnknownIfAnyAttemptMayHaveRun) {
+  Begin("/reads/1");
+  entry_->OnOwnerLost(owners_.started[0].first, now_);
+  Refuse(Attempt(1), AdmissionCode::kQueueFull, Certainty::kNotRun);
+  Refuse(Attempt(2), AdmissionCode::kQueueFull, Certainty::kNotRun);
+  EXPECT_EQ(seen_, "refused 4006 unknown");
+}
+
+TEST_F(AnEntry, PassesARefusalUpInADeepCall) {
+  Begin("/reads/1", 3);
+  Refuse(Attempt(0), AdmissionCode::kQueueFull, Certainty::kNotRun);
+  EXPECT_EQ(seen_, "refused 5003 not-run");
+  Begin("/reads/1", 3);
+  Refuse(Attempt(0), AdmissionCode::kDraining, Certainty::kNotRun);
+  EXPECT_EQ(owners_.started.size(), 2u);
+}
+
+TEST_F(AnEntry, StopsRetryingWhenTheBudgetIsSpent) {
+  int retried = 0;
+  for (int i = 0; i < 200; ++i) {
+    Begin("/tags/1");
+    Refuse(Attempt(0), AdmissionCode::kQueueFull, Certainty::kNotRun);
+    if (owners_.started.size() < 2) continue;
+    ++retried;
+    Answer(Attempt(1), "tag");
+  }
+  EXPECT_LE(retried, 31);  // A tenth of the calls and the burst.
+  EXPECT_GE(retried, 20);
+}
+
+TEST_F(AnEntry, CancelsWhatIsLateAndSaysUnknown) {
+  Begin("/reads/1");
+  now_ += seconds(1);
+  entry_->OnTick(now_);
+  EXPECT_EQ(seen_, "refused 4005 unknown");
+  EXPECT_EQ(owners_.cancelled, std::vector<AttemptId>{Attempt(0)});
+  EXPECT_TRUE(entry_->Idle());
+}
+
+TEST_F(AnEntry, PassesOnOneAnswerOfTwoHedgedAttempts) {
+  LearnReads();
+  Begin("/reads/1");
+  now_ += milliseconds(100);
+  entry_->OnTick(now_);
+  ASSERT_EQ(owners_.started.size(), 2u);
+  entry_->OnAnswerHead(Attempt(1), {200, {}, -1}, kLoad, now_);
+  EXPECT_EQ(owners_.cancelled, std::vector<AttemptId>{Attempt(0)});
+  entry_->OnAnswerHead(Attempt(0), {500, {}, -1}, kLoad, now_);
+  entry_->OnAnswerChunk(Attempt(0), 0, "late", now_);
+  entry_->OnAnswerChunk(Attempt(1), 0, "first", now_);
+  entry_->OnAnswerEnd(Attempt(1), {1, 5, DigestOf("first", 0)}, kLoad, now_);
+  EXPECT_EQ(seen_, "head 200 first end");
+  EXPECT_EQ(Counted("hedges_total{reason=\"won\"}"), 1);
+}
+
+TEST_F(AnEntry, WaitsForTheHedgeWhenTheFirstAttemptFails) {
+  LearnReads();
+  Begin("/reads/1");
+  now_ += milliseconds(100);
+  entry_->OnTick(now_);
+  entry_->OnOwnerLost(owners_.started[0].first, now_);
+  EXPECT_EQ(seen_, "");
+  Answer(Attempt(1), "whole");
+  EXPECT_EQ(seen_, "head 200 whole end");
+}
+
+TEST_F(AnEntry, BreaksOffAnAnswerWithAGap) {
+  Begin("/reads/1");
+  entry_->OnAnswerHead(Attempt(0), {200, {}, -1}, kLoad, now_);
+  entry_->OnAnswerChunk(Attempt(0), 1, "second", now_);
+  EXPECT_EQ(seen_, "head 200 broken 4007 unknown");
+  EXPECT_EQ(owners_.cancelled.size(), 1u);
+}
+
+}  // namespace
+}  // namespace hibiscusglade
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -138,7 +138,7 @@
     if (!job.attempt.repeatable) return;
     job.head_sent = true;
     parts_.entries.SendHead(job.entry, job.attempt.id, head,
-                            admission_->Load());
+                            admission_->Load(job.attempt.request_class));
   }
 
   void OnRunData(RunId run, std::string data, Instant) override {
@@ -188,7 +188,7 @@
                   certainty);
     refusal.detail = reason;
     parts_.entries.SendRefused(job.entry, job.attempt.id, refusal,
-                               admission_->Load());
+                               admission_->Load(job.attempt.request_class));
     FinishRun(run, now);
   }
 
@@ -321,7 +321,7 @@
   void SendEnd(const Job& job) {
     parts_.entries.SendEnd(job.entry, job.attempt.id,
                            {job.chunks, job.bytes, job.digest},
-                           admission_->Load());
+                           admission_->Load(job.attempt.request_class));
   }
 
   void SendKept(Job& job, const std::string& encoded) {
@@ -331,7 +331,7 @@
       return;
     }
     parts_.entries.SendHead(job.entry, job.attempt.id, answer->head,
-                            admission_->Load());
+                            admission_->Load(job.attempt.request_class));
     SendData(job, answer->body);
     SendEnd(job);
   }
@@ -343,7 +343,8 @@
                    "code=\"" + std::to_string(code.value()) + "\"")
         .Add();
     parts_.entries.SendRefused(job.entry, job.attempt.id,
-                               RefusalOf(code, certainty), admission_->Load());
+                               RefusalOf(code, certainty),
+                               admission_->Load(job.attempt.request_class));
   }
 
   void FinishRun(Ticket ticket, Instant now) {
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -32,9 +32,7 @@
         metrics_(metrics),
         transport_(
             MakePeerTransport(config.identity, "request", clock, metrics)),
-        chooser_(MakeUpstreamChooser(ChoicePolicy::kTwoChoices,
-                                     config.identity.failure_domain,
-                                     config.seed)),
+        chooser_(MakeUpstreamChooser(ChoiceOf(config))),
         quarantine_(MakeQuarantine()),
         entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
                          {*this, routes, *chooser_, metrics})) {}
@@ -223,6 +221,14 @@
     uint64_t ping = 0;
   };
 
+  static ChooserConfig ChoiceOf(const RequestLoopConfig& config) {
+    ChooserConfig choice = config.choice;
+    choice.instance = config.identity.instance;
+    choice.failure_domain = config.identity.failure_domain;
+    choice.seed = config.seed;
+    return choice;
+  }
+
   bool IsSelf(const std::string& owner) const {
     return owner == config_.request_address;
   }
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -13,6 +13,7 @@
 #include "platform/executor.h"
 #include "platform/metrics.h"
 #include "routing/route_table_holder.h"
+#include "routing/upstream_chooser.h"
 
 namespace hibiscusglade {
 
@@ -22,6 +23,7 @@
   std::string request_address;  ///< Own, as peers reach it.
   uint32_t upstream_connections = 100;
   uint64_t seed = 0;
+  ChooserConfig choice;  ///< Instance, failure domain and seed are filled in.
 };
 
 /// The daemon's request thread: entry, owner, and the links between them.
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -1,100 +1,279 @@
 #include "routing/upstream_chooser.h"
 
+#include <algorithm>
+#include <array>
 #include <map>
 #include <utility>
 #include <vector>
 
+#include "platform/digest.h"
 #include "platform/random.h"
+#include "routing/internal/ejection_judge.h"
 
 namespace hibiscusglade {
 namespace {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Owners of one service that one entry connects to.
+constexpr size_t kOwnDomainSubset = 8;
+constexpr size_t kOtherDomainsSubset = 8;
+constexpr Duration kReportLifetime = milliseconds(500);
+constexpr Duration kStaleReportInterval = seconds(1);
+constexpr Duration kRefusalLifetime = milliseconds(250);
+/// Wait in the own domain that is worth the way to another one and back.
+constexpr Duration kSpillWait = milliseconds(10);
+/// Slots of an upstream that has not reported yet count as a part.
+constexpr double kUnknownShare = 0.25;
+
+struct NamedPolicy {
+  std::string_view name;
+  ChoicePolicy policy;
+};
+constexpr std::array<NamedPolicy, 6> kPolicies = {
+    {{"round_robin", ChoicePolicy::kRoundRobin},
+     {"random", ChoicePolicy::kRandom},
+     {"least_loaded", ChoicePolicy::kLeastLoaded},
+     {"two_choices", ChoicePolicy::kTwoChoices},
+     {"remaining", ChoicePolicy::kRemaining},
+     {"remaining_not_twice", ChoicePolicy::kRemainingNotTwice}}};
+
 struct UpstreamLoad {
+  uint64_t rank = 0;       ///< Decides whether it is in this entry's subset.
   uint32_t in_flight = 0;  ///< Open attempts of this entry.
+  uint32_t sent_since_report = 0;
   LoadReport report;
+  Instant reported;
+  LoadReport stale_report;
+  Instant stale_reported;
+  std::map<std::string, Instant> refused;  ///< Last refusal by class.
 };
 
 class Chooser : public UpstreamChooser {
  public:
-  Chooser(ChoicePolicy policy, std::string own_domain, uint64_t seed)
-      : policy_(policy), own_domain_(std::move(own_domain)), random_(seed) {}
+  explicit Chooser(const ChooserConfig& config)
+      : config_(config), random_(config.seed) {}
 
-  std::optional<size_t> Choose(const ChoiceRequest& request, Instant) override {
-    std::vector<size_t> allowed = Allowed(request);
-    if (allowed.empty()) return std::nullopt;
-    switch (policy_) {
-      case ChoicePolicy::kRoundRobin:
-        return allowed[turn_++ % allowed.size()];
-      case ChoicePolicy::kRandom:
-        return allowed[random_.Below(allowed.size())];
-      case ChoicePolicy::kLeastLoaded:
-        return LeastLoaded(request, allowed);
-      case ChoicePolicy::kTwoChoices:
-        break;
+  std::optional<Choice> Choose(const ChoiceRequest& request,
+                               Instant now) override {
+    if (config_.ejects) {
+      judge_.Compare(request.service, request.candidates,
+                     request.max_ejected_percent, now);
+    }
+    std::vector<size_t> own;
+    std::vector<size_t> other;
+    if (auto probe = Sort(request, own, other, now)) {
+      return Choice{*probe, ChoiceReason::kProbe};
     }
-    const size_t first = allowed[random_.Below(allowed.size())];
-    const size_t second = allowed[random_.Below(allowed.size())];
-    return LeastLoaded(request, {first, second});
+    const bool own_is_better =
+        !own.empty() && (other.empty() || !Saturated(request, own, now) ||
+                         Saturated(request, other, now));
+    if (own_is_better) return Choice{Pick(request, own, now)};
+    if (other.empty()) return std::nullopt;
+    return Choice{Pick(request, other, now), ChoiceReason::kSpillOver};
   }
 
   void OnSent(const std::string& instance, Instant) override {
-    ++loads_[instance].in_flight;
+    UpstreamLoad& load = LoadOf(instance);
+    ++load.in_flight;
+    ++load.sent_since_report;
+    last_chosen_ = instance;
   }
 
-  void OnEnded(const std::string& instance, AttemptOutcome, Duration,
-               Instant) override {
-    UpstreamLoad& load = loads_[instance];
+  void OnEnded(const std::string& instance, AttemptOutcome outcome, Duration,
+               Instant now) override {
+    UpstreamLoad& load = LoadOf(instance);
     if (load.in_flight > 0) --load.in_flight;
+    if (load.sent_since_report > 0) --load.sent_since_report;
+    judge_.OnOutcome(instance, outcome, now);
   }
 
-  void OnLoad(const std::string& instance, const LoadReport& load,
-              Instant) override {
-    loads_[instance].report = load;
+  void OnRefused(const std::string& instance, const std::string& request_class,
+                 Instant now) override {
+    LoadOf(instance).refused[request_class] = now;
   }
 
+  void OnLoad(const std::string& instance, const std::string& request_class,
+              const LoadReport& report, Instant now) override {
+    UpstreamLoad& load = LoadOf(instance);
+    load.report = report;
+    load.reported = now;
+    load.sent_since_report = 0;
+    if (now >= load.stale_reported + kStaleReportInterval) {
+      load.stale_report = report;
+      load.stale_reported = now;
+    }
+    judge_.OnServiceTime(instance, request_class, report.service_time, now);
+  }
+
+  ChooserCounts Counts() const override { return judge_.Counts(); }
+
  private:
-  /// Candidates not tried yet; those of the own failure domain if any.
-  std::vector<size_t> Allowed(const ChoiceRequest& request) const {
-    std::vector<size_t> own;
-    std::vector<size_t> other;
+  /// Divides the candidates that may be chosen by failure domain.
+  /// @return a candidate to probe, if it is time for that.
+  std::optional<size_t> Sort(const ChoiceRequest& request,
+                             std::vector<size_t>& own,
+                             std::vector<size_t>& other, Instant now) {
+    std::optional<size_t> probe;
+    std::vector<size_t> last_own;
+    std::vector<size_t> last_other;
     for (size_t i = 0; i < request.candidates.size(); ++i) {
       const UpstreamTarget& target = request.candidates[i];
       if (request.tried.contains(target.instance)) continue;
-      (target.failure_domain == own_domain_ ? own : other).push_back(i);
+      const bool is_own = target.failure_domain == config_.failure_domain;
+      const bool ejected = judge_.Ejected(target.instance);
+      if (!ejected && !SaysItLeaves(target.instance, now)) {
+        (is_own ? own : other).push_back(i);
+        continue;
+      }
+      (is_own ? last_own : last_other).push_back(i);
+      // One attempt of a call is a risk enough.
+      if (ejected && is_own && request.tried.empty() && !probe.has_value() &&
+          judge_.TakeProbe(target.instance, now)) {
+        probe = i;
+      }
+    }
+    if (own.empty() && other.empty()) {
+      own = std::move(last_own);
+      other = std::move(last_other);
     }
-    return own.empty() ? other : own;
+    KeepSubset(request, own, kOwnDomainSubset);
+    KeepSubset(request, other, kOtherDomainsSubset);
+    return probe;
+  }
+
+  bool SaysItLeaves(const std::string& instance, Instant now) {
+    const UpstreamLoad& load = LoadOf(instance);
+    return now < load.reported + kReportLifetime && !load.report.serving;
+  }
+
+  /// Rendezvous hashing: each entry keeps the upstreams with its highest
+  /// ranks, so that few change when upstreams come and go.
+  void KeepSubset(const ChoiceRequest& request, std::vector<size_t>& among,
+                  size_t most) {
+    if (among.size() <= most) return;
+    std::nth_element(among.begin(), among.begin() + static_cast<long>(most),
+                     among.end(), [&](size_t a, size_t b) {
+                       return LoadOf(request.candidates[a].instance).rank >
+                              LoadOf(request.candidates[b].instance).rank;
+                     });
+    among.resize(most);
+    std::sort(among.begin(), among.end());
   }
 
-  size_t LeastLoaded(const ChoiceRequest& request,
-                     const std::vector<size_t>& among) {
+  bool Saturated(const ChoiceRequest& request, const std::vector<size_t>& among,
+                 Instant now) {
+    return std::all_of(among.begin(), among.end(), [&](size_t i) {
+      const UpstreamTarget& target = request.candidates[i];
+      const UpstreamLoad& load = LoadOf(target.instance);
+      auto refused = load.refused.find(request.request_class);
+      if (refused != load.refused.end() &&
+          now < refused->second + kRefusalLifetime) {
+        return true;
+      }
+      if (now >= load.reported + kReportLifetime) return false;
+      const uint32_t slots = std::max<uint32_t>(1, load.report.slots);
+      const uint32_t total =
+          load.report.running + load.report.queued + load.sent_since_report;
+      const uint32_t queued = total > slots ? total - slots : 0;
+      return load.report.service_time * queued / slots > kSpillWait;
+    });
+  }
+
+  size_t Pick(const ChoiceRequest& request, const std::vector<size_t>& among,
+              Instant now) {
+    switch (config_.policy) {
+      case ChoicePolicy::kRoundRobin:
+        return among[turn_++ % among.size()];
+      case ChoicePolicy::kRandom:
+        return among[random_.Below(among.size())];
+      case ChoicePolicy::kLeastLoaded:
+      case ChoicePolicy::kRemaining:
+        return Least(request, among, now);
+      case ChoicePolicy::kRemainingNotTwice:
+        return Least(request, WithoutLast(request, among), now);
+      case ChoicePolicy::kTwoChoices:
+        break;
+    }
+    const size_t first = random_.Below(among.size());
+    size_t second = random_.Below(among.size() - 1);
+    if (second >= first) ++second;
+    if (among.size() == 1) return among.front();
+    return Least(request, {among[first], among[second]}, now);
+  }
+
+  std::vector<size_t> WithoutLast(const ChoiceRequest& request,
+                                  std::vector<size_t> among) const {
+    if (among.size() == 1) return among;
+    std::erase_if(among, [&](size_t i) {
+      return request.candidates[i].instance == last_chosen_;
+    });
+    return among;
+  }
+
+  size_t Least(const ChoiceRequest& request, const std::vector<size_t>& among,
+               Instant now) {
     size_t best = among.front();
+    double least = Pressure(request.candidates[best], now);
     for (size_t i : among) {
-      if (LoadOf(request.candidates[i]) < LoadOf(request.candidates[best])) {
-        best = i;
-      }
+      const double pressure = Pressure(request.candidates[i], now);
+      if (pressure >= least) continue;
+      best = i;
+      least = pressure;
     }
     return best;
   }
 
-  double LoadOf(const UpstreamTarget& target) {
-    const UpstreamLoad& load = loads_[target.instance];
-    const uint32_t slots = target.slots == 0 ? 1 : target.slots;
-    return static_cast<double>(load.in_flight + load.report.queued) / slots;
+  /// @return unfinished requests for each slot, as far as this entry knows.
+  double Pressure(const UpstreamTarget& target, Instant now) {
+    const UpstreamLoad& load = LoadOf(target.instance);
+    if (config_.policy == ChoicePolicy::kLeastLoaded) {
+      return static_cast<double>(load.stale_report.running +
+                                 load.stale_report.queued) /
+             std::max<uint32_t>(1, target.slots);
+    }
+    double unfinished = load.in_flight;
+    double slots = std::max<uint32_t>(1, target.slots) * kUnknownShare;
+    if (load.reported != Instant{}) {
+      slots = std::max<uint32_t>(1, load.report.slots);
+    }
+    if (now < load.reported + kReportLifetime) {
+      unfinished = std::max<double>(
+          unfinished,
+          load.report.running + load.report.queued + load.sent_since_report);
+    }
+    return (unfinished + 1) / (slots * judge_.ShareOf(target.instance, now));
+  }
+
+  UpstreamLoad& LoadOf(const std::string& instance) {
+    auto [load, is_new] = loads_.try_emplace(instance);
+    if (is_new) {
+      load->second.rank = DigestOf(instance, DigestOf(config_.instance));
+    }
+    return load->second;
   }
 
-  ChoicePolicy policy_;
-  std::string own_domain_;
+  ChooserConfig config_;
   Random random_;
+  EjectionJudge judge_;
   size_t turn_ = 0;
+  std::string last_chosen_;
   std::map<std::string, UpstreamLoad> loads_;
 };
 
 }  // namespace
 
-std::unique_ptr<UpstreamChooser> MakeUpstreamChooser(ChoicePolicy policy,
-                                                     std::string own_domain,
-                                                     uint64_t seed) {
-  return std::make_unique<Chooser>(policy, std::move(own_domain), seed);
+std::optional<ChoicePolicy> ChoicePolicyOf(std::string_view name) {
+  for (const NamedPolicy& known : kPolicies) {
+    if (known.name == name) return known.policy;
+  }
+  return std::nullopt;
+}
+
+std::unique_ptr<UpstreamChooser> MakeUpstreamChooser(
+    const ChooserConfig& config) {
+  return std::make_unique<Chooser>(config);
 }
 
 }  // namespace hibiscusglade
--- /dev/null
+++ b/src/routing/tests/upstream_chooser_test.cc
@@ -0,0 +1,153 @@
+#include "routing/upstream_chooser.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace hibiscusglade {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A service with `own` upstreams in failure domain a, `other` in b.
+class AnEntryInDomainA : public testing::Test {
+ protected:
+  void Build(int own, int other) {
+    for (int i = 0; i < own + other; ++i) {
+      UpstreamTarget target;
+      target.instance = (i < own ? "a" : "b") + std::to_string(i);
+      target.failure_domain = i < own ? "a" : "b";
+      target.slots = 6;
+      targets_.push_back(target);
+    }
+  }
+
+  std::optional<Choice> Choose(const std::set<std::string>& tried = {}) {
+    return chooser_->Choose({targets_, "plots", "short", tried, 34}, now_);
+  }
+
+  void Report(const std::string& instance, uint32_t running, uint32_t queued,
+              Duration service_time, bool serving = true) {
+    chooser_->OnLoad(instance, "short",
+                     {running, queued, 6, service_time, serving}, now_);
+  }
+
+  /// All report the same but for one that is slow.
+  void ReportAll(const std::string& slow) {
+    for (const UpstreamTarget& target : targets_) {
+      Report(target.instance, 0, 0,
+             target.instance == slow ? milliseconds(100) : milliseconds(10));
+    }
+  }
+
+  /// @return how many of some choices fell on an instance.
+  int Share(const std::string& instance, int choices) {
+    int hits = 0;
+    for (int i = 0; i < choices; ++i) {
+      hits += targets_[Choose()->index].instance == instance ? 1 : 0;
+    }
+    return hits;
+  }
+
+  Instant now_ = Instant(seconds(1000));
+  std::vector<UpstreamTarget> targets_;
+  std::unique_ptr<UpstreamChooser> chooser_ =
+      MakeUpstreamChooser({ChoicePolicy::kTwoChoices, true, "entry", "a", 7});
+};
+
+TEST_F(AnEntryInDomainA, SpillsOverWhileItsDomainIsSaturatedAndComesBack) {
+  Build(2, 2);
+  EXPECT_EQ(targets_[Choose()->index].failure_domain, "a");
+  for (const char* own : {"a0", "a1"}) Report(own, 6, 12, milliseconds(20));
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kSpillOver);
+  for (const char* own : {"a0", "a1"}) Report(own, 2, 0, milliseconds(20));
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kUsual);
+}
+
+TEST_F(AnEntryInDomainA, SpillsOverAfterRefusalsForAMoment) {
+  Build(1, 1);
+  chooser_->OnRefused("a0", "short", now_);
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kSpillOver);
+  now_ += milliseconds(300);
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kUsual);
+}
+
+TEST_F(AnEntryInDomainA, StaysWhenTheOtherDomainIsSaturatedToo) {
+  Build(1, 1);
+  chooser_->OnRefused("a0", "short", now_);
+  chooser_->OnRefused("b1", "short", now_);
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kUsual);
+}
+
+TEST_F(AnEntryInDomainA, LeavesOutAnUpstreamThatSaysItDrains) {
+  Build(2, 0);
+  Report("a0", 0, 0, milliseconds(1), false);
+  EXPECT_EQ(Share("a0", 50), 0);
+}
+
+TEST_F(AnEntryInDomainA, EjectsTheSlowOneProbesItAndTakesItBackSlowly) {
+  Build(4, 0);
+  ReportAll("a2");
+  now_ += milliseconds(60);
+  const int probes = Share("a2", 100);
+  EXPECT_EQ(chooser_->Counts().ejections, 1u);
+  EXPECT_LE(probes, 1);
+  now_ += milliseconds(200);
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kProbe);
+  ReportAll("");
+  now_ += milliseconds(60);
+  Choose();
+  EXPECT_EQ(chooser_->Counts().returns, 1u);
+}
+
+TEST_F(AnEntryInDomainA, NeverEjectsMoreThanTheCap) {
+  Build(6, 0);
+  for (const char* instance : {"a0", "a1"}) {
+    Report(instance, 0, 0, milliseconds(10));
+  }
+  for (const char* instance : {"a2", "a3", "a4", "a5"}) {
+    for (int i = 0; i < 9; ++i) {
+      chooser_->OnEnded(instance, AttemptOutcome::kFailed, {}, now_);
+    }
+  }
+  Choose();
+  EXPECT_EQ(chooser_->Counts().ejections, 2u);
+}
+
+TEST_F(AnEntryInDomainA, KeepsToASubsetOfManyUpstreams) {
+  Build(100, 0);
+  std::set<std::string> chosen;
+  for (int i = 0; i < 500; ++i) {
+    chosen.insert(targets_[Choose()->index].instance);
+  }
+  EXPECT_EQ(chosen.size(), 8u);
+  // One that goes is replaced; the others stay.
+  std::erase_if(targets_, [&](const UpstreamTarget& target) {
+    return target.instance == *chosen.begin();
+  });
+  size_t kept = 0;
+  std::set<std::string> later;
+  for (int i = 0; i < 500; ++i) {
+    later.insert(targets_[Choose()->index].instance);
+  }
+  for (const std::string& instance : later) kept += chosen.count(instance);
+  EXPECT_EQ(kept, 7u);
+}
+
+TEST_F(AnEntryInDomainA, NeverTakesOneTwiceRunningUnderThatPolicy) {
+  Build(3, 0);
+  chooser_ = MakeUpstreamChooser(
+      {ChoicePolicy::kRemainingNotTwice, true, "entry", "a", 7});
+  std::string last;
+  for (int i = 0; i < 30; ++i) {
+    const std::string instance = targets_[Choose()->index].instance;
+    EXPECT_NE(instance, last);
+    chooser_->OnSent(instance, now_);
+    chooser_->OnEnded(instance, AttemptOutcome::kAnswered, {}, now_);
+    last = instance;
+  }
+}
+
+}  // namespace
+}  // namespace hibiscusglade
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -19,8 +19,32 @@
 /// What the chooser is asked for.
 struct ChoiceRequest {
   const std::vector<UpstreamTarget>& candidates;
+  std::string service;
   std::string request_class;
-  std::set<std::string> tried;  ///< Instances this call has tried already.
+  const std::set<std::string>& tried;  ///< Instances tried for this call.
+  uint32_t max_ejected_percent = 0;
+};
+
+/// Why an upstream was chosen.
+enum class ChoiceReason {
+  kUsual,
+  kSpillOver,  ///< The own failure domain is saturated or has none left.
+  kProbe,      ///< To see whether an ejected upstream has recovered.
+};
+
+struct Choice {
+  size_t index = 0;  ///< Into the candidates.
+  ChoiceReason reason = ChoiceReason::kUsual;
+
+  friend bool operator==(const Choice&, const Choice&) = default;
+};
+
+/// Ejections of upstreams so far.
+struct ChooserCounts {
+  uint64_t ejections = 0;
+  uint64_t returns = 0;
+
+  friend bool operator==(const ChooserCounts&, const ChooserCounts&) = default;
 };
 
 /// Chooses the upstream of each attempt of one entry, from what answers tell
@@ -29,8 +53,8 @@
  public:
   virtual ~UpstreamChooser() = default;
 
-  /// @return index into the candidates; nullopt when none may be chosen.
-  virtual std::optional<size_t> Choose(const ChoiceRequest& request,
+  /// @return the choice; nullopt when none may be chosen.
+  virtual std::optional<Choice> Choose(const ChoiceRequest& request,
                                        Instant now) = 0;
 
   /// An attempt was sent to an instance.
@@ -41,23 +65,42 @@
   virtual void OnEnded(const std::string& instance, AttemptOutcome outcome,
                        Duration latency, Instant now) = 0;
 
+  /// An upstream's owner refused a request as not run.
+  virtual void OnRefused(const std::string& instance,
+                         const std::string& request_class, Instant now) = 0;
+
   /// A load report came with an answer of an instance.
-  virtual void OnLoad(const std::string& instance, const LoadReport& load,
+  /// @param request_class of the answer; the report's service time is its.
+  virtual void OnLoad(const std::string& instance,
+                      const std::string& request_class, const LoadReport& load,
                       Instant now) = 0;
+
+  virtual ChooserCounts Counts() const = 0;
 };
 
 /// Named ways to choose, for measurement against each other.
 enum class ChoicePolicy {
   kRoundRobin,
   kRandom,
-  kLeastLoaded,  ///< Least of the last reports, however old.
-  kTwoChoices,   ///< Two at random, the less loaded by fresh knowledge.
+  kLeastLoaded,        ///< Least of reports that are renewed each second.
+  kTwoChoices,         ///< Two at random, the less loaded by fresh knowledge.
+  kRemaining,          ///< Fewest unfinished requests.
+  kRemainingNotTwice,  ///< The same, but never one upstream twice running.
+};
+
+/// @return the policy with a name such as "two_choices"; nullopt if none has.
+std::optional<ChoicePolicy> ChoicePolicyOf(std::string_view name);
+
+struct ChooserConfig {
+  ChoicePolicy policy = ChoicePolicy::kTwoChoices;
+  bool ejects = true;          ///< Whether slow upstreams are set aside.
+  std::string instance;        ///< This daemon; decides its subset of owners.
+  std::string failure_domain;  ///< Of this daemon, preferred.
+  uint64_t seed = 0;
 };
 
-/// @param own_domain failure domain of this daemon, preferred.
-std::unique_ptr<UpstreamChooser> MakeUpstreamChooser(ChoicePolicy policy,
-                                                     std::string own_domain,
-                                                     uint64_t seed);
+std::unique_ptr<UpstreamChooser> MakeUpstreamChooser(
+    const ChooserConfig& config);
 
 }  // namespace hibiscusglade
 
