--- /dev/null
+++ b/bench/choice_bench.cc
@@ -0,0 +1,109 @@
+// Tail latency with none, one and two upstreams slowed five times, for each
+// way to choose an upstream, under the same open load with stragglers.
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+
+#include "bench/deployment.h"
+#include "tests/harness/process_cost.h"
+
+DEFINE_string(deployment, "asociacion", "asociacion or cosflu");
+DEFINE_int32(seconds, 2, "length of each run in seconds");
+DEFINE_int32(pairs, 3, "runs of each variant, taken in turn");
+DEFINE_int32(network, 60, "loopback network, 127.N.0.0");
+DEFINE_int32(service_ms, 40, "time of an ordinary request in ms");
+DEFINE_double(load, 0.5, "share of the service's capacity");
+
+namespace hibiscusglade {
+namespace {
+
+constexpr char kVersion[] = R"([
+  {"op": "add", "path": "/services/plots", "value": {"ramp_ms": 0}},
+  {"op": "add", "path": "/classes/short", "value": {"max_wait_ms": 2000}},
+  {"op": "add", "path": "/routes/plots", "value": {"path_prefix": "/plots/",
+    "service": "plots", "class": "short", "repeatable": true}}])";
+constexpr char kExpected[] = "plots answers GET /plots/7\n";
+constexpr int kMostSlowed = 2;
+
+struct Variant {
+  std::string policy;
+  bool ejects;
+};
+
+struct Samples {
+  std::vector<int64_t> p50, p99, p999;
+  uint64_t not_good = 0;
+  double ejections = 0;
+};
+
+void Measure(DeployedMesh& mesh, double rate, Samples& samples) {
+  LoadSpec spec;
+  spec.length = std::chrono::seconds(FLAGS_seconds);
+  spec.rate = [rate](auto) { return rate; };
+  spec.call = [&](uint64_t n) {
+    LoadCall call;
+    call.url = mesh.Daemons().CallerUrl(mesh.EntryOf(n)) + "/plots/7";
+    call.expected_body = kExpected;
+    return call;
+  };
+  LoadResult result = RunLoad(spec)[""];
+  samples.p50.push_back(result.Quantile(0.5));
+  samples.p99.push_back(result.Quantile(0.99));
+  samples.p999.push_back(result.Quantile(0.999));
+  samples.not_good += result.sent - result.good;
+  samples.ejections = mesh.Sum("upstream_ejections_total");
+}
+
+int Run() {
+  const Deployment deployment = DeploymentOf(FLAGS_deployment);
+  const double rate = FLAGS_load * deployment.Capacity(FLAGS_service_ms);
+  const std::vector<Variant> variants = {
+      {"round_robin", false},         {"random", false},
+      {"least_loaded", false},        {"remaining", false},
+      {"remaining_not_twice", false}, {"two_choices", false},
+      {"two_choices", true}};
+  std::map<std::pair<size_t, int>, Samples> all;
+  for (int pair = 0; pair < FLAGS_pairs; ++pair) {
+    for (size_t v = 0; v < variants.size(); ++v) {
+      setenv("HIBISCUSGLADE_CHOICE_POLICY", variants[v].policy.c_str(), 1);
+      if (variants[v].ejects) {
+        unsetenv("HIBISCUSGLADE_NO_EJECTION");
+      } else {
+        setenv("HIBISCUSGLADE_NO_EJECTION", "1", 1);
+      }
+      DeployedMesh mesh(FLAGS_network, deployment,
+                        {"--service_ms=" + std::to_string(FLAGS_service_ms),
+                         "--straggler_every=100", "--straggler_factor=5"},
+                        kVersion);
+      for (int slowed = 0; slowed <= kMostSlowed; ++slowed) {
+        if (slowed > 0) {
+          mesh.Set("plots" + std::to_string(slowed - 1), "slowdown=5");
+        }
+        Measure(mesh, rate, all[{v, slowed}]);
+      }
+    }
+  }
+  std::printf(
+      "| deployment | choice | ejection | slowed | p50 ms | p99 ms | p99.9 ms "
+      "| not good | ejections |\n|---|---|---|---|---|---|---|---|---|\n");
+  for (const auto& [key, samples] : all) {
+    const Variant& variant = variants[key.first];
+    std::printf("| %s | %s | %s | %d | %.1f | %.1f | %.1f | %lu | %.0f |\n",
+                deployment.name.c_str(), variant.policy.c_str(),
+                variant.ejects ? "yes" : "no", key.second,
+                MedianOf(samples.p50) / 1000.0, MedianOf(samples.p99) / 1000.0,
+                MedianOf(samples.p999) / 1000.0, samples.not_good,
+                samples.ejections);
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace hibiscusglade
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return hibiscusglade::Run();
+}
