Keep membership, votes and files right under loss of data

Ruled out: an incarnation witnessed by peers; it can't tell an old copy from an ordinary restart unless the replica restarted in between. Removing the member that runs on an old copy; setting its match back closes the same window and needs no third replica.

--- a/src/consensus/consensus_node.h
+++ b/src/consensus/consensus_node.h
@@ -23,7 +23,7 @@
   VoteState vote;
   std::optional<ConsensusSnapshot> snapshot;
   std::vector<LogEntry> entries;  ///< After the snapshot, without a gap.
-  std::vector<Member> members;    ///< As of the last entry.
+  std::vector<Member> founders;   ///< Members where there is no snapshot.
 };
 
 /// A read that may be answered from the state applied through an index.
--- a/src/consensus/internal/entry_store.cc
+++ b/src/consensus/internal/entry_store.cc
@@ -1,5 +1,6 @@
 #include "consensus/internal/entry_store.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "consensus/consensus_result_codes.h"
@@ -28,10 +29,24 @@
   std::string_view rest = *content;
   auto bytes = TakeRecord(rest);
   if (bytes.has_value() && rest.empty()) return std::string(*bytes);
-  error = PlatformCode::kFileDamaged;
+  error = ConsensusCode::kLogDamaged;
   return std::nullopt;
 }
 
+/// Drops entries that the snapshot replaces, and those of a log that differs
+/// from it.
+void DropReplaced(const ConsensusSnapshot& snapshot,
+                  std::vector<LogEntry>& entries) {
+  const bool differs =
+      std::any_of(entries.begin(), entries.end(), [&](const LogEntry& entry) {
+        return entry.index == snapshot.last_index &&
+               entry.term != snapshot.last_term;
+      });
+  std::erase_if(entries, [&](const LogEntry& entry) {
+    return differs || entry.index <= snapshot.last_index;
+  });
+}
+
 }  // namespace
 
 EntryStore::EntryStore(DataFolder& folder, std::string prefix)
@@ -40,31 +55,43 @@
 std::error_code EntryStore::Load(ConsensusRestored& restored) {
   std::error_code error;
   if (auto vote = ReadRecordFile(folder_, NameOf(kVoteFile), error)) {
-    restored.vote = DecodeVote(*vote).value_or(VoteState{});
+    auto decoded = DecodeVote(*vote);
+    if (!decoded.has_value()) return ConsensusCode::kLogDamaged;
+    restored.vote = std::move(*decoded);
   }
   if (error) return error;
   if (auto bytes = ReadRecordFile(folder_, NameOf(kSnapshotFile), error)) {
     restored.snapshot = DecodeSnapshot(*bytes);
-    restored.members = restored.snapshot->members;
+    if (!restored.snapshot.has_value()) return ConsensusCode::kLogDamaged;
   }
   if (error) return error;
   error = ReadLog(restored.entries);
   if (error) return error;
-  const LogIndex base =
-      restored.snapshot.has_value() ? restored.snapshot->last_index : 0;
-  std::erase_if(restored.entries,
-                [base](const LogEntry& entry) { return entry.index <= base; });
+  if (LacksAFile(restored)) return ConsensusCode::kLogDamaged;
+  const size_t stored = restored.entries.size();
+  LogIndex base = 0;
+  if (restored.snapshot.has_value()) {
+    base = restored.snapshot->last_index;
+    DropReplaced(*restored.snapshot, restored.entries);
+  }
   if (!restored.entries.empty() && restored.entries[0].index != base + 1) {
     return ConsensusCode::kLogDamaged;
   }
-  for (const LogEntry& entry : restored.entries) {
-    if (entry.kind == EntryKind::kMembers) {
-      restored.members = DecodeMembers(entry.command);
-    }
-  }
+  // Entries left from before the snapshot would leave a gap in the file.
+  if (restored.entries.size() != stored) return ReplaceLog(restored.entries);
   return OpenLog();
 }
 
+std::error_code EntryStore::Remove() {
+  log_.reset();
+  log_bytes_ = 0;
+  for (const char* file : {kVoteFile, kSnapshotFile, kLogFile}) {
+    std::error_code error = folder_.Remove(NameOf(file));
+    if (error) return error;
+  }
+  return {};
+}
+
 std::error_code EntryStore::SaveVote(const VoteState& vote) {
   return folder_.WriteAtomically(NameOf(kVoteFile), RecordOf(EncodeVote(vote)));
 }
@@ -76,10 +103,13 @@
   std::error_code error = folder_.WriteAtomically(
       NameOf(kSnapshotFile), RecordOf(EncodeSnapshot(snapshot)));
   if (error) return error;
+  return ReplaceLog(after);
+}
+
+std::error_code EntryStore::ReplaceLog(const std::vector<LogEntry>& entries) {
   std::string log;
-  for (const LogEntry& entry : after) AppendRecord(EncodeEntry(entry), log);
-  log_.reset();
-  error = folder_.WriteAtomically(NameOf(kLogFile), log);
+  for (const LogEntry& entry : entries) AppendRecord(EncodeEntry(entry), log);
+  std::error_code error = folder_.WriteAtomically(NameOf(kLogFile), log);
   if (error) return error;
   log_bytes_ = log.size();
   return OpenLog();
@@ -88,8 +118,15 @@
 std::error_code EntryStore::Append(const std::vector<LogEntry>& entries) {
   std::string bytes;
   for (const LogEntry& entry : entries) AppendRecord(EncodeEntry(entry), bytes);
-  log_bytes_ += bytes.size();
-  return log_->Append(bytes);
+  std::error_code error = log_->Append(bytes);
+  if (!error) {
+    log_bytes_ += bytes.size();
+    return {};
+  }
+  // Part of the bytes may be in the file; a later record behind them would
+  // look like a damaged middle.
+  if (log_->Truncate(log_bytes_)) return PlatformCode::kSyncFailed;
+  return error;
 }
 
 std::error_code EntryStore::Sync() { return log_->Sync(); }
@@ -119,10 +156,26 @@
   return error ? error : file->Sync();
 }
 
+bool EntryStore::LacksAFile(const ConsensusRestored& restored) const {
+  // The log file is made before the first vote, and a term is stored before
+  // the first entry.
+  const std::vector<std::string> names = folder_.Names();
+  auto holds = [&](const char* file) {
+    return std::find(names.begin(), names.end(), NameOf(file)) != names.end();
+  };
+  const bool holds_state =
+      !restored.entries.empty() || restored.snapshot.has_value();
+  return (holds(kVoteFile) && !holds(kLogFile)) ||
+         (holds_state && !holds(kVoteFile));
+}
+
 std::error_code EntryStore::OpenLog() {
   std::error_code error;
-  log_ = folder_.OpenAppend(NameOf(kLogFile), error);
-  return error;
+  auto log = folder_.OpenAppend(NameOf(kLogFile), error);
+  // Without a handle on the new file the old one must not be written.
+  if (error) return PlatformCode::kSyncFailed;
+  log_ = std::move(log);
+  return {};
 }
 
 }  // namespace hibiscusglade
--- a/src/consensus/internal/entry_store.h
+++ b/src/consensus/internal/entry_store.h
@@ -18,9 +18,13 @@
   EntryStore(DataFolder& folder, std::string prefix);
 
   /// Reads what a node needs to start again. A torn end of the log is cut; a
-  /// damaged record before its end is ConsensusCode::kLogDamaged.
+  /// damaged record before its end, a damaged vote or snapshot and a missing
+  /// file are ConsensusCode::kLogDamaged.
   std::error_code Load(ConsensusRestored& restored);
 
+  /// Removes the group's files.
+  std::error_code Remove();
+
   /// Writes the vote; lasting when it returns without error.
   std::error_code SaveVote(const VoteState& vote);
 
@@ -29,6 +33,8 @@
                                const std::vector<LogEntry>& after);
 
   /// Appends entries; lasting only after Sync().
+  /// @return PlatformCode::kFileUnwritable with the file as it was before, so
+  /// that the call may be repeated; kSyncFailed when it could not be undone.
   std::error_code Append(const std::vector<LogEntry>& entries);
   std::error_code Sync();
 
@@ -37,6 +43,8 @@
 
  private:
   std::error_code ReadLog(std::vector<LogEntry>& entries);
+  std::error_code ReplaceLog(const std::vector<LogEntry>& entries);
+  bool LacksAFile(const ConsensusRestored& restored) const;
   std::error_code OpenLog();
   std::string NameOf(const char* file) const { return prefix_ + file; }
 
--- a/src/consensus/internal/node.cc
+++ b/src/consensus/internal/node.cc
@@ -10,6 +10,11 @@
 constexpr size_t kMaxEntriesPerMessage = 256;
 constexpr size_t kMaxBytesPerMessage = 512 * 1024;
 
+ConsensusSnapshot StartOf(ConsensusRestored& restored) {
+  if (restored.snapshot.has_value()) return std::move(*restored.snapshot);
+  return {0, 0, std::move(restored.founders), ""};
+}
+
 }  // namespace
 
 Node::Node(MemberId self, const ConsensusTimes& times,
@@ -18,12 +23,12 @@
       times_(times),
       random_(seed),
       vote_(std::move(restored.vote)),
-      log_(restored.snapshot.value_or(ConsensusSnapshot{}),
-           std::move(restored.entries)),
+      log_(StartOf(restored), std::move(restored.entries)),
       commit_index_(log_.Snapshot().last_index),
       synced_index_(log_.LastIndex()),
-      last_leader_contact_(now - times.election_highest) {
-  SetMembers(std::move(restored.members));
+      last_leader_contact_(now - times.election_highest),
+      quiet_until_(now + times.election_lowest) {
+  ReadMembersFromLog();
   ResetElectionDeadline(now);
 }
 
@@ -51,7 +56,9 @@
       (vote_request != nullptr && vote_request->pre_vote) ||
       (vote_reply != nullptr && vote_reply->pre_vote && vote_reply->granted);
   // A vote request may not disturb a group whose leader answers.
-  if (vote_request != nullptr && LeaderIsFresh(now)) return {};
+  if (vote_request != nullptr && (LeaderIsFresh(now) || now < quiet_until_)) {
+    return {};
+  }
   if (message.term > vote_.term && !pre_vote) {
     BecomeFollower(message.term, std::nullopt, now);
   }
@@ -108,7 +115,8 @@
       through < log_.FirstIndex()) {
     return;
   }
-  log_.CompactTo({through, *term, members_, std::move(state)});
+  auto [index, members] = MembersAt(through);
+  log_.CompactTo({through, *term, std::move(members), std::move(state)});
 }
 
 std::optional<LogIndex> Node::MatchIndex(const MemberId& member) const {
@@ -130,6 +138,12 @@
     vote_ = {term, std::nullopt};
     PersistVote();
   }
+  // A restored old copy of the data folder may have forgotten its vote in this
+  // term. Whoever leads the term has won it, so no other vote can be right.
+  if (leader.has_value() && !vote_.voted_for.has_value()) {
+    vote_.voted_for = leader;
+    PersistVote();
+  }
   role_ = IsVoter(self_) ? ReplicaRole::kFollower : ReplicaRole::kNonVoter;
   leader_ = std::move(leader);
   votes_.clear();
@@ -190,8 +204,11 @@
   }
   const bool free_to_vote =
       !vote_.voted_for.has_value() || *vote_.voted_for == message.from;
-  const bool granted = message.term == vote_.term && free_to_vote &&
-                       log_is_current && IsVoter(self_);
+  // Not only a member that knows itself to be a voter votes: the entry that
+  // gave it the vote may be committed without having reached it. Candidates
+  // count voters only.
+  const bool granted =
+      message.term == vote_.term && free_to_vote && log_is_current;
   if (granted) {
     vote_.voted_for = message.from;
     PersistVote();
@@ -261,6 +278,7 @@
     if (held.has_value()) {
       log_.TruncateFrom(entry.index);
       synced_index_ = std::min(synced_index_, entry.index - 1);
+      if (members_index_ >= entry.index) ReadMembersFromLog();
     }
     Append(entry);
   }
@@ -278,11 +296,19 @@
   progress.waiting = false;
   progress.confirmed_round = std::max(progress.confirmed_round, body.round);
   if (body.matched) {
-    progress.match = std::max(progress.match, body.match_index);
+    if (body.match_index > progress.match) {
+      progress.match = body.match_index;
+      progress.match_round = round_;
+    }
     progress.next = std::max(progress.next, progress.match + 1);
     AdvanceCommit(now);
-    PromoteCaughtUp(now);
-  } else {
+    PromoteCaughtUp(message.from, body.round, now);
+  } else if (body.round > progress.match_round) {
+    // Asked after its acknowledgement arrived and yet without those entries:
+    // the member runs on an old copy of its data folder. What it acknowledged
+    // no longer counts.
+    progress.match = 0;
+    progress.caught_up_round = 0;
     progress.next = std::max<LogIndex>(
         1, std::min(progress.next - 1, body.match_index + 1));
   }
@@ -302,7 +328,10 @@
   last_leader_contact_ = now;
   ResetElectionDeadline(now);
   const ConsensusSnapshot& snapshot = body.snapshot;
-  if (snapshot.last_index > commit_index_) {
+  if (log_.TermAt(snapshot.last_index) == snapshot.last_term) {
+    // A late copy: the entries behind it may be acknowledged already.
+    CommitThrough(snapshot.last_index);
+  } else if (snapshot.last_index > commit_index_) {
     log_.ResetTo(snapshot);
     commit_index_ = snapshot.last_index;
     synced_index_ = snapshot.last_index;
@@ -319,6 +348,8 @@
 
 void Node::OnJoinRequest(const JoinRequest& body, Instant now) {
   if (role_ != ReplicaRole::kLeader) return;
+  // This instance holds its disk, so the request is a late one.
+  if (body.member.id.instance == self_.instance) return;
   std::vector<Member> members;
   for (const Member& member : members_) {
     if (member.id == body.member.id) return;
@@ -338,11 +369,11 @@
   progress.last_sent = now;
   auto previous_term = log_.TermAt(progress.next - 1);
   if (!previous_term.has_value()) {
-    Send(to, vote_.term, InstallSnapshot{log_.Snapshot(), round_});
+    Send(to, vote_.term, InstallSnapshot{log_.Snapshot(), ++round_});
     return;
   }
   AppendRequest request{
-      progress.next - 1, *previous_term, {}, commit_index_, round_};
+      progress.next - 1, *previous_term, {}, commit_index_, ++round_};
   size_t bytes = 0;
   for (LogIndex index = progress.next; index <= log_.LastIndex(); ++index) {
     if (request.entries.size() >= kMaxEntriesPerMessage ||
@@ -463,6 +494,22 @@
   role_ = IsVoter(self_) ? ReplicaRole::kFollower : ReplicaRole::kNonVoter;
 }
 
+std::pair<LogIndex, std::vector<Member>> Node::MembersAt(LogIndex index) const {
+  for (; index >= log_.FirstIndex(); --index) {
+    const LogEntry& entry = log_.At(index);
+    if (entry.kind == EntryKind::kMembers) {
+      return {index, DecodeMembers(entry.command)};
+    }
+  }
+  return {log_.Snapshot().last_index, log_.Snapshot().members};
+}
+
+void Node::ReadMembersFromLog() {
+  auto [index, members] = MembersAt(log_.LastIndex());
+  members_index_ = index;
+  SetMembers(std::move(members));
+}
+
 bool Node::ProposeMembers(const std::vector<Member>& members, Instant now) {
   // One change at a time, and only once this term has committed an entry.
   const bool change_open = members_index_ > commit_index_;
@@ -473,14 +520,22 @@
   return true;
 }
 
-void Node::PromoteCaughtUp(Instant now) {
+void Node::PromoteCaughtUp(const MemberId& id, uint64_t round, Instant now) {
+  auto found = progress_.find(id);
+  if (found == progress_.end() || IsVoter(id)) return;
+  Progress& progress = found->second;
+  if (progress.match < commit_index_) {
+    progress.caught_up_round = 0;
+    return;
+  }
+  // Once may be chance: it must keep up with a round asked after that.
+  if (progress.caught_up_round == 0) progress.caught_up_round = round_;
+  if (round <= progress.caught_up_round) return;
   std::vector<Member> members = members_;
   for (Member& member : members) {
-    if (member.voter || progress_[member.id].match < commit_index_) continue;
-    member.voter = true;
-    ProposeMembers(members, now);
-    return;
+    if (member.id == id) member.voter = true;
   }
+  ProposeMembers(members, now);
 }
 
 bool Node::IsVoter(const MemberId& id) const {
--- a/src/consensus/internal/node.h
+++ b/src/consensus/internal/node.h
@@ -52,6 +52,8 @@
     LogIndex match = 0;
     LogIndex next = 1;
     uint64_t confirmed_round = 0;
+    uint64_t match_round = 0;      ///< Last round asked before `match` rose.
+    uint64_t caught_up_round = 0;  ///< Last round asked before it caught up.
     Instant last_reply;
     Instant last_sent;
     bool waiting = false;  ///< Entries are under way and not yet answered.
@@ -97,7 +99,10 @@
   // Members.
   void SetMembers(std::vector<Member> members);
   bool ProposeMembers(const std::vector<Member>& members, Instant now);
-  void PromoteCaughtUp(Instant now);
+  /// @return the members as of an index and the index that set them.
+  std::pair<LogIndex, std::vector<Member>> MembersAt(LogIndex index) const;
+  void ReadMembersFromLog();
+  void PromoteCaughtUp(const MemberId& id, uint64_t round, Instant now);
   bool IsVoter(const MemberId& id) const;
   size_t QuorumSize() const;
 
@@ -121,6 +126,9 @@
   ReplicaRole role_ = ReplicaRole::kFollower;
   std::optional<MemberId> leader_;
   Instant last_leader_contact_;
+  /// No vote before a live leader had the time to show itself: the data folder
+  /// may be an old copy.
+  Instant quiet_until_;
   Instant election_deadline_;
   Instant heartbeat_deadline_;
   bool pre_voting_ = false;
--- a/src/consensus/internal/replica.cc
+++ b/src/consensus/internal/replica.cc
@@ -46,14 +46,14 @@
         applied_(applied) {}
 
   void OnTick(Instant now) override {
-    if (failure_) return;
+    ExpireCallbacks(now);
+    if (failure_ || storage_full_) return;
     Absorb(node_->OnTick(now));
     AskToJoin(now);
-    ExpireCallbacks(now);
   }
 
   void OnMessage(const ConsensusMessage& message, Instant now) override {
-    if (failure_) return;
+    if (failure_ || storage_full_) return;
     Absorb(node_->OnMessage(message, now));
   }
 
@@ -61,7 +61,7 @@
                ReplicaCallback done) override {
     ConsensusEffects effects;
     std::optional<std::pair<Term, LogIndex>> place;
-    if (!failure_) {
+    if (!failure_ && !storage_full_) {
       place =
           node_->Propose(EntryKind::kCommand, std::move(command), now, effects);
     }
@@ -69,15 +69,18 @@
       done({ConsensusCode::kNotLeader, ""});
       return;
     }
+    auto earlier = proposals_.extract(place->second);
     proposals_[place->second] = {place->first, now + kProposalTimeout,
                                  std::move(done)};
     Absorb(std::move(effects));
+    // A proposal of an earlier leadership stood at this place.
+    if (earlier) earlier.mapped().done({ConsensusCode::kOutcomeUnknown, ""});
   }
 
   void Read(std::string query, Instant now, ReplicaCallback done) override {
     ConsensusEffects effects;
     const uint64_t read = ++last_read_;
-    if (failure_ || !node_->RequestRead(read, now, effects)) {
+    if (failure_ || storage_full_ || !node_->RequestRead(read, now, effects)) {
       done({ConsensusCode::kNotLeader, ""});
       return;
     }
@@ -89,12 +92,15 @@
     while (!failure_ && HasPending()) {
       ConsensusEffects effects = std::move(pending_);
       pending_ = {};
-      failure_ = Persist(effects);
-      if (failure_) {
-        Log(LogLevel::kError, "consensus",
-            "The replica stops: " + failure_.message() + ".");
+      if (std::error_code error = Persist(effects)) {
+        pending_ = std::move(effects);
+        OnStorageError(error);
         return;
       }
+      if (storage_full_) {
+        storage_full_ = false;
+        Log(LogLevel::kWarning, "consensus", "The replica can write again.");
+      }
       for (const ConsensusMessage& message : effects.send) SendOut(message);
       Absorb(node_->OnSynced(now));
       for (const LogEntry& entry : effects.committed) Apply(entry);
@@ -106,6 +112,7 @@
   const ConsensusNode& Node() const override { return *node_; }
 
   std::string LeaderAddress() const override {
+    if (failure_ || storage_full_) return "";
     auto leader = node_->Leader();
     return leader.has_value() ? AddressOf(*leader) : "";
   }
@@ -113,6 +120,24 @@
   std::error_code Failure() const override { return failure_; }
 
  private:
+  /// A full disk leaves what is stored as it was: nothing is sent, and the
+  /// write is tried again. After any other error it is not known what the disk
+  /// holds.
+  void OnStorageError(std::error_code error) {
+    if (error == PlatformCode::kFileUnwritable) {
+      if (!storage_full_) {
+        Log(LogLevel::kError, "consensus",
+            "The replica pauses: " + error.message() + ".");
+      }
+      storage_full_ = true;
+      return;
+    }
+    failure_ = error;
+    Log(LogLevel::kError, "consensus",
+        "The replica stops: " + error.message() + ".");
+    ExpireCallbacks(Instant::max());
+  }
+
   bool HasPending() const { return pending_ != ConsensusEffects{}; }
 
   void Absorb(ConsensusEffects effects) {
@@ -210,7 +235,10 @@
   }
 
   void AskToJoin(Instant now) {
-    if (node_->Role() != ReplicaRole::kNonVoter || now < next_join_) return;
+    // Without a leader a member may have been replaced without learning it.
+    const bool may_be_no_member =
+        node_->Role() == ReplicaRole::kNonVoter || !node_->Leader().has_value();
+    if (!may_be_no_member || now < next_join_) return;
     next_join_ = now + kJoinInterval;
     for (const Member& member : known_) {
       if (member.address == self_.address) continue;
@@ -220,10 +248,17 @@
   }
 
   void CompactIfLarge() {
-    if (store_.LogBytes() < kCompactionBytes || applied_ == 0) return;
+    if (store_.LogBytes() < kCompactionBytes ||
+        applied_ <= node_->LastSnapshot().last_index) {
+      return;
+    }
     node_->Compact(applied_, state_.Snapshot());
-    failure_ = store_.SaveSnapshot(node_->LastSnapshot(),
-                                   node_->EntriesAfterSnapshot());
+    // Entries that are not synced yet are written once more by a later turn,
+    // which replaces them by themselves.
+    std::error_code error = store_.SaveSnapshot(node_->LastSnapshot(),
+                                                node_->EntriesAfterSnapshot());
+    // On a full disk the log merely stays longer than needed.
+    if (error && error != PlatformCode::kFileUnwritable) OnStorageError(error);
   }
 
   Member self_;
@@ -239,19 +274,21 @@
   std::map<uint64_t, OpenRead> reads_;
   uint64_t last_read_ = 0;
   Instant next_join_;
+  bool storage_full_ = false;
   std::error_code failure_;
 };
 
-std::error_code SaveIdentity(DataFolder& folder,
+std::error_code SaveIdentity(DataFolder& folder, const std::string& name,
                              const ReplicaIdentity& identity) {
   std::string record;
   AppendRecord(EncodeIdentity(identity), record);
-  return folder.WriteAtomically(kIdentityFile, record);
+  return folder.WriteAtomically(name, record);
 }
 
 std::optional<ReplicaIdentity> LoadIdentity(DataFolder& folder,
+                                            const std::string& name,
                                             std::error_code& error) {
-  auto content = folder.Read(kIdentityFile, error);
+  auto content = folder.Read(name, error);
   if (!content.has_value()) return std::nullopt;
   std::string_view rest = *content;
   auto bytes = TakeRecord(rest);
@@ -270,7 +307,7 @@
 std::error_code FoundReplica(DataFolder& folder, const std::string& instance,
                              const std::vector<Member>& founders) {
   if (!folder.Names().empty()) return ConsensusCode::kFolderNotEmpty;
-  return SaveIdentity(folder, {{instance, 0}, founders});
+  return SaveIdentity(folder, kIdentityFile, {{instance, 0}, founders});
 }
 
 std::unique_ptr<Replica> OpenReplica(
@@ -278,13 +315,19 @@
     const std::vector<Member>& known, const ConsensusTimes& times,
     ConsensusLink& link, ReplicatedState& state, uint64_t seed, Instant now,
     std::error_code& error) {
-  auto identity = LoadIdentity(folder, error);
+  // A group whose files were damaged has an identity of its own since then.
+  const std::string own_identity_file = prefix + kIdentityFile;
+  auto identity = LoadIdentity(folder, own_identity_file, error);
+  if (!error && !identity.has_value()) {
+    identity = LoadIdentity(folder, kIdentityFile, error);
+  }
   if (error) return nullptr;
-  if (!identity.has_value()) {
+  auto renew_identity = [&](const std::string& name) {
     identity = ReplicaIdentity{{self.id.instance, NewIdentity()}, {}};
-    error = SaveIdentity(folder, *identity);
-    if (error) return nullptr;
-  }
+    return SaveIdentity(folder, name, *identity);
+  };
+  if (!identity.has_value()) error = renew_identity(kIdentityFile);
+  if (error) return nullptr;
   if (identity->id.instance != self.id.instance) {
     error = ConsensusCode::kWrongInstance;
     return nullptr;
@@ -292,8 +335,18 @@
   EntryStore store(folder, prefix);
   ConsensusRestored restored;
   error = store.Load(restored);
+  if (error == ConsensusCode::kLogDamaged) {
+    Log(LogLevel::kError, "consensus",
+        "The files " + prefix +
+            "* are damaged; the replica joins as a new member.");
+    // The identity comes first: damaged files must never be used under it.
+    error = renew_identity(own_identity_file);
+    if (!error) error = store.Remove();
+    restored = {};
+    if (!error) error = store.Load(restored);
+  }
   if (error) return nullptr;
-  if (restored.members.empty()) restored.members = identity->founders;
+  restored.founders = identity->founders;
   LogIndex applied = 0;
   if (restored.snapshot.has_value()) {
     applied = restored.snapshot->last_index;
--- a/src/consensus/tests/replica_group.h
+++ b/src/consensus/tests/replica_group.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSGLADE_CONSENSUS_TESTS_REPLICA_GROUP_H_
 #define HIBISCUSGLADE_CONSENSUS_TESTS_REPLICA_GROUP_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -10,12 +11,19 @@
 #include <vector>
 
 #include "consensus/replica.h"
+#include "platform/platform_result_codes.h"
 
 namespace hibiscusglade {
 
 /// Data folder in memory. Appended bytes last only once synced.
 class FakeDataFolder : public DataFolder {
  public:
+  /// Faults of the disk, changed by a test at any time.
+  struct Faults {
+    bool full = false;  ///< Writes leave half of the bytes and fail.
+    bool sync_fails = false;
+  };
+
   std::optional<std::string> Read(const std::string& name,
                                   std::error_code&) override {
     auto found = files_.find(name);
@@ -24,12 +32,14 @@
   }
   std::error_code WriteAtomically(const std::string& name,
                                   std::string_view content) override {
+    if (faults_->sync_fails) return PlatformCode::kSyncFailed;
+    if (faults_->full) return PlatformCode::kFileUnwritable;
     files_[name] = std::string(content);
     return {};
   }
   std::unique_ptr<AppendFile> OpenAppend(const std::string& name,
                                          std::error_code&) override {
-    return std::make_unique<File>(files_[name]);
+    return std::make_unique<File>(files_[name], *faults_);
   }
   std::error_code Remove(const std::string& name) override {
     files_.erase(name);
@@ -41,30 +51,42 @@
     return names;
   }
   std::string& ContentOf(const std::string& name) { return files_[name]; }
+  std::map<std::string, std::string>& Files() { return files_; }
+  Faults& DiskFaults() { return *faults_; }
 
  private:
   class File : public AppendFile {
    public:
-    explicit File(std::string& content) : content_(content) {}
+    File(std::string& content, const Faults& faults)
+        : content_(content), faults_(faults) {}
     std::error_code Append(std::string_view bytes) override {
+      if (faults_.full) {
+        unsynced_ += bytes.substr(0, bytes.size() / 2);
+        return PlatformCode::kFileUnwritable;
+      }
       unsynced_ += bytes;
       return {};
     }
     std::error_code Sync() override {
+      if (faults_.sync_fails) return PlatformCode::kSyncFailed;
       content_ += std::exchange(unsynced_, "");
       return {};
     }
     std::error_code Truncate(uint64_t size) override {
-      content_.resize(size);
+      const std::string whole = content_ + unsynced_;
+      content_.resize(std::min<size_t>(size, content_.size()));
+      unsynced_ = whole.substr(content_.size(), size - content_.size());
       return {};
     }
 
    private:
     std::string& content_;
+    const Faults& faults_;
     std::string unsynced_;
   };
 
   std::map<std::string, std::string> files_;
+  std::unique_ptr<Faults> faults_ = std::make_unique<Faults>();
 };
 
 /// State that keeps its commands in order.
