Take the restart floor from a read confirmed by the leader

Cause: daemons without the replica role never put a version in use. Messages reach the follower under the name of a stand-in sender, so its set of replicas that had answered never grew beyond one and no majority was ever seen; replicas were saved by a confirmation of their own. The rule was wrong besides: a majority of the replicas' own views of what is committed can miss a version committed by a leader and one other replica. Change: a follower asks its caller for a read of the latest number, confirmed by the leader of the versions group, and uses nothing below it. The same way serves replicas. Ruled out: mending only the sender's name, since the rule itself was wrong; reading the latest document, since its text would go to every daemon of a herd: the read asks for one row of the history without text.

--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -26,17 +26,6 @@
     to->set_digest(m.digest);
     to->set_busy(m.busy);
   }
-  void operator()(const FloorQuery& m) const {
-    out.mutable_floor_query()->set_query(m.query);
-  }
-  void operator()(const FloorAnswer& m) const {
-    auto* to = out.mutable_floor_answer();
-    to->set_query(m.query);
-    to->set_committed(m.committed);
-    to->set_replica(m.replica);
-    to->set_current(m.current);
-    to->set_highest_in_use(m.highest_in_use);
-  }
 };
 
 void Fill(const InstanceRecord& record, wire::InstanceRecord& out) {
@@ -136,13 +125,6 @@
                          in.version_pull().have_digest()};
     case wire::Envelope::kVersionPullAnswer:
       return From(in.version_pull_answer());
-    case wire::Envelope::kFloorQuery:
-      return FloorQuery{in.floor_query().query()};
-    case wire::Envelope::kFloorAnswer:
-      return FloorAnswer{
-          in.floor_answer().query(), in.floor_answer().committed(),
-          in.floor_answer().replica(), in.floor_answer().current(),
-          in.floor_answer().highest_in_use()};
     default:
       return std::nullopt;
   }
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -26,7 +26,6 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 constexpr std::chrono::seconds kOperatorWait{6};
-constexpr Duration kConfirmInterval = std::chrono::milliseconds(300);
 
 std::error_code ErrorFromNumber(int number) {
   if (number == 0) return {};
@@ -91,7 +90,6 @@
     follower.instance = config_.identity.instance;
     follower.failure_domain = config_.identity.failure_domain;
     follower.replica = IsReplica();
-    follower.replicas = AddressesOf(config_.replicas);
     follower_ = MakeVersionFollower(follower, config_.seed + 1, now);
     if (IsReplica()) {
       Member self{{config_.identity.instance, 0},
@@ -337,31 +335,26 @@
     groups_.OnTick(now);
     if (!IsReplica()) return;
     replicas_.OnTick(now);
-    ConfirmReplica(now);
-  }
-
-  /// Asks the leader which version is the latest until the local replica is
-  /// known to hold it.
-  void ConfirmReplica(Instant now) {
-    if (confirmed_ || now < next_confirm_) return;
-    next_confirm_ = now + kConfirmInterval;
-    const uint64_t held = replicas_.Versions().Latest()->number;
-    if (confirmed_latest_.has_value() && held >= *confirmed_latest_) {
-      confirmed_ = true;
-      Follow(follower_->OnReplicaCurrent(*confirmed_latest_, now));
-      return;
-    }
+  }
+
+  /// Asks the leader for the number of the latest version.
+  void ReadFloor() {
+    if (reading_floor_) return;
+    reading_floor_ = true;
     wire::VersionQuery query;
-    groups_.Submit(GroupId::kVersions, query.SerializeAsString(), true, now,
-                   [this](const ReplicaResult& result) {
-                     wire::VersionQueryAnswer answer;
-                     if (result.error ||
-                         !answer.ParseFromString(result.result) ||
-                         answer.versions().empty()) {
-                       return;
-                     }
-                     confirmed_latest_ = answer.versions(0).number();
-                   });
+    query.set_kind(wire::VersionQuery::HISTORY);
+    query.set_most(1);
+    groups_.Submit(
+        GroupId::kVersions, query.SerializeAsString(), true, clock_.Now(),
+        [this](const ReplicaResult& result) {
+          reading_floor_ = false;
+          wire::VersionQueryAnswer answer;
+          if (result.error || !answer.ParseFromString(result.result)) {
+            return;
+          }
+          Follow(follower_->OnFloor(
+              answer.versions().empty() ? 0 : answer.versions(0).number()));
+        });
   }
 
   void TakeAccepted(Instant now) {
@@ -405,6 +398,7 @@
       ToWire(sent.message, message);
       SendOrDeliver(sent.address, message);
     }
+    if (effects.read_floor) ReadFloor();
     if (effects.activate == nullptr) return;
     activated_at_ = clock_.Now();
     membership_->SetVersionInUse(effects.activate->number,
@@ -622,10 +616,8 @@
   std::vector<Executor::Task> local_;
 
   Instant next_tick_;
-  Instant next_confirm_;
   Instant activated_at_;
-  std::optional<uint64_t> confirmed_latest_;
-  bool confirmed_ = false;
+  bool reading_floor_ = false;
   bool stopping_ = false;
   bool draining_ = false;
   bool ended_ = false;
--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -1,7 +1,6 @@
 #include "distribution/version_follower.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "distribution/internal/version_history.h"
@@ -34,10 +33,6 @@
       pull_open_until_ = now;
       history_.TakeAnswer(*answer);
       Activate(effects);
-    } else if (const auto* query = std::get_if<FloorQuery>(&message)) {
-      effects.send.push_back({from, AnswerFloor(*query)});
-    } else if (const auto* floor = std::get_if<FloorAnswer>(&message)) {
-      OnFloorAnswer(from, *floor, effects);
     }
     return effects;
   }
@@ -46,15 +41,15 @@
                               Instant now) override {
     FollowerEffects effects;
     if (history_.Take(version)) next_notice_ = now;
-    replica_committed_ = std::max(replica_committed_, version->number);
     Activate(effects);
     return effects;
   }
 
-  FollowerEffects OnReplicaCurrent(uint64_t number, Instant) override {
+  FollowerEffects OnFloor(uint64_t number) override {
     FollowerEffects effects;
-    replica_current_ = true;
-    SetFloor(number);
+    if (floor_known_) return effects;
+    floor_known_ = true;
+    floor_ = number;
     Activate(effects);
     return effects;
   }
@@ -68,7 +63,8 @@
 
   std::string WaitingFor() const override {
     if (!floor_known_) {
-      return "a majority of the replicas to confirm the lowest version";
+      return "the leader of a majority of the replicas to tell the latest "
+             "version";
     }
     if (in_use_ == nullptr) return "version " + std::to_string(floor_);
     return "";
@@ -78,39 +74,12 @@
   static constexpr size_t kNoticeFanout = 3;
 
   void AskForFloor(Instant now, FollowerEffects& effects) {
-    if (floor_known_ || now < next_floor_query_) return;
-    next_floor_query_ = now + config_.floor_interval;
-    ++floor_query_;
-    floor_answers_.clear();
-    floor_seen_ = 0;
-    for (const std::string& replica : config_.replicas) {
-      effects.send.push_back({replica, FloorQuery{floor_query_}});
-    }
-  }
-
-  FloorAnswer AnswerFloor(const FloorQuery& query) const {
-    const uint64_t in_use = in_use_ == nullptr ? 0 : in_use_->number;
-    return {query.query, replica_committed_, config_.replica, replica_current_,
-            in_use};
-  }
-
-  void OnFloorAnswer(const std::string& from, const FloorAnswer& answer,
-                     FollowerEffects& effects) {
-    if (floor_known_ || answer.query != floor_query_ || !answer.replica ||
-        !answer.current) {
-      return;
-    }
-    floor_answers_.insert(from);
-    floor_seen_ = std::max(floor_seen_, answer.committed);
-    if (floor_answers_.size() * 2 <= config_.replicas.size()) return;
-    SetFloor(floor_seen_);
-    Activate(effects);
-  }
-
-  void SetFloor(uint64_t floor) {
-    if (floor_known_) return;
-    floor_known_ = true;
-    floor_ = floor;
+    if (floor_known_ || now < next_floor_read_) return;
+    const auto interval = static_cast<uint64_t>(config_.floor_interval.count());
+    next_floor_read_ =
+        now +
+        Duration(static_cast<int64_t>(interval / 2 + random_.Below(interval)));
+    effects.read_floor = true;
   }
 
   void OnNotice(const std::string& from, const VersionNotice& notice,
@@ -154,13 +123,8 @@
 
   bool floor_known_ = false;
   uint64_t floor_ = 0;
-  uint64_t floor_query_ = 0;
-  uint64_t floor_seen_ = 0;
-  std::set<std::string> floor_answers_;
-  Instant next_floor_query_;
+  Instant next_floor_read_;
 
-  uint64_t replica_committed_ = 0;
-  bool replica_current_ = false;
   Instant next_notice_;
   Instant pull_open_until_;
 };
--- a/src/distribution/tests/version_follower_test.cc
+++ b/src/distribution/tests/version_follower_test.cc
@@ -20,7 +20,6 @@
   static FollowerConfig ConfigOf(const std::string& name) {
     FollowerConfig config;
     config.instance = name;
-    config.replicas = {"r1", "r2", "r3"};
     return config;
   }
 
@@ -31,22 +30,29 @@
 
 class ARestartedFollower : public AFollower {};
 
-TEST_F(ARestartedFollower, UsesNothingBeforeAMajorityConfirmedTheFloor) {
-  auto asked = follower_->OnTick(now_).send;
-  ASSERT_EQ(asked.size(), 3u);
-  follower_->OnMessage("r1", FloorAnswer{1, 1, true, true, 0}, now_);
-  EXPECT_FALSE(follower_->FloorKnown());
-  follower_->OnMessage("r2", FloorAnswer{1, 0, true, true, 0}, now_);
-  EXPECT_TRUE(follower_->FloorKnown());
+TEST_F(ARestartedFollower, AsksForAFloorAgainUntilItIsTold) {
+  EXPECT_TRUE(follower_->OnTick(now_).read_floor);
+  EXPECT_FALSE(follower_->OnTick(now_).read_floor);
+  EXPECT_TRUE(follower_->OnTick(now_ + std::chrono::seconds(1)).read_floor);
+  EXPECT_FALSE(follower_->WaitingFor().empty());
+  follower_->OnFloor(0);
+  EXPECT_FALSE(follower_->OnTick(now_ + std::chrono::seconds(9)).read_floor);
+}
+
+TEST_F(ARestartedFollower, UsesNothingBelowTheFloor) {
+  EXPECT_EQ(follower_->OnCommitted(VersionWith(1, "a"), now_).activate,
+            nullptr);
+  EXPECT_EQ(follower_->OnFloor(2).activate, nullptr);
   EXPECT_EQ(follower_->InUse(), nullptr);
-  auto effects = follower_->OnCommitted(VersionWith(1, "plots"), now_);
+  EXPECT_EQ(follower_->WaitingFor(), "version 2");
+  auto effects = follower_->OnCommitted(VersionWith(2, "b"), now_);
   ASSERT_NE(effects.activate, nullptr);
-  EXPECT_EQ(effects.activate->number, 1u);
+  EXPECT_EQ(effects.activate->number, 2u);
 }
 
 class AFollowerWithAFloor : public AFollower {
  protected:
-  AFollowerWithAFloor() { follower_->OnReplicaCurrent(0, now_); }
+  AFollowerWithAFloor() { follower_->OnFloor(0); }
 };
 
 TEST_F(AFollowerWithAFloor, PullsFromThePeerThatIsAhead) {
--- a/src/distribution/types/distribution_types.h
+++ b/src/distribution/types/distribution_types.h
@@ -41,26 +41,8 @@
                          const VersionPullAnswer&) = default;
 };
 
-/// Asks what a restarted daemon may not fall below.
-struct FloorQuery {
-  uint64_t query = 0;
-
-  friend bool operator==(const FloorQuery&, const FloorQuery&) = default;
-};
-
-struct FloorAnswer {
-  uint64_t query = 0;
-  uint64_t committed = 0;  ///< What the replica holds as committed.
-  bool replica = false;
-  bool current = false;  ///< Confirmed by the leader.
-  uint64_t highest_in_use = 0;
-
-  friend bool operator==(const FloorAnswer&, const FloorAnswer&) = default;
-};
-
 using DistributionMessage =
-    std::variant<VersionNotice, VersionPull, VersionPullAnswer, FloorQuery,
-                 FloorAnswer>;
+    std::variant<VersionNotice, VersionPull, VersionPullAnswer>;
 
 /// A peer as the distribution sees it.
 struct DistributionPeer {
--- a/src/distribution/version_follower.h
+++ b/src/distribution/version_follower.h
@@ -16,8 +16,7 @@
 struct FollowerConfig {
   std::string instance;
   std::string failure_domain;
-  bool replica = false;               ///< A control replica runs here.
-  std::vector<std::string> replicas;  ///< Control addresses of all replicas.
+  bool replica = false;  ///< A control replica runs here.
   Duration notice_interval = std::chrono::milliseconds(500);
   Duration pull_timeout = std::chrono::seconds(2);
   Duration floor_interval = std::chrono::milliseconds(500);
@@ -29,6 +28,9 @@
   /// The version to put in use; empty when it does not change. Its number is
   /// always above that of the version in use.
   ConfigVersionPtr activate;
+  /// The caller must read the latest number from the leader of the versions
+  /// group, confirmed by a majority, and tell it to OnFloor().
+  bool read_floor = false;
 };
 
 /// One daemon's copy of the configuration: learns of newer versions from its
@@ -50,9 +52,9 @@
   virtual FollowerEffects OnCommitted(const ConfigVersionPtr& version,
                                       Instant now) = 0;
 
-  /// Tells that the local replica was confirmed current by its leader, through
-  /// a version.
-  virtual FollowerEffects OnReplicaCurrent(uint64_t number, Instant now) = 0;
+  /// Takes the answer to `read_floor`. The read must have begun after this
+  /// follower was made: then no version above `number` was in use before.
+  virtual FollowerEffects OnFloor(uint64_t number) = 0;
 
   /// Replaces the peers known to be alive.
   virtual void SetPeers(std::vector<DistributionPeer> peers) = 0;
