Make the ledger of claims refuse late claims and bound its memory

Cause: a claim that was applied after its burn was granted, so an attempt of which "not run" had been said could run; nothing ever expired; answers of any size were kept; a replayed finish replaced the kept answer. Ruled out: the replica's local clock in Apply (replicas would differ); the newest time of any command (one wrong clock would expire every key).

--- a/src/claims/internal/claims_result_codes.cc
+++ b/src/claims/internal/claims_result_codes.cc
@@ -13,11 +13,19 @@
     {6004, "ledger-unavailable", "no majority can record the claim", 503,
      Certainty::kNotRun, "Restore replicas or links, then resend."},
     {6005, "ledger-silent", "the ledger's answer was lost", 503,
-     Certainty::kNotRun, "Resend with the same key."},
+     Certainty::kUnknown, "Resend with the same key."},
     {6006, "already-done", "the request ran; its answer was kept", 200,
      Certainty::kNotApplicable, "Nothing."},
     {6007, "damaged-command", "the claim can't be decoded", 400,
      Certainty::kNotRun, "Check that all daemons run one release."},
+    {6008, "attempt-burnt", "the attempt was given up before it began", 503,
+     Certainty::kNotRun, "Resend with the same key."},
+    {6009, "ledger-full", "the ledger holds as many claims as it may", 503,
+     Certainty::kNotRun, "Wait until claims expire; send fewer such calls."},
+    {6010, "answer-not-kept", "the request ran; its answer was not kept", 409,
+     Certainty::kUnknown, "Look the outcome up at the service."},
+    {6011, "claim-too-late", "the claim came after its own expiry", 503,
+     Certainty::kNotRun, "Check the calendar time of the instances."},
 };
 
 }  // namespace
--- a/src/claims/tests/claim_ledger_test.cc
+++ b/src/claims/tests/claim_ledger_test.cc
@@ -8,15 +8,29 @@
 namespace hibiscusglade {
 namespace {
 
+constexpr int64_t kMinute = 60LL * 1000 * 1000;
+
 class ALedgerOfClaims : public testing::Test {
  protected:
+  explicit ALedgerOfClaims(size_t max_bytes = size_t{1024} * 1024)
+      : ledger_(max_bytes) {}
+
   ClaimOutcome Apply(ClaimKind kind, const std::string& attempt,
                      Digest digest = 7, const std::string& answer = "") {
-    ClaimCommand command{kind, "orders", "k1", digest, attempt, "o", answer, 0};
+    return ApplyTo("k1", kind, attempt, digest, answer);
+  }
+
+  ClaimOutcome ApplyTo(const std::string& key, ClaimKind kind,
+                       const std::string& attempt, Digest digest = 7,
+                       const std::string& answer = "") {
+    ClaimCommand command{
+        kind,    "orders", key,    digest,
+        attempt, "o",      answer, now_ + kClaimLifetimeMicros};
     return DecodeClaimOutcome(ledger_.Apply(EncodeClaim(command)));
   }
 
   ClaimLedger ledger_;
+  int64_t now_ = 1000 * kMinute;
 };
 
 TEST_F(ALedgerOfClaims, GrantsAKeyOnce) {
@@ -32,6 +46,13 @@
   EXPECT_EQ(outcome.kept_answer, "done");
 }
 
+TEST_F(ALedgerOfClaims, KeepsTheFirstAnswerWhenTheFinishComesTwice) {
+  Apply(ClaimKind::kClaim, "a1");
+  Apply(ClaimKind::kFinish, "a1", 7, "done");
+  EXPECT_FALSE(Apply(ClaimKind::kFinish, "a1", 7, "other").error);
+  EXPECT_EQ(Apply(ClaimKind::kClaim, "a2").kept_answer, "done");
+}
+
 TEST_F(ALedgerOfClaims, RefusesAKeyUsedForAnotherRequest) {
   Apply(ClaimKind::kClaim, "a1");
   EXPECT_EQ(Apply(ClaimKind::kClaim, "a2", 8).error, ClaimsCode::kKeyReused);
@@ -44,12 +65,83 @@
   EXPECT_EQ(Apply(ClaimKind::kFinish, "a1").error, ClaimsCode::kOutcomeUnknown);
 }
 
+TEST_F(ALedgerOfClaims, NeverGrantsAClaimThatComesAfterItsBurn) {
+  EXPECT_FALSE(Apply(ClaimKind::kBurn, "a1").error);
+  EXPECT_EQ(Apply(ClaimKind::kClaim, "a1").error, ClaimsCode::kAttemptBurnt);
+  EXPECT_FALSE(Apply(ClaimKind::kBurn, "a1").error);
+  EXPECT_FALSE(Apply(ClaimKind::kClaim, "a2").error);
+}
+
+TEST_F(ALedgerOfClaims, DoesNotBurnWhatIsFinished) {
+  Apply(ClaimKind::kClaim, "a1");
+  Apply(ClaimKind::kFinish, "a1", 7, "done");
+  EXPECT_EQ(Apply(ClaimKind::kBurn, "a1").error, ClaimsCode::kOutcomeUnknown);
+  EXPECT_EQ(Apply(ClaimKind::kClaim, "a2").kept_answer, "done");
+}
+
+TEST_F(ALedgerOfClaims, RemembersThatItRanWhenTheAnswerIsTooLargeToKeep) {
+  Apply(ClaimKind::kClaim, "a1");
+  Apply(ClaimKind::kFinish, "a1", 7, std::string(kMaxKeptAnswerBytes + 1, 'x'));
+  EXPECT_EQ(Apply(ClaimKind::kClaim, "a2").error, ClaimsCode::kAnswerNotKept);
+}
+
+TEST_F(ALedgerOfClaims, ForgetsAKeyAfterItsLifetime) {
+  Apply(ClaimKind::kClaim, "a1");
+  now_ += kClaimLifetimeMicros - kMinute;
+  EXPECT_EQ(Apply(ClaimKind::kClaim, "a2").error, ClaimsCode::kOutcomeUnknown);
+  now_ += kMinute;
+  EXPECT_FALSE(Apply(ClaimKind::kClaim, "a3").error);
+  EXPECT_EQ(ledger_.Size(), 1U);
+}
+
+TEST_F(ALedgerOfClaims, RefusesAClaimThatOutlivedItsBurn) {
+  Apply(ClaimKind::kBurn, "a1");
+  const int64_t sent = now_;
+  now_ += kClaimLifetimeMicros + kMinute;
+  ApplyTo("k2", ClaimKind::kClaim, "b1");
+  now_ = sent;
+  EXPECT_EQ(Apply(ClaimKind::kClaim, "a1").error, ClaimsCode::kClaimTooLate);
+}
+
+TEST_F(ALedgerOfClaims, FreesItsMemoryWithWhatExpires) {
+  const size_t empty = ledger_.Bytes();
+  for (int i = 0; i < 10; ++i) {
+    const std::string name = std::to_string(i);
+    ApplyTo("k" + name, ClaimKind::kClaim, "a" + name);
+    ApplyTo("k" + name, ClaimKind::kFinish, "a" + name, 7, "done");
+    ApplyTo("k" + name, ClaimKind::kBurn, "b" + name);
+  }
+  EXPECT_GT(ledger_.Bytes(), empty);
+  now_ += kClaimLifetimeMicros + kMinute;
+  Apply(ClaimKind::kBurn, "a1");
+  Apply(ClaimKind::kBurn, "a1");
+  now_ += kClaimLifetimeMicros + kMinute;
+  // Too late by its own time, so that nothing new is held.
+  ApplyTo("k", ClaimKind::kClaim, "last");
+  EXPECT_EQ(ledger_.Size(), 1U);
+  EXPECT_LT(ledger_.Bytes(), 1000U);
+}
+
 TEST_F(ALedgerOfClaims, ComesBackFromItsSnapshot) {
   Apply(ClaimKind::kClaim, "a1");
   Apply(ClaimKind::kFinish, "a1", 7, "done");
+  ApplyTo("k2", ClaimKind::kBurn, "b1");
   ClaimLedger other;
   ASSERT_TRUE(other.Restore(ledger_.Snapshot()));
   EXPECT_EQ(other.Snapshot(), ledger_.Snapshot());
+  EXPECT_EQ(other.Bytes(), ledger_.Bytes());
+}
+
+class AFullLedger : public ALedgerOfClaims {
+ protected:
+  AFullLedger() : ALedgerOfClaims(600) { Apply(ClaimKind::kClaim, "a1"); }
+};
+
+TEST_F(AFullLedger, GrantsNothingMoreButKeepsWhatItHolds) {
+  EXPECT_EQ(ApplyTo("k2", ClaimKind::kClaim, "b1").error,
+            ClaimsCode::kLedgerFull);
+  EXPECT_FALSE(Apply(ClaimKind::kFinish, "a1", 7, "done").error);
+  EXPECT_EQ(Apply(ClaimKind::kClaim, "a2").error, ClaimsCode::kAlreadyDone);
 }
 
 }  // namespace
--- a/src/claims/types/claim_types.h
+++ b/src/claims/types/claim_types.h
@@ -10,10 +10,16 @@
 
 namespace hibiscusglade {
 
+/// How long a key is remembered, from the last command of its attempt.
+inline constexpr int64_t kClaimLifetimeMicros = 3600LL * 1000 * 1000;
+
+/// Largest encoded answer that is kept for a resend.
+inline constexpr size_t kMaxKeptAnswerBytes = size_t{64} * 1024;
+
 enum class ClaimKind : uint8_t {
   kClaim = 1,   ///< Take the right to run a request once.
   kFinish = 2,  ///< It ran; keep its answer.
-  kBurn = 3,    ///< The attempt will never run; another may claim.
+  kBurn = 3,    ///< The attempt will never run, nor be granted later.
 };
 
 /// A command for the ledger of requests that may not be repeated.
@@ -23,9 +29,11 @@
   std::string key;  ///< The caller's idempotency key.
   Digest request_digest = 0;
   std::string attempt;
-  std::string owner;       ///< Instance that runs the attempt.
-  std::string answer;      ///< Encoded answer, with kFinish.
-  int64_t expires_at = 0;  ///< Calendar time in microseconds.
+  std::string owner;   ///< Instance that runs the attempt.
+  std::string answer;  ///< Encoded, with kFinish; empty when not kept.
+  /// Calendar time in microseconds: the owner's own plus the lifetime. The
+  /// ledger has no other source of time.
+  int64_t expires_at = 0;
 
   friend bool operator==(const ClaimCommand&, const ClaimCommand&) = default;
 };
