Keep checkouts that run the same process tests apart

Cause: two checkouts on one machine listened on the same loopback addresses; a test reached the other's mesh and saw a 409 and a relay's busy address.

Change: HG_MESH_SUBNET chooses the third number of a mesh's addresses.

--- a/tests/harness/mesh.cc
+++ b/tests/harness/mesh.cc
@@ -29,6 +29,13 @@
   return std::string(HG_BINARY_DIR) + "/bin/" + name;
 }
 
+/// @return third number of the first address. Checkouts that run the same
+/// tests at the same time keep apart by HG_MESH_SUBNET, 0 to 250.
+int FirstSubnet() {
+  const char* subnet = std::getenv("HG_MESH_SUBNET");
+  return subnet == nullptr ? 0 : std::atoi(subnet);
+}
+
 }  // namespace
 
 struct Mesh::Seat {
@@ -49,7 +56,7 @@
     auto seat = std::make_unique<Seat>();
     seat->spec = std::move(spec);
     seat->ip = "127." + std::to_string(network) + "." +
-               std::to_string(place / kSeatsPerSubnet) + "." +
+               std::to_string(FirstSubnet() + place / kSeatsPerSubnet) + "." +
                std::to_string(place % kSeatsPerSubnet + 1);
     ++place;
     seats_.push_back(std::move(seat));
