--- a/bench/deployment.h
+++ b/bench/deployment.h
@@ -3,7 +3,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
 #include <memory>
+#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -96,13 +98,36 @@
     SendHttp("GET", mesh_->UpstreamUrl(instance) + "/standin/set?" + setting);
   }
 
-  /// @return the sum of a metric over all daemons.
-  double Sum(const std::string& line) const {
+  /// @return the sum of a metric over all daemons and labels.
+  double Sum(const std::string& metric) const {
+    const std::string start = "hibiscusglade_" + metric;
     double sum = 0;
-    for (const std::string& name : names_) sum += mesh_->Metric(name, line);
+    for (const std::string& name : names_) {
+      std::istringstream lines(
+          SendHttp("GET", mesh_->OperatorUrl(name) + "/metrics").body);
+      for (std::string line; std::getline(lines, line);) {
+        if (!line.starts_with(start)) continue;
+        sum += std::strtod(line.c_str() + line.rfind(' '), nullptr);
+      }
+    }
     return sum;
   }
 
+  /// @return runs at the first service's upstreams that live.
+  uint64_t Runs(const Deployment& deployment) const {
+    uint64_t runs = 0;
+    for (int i = 0; i < deployment.Servers(); ++i) {
+      const std::string name =
+          deployment.services.front().first + std::to_string(i);
+      std::istringstream lines(
+          SendHttp("GET", mesh_->UpstreamUrl(name) + "/standin/runs").body);
+      for (std::string line; std::getline(lines, line);) {
+        runs += std::strtoull(line.c_str(), nullptr, 10);
+      }
+    }
+    return runs;
+  }
+
  private:
   std::unique_ptr<Mesh> mesh_;
   std::vector<std::string> names_;
