--- a/bench/choice_bench.cc
+++ b/bench/choice_bench.cc
@@ -14,6 +14,7 @@
 DEFINE_int32(pairs, 3, "runs of each variant, taken in turn");
 DEFINE_int32(network, 60, "loopback network, 127.N.0.0");
 DEFINE_int32(service_ms, 40, "time of an ordinary request in ms");
+DEFINE_string(only, "", "measures policies whose name begins so");
 DEFINE_double(load, 0.5, "share of the service's capacity");
 
 namespace hibiscusglade {
@@ -63,10 +64,12 @@
       {"round_robin", false},         {"random", false},
       {"least_loaded", false},        {"remaining", false},
       {"remaining_not_twice", false}, {"two_choices", false},
-      {"two_choices", true}};
+      {"two_choices", true},          {"shortest_time", false},
+      {"shortest_time", true}};
   std::map<std::pair<size_t, int>, Samples> all;
   for (int pair = 0; pair < FLAGS_pairs; ++pair) {
     for (size_t v = 0; v < variants.size(); ++v) {
+      if (!variants[v].policy.starts_with(FLAGS_only)) continue;
       setenv("HIBISCUSGLADE_CHOICE_POLICY", variants[v].policy.c_str(), 1);
       if (variants[v].ejects) {
         unsetenv("HIBISCUSGLADE_NO_EJECTION");
--- a/src/routing/internal/ejection_judge.cc
+++ b/src/routing/internal/ejection_judge.cc
@@ -11,6 +11,8 @@
 
 constexpr Duration kCompareInterval = milliseconds(50);
 constexpr Duration kProbeInterval = milliseconds(100);
+/// Many entries probe one upstream, so probes are a share of their traffic.
+constexpr uint32_t kChoicesPerProbe = 100;
 constexpr Duration kTimeLifetime = seconds(5);
 constexpr Duration kReturnRamp = seconds(5);
 constexpr Duration kLeastExcess = milliseconds(2);
@@ -73,10 +75,23 @@
   return found != health_.end() && found->second.ejected;
 }
 
+Duration EjectionJudge::TimeOf(const std::string& instance,
+                               const std::string& request_class,
+                               Instant now) const {
+  auto health = health_.find(instance);
+  if (health == health_.end()) return {};
+  auto seen = health->second.times.find(request_class);
+  if (seen == health->second.times.end()) return {};
+  return now < seen->second.at + kTimeLifetime ? seen->second.time : Duration{};
+}
+
 bool EjectionJudge::TakeProbe(const std::string& instance, Instant now) {
   Health& health = health_[instance];
+  ++health.passed;
+  if (health.passed < kChoicesPerProbe) return false;
   if (now < health.last_probe + kProbeInterval) return false;
   health.last_probe = now;
+  health.passed = 0;
   return true;
 }
 
@@ -124,6 +139,7 @@
 void EjectionJudge::Eject(Health& health, Instant now) {
   health.ejected = true;
   health.last_probe = now;
+  health.passed = 0;
   ++counts_.ejections;
 }
 
--- a/src/routing/internal/ejection_judge.h
+++ b/src/routing/internal/ejection_judge.h
@@ -32,7 +32,12 @@
 
   bool Ejected(const std::string& instance) const;
 
-  /// Takes the right to send one probe to an ejected upstream.
+  /// @return the last service time told for a class; zero if none is fresh.
+  Duration TimeOf(const std::string& instance, const std::string& request_class,
+                  Instant now) const;
+
+  /// Takes the right to send one probe to an ejected upstream, for a small
+  /// share of the choices. To be asked at each choice.
   bool TakeProbe(const std::string& instance, Instant now);
 
   /// @return share of its usual load that an upstream may get, in (0, 1].
@@ -51,6 +56,7 @@
     uint32_t failures = 0;  ///< One after the other.
     bool ejected = false;
     Instant last_probe;
+    uint32_t passed = 0;  ///< Choices since the last probe.
     Instant returned;
     double slowness = 1;  ///< Against the median of the service.
   };
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -24,6 +24,8 @@
 constexpr Duration kRefusalLifetime = milliseconds(250);
 /// Wait in the own domain that is worth the way to another one and back.
 constexpr Duration kSpillWait = milliseconds(10);
+/// Counts against an owner that refused a moment ago.
+constexpr Duration kRefusedTime = seconds(1);
 /// Slots of an upstream that has not reported yet count as a part.
 constexpr double kUnknownShare = 0.25;
 
@@ -31,13 +33,14 @@
   std::string_view name;
   ChoicePolicy policy;
 };
-constexpr std::array<NamedPolicy, 6> kPolicies = {
+constexpr std::array<NamedPolicy, 7> kPolicies = {
     {{"round_robin", ChoicePolicy::kRoundRobin},
      {"random", ChoicePolicy::kRandom},
      {"least_loaded", ChoicePolicy::kLeastLoaded},
      {"two_choices", ChoicePolicy::kTwoChoices},
      {"remaining", ChoicePolicy::kRemaining},
-     {"remaining_not_twice", ChoicePolicy::kRemainingNotTwice}}};
+     {"remaining_not_twice", ChoicePolicy::kRemainingNotTwice},
+     {"shortest_time", ChoicePolicy::kShortestTime}}};
 
 struct UpstreamLoad {
   uint64_t rank = 0;       ///< Decides whether it is in this entry's subset.
@@ -66,6 +69,9 @@
     if (auto probe = Sort(request, own, other, now)) {
       return Choice{*probe, ChoiceReason::kProbe};
     }
+    if (config_.policy == ChoicePolicy::kShortestTime && !own.empty()) {
+      return PickByTime(request, own, other, now);
+    }
     const bool own_is_better =
         !own.empty() && (other.empty() || !Saturated(request, own, now) ||
                          Saturated(request, other, now));
@@ -167,11 +173,7 @@
     return std::all_of(among.begin(), among.end(), [&](size_t i) {
       const UpstreamTarget& target = request.candidates[i];
       const UpstreamLoad& load = LoadOf(target.instance);
-      auto refused = load.refused.find(request.request_class);
-      if (refused != load.refused.end() &&
-          now < refused->second + kRefusalLifetime) {
-        return true;
-      }
+      if (RefusedLately(load, request.request_class, now)) return true;
       if (now >= load.reported + kReportLifetime) return false;
       const uint32_t slots = std::max<uint32_t>(1, load.report.slots);
       const uint32_t total =
@@ -194,8 +196,14 @@
       case ChoicePolicy::kRemainingNotTwice:
         return Least(request, WithoutLast(request, among), now);
       case ChoicePolicy::kTwoChoices:
+      case ChoicePolicy::kShortestTime:
         break;
     }
+    return TwoChoices(request, among, now);
+  }
+
+  size_t TwoChoices(const ChoiceRequest& request,
+                    const std::vector<size_t>& among, Instant now) {
     const size_t first = random_.Below(among.size());
     size_t second = random_.Below(among.size() - 1);
     if (second >= first) ++second;
@@ -203,6 +211,61 @@
     return Least(request, {among[first], among[second]}, now);
   }
 
+  Choice PickByTime(const ChoiceRequest& request,
+                    const std::vector<size_t>& own,
+                    const std::vector<size_t>& other, Instant now) {
+    Choice choice{TwoChoices(request, own, now)};
+    if (other.empty()) return choice;
+    const size_t away = TwoChoices(request, other, now);
+    const Duration here = TimeTo(request, choice.index, now);
+    const Duration there = TimeTo(request, away, now);
+    const bool known = judge_.TimeOf(request.candidates[away].instance,
+                                     request.request_class, now) > Duration{};
+    const bool refused = here >= kRefusedTime;
+    if ((known || refused) && there + kSpillWait < here)
+      choice = {away, ChoiceReason::kSpillOver};
+    return choice;
+  }
+
+  /// @return expected time until the answer, without the links.
+  Duration TimeTo(const ChoiceRequest& request, size_t index, Instant now) {
+    const UpstreamTarget& target = request.candidates[index];
+    const UpstreamLoad& load = LoadOf(target.instance);
+    const Duration service_time =
+        judge_.TimeOf(target.instance, request.request_class, now);
+    const double share = judge_.ShareOf(target.instance, now);
+    const double slots = std::max(1.0, SlotsOf(target, load) * share);
+    const double unfinished = Unfinished(load, now);
+    const double rounds = 1 + std::max(0.0, unfinished + 1 - slots) / slots;
+    Duration time(static_cast<int64_t>(
+        static_cast<double>(service_time.count()) * rounds));
+    if (RefusedLately(load, request.request_class, now)) time += kRefusedTime;
+    return time;
+  }
+
+  static bool RefusedLately(const UpstreamLoad& load,
+                            const std::string& request_class, Instant now) {
+    auto refused = load.refused.find(request_class);
+    return refused != load.refused.end() &&
+           now < refused->second + kRefusalLifetime;
+  }
+
+  static double SlotsOf(const UpstreamTarget& target,
+                        const UpstreamLoad& load) {
+    if (load.reported != Instant{}) {
+      return std::max<uint32_t>(1, load.report.slots);
+    }
+    return std::max<uint32_t>(1, target.slots) * kUnknownShare;
+  }
+
+  /// @return requests in the owner's hands, as far as this entry knows.
+  static double Unfinished(const UpstreamLoad& load, Instant now) {
+    if (now >= load.reported + kReportLifetime) return load.in_flight;
+    return std::max<double>(
+        load.in_flight,
+        load.report.running + load.report.queued + load.sent_since_report);
+  }
+
   std::vector<size_t> WithoutLast(const ChoiceRequest& request,
                                   std::vector<size_t> among) const {
     if (among.size() == 1) return among;
@@ -212,15 +275,21 @@
     return among;
   }
 
+  bool Better(const ChoiceRequest& request, size_t a, size_t b, Instant now) {
+    if (config_.policy == ChoicePolicy::kShortestTime) {
+      const Duration time_a = TimeTo(request, a, now);
+      const Duration time_b = TimeTo(request, b, now);
+      if (time_a != time_b) return time_a < time_b;
+    }
+    return Pressure(request.candidates[a], now) <
+           Pressure(request.candidates[b], now);
+  }
+
   size_t Least(const ChoiceRequest& request, const std::vector<size_t>& among,
                Instant now) {
     size_t best = among.front();
-    double least = Pressure(request.candidates[best], now);
     for (size_t i : among) {
-      const double pressure = Pressure(request.candidates[i], now);
-      if (pressure >= least) continue;
-      best = i;
-      least = pressure;
+      if (Better(request, i, best, now)) best = i;
     }
     return best;
   }
@@ -233,17 +302,8 @@
                                  load.stale_report.queued) /
              std::max<uint32_t>(1, target.slots);
     }
-    double unfinished = load.in_flight;
-    double slots = std::max<uint32_t>(1, target.slots) * kUnknownShare;
-    if (load.reported != Instant{}) {
-      slots = std::max<uint32_t>(1, load.report.slots);
-    }
-    if (now < load.reported + kReportLifetime) {
-      unfinished = std::max<double>(
-          unfinished,
-          load.report.running + load.report.queued + load.sent_since_report);
-    }
-    return (unfinished + 1) / (slots * judge_.ShareOf(target.instance, now));
+    return (Unfinished(load, now) + 1) /
+           (SlotsOf(target, load) * judge_.ShareOf(target.instance, now));
   }
 
   UpstreamLoad& LoadOf(const std::string& instance) {
--- a/src/routing/tests/upstream_chooser_test.cc
+++ b/src/routing/tests/upstream_chooser_test.cc
@@ -94,7 +94,13 @@
   EXPECT_EQ(chooser_->Counts().ejections, 1u);
   EXPECT_LE(probes, 1);
   now_ += milliseconds(200);
-  EXPECT_EQ(Choose()->reason, ChoiceReason::kProbe);
+  int sent = 0;
+  for (int i = 0; i < 1000; ++i) {
+    now_ += milliseconds(1);
+    sent += Choose()->reason == ChoiceReason::kProbe ? 1 : 0;
+  }
+  EXPECT_GE(sent, 5);
+  EXPECT_LE(sent, 10);
   ReportAll("");
   now_ += milliseconds(60);
   Choose();
@@ -115,6 +121,18 @@
   EXPECT_EQ(chooser_->Counts().ejections, 2u);
 }
 
+TEST_F(AnEntryInDomainA, GoesAwayOnlyWhenAnAnswerIsExpectedEarlierThere) {
+  Build(2, 2);
+  chooser_ = MakeUpstreamChooser(
+      {ChoicePolicy::kShortestTime, false, "entry", "a", 7});
+  ReportAll("a0");
+  EXPECT_EQ(Share("a1", 20), 20);
+  Report("a1", 6, 1, milliseconds(10));  // A third of a round: 13 ms.
+  EXPECT_EQ(Share("a1", 20), 20);
+  Report("a1", 6, 7, milliseconds(10));
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kSpillOver);
+}
+
 TEST_F(AnEntryInDomainA, KeepsToASubsetOfManyUpstreams) {
   Build(100, 0);
   std::set<std::string> chosen;
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -86,6 +86,8 @@
   kTwoChoices,         ///< Two at random, the less loaded by fresh knowledge.
   kRemaining,          ///< Fewest unfinished requests.
   kRemainingNotTwice,  ///< The same, but never one upstream twice running.
+  kShortestTime,  ///< Two at random of the own domain and of the others, the
+                  ///< one whose answer is expected first.
 };
 
 /// @return the policy with a name such as "two_choices"; nullopt if none has.
