Call a proposal unknown when an earlier try may have run

Cause: a client whose first try was never answered, and whose later tries were refused by replicas that do not lead, told the operator "not accepted, no quorum" although the first try may have committed. Change: the client remembers an unanswered earlier try. Touches src/control only.

--- a/src/control/internal/group_client.cc
+++ b/src/control/internal/group_client.cc
@@ -55,8 +55,9 @@
     }
   }
   for (uint64_t request : late) {
+    const Open& open = open_[request];
     const bool unknown =
-        open_[request].may_have_run && !open_[request].request.read;
+        (open.may_have_run || open.earlier_unanswered) && !open.request.read;
     Finish(request,
            {unknown ? ConsensusCode::kOutcomeUnknown : ConsensusCode::kNoQuorum,
             ""});
@@ -68,6 +69,8 @@
   if (replicas_.empty()) return;
   std::string address = leaders_[open.request.group];
   if (address.empty()) address = replicas_[turn_++ % replicas_.size()];
+  // A later refusal says nothing about an earlier try without an answer.
+  open.earlier_unanswered |= open.may_have_run;
   open.may_have_run = true;
   sender_(address, open.request);
 }
--- a/src/control/internal/group_client.h
+++ b/src/control/internal/group_client.h
@@ -57,7 +57,8 @@
     GroupRequest request;
     Instant deadline;
     Instant next_try;
-    bool may_have_run = false;  ///< A try is unanswered or ended unknown.
+    bool may_have_run = false;  ///< The last try is unanswered or unknown.
+    bool earlier_unanswered = false;  ///< A try before it may have run.
     ReplicaCallback done;
   };
 
