Keep a history in patches and bound the ledger's memory

Change: versions hold their patch; every 100th and the oldest hold the whole text; a text is rebuilt from the checkpoint before it. Ruled out: only the oldest whole; a roll-forward would apply up to 2,000 patches while the replica's loop waits.

--- a/src/consensus/internal/consensus_result_codes.cc
+++ b/src/consensus/internal/consensus_result_codes.cc
@@ -14,7 +14,7 @@
      Certainty::kNotApplicable, "Found a replica only in an empty folder."},
     {2505, "log-damaged", "the replica's log is damaged before its end", 500,
      Certainty::kNotApplicable,
-     "Move the folder away and let the replica join as a new member."},
+     "Nothing; the replica takes a new identity and joins as a new member."},
     {2506, "wrong-instance", "the data folder belongs to another instance", 500,
      Certainty::kNotApplicable, "Check the data folder's path."},
 };
--- a/src/versions/internal/version_ledger.cc
+++ b/src/versions/internal/version_ledger.cc
@@ -1,6 +1,5 @@
 #include "versions/version_ledger.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -12,7 +11,12 @@
 namespace {
 
 constexpr size_t kKeptVersions = 2000;
+constexpr uint64_t kVersionsPerCheckpoint = 100;
 constexpr size_t kKeptVerdicts = 10000;
+constexpr size_t kKeptVerdictBytes = 4U << 20U;
+constexpr size_t kMaxPatchIdBytes = 128;
+constexpr size_t kMaxPatchBytes = 256U << 10U;
+constexpr size_t kMaxDocumentBytes = 512U << 10U;
 
 int NumberOf(VersionsCode code) { return static_cast<int>(code); }
 
@@ -22,6 +26,11 @@
   return DigestOf(command.patch(), DigestOf(place));
 }
 
+std::string TooLong(const char* what, size_t bytes, size_t most) {
+  return std::string(what) + " has " + std::to_string(bytes) +
+         " bytes of at most " + std::to_string(most);
+}
+
 }  // namespace
 
 struct VersionLedger::Verdict {
@@ -30,8 +39,8 @@
 };
 
 VersionLedger::VersionLedger(Listener listener)
-    : listener_(std::move(listener)) {
-  versions_.push_back({EmptyConfigVersion(), "", "", 0});
+    : listener_(std::move(listener)), latest_(EmptyConfigVersion()) {
+  versions_.push_back({0, 0, latest_->digest, "[]", latest_->text, "", "", 0});
 }
 
 VersionLedger::~VersionLedger() = default;
@@ -47,6 +56,13 @@
     verdict.set_code(NumberOf(VersionsCode::kMissingPatchId));
     return verdict.SerializeAsString();
   }
+  if (command.patch_id().size() > kMaxPatchIdBytes) {
+    verdict.set_code(NumberOf(VersionsCode::kInvalidPatch));
+    verdict.set_latest(Latest()->number);
+    verdict.add_faults()->set_message(
+        TooLong("the patch id", command.patch_id().size(), kMaxPatchIdBytes));
+    return verdict.SerializeAsString();
+  }
   auto known = verdicts_.find(command.patch_id());
   if (known == verdicts_.end()) {
     Verdict made = Judge(command);
@@ -87,17 +103,48 @@
   verdict.set_number(next->number);
   verdict.set_digest(next->digest);
   verdict.set_latest(next->number);
-  versions_.push_back(
-      {next, command.patch_id(), command.author(), command.proposed_at()});
-  if (versions_.size() > kKeptVersions) versions_.pop_front();
+  Keep(command, next);
   listener_(next);
   return made;
 }
 
+void VersionLedger::Keep(const wire::PatchCommand& command,
+                         ConfigVersionPtr version) {
+  latest_ = std::move(version);
+  const bool checkpoint = latest_->number % kVersionsPerCheckpoint == 0;
+  versions_.push_back({latest_->number, latest_->parent, latest_->digest,
+                       latest_->patch, checkpoint ? latest_->text : "",
+                       command.patch_id(), command.author(),
+                       command.proposed_at()});
+  if (versions_.size() > kKeptVersions) DropOldest();
+}
+
+void VersionLedger::DropOldest() {
+  versions_[1].whole = TextOf(versions_[1].number);
+  versions_.pop_front();
+}
+
+std::string VersionLedger::TextOf(uint64_t number) const {
+  const size_t place = number - versions_.front().number;
+  size_t base = place;
+  while (versions_[base].whole.empty()) --base;
+  if (base == place) return versions_[base].whole;
+  auto document = nlohmann::json::parse(versions_[base].whole);
+  for (size_t next = base + 1; next <= place; ++next) {
+    document.patch_inplace(nlohmann::json::parse(versions_[next].patch));
+  }
+  return document.dump();
+}
+
 ConfigVersionPtr VersionLedger::BuildNext(const wire::PatchCommand& command,
                                           std::vector<SettingsFault>& faults,
                                           int& code) const {
   std::string patch = command.patch();
+  code = NumberOf(VersionsCode::kInvalidPatch);
+  if (patch.size() > kMaxPatchBytes) {
+    faults.push_back({"", TooLong("the patch", patch.size(), kMaxPatchBytes)});
+    return nullptr;
+  }
   if (command.restore_content_of() != 0) {
     const Held* older = Find(command.restore_content_of());
     if (older == nullptr) {
@@ -105,16 +152,18 @@
       return nullptr;
     }
     patch = nlohmann::json::diff(nlohmann::json::parse(Latest()->text),
-                                 nlohmann::json::parse(older->version->text))
+                                 nlohmann::json::parse(TextOf(older->number)))
                 .dump();
   }
   auto text = ApplyPatch(Latest()->text, patch, faults);
-  if (!text.has_value()) {
-    code = NumberOf(VersionsCode::kInvalidPatch);
-    return nullptr;
-  }
+  if (!text.has_value()) return nullptr;
   const uint64_t latest = Latest()->number;
   code = NumberOf(VersionsCode::kInvalidDocument);
+  if (text->size() > kMaxDocumentBytes) {
+    faults.push_back(
+        {"", TooLong("the document", text->size(), kMaxDocumentBytes)});
+    return nullptr;
+  }
   return MakeConfigVersion(latest + 1, latest, std::move(*text), patch, faults);
 }
 
@@ -124,16 +173,16 @@
   if (!query.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     return answer.SerializeAsString();
   }
-  auto add = [&answer](const Held& held, bool with_text) {
+  auto add = [this, &answer](const Held& held, bool with_text) {
     wire::StoredVersion* out = answer.add_versions();
-    out->set_number(held.version->number);
-    out->set_parent(held.version->parent);
-    out->set_digest(held.version->digest);
-    out->set_patch(held.version->patch);
+    out->set_number(held.number);
+    out->set_parent(held.parent);
+    out->set_digest(held.digest);
+    out->set_patch(held.patch);
     out->set_patch_id(held.patch_id);
     out->set_author(held.author);
     out->set_accepted_at(held.accepted_at);
-    if (with_text) out->set_whole(held.version->text);
+    if (with_text) out->set_whole(TextOf(held.number));
     answer.set_found(true);
   };
   switch (query.kind()) {
@@ -168,10 +217,11 @@
   wire::VersionsSnapshot snapshot;
   for (const Held& held : versions_) {
     wire::StoredVersion* out = snapshot.add_versions();
-    out->set_number(held.version->number);
-    out->set_parent(held.version->parent);
-    out->set_patch(held.version->patch);
-    out->set_whole(held.version->text);
+    out->set_number(held.number);
+    out->set_parent(held.parent);
+    out->set_digest(held.digest);
+    out->set_patch(held.patch);
+    out->set_whole(held.whole);
     out->set_patch_id(held.patch_id);
     out->set_author(held.author);
     out->set_accepted_at(held.accepted_at);
@@ -191,19 +241,10 @@
   if (!snapshot.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     return false;
   }
-  std::deque<Held> versions;
-  std::vector<SettingsFault> faults;
-  for (const wire::StoredVersion& in : snapshot.versions()) {
-    ConfigVersionPtr version = MakeConfigVersion(
-        in.number(), in.parent(), in.whole(), in.patch(), faults);
-    if (version == nullptr) return false;
-    versions.push_back(
-        {std::move(version), in.patch_id(), in.author(), in.accepted_at()});
-  }
-  if (versions.empty()) return false;
-  versions_ = std::move(versions);
+  if (!RestoreVersions(snapshot)) return false;
   verdicts_.clear();
   verdict_order_.clear();
+  verdict_bytes_ = 0;
   for (const wire::StoredVerdict& in : snapshot.verdicts()) {
     Remember(in.patch_id(), {in.patch_digest(), in.verdict()});
   }
@@ -211,19 +252,53 @@
   return true;
 }
 
+bool VersionLedger::RestoreVersions(const wire::VersionsSnapshot& snapshot) {
+  std::deque<Held> versions;
+  for (const wire::StoredVersion& in : snapshot.versions()) {
+    if (!versions.empty() && in.number() != versions.back().number + 1) {
+      return false;
+    }
+    versions.push_back({in.number(), in.parent(), in.digest(), in.patch(),
+                        in.whole(), in.patch_id(), in.author(),
+                        in.accepted_at()});
+  }
+  if (versions.empty() || versions.front().whole.empty()) return false;
+  versions_.swap(versions);
+  const Held& last = versions_.back();
+  std::vector<SettingsFault> faults;
+  ConfigVersionPtr latest;
+  try {
+    latest = MakeConfigVersion(last.number, last.parent, TextOf(last.number),
+                               last.patch, faults);
+  } catch (const nlohmann::json::exception&) {
+    latest = nullptr;
+  }
+  if (latest == nullptr || latest->digest != last.digest) {
+    versions_.swap(versions);
+    return false;
+  }
+  latest_ = std::move(latest);
+  return true;
+}
+
 const VersionLedger::Held* VersionLedger::Find(uint64_t number) const {
-  auto found = std::find_if(
-      versions_.begin(), versions_.end(),
-      [number](const Held& held) { return held.version->number == number; });
-  return found == versions_.end() ? nullptr : &*found;
+  const uint64_t oldest = versions_.front().number;
+  if (number < oldest || number > latest_->number) return nullptr;
+  return &versions_[number - oldest];
 }
 
 void VersionLedger::Remember(const std::string& patch_id, Verdict verdict) {
+  verdict_bytes_ += patch_id.size() + verdict.verdict.ByteSizeLong();
   verdicts_[patch_id] = std::move(verdict);
   verdict_order_.push_back(patch_id);
-  if (verdict_order_.size() <= kKeptVerdicts) return;
-  verdicts_.erase(verdict_order_.front());
-  verdict_order_.pop_front();
+  while (verdict_order_.size() > kKeptVerdicts ||
+         (verdict_bytes_ > kKeptVerdictBytes && verdict_order_.size() > 1)) {
+    auto oldest = verdicts_.find(verdict_order_.front());
+    verdict_bytes_ -=
+        oldest->first.size() + oldest->second.verdict.ByteSizeLong();
+    verdicts_.erase(oldest);
+    verdict_order_.pop_front();
+  }
 }
 
 }  // namespace hibiscusglade
--- a/src/versions/tests/version_ledger_test.cc
+++ b/src/versions/tests/version_ledger_test.cc
@@ -83,6 +83,102 @@
   EXPECT_EQ(other.Snapshot(), ledger_.Snapshot());
 }
 
+class ALedgerWithAHistory : public ALedger {
+ protected:
+  static constexpr uint64_t kVersions = 2150;
+
+  ALedgerWithAHistory() {
+    for (uint64_t base = 0; base < kVersions; ++base) {
+      const std::string queue = std::to_string(base % 1000);
+      Propose("p" + std::to_string(base), base,
+              R"([{"op":"add","path":"/services/plots","value":{"max_queue":)" +
+                  queue + "}}]");
+    }
+  }
+
+  wire::VersionQueryAnswer Ask(uint64_t number) {
+    wire::VersionQuery query;
+    query.set_kind(wire::VersionQuery::NUMBER);
+    query.set_number(number);
+    wire::VersionQueryAnswer answer;
+    answer.ParseFromString(ledger_.Read(query.SerializeAsString()));
+    return answer;
+  }
+
+  wire::PatchVerdict RollForwardTo(uint64_t number) {
+    wire::PatchCommand command;
+    command.set_patch_id("restore");
+    command.set_base(ledger_.Latest()->number);
+    command.set_restore_content_of(number);
+    wire::PatchVerdict verdict;
+    verdict.ParseFromString(ledger_.Apply(command.SerializeAsString()));
+    return verdict;
+  }
+};
+
+TEST_F(ALedgerWithAHistory, GivesTheTextOfAnyKeptVersion) {
+  for (uint64_t number : {kVersions - 1999, kVersions - 1001, kVersions}) {
+    auto answer = Ask(number);
+    ASSERT_TRUE(answer.found()) << number;
+    EXPECT_EQ(DigestOf(answer.versions(0).whole()),
+              answer.versions(0).digest());
+  }
+  EXPECT_FALSE(Ask(kVersions - 2000).found());
+}
+
+TEST_F(ALedgerWithAHistory, RollsForwardToAnOlderContent) {
+  const std::string older = Ask(2001).versions(0).whole();
+  wire::PatchVerdict verdict = RollForwardTo(2001);
+  EXPECT_EQ(verdict.number(), kVersions + 1);
+  EXPECT_EQ(ledger_.Latest()->text, older);
+  EXPECT_EQ(ledger_.Latest()->parent, kVersions);
+}
+
+TEST_F(ALedgerWithAHistory, RefusesToRollForwardToADroppedVersion) {
+  EXPECT_EQ(RollForwardTo(1).code(), NumberOf(VersionsCode::kNoSuchVersion));
+  EXPECT_EQ(ledger_.Latest()->number, kVersions);
+}
+
+TEST_F(ALedgerWithAHistory, RestoresASnapshotThatHoldsFewWholeTexts) {
+  const std::string snapshot = ledger_.Snapshot();
+  wire::VersionsSnapshot stored;
+  ASSERT_TRUE(stored.ParseFromString(snapshot));
+  int whole = 0;
+  for (const auto& version : stored.versions()) {
+    if (!version.whole().empty()) ++whole;
+  }
+  EXPECT_LE(whole, 21);
+  VersionLedger other([](const ConfigVersionPtr&) {});
+  ASSERT_TRUE(other.Restore(snapshot));
+  EXPECT_EQ(*other.Latest(), *ledger_.Latest());
+  EXPECT_EQ(other.Snapshot(), snapshot);
+}
+
+TEST_F(ALedgerWithAHistory, RefusesADamagedSnapshotUnchanged) {
+  wire::VersionsSnapshot stored;
+  ASSERT_TRUE(stored.ParseFromString(ledger_.Snapshot()));
+  stored.mutable_versions(1990)->set_patch("[]");
+  stored.mutable_versions(1999)->set_digest(1);
+  EXPECT_FALSE(ledger_.Restore(stored.SerializeAsString()));
+  EXPECT_EQ(ledger_.Latest()->number, kVersions);
+}
+
+TEST_F(ALedger, RefusesAPatchOrAnIdAboveItsLimit) {
+  const std::string long_patch(300 << 10, ' ');
+  EXPECT_EQ(Propose("p1", 0, long_patch + "[]").code(),
+            NumberOf(VersionsCode::kInvalidPatch));
+  EXPECT_EQ(Propose(std::string(200, 'p'), 0, kAddService).code(),
+            NumberOf(VersionsCode::kInvalidPatch));
+  EXPECT_EQ(ledger_.Latest()->number, 0u);
+}
+
+TEST_F(ALedger, BoundsTheMemoryOfVerdicts) {
+  const std::string fault =
+      R"([{"op":"add","path":"/)" + std::string(4000, 'x') + R"(","value":1}])";
+  for (int i = 0; i < 3000; ++i) Propose("p" + std::to_string(i), 0, fault);
+  EXPECT_LT(ledger_.Snapshot().size(), 5U << 20U);
+}
+
 TEST_F(ALedger, AcceptsTheFirstVersionOfEachExample) {
   for (const char* mesh : {"quickstart", "andes-norte", "ro-nord"}) {
     std::ifstream file(std::string(HG_SOURCE_DIR "/examples/") + mesh +
--- a/src/versions/version_ledger.h
+++ b/src/versions/version_ledger.h
@@ -16,6 +16,7 @@
 class PatchVerdict;
 class VersionQuery;
 class VersionQueryAnswer;
+class VersionsSnapshot;
 }  // namespace wire
 
 /// The accepted versions and the verdict on every patch, as driven by the
@@ -36,11 +37,17 @@
   bool Restore(std::string_view snapshot) override;
 
   /// @return the latest accepted version.
-  const ConfigVersionPtr& Latest() const { return versions_.back().version; }
+  const ConfigVersionPtr& Latest() const { return latest_; }
 
  private:
+  /// One kept version. Its text follows from the closest earlier `whole` and
+  /// the patches since.
   struct Held {
-    ConfigVersionPtr version;
+    uint64_t number = 0;
+    uint64_t parent = 0;
+    Digest digest = 0;
+    std::string patch;
+    std::string whole;  ///< Set for the oldest and at every checkpoint.
     std::string patch_id;
     std::string author;
     uint64_t accepted_at = 0;  ///< Calendar time in microseconds.
@@ -51,13 +58,19 @@
   ConfigVersionPtr BuildNext(const wire::PatchCommand& command,
                              std::vector<SettingsFault>& faults,
                              int& code) const;
+  void Keep(const wire::PatchCommand& command, ConfigVersionPtr version);
+  void DropOldest();
   const Held* Find(uint64_t number) const;
+  std::string TextOf(uint64_t number) const;
+  bool RestoreVersions(const wire::VersionsSnapshot& snapshot);
   void Remember(const std::string& patch_id, Verdict verdict);
 
   Listener listener_;
+  ConfigVersionPtr latest_;
   std::deque<Held> versions_;
   std::map<std::string, Verdict> verdicts_;
   std::deque<std::string> verdict_order_;
+  size_t verdict_bytes_ = 0;
 };
 
 }  // namespace hibiscusglade
