--- a/src/consensus/tests/replica_group.h
+++ b/src/consensus/tests/replica_group.h
@@ -12,6 +12,7 @@
 
 #include "consensus/replica.h"
 #include "platform/platform_result_codes.h"
+#include "platform/random.h"
 
 namespace hibiscusglade {
 
@@ -146,9 +147,20 @@
   void Isolate(const std::string& name) { isolated_.insert(name); }
   void Heal(const std::string& name) { isolated_.erase(name); }
 
+  /// Makes the network lose and delay messages, which thus overtake.
+  void SetNetwork(uint64_t seed, uint64_t lost_percent, Duration longest) {
+    random_ = Random(seed);
+    lost_percent_ = lost_percent;
+    longest_delay_ = longest;
+  }
+
   void SendConsensus(const std::string& address,
                      const ConsensusMessage& message) override {
-    queue_.emplace_back(address, message);
+    if (random_.Below(100) < lost_percent_) return;
+    const auto delay =
+        random_.Below(static_cast<uint64_t>(longest_delay_.count()) + 1);
+    queue_.push_back(
+        {now_ + Duration(static_cast<int64_t>(delay)), address, message});
   }
 
   /// Lets time pass in steps, delivering all messages of each step.
@@ -204,7 +216,11 @@
 
   void Deliver() {
     auto batch = std::exchange(queue_, {});
-    for (auto& [address, message] : batch) {
+    for (auto& [due, address, message] : batch) {
+      if (due > now_) {
+        queue_.push_back({due, address, message});
+        continue;
+      }
       const bool cut = isolated_.contains(address) ||
                        isolated_.contains(message.from.instance);
       Seat& seat = seats_[address];
@@ -218,7 +234,16 @@
   std::vector<Member> founders_;
   std::map<std::string, Seat> seats_;
   std::set<std::string> isolated_;
-  std::deque<std::pair<std::string, ConsensusMessage>> queue_;
+  struct Sent {
+    Instant due;
+    std::string address;
+    ConsensusMessage message;
+  };
+
+  std::deque<Sent> queue_;
+  Random random_{1};
+  uint64_t lost_percent_ = 0;
+  Duration longest_delay_{};
   uint64_t seed_ = 0;
   Instant now_ = Instant(std::chrono::seconds(1000));
 };
