--- a/tests/processes/versions_failure_test.cc
+++ b/tests/processes/versions_failure_test.cc
@@ -62,7 +62,7 @@
   json Latest(const std::string& instance) {
     const HttpAnswer answer =
         SendHttp("GET", mesh_.OperatorUrl(instance) + "/v1/versions/latest");
-    return answer.status == 200 ? json::parse(answer.body) : json();
+    return answer.status == 200 ? json::parse(answer.body) : json::object();
   }
 
   uint64_t LatestNumber(const std::string& instance) {
