Send the proposals of one turn together

Ruled out: pipelining several requests to one follower; one under way already groups what comes meanwhile.

--- a/src/consensus/internal/node.cc
+++ b/src/consensus/internal/node.cc
@@ -81,7 +81,10 @@
 
 ConsensusEffects Node::OnSynced(Instant now) {
   synced_index_ = log_.LastIndex();
-  if (role_ == ReplicaRole::kLeader) AdvanceCommit(now);
+  if (role_ == ReplicaRole::kLeader) {
+    AdvanceCommit(now);
+    SendNews(now);
+  }
   return Take();
 }
 
@@ -91,7 +94,7 @@
   if (role_ != ReplicaRole::kLeader) return std::nullopt;
   const LogIndex index = log_.LastIndex() + 1;
   Append({vote_.term, index, kind, std::move(command)});
-  BroadcastAppend(now);
+  // OnSynced sends it, together with what else is proposed until then.
   effects = Take();
   return std::pair(vote_.term, index);
 }
@@ -313,10 +316,7 @@
         1, std::min(progress.next - 1, body.match_index + 1));
   }
   GrantReads();
-  if (role_ == ReplicaRole::kLeader && progress_.contains(message.from) &&
-      progress_[message.from].next <= log_.LastIndex()) {
-    SendAppend(message.from, now);
-  }
+  if (role_ == ReplicaRole::kLeader) SendNews(now);
 }
 
 void Node::OnInstallSnapshot(const ConsensusMessage& message,
@@ -349,8 +349,11 @@
 void Node::SendAppend(const MemberId& to, Instant now) {
   Progress& progress = progress_[to];
   progress.last_sent = now;
+  progress.sent_commit = commit_index_;
   auto previous_term = log_.TermAt(progress.next - 1);
-  if (!previous_term.has_value()) {
+  progress.needs_snapshot = !previous_term.has_value();
+  if (progress.needs_snapshot) {
+    progress.waiting = true;
     Send(to, vote_.term, InstallSnapshot{log_.Snapshot(), ++round_});
     return;
   }
@@ -372,7 +375,21 @@
 void Node::BroadcastAppend(Instant now) {
   heartbeat_deadline_ = now + times_.heartbeat;
   for (auto& [id, progress] : progress_) {
-    SendAppend(id, now);
+    // A snapshot takes longer than a heartbeat to arrive.
+    const bool snapshot_is_under_way =
+        progress.needs_snapshot && progress.waiting &&
+        now - progress.last_sent < times_.election_lowest / 2;
+    if (!snapshot_is_under_way) SendAppend(id, now);
+  }
+}
+
+void Node::SendNews(Instant now) {
+  for (auto& [id, progress] : progress_) {
+    if (progress.waiting) continue;
+    if (progress.next <= log_.LastIndex() ||
+        progress.sent_commit < commit_index_) {
+      SendAppend(id, now);
+    }
   }
 }
 
@@ -389,7 +406,7 @@
   if (majority <= commit_index_ || log_.TermAt(majority) != vote_.term) return;
   CommitThrough(majority);
   GrantReads();
-  BroadcastAppend(now);
+  SendNews(now);
 }
 
 void Node::CommitThrough(LogIndex index) {
--- a/src/consensus/internal/node.h
+++ b/src/consensus/internal/node.h
@@ -56,6 +56,8 @@
     uint64_t caught_up_round = 0;  ///< Last round asked before it caught up.
     Instant last_reply;
     Instant last_sent;
+    LogIndex sent_commit = 0;
+    bool needs_snapshot = false;
     bool waiting = false;  ///< Entries are under way and not yet answered.
   };
 
@@ -86,6 +88,8 @@
   void AcceptEntries(const std::vector<LogEntry>& entries);
   void SendAppend(const MemberId& to, Instant now);
   void BroadcastAppend(Instant now);
+  /// Sends new entries and commit index to whom nothing is under way.
+  void SendNews(Instant now);
   void AdvanceCommit(Instant now);
   void CommitThrough(LogIndex index);
   void Append(LogEntry entry);
--- a/src/consensus/tests/node_test.cc
+++ b/src/consensus/tests/node_test.cc
@@ -147,6 +147,17 @@
   EXPECT_EQ(node_->MatchIndex(kB), LogIndex{1});
 }
 
+TEST_F(ALeader, SendsProposalsOfOneTurnTogether) {
+  ConsensusEffects effects;
+  for (int i = 0; i < 3; ++i) {
+    node_->Propose(EntryKind::kCommand, "x", now_, effects);
+    EXPECT_TRUE(effects.send.empty());
+  }
+  const ConsensusEffects sent = node_->OnSynced(now_);
+  ASSERT_FALSE(sent.send.empty());
+  EXPECT_EQ(std::get<AppendRequest>(sent.send[0].body).entries.size(), 3u);
+}
+
 TEST_F(ALeader, IsNotReplacedByALateJoinOfItsOwnInstance) {
   Receive({"a", 9}, 0, JoinRequest{NonVoter({"a", 9})});
   EXPECT_EQ(node_->Members(), founders_);
