Burn claims before saying not run; notice dead entries and upstreams

Cause: the owner used the time of the asking when the claim came back, said "not run" after a burn whatever became of it, and after a lost claim without any burn; a claimed attempt that its caller gave up went on to run; a finish that failed was dropped; a dead entry's runs went on; nobody noticed a dead upstream; a drained upstream's owner refused for good after the restart. The HTTP library resends a request by itself when a reused connection is lost, also one that may run only once, and a refused reconnect then read as "not sent". A fast upstream could post any amount beyond the credit. The group client forgot a try in doubt when another replica then did not lead, and took any late answer for the newest try's. Change: owner.cc is split by job: claim writer (with background retries of burns and finishes), answer sender, slot gate (suspects alone), death watch confirmed by a refused connect. The upstream client reads no more than its allowance. Quarantine news goes to all owners of the service. src/control (colleague's): every try has its own number, and a claim is sent only to a replica that has just answered a leader read, so that a domain without a majority can truly say not run. Ruled out: a slot before the claim (a silent ledger would hold all slots). Two of four group client tests fail on the former client.

--- a/src/calls/call_links.h
+++ b/src/calls/call_links.h
@@ -48,6 +48,15 @@
   kAnswering  ///< Part of the answer had arrived.
 };
 
+/// How a run failed.
+struct RunFailure {
+  RunProgress progress = RunProgress::kNotSent;
+  bool connection_lost = false;  ///< Closed or refused, not timed out.
+  std::string reason;
+
+  friend bool operator==(const RunFailure&, const RunFailure&) = default;
+};
+
 /// What became of runs; called on the owner's thread.
 class RunEvents {
  public:
@@ -56,8 +65,11 @@
   virtual void OnRunHead(RunId run, const AnswerHead& head, Instant now) = 0;
   virtual void OnRunData(RunId run, std::string data, Instant now) = 0;
   virtual void OnRunEnd(RunId run, Instant now) = 0;
-  virtual void OnRunFailed(RunId run, RunProgress progress,
-                           const std::string& reason, Instant now) = 0;
+  virtual void OnRunFailed(RunId run, const RunFailure& failure,
+                           Instant now) = 0;
+
+  /// Tells whether the upstream took a connection, after Probe().
+  virtual void OnProbed(bool reachable, Instant now) = 0;
 };
 
 /// Runs requests at the local upstream.
@@ -65,12 +77,17 @@
  public:
   virtual ~UpstreamClient() = default;
 
+  /// Starts a run. Of its answer no more is read than the attempt's credit
+  /// and what Allow() adds, but for one block of the HTTP library.
   /// @param address "ip:port" of the upstream.
   virtual void Start(RunId run, const std::string& address,
                      const CallAttempt& attempt) = 0;
 
-  /// Stops or goes on reading the answer of a run.
-  virtual void SetPaused(RunId run, bool paused) = 0;
+  /// Lets more bytes of a run's answer be read.
+  virtual void Allow(RunId run, uint64_t bytes) = 0;
+
+  /// Tries to connect; RunEvents::OnProbed follows.
+  virtual void Probe(const std::string& address) = 0;
 
   /// Breaks the run off; no event follows for it.
   virtual void Cancel(RunId run) = 0;
--- a/src/control/internal/group_client.h
+++ b/src/control/internal/group_client.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,18 +58,32 @@
     GroupRequest request;
     Instant deadline;
     Instant next_try;
-    bool may_have_run = false;  ///< A try is unanswered or ended unknown.
+    std::set<uint64_t> in_doubt;  ///< Tries that may have run.
     ReplicaCallback done;
   };
 
+  /// One message to one replica; its number rides on the answer, so that a
+  /// late answer never counts for another try.
+  struct Attempt {
+    uint64_t request = 0;
+    std::string replica;
+    bool probe = false;  ///< Only looks for the leader.
+  };
+
   void Try(Open& open, Instant now);
+
+  /// Asks a replica for a read, to learn whether it leads with a majority. A
+  /// claim sent to a replica that is cut off would be in doubt for good.
+  void Probe(const Open& open, const std::string& replica);
   void Finish(uint64_t request, const ReplicaResult& result);
 
   std::vector<std::string> replicas_;
   Sender sender_;
   std::map<uint64_t, Open> open_;
+  std::map<uint64_t, Attempt> attempts_;
   std::map<GroupId, std::string> leaders_;
   uint64_t last_request_ = 0;
+  uint64_t last_attempt_ = 0;
   size_t turn_ = 0;
 };
 
--- /dev/null
+++ b/src/control/tests/group_client_test.cc
@@ -0,0 +1,90 @@
+#include "control/internal/group_client.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "consensus/consensus_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+using std::chrono::milliseconds;
+
+class AClientOfTheClaims : public testing::Test {
+ protected:
+  struct Sent {
+    std::string replica;
+    GroupRequest request;
+  };
+
+  void Submit() {
+    client_.Submit(GroupId::kClaims, "claim", false, now_,
+                   [this](const ReplicaResult& result) { result_ = result; });
+  }
+
+  void Wait(milliseconds time) {
+    now_ += time;
+    client_.OnTick(now_);
+  }
+
+  void Answer(const Sent& to, std::error_code error,
+              const std::string& leader = "") {
+    client_.OnAnswer({to.request.request, error, "done", leader}, now_);
+  }
+
+  std::vector<Sent> sent_;
+  std::optional<ReplicaResult> result_;
+  Instant now_{std::chrono::seconds(1)};
+  GroupClient client_{
+      {"x", "y"},
+      [this](const std::string& replica, const GroupRequest& request) {
+        sent_.push_back({replica, request});
+      }};
+};
+
+TEST_F(AClientOfTheClaims, SendsACommandOnlyToAReplicaThatLeads) {
+  Submit();
+  EXPECT_TRUE(sent_.back().request.read);
+  Answer(sent_.back(), {});
+  EXPECT_FALSE(sent_.back().request.read);
+  EXPECT_EQ(sent_.back().request.command, "claim");
+  EXPECT_FALSE(result_.has_value());
+  Answer(sent_.back(), {});
+  ASSERT_TRUE(result_.has_value());
+  EXPECT_FALSE(result_->error);
+}
+
+TEST_F(AClientOfTheClaims, SaysThatNothingRanWhenNoReplicaLeads) {
+  Submit();
+  for (int i = 0; i < 20; ++i) Wait(milliseconds(200));
+  ASSERT_TRUE(result_.has_value());
+  EXPECT_EQ(result_->error, ConsensusCode::kNoQuorum);
+  for (const Sent& sent : sent_) EXPECT_TRUE(sent.request.read);
+}
+
+TEST_F(AClientOfTheClaims, StaysInDoubtWhenAnotherReplicaThenDoesNotLead) {
+  Submit();
+  Answer(sent_.back(), ConsensusCode::kNotLeader, "x");
+  Wait(milliseconds(100));
+  // The command goes to x, which does not answer; y leads no more.
+  for (int i = 0; i < 20 && !result_.has_value(); ++i) {
+    const Sent last = sent_.back();
+    if (last.request.read) Answer(last, ConsensusCode::kNotLeader);
+    Wait(milliseconds(200));
+  }
+  ASSERT_TRUE(result_.has_value());
+  EXPECT_EQ(result_->error, ConsensusCode::kOutcomeUnknown);
+}
+
+TEST_F(AClientOfTheClaims, NeverTakesALateProbeForTheCommandsAnswer) {
+  Submit();
+  const Sent late = sent_.back();
+  Wait(milliseconds(800));
+  Answer(sent_.back(), {});
+  Answer(late, {});
+  EXPECT_FALSE(result_.has_value());
+}
+
+}  // namespace
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/owner/internal/answer_sender.cc
@@ -0,0 +1,62 @@
+#include "owner/internal/answer_sender.h"
+
+#include <utility>
+
+#include "claims/claim_codec.h"
+#include "claims/claims_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr size_t kMaxChunkBytes = size_t{64} * 1024;
+
+}  // namespace
+
+AnswerSender::AnswerSender(EntryLink& entries, Metrics& metrics,
+                           LoadSource load)
+    : entries_(entries), metrics_(metrics), load_(std::move(load)) {}
+
+void AnswerSender::Head(Job& job) {
+  job.streaming = true;
+  entries_.SendHead(job.entry, job.attempt.id, job.head, load_());
+}
+
+void AnswerSender::Data(Job& job, const std::string& data) {
+  for (size_t at = 0; at < data.size(); at += kMaxChunkBytes) {
+    std::string chunk = data.substr(at, kMaxChunkBytes);
+    job.digest = DigestOf(chunk, job.digest);
+    job.bytes += chunk.size();
+    entries_.SendChunk(job.entry, job.attempt.id, job.chunks++,
+                       std::move(chunk));
+  }
+}
+
+void AnswerSender::End(const Job& job) {
+  entries_.SendEnd(job.entry, job.attempt.id,
+                   {job.chunks, job.bytes, job.digest}, load_());
+}
+
+void AnswerSender::Kept(Job& job, const std::string& encoded) {
+  auto answer = DecodeKeptAnswer(encoded);
+  if (!answer.has_value()) {
+    Refused(job, ClaimsCode::kOutcomeUnknown, Certainty::kUnknown);
+    return;
+  }
+  job.head = answer->head;
+  Head(job);
+  Data(job, answer->body);
+  End(job);
+}
+
+void AnswerSender::Refused(const Job& job, const std::error_code& code,
+                           Certainty certainty, const std::string& detail) {
+  metrics_
+      .CounterOf("owner_refusals_total",
+                 "code=\"" + std::to_string(code.value()) + "\"")
+      .Add();
+  entries_.SendRefused(
+      job.entry, job.attempt.id,
+      {code, certainty, detail.empty() ? code.message() : detail, {}}, load_());
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/owner/internal/claim_writer.cc
@@ -0,0 +1,64 @@
+#include "owner/internal/claim_writer.h"
+
+#include <utility>
+
+#include "claims/claims_result_codes.h"
+
+namespace hibiscusglade {
+namespace {
+
+/// Tries of a burn or a finish; the store itself waits over a second in each.
+constexpr int kMaxTries = 20;
+
+bool IsUnsettled(const ClaimOutcome& outcome) {
+  return outcome.error == ClaimsCode::kLedgerSilent ||
+         outcome.error == ClaimsCode::kLedgerUnavailable;
+}
+
+}  // namespace
+
+ClaimWriter::ClaimWriter(std::string instance, ClaimStore& store,
+                         const Clock& clock)
+    : instance_(std::move(instance)), store_(store), clock_(clock) {}
+
+void ClaimWriter::Claim(const Job& job, ClaimStore::Done done) {
+  Send(CommandOf(job, ClaimKind::kClaim), 1, std::move(done));
+}
+
+void ClaimWriter::Burn(const Job& job, ClaimStore::Done done) {
+  Send(CommandOf(job, ClaimKind::kBurn), kMaxTries, std::move(done));
+}
+
+void ClaimWriter::Finish(const Job& job, std::string answer,
+                         ClaimStore::Done done) {
+  ClaimCommand command = CommandOf(job, ClaimKind::kFinish);
+  command.answer = std::move(answer);
+  Send(command, kMaxTries, std::move(done));
+}
+
+ClaimCommand ClaimWriter::CommandOf(const Job& job, ClaimKind kind) const {
+  ClaimCommand command;
+  command.kind = kind;
+  command.service = job.attempt.service;
+  command.key = job.attempt.request.idempotency_key;
+  command.request_digest = job.fingerprint;
+  command.attempt = job.attempt.id;
+  command.owner = instance_;
+  command.expires_at = clock_.UnixMicros() + kClaimLifetimeMicros;
+  return command;
+}
+
+void ClaimWriter::Send(const ClaimCommand& command, int tries_left,
+                       ClaimStore::Done done) {
+  ++unsettled_;
+  store_.Submit(command,
+                [this, command, tries_left, done](const ClaimOutcome& outcome) {
+                  --unsettled_;
+                  if (done) done(outcome);
+                  if (IsUnsettled(outcome) && tries_left > 1) {
+                    Send(command, tries_left - 1, {});
+                  }
+                });
+}
+
+}  // namespace hibiscusglade
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -1,54 +1,39 @@
 #include "owner/owner.h"
 
 #include <map>
-#include <string>
 #include <utility>
 
 #include "admission/admission_result_codes.h"
 #include "claims/claim_codec.h"
 #include "claims/claims_result_codes.h"
-#include "platform/digest.h"
+#include "owner/internal/answer_sender.h"
+#include "owner/internal/claim_writer.h"
+#include "owner/internal/death_watch.h"
+#include "owner/internal/job.h"
+#include "owner/internal/slot_gate.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
 
-constexpr size_t kMaxChunkBytes = 64 * 1024;
-
-Refusal RefusalOf(const std::error_code& code, Certainty certainty) {
-  return {code, certainty, code.message(), {}};
-}
-
-Digest FingerprintOf(const CallRequest& request) {
-  Digest digest = DigestOf(request.method);
-  digest = DigestOf(request.target, digest);
-  digest = DigestOf(request.body, digest);
-  return DigestOf(request.idempotency_key, digest);
-}
-
-enum class JobStage { kClaiming, kWaiting, kRunning };
-
-/// One attempt in the owner's hands.
-struct Job {
-  EntryRef entry;
-  CallAttempt attempt;
-  Instant deadline;
-  JobStage stage = JobStage::kWaiting;
-  Instant run_began;
-  bool head_sent = false;
-  bool paused = false;
-  uint64_t credit = 0;
-  uint64_t chunks = 0;
-  uint64_t bytes = 0;
-  Digest digest = 0;
-  AnswerHead head;
-  std::string kept_body;  ///< Whole answer of a request run at most once.
-};
+/// Attempts that may wait for the ledger at once.
+constexpr size_t kMaxClaiming = 1024;
+/// Without a sign of life for this long an entry counts as gone. Entries ping
+/// every 500 ms.
+constexpr Duration kEntrySilence = std::chrono::seconds(3);
+/// An answer that the ledger has not kept after this time goes out anyway.
+constexpr Duration kFinishPatience = std::chrono::milliseconds(500);
+/// Between probes of an upstream that is down.
+constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
+/// Room for an answer's head in the kept answer.
+constexpr size_t kKeptHeadBytes = size_t{8} * 1024;
 
 class OwnerImpl : public Owner {
  public:
   OwnerImpl(std::string instance, const OwnerParts& parts)
-      : instance_(std::move(instance)), parts_(parts) {}
+      : parts_(parts),
+        writer_(std::move(instance), parts.claims, parts.clock),
+        sender_(parts.entries, parts.metrics, [this] { return Load(); }) {}
 
   void OnStart(const EntryRef& entry, const CallAttempt& attempt,
                Instant now) override {
@@ -57,9 +42,10 @@
     job.entry = entry;
     job.attempt = attempt;
     job.deadline = now + attempt.remaining;
-    job.credit = attempt.credit_bytes;
-    if (auto refused = CheckStart(attempt, now)) {
-      SendRefused(job, *refused, Certainty::kNotRun);
+    job.entry_heard = now;
+    job.fingerprint = FingerprintOf(attempt.request);
+    if (auto refused = CheckStart(job, now)) {
+      sender_.Refused(job, *refused, Certainty::kNotRun);
       return;
     }
     const Ticket ticket = ++last_ticket_;
@@ -68,38 +54,38 @@
     if (attempt.repeatable) {
       AskForSlot(ticket, now);
     } else {
-      AskForClaim(ticket, now);
+      AskForClaim(ticket);
     }
   }
 
   void OnCredit(const EntryRef&, const AttemptId& attempt, uint64_t bytes,
-                Instant) override {
-    Job* job = JobOf(attempt);
-    if (job == nullptr) return;
-    job->credit += bytes;
-    if (!job->paused || job->credit == 0) return;
-    job->paused = false;
-    parts_.upstream.SetPaused(by_attempt_[attempt], false);
+                Instant now) override {
+    auto found = by_attempt_.find(attempt);
+    if (found == by_attempt_.end()) return;
+    jobs_[found->second].entry_heard = now;
+    parts_.upstream.Allow(found->second, bytes);
   }
 
   void OnCancel(const EntryRef&, const AttemptId& attempt,
                 Instant now) override {
     auto found = by_attempt_.find(attempt);
-    if (found == by_attempt_.end()) return;
-    const Ticket ticket = found->second;
-    Job& job = jobs_[ticket];
-    // A request that may run only once is seen through once it has a claim.
-    if (!job.attempt.repeatable) return;
-    if (job.stage == JobStage::kRunning) {
-      parts_.upstream.Cancel(ticket);
-      FinishRun(ticket, now);
-    } else {
-      admission_->Withdraw(ticket);
-      Forget(ticket);
+    if (found != by_attempt_.end()) Cancel(found->second, now);
+  }
+
+  void OnEntryAlive(const std::vector<AttemptId>& attempts,
+                    Instant now) override {
+    for (const AttemptId& attempt : attempts) {
+      auto found = by_attempt_.find(attempt);
+      if (found != by_attempt_.end()) jobs_[found->second].entry_heard = now;
     }
   }
 
-  void OnTick(Instant now) override { Follow(admission_->OnTick(now), now); }
+  void OnTick(Instant now) override {
+    Follow(admission_->OnTick(now), now);
+    CheckJobs(now);
+    if (blamed_.empty()) blamed_ = death_watch_.TakeDeath(now);
+    CheckUpstream(now);
+  }
 
   void SetUpstream(const std::optional<UpstreamAnnouncement>& upstream,
                    const AdmissionConfig& config, Instant now) override {
@@ -107,95 +93,105 @@
     AdmissionConfig limits = config;
     limits.slots = upstream.has_value() ? upstream->slots : 0;
     Follow(admission_->Configure(limits, now), now);
-    if (upstream.has_value() && upstream->state == UpstreamState::kDraining) {
-      Drain(now);
-    }
+    if (UpstreamDrains()) RefuseWaiting(AdmissionCode::kDraining, now);
   }
 
-  void OnUpstreamDeath(Instant now) override {
-    std::vector<Digest> running;
-    for (const auto& [ticket, job] : jobs_) {
-      if (job.stage == JobStage::kRunning) {
-        running.push_back(FingerprintOf(job.attempt.request));
-      }
-    }
-    parts_.quarantine.OnUpstreamDeath(running, now);
+  void Drain(Instant now) override {
+    draining_ = true;
+    Follow(admission_->Drain(now), now);
   }
 
-  void Drain(Instant now) override { Follow(admission_->Drain(now), now); }
-
   bool Knows(const AttemptId& attempt) const override {
     return by_attempt_.contains(attempt);
   }
 
-  bool Idle() const override { return jobs_.empty(); }
+  bool Idle() const override {
+    return jobs_.empty() && writer_.Unsettled() == 0;
+  }
 
   void OnRunHead(RunId run, const AnswerHead& head, Instant) override {
-    auto found = jobs_.find(run);
-    if (found == jobs_.end()) return;
-    Job& job = found->second;
-    job.head = head;
-    if (!job.attempt.repeatable) return;
-    job.head_sent = true;
-    parts_.entries.SendHead(job.entry, job.attempt.id, head,
-                            admission_->Load());
+    Job* job = Find(run);
+    if (job == nullptr) return;
+    job->head = head;
+    if (job->attempt.repeatable) sender_.Head(*job);
   }
 
   void OnRunData(RunId run, std::string data, Instant) override {
-    auto found = jobs_.find(run);
-    if (found == jobs_.end()) return;
-    Job& job = found->second;
-    if (!job.attempt.repeatable) {
-      job.kept_body += data;
+    Job* job = Find(run);
+    if (job == nullptr) return;
+    if (job->streaming) {
+      sender_.Data(*job, data);
       return;
     }
-    SendData(job, data);
-    if (job.credit > 0 || job.paused) return;
-    job.paused = true;
-    parts_.upstream.SetPaused(run, true);
+    job->kept_body += data;
+    if (job->kept_body.size() + kKeptHeadBytes <= kMaxKeptAnswerBytes) return;
+    // Too large to be kept: it is not held back any longer.
+    sender_.Head(*job);
+    sender_.Data(*job, std::exchange(job->kept_body, {}));
   }
 
   void OnRunEnd(RunId run, Instant now) override {
-    auto found = jobs_.find(run);
-    if (found == jobs_.end()) return;
-    parts_.quarantine.OnSurvived(FingerprintOf(found->second.attempt.request),
-                                 now);
-    if (found->second.attempt.repeatable) {
-      SendEnd(found->second);
-      FinishRun(run, now);
-    } else {
+    Job* job = Find(run);
+    if (job == nullptr) return;
+    parts_.quarantine.OnSurvived(job->fingerprint, now);
+    death_watch_.OnEnded(run);
+    if (!job->attempt.repeatable) {
       FinishClaim(run, now);
+      return;
     }
+    sender_.End(*job);
+    EndRun(run, now);
+    Forget(run);
   }
 
-  void OnRunFailed(RunId run, RunProgress progress, const std::string& reason,
-                   Instant now) override {
-    auto found = jobs_.find(run);
-    if (found == jobs_.end()) return;
-    Job& job = found->second;
-    const Certainty certainty = progress == RunProgress::kNotSent
-                                    ? Certainty::kNotRun
-                                    : Certainty::kUnknown;
-    if (!job.attempt.repeatable && certainty == Certainty::kNotRun) {
-      BurnAndRefuse(run, AdmissionCode::kNotServing, now);
-      FreeSlot(run, now);
+  void OnRunFailed(RunId run, const RunFailure& failure, Instant now) override {
+    Job* job = Find(run);
+    if (job == nullptr) return;
+    if (failure.progress == RunProgress::kNotSent) {
+      if (failure.connection_lost) down_ = true;
+      EndRun(run, now);
+      GiveUp(run, AdmissionCode::kNotServing);
       return;
     }
-    Refusal refusal =
-        RefusalOf(progress == RunProgress::kNotSent
-                      ? make_error_code(AdmissionCode::kNotServing)
-                      : make_error_code(RoutingCode::kAnswerBroken),
-                  certainty);
-    refusal.detail = reason;
-    parts_.entries.SendRefused(job.entry, job.attempt.id, refusal,
-                               admission_->Load());
-    FinishRun(run, now);
+    if (failure.connection_lost) {
+      death_watch_.OnLost(run, job->fingerprint, gate_.Running(), now);
+    }
+    sender_.Refused(*job, RoutingCode::kAnswerBroken, Certainty::kUnknown,
+                    failure.reason);
+    EndRun(run, now);
+    Forget(run);
+  }
+
+  void OnProbed(bool reachable, Instant now) override {
+    probing_ = false;
+    down_ = !reachable;
+    const std::vector<Digest> blamed = std::exchange(blamed_, {});
+    if (reachable || !upstream_.has_value()) return;
+    RefuseWaiting(AdmissionCode::kNotServing, now);
+    if (blamed.empty()) return;
+    parts_.metrics.CounterOf("upstream_deaths_total", "").Add();
+    parts_.listener.OnSuspicions(
+        upstream_->service, parts_.quarantine.OnUpstreamDeath(blamed, now));
   }
 
  private:
-  std::optional<std::error_code> CheckStart(const CallAttempt& attempt,
-                                            Instant now) {
-    if (!upstream_.has_value()) {
+  LoadReport Load() const {
+    LoadReport load = admission_->Load();
+    load.serving = load.serving && !down_ && !UpstreamDrains();
+    return load;
+  }
+
+  bool UpstreamDrains() const {
+    return upstream_.has_value() &&
+           upstream_->state == UpstreamState::kDraining;
+  }
+
+  std::optional<std::error_code> CheckStart(Job& job, Instant now) {
+    const CallAttempt& attempt = job.attempt;
+    if (draining_ || UpstreamDrains()) {
+      return make_error_code(AdmissionCode::kDraining);
+    }
+    if (!upstream_.has_value() || down_) {
       return make_error_code(AdmissionCode::kNotServing);
     }
     if (upstream_->service != attempt.service) {
@@ -204,9 +200,12 @@
     if (!attempt.repeatable && attempt.request.idempotency_key.empty()) {
       return make_error_code(ClaimsCode::kMissingKey);
     }
-    const Digest fingerprint = FingerprintOf(attempt.request);
-    if (parts_.quarantine.Judge(fingerprint, now) ==
-        QuarantineVerdict::kRefused) {
+    if (!attempt.repeatable && jobs_.size() >= kMaxClaiming) {
+      return make_error_code(AdmissionCode::kQueueFull);
+    }
+    const QuarantineVerdict verdict =
+        parts_.quarantine.Judge(job.fingerprint, now);
+    if (verdict == QuarantineVerdict::kRefused) {
       return make_error_code(AdmissionCode::kQuarantined);
     }
     return std::nullopt;
@@ -222,139 +221,190 @@
            now);
   }
 
-  ClaimCommand CommandOf(const Job& job, ClaimKind kind) const {
-    ClaimCommand command;
-    command.kind = kind;
-    command.service = job.attempt.service;
-    command.key = job.attempt.request.idempotency_key;
-    command.request_digest = FingerprintOf(job.attempt.request);
-    command.attempt = job.attempt.id;
-    command.owner = instance_;
-    return command;
-  }
-
-  void AskForClaim(Ticket ticket, Instant now) {
+  void AskForClaim(Ticket ticket) {
     Job& job = jobs_[ticket];
     job.stage = JobStage::kClaiming;
-    parts_.claims.Submit(CommandOf(job, ClaimKind::kClaim),
-                         [this, ticket, now](const ClaimOutcome& outcome) {
-                           OnClaimed(ticket, outcome, now);
-                         });
+    writer_.Claim(job, [this, ticket](const ClaimOutcome& outcome) {
+      OnClaimed(ticket, outcome, parts_.clock.Now());
+    });
   }
 
   void OnClaimed(Ticket ticket, const ClaimOutcome& outcome, Instant now) {
-    auto found = jobs_.find(ticket);
-    if (found == jobs_.end()) return;
+    Job* job = Find(ticket);
+    if (job == nullptr) return;
+    if (outcome.error == ClaimsCode::kLedgerSilent) {
+      GiveUp(ticket, ClaimsCode::kLedgerSilent);
+      return;
+    }
     if (!outcome.error) {
-      AskForSlot(ticket, now);
+      if (!job->give_up && now >= job->deadline) {
+        job->give_up = AdmissionCode::kDeadlineTooNear;
+      }
+      if (job->give_up) {
+        GiveUp(ticket, job->give_up);
+      } else {
+        AskForSlot(ticket, now);
+      }
       return;
     }
-    Job job = std::move(found->second);
-    Forget(ticket);
     if (outcome.error == ClaimsCode::kAlreadyDone) {
-      SendKept(job, outcome.kept_answer);
-      return;
+      sender_.Kept(*job, outcome.kept_answer);
+    } else {
+      const ResultCodeInfo* info = FindResultCode(outcome.error);
+      sender_.Refused(*job, outcome.error,
+                      info == nullptr ? Certainty::kUnknown : info->certainty);
     }
-    const ResultCodeInfo* info = FindResultCode(outcome.error);
-    SendRefused(job, outcome.error,
-                info == nullptr ? Certainty::kUnknown : info->certainty);
+    Forget(ticket);
   }
 
   void FinishClaim(Ticket ticket, Instant now) {
     Job& job = jobs_[ticket];
-    ClaimCommand command = CommandOf(job, ClaimKind::kFinish);
-    command.answer = EncodeKeptAnswer({job.head, job.kept_body});
+    job.stage = JobStage::kFinishing;
+    job.answer_ready = now;
+    if (!job.streaming) {
+      job.pending_answer =
+          EncodeKeptAnswer({job.head, std::exchange(job.kept_body, {})});
+    }
     // The answer goes out once it is kept, so that a resend gets the same.
-    parts_.claims.Submit(
-        command, [this, ticket, answer = command.answer](const ClaimOutcome&) {
-          auto found = jobs_.find(ticket);
-          if (found == jobs_.end()) return;
-          SendKept(found->second, answer);
-          Forget(ticket);
-        });
-    FreeSlot(ticket, now);
-  }
-
-  void BurnAndRefuse(Ticket ticket, std::error_code code, Instant) {
-    parts_.claims.Submit(CommandOf(jobs_[ticket], ClaimKind::kBurn),
-                         [this, ticket, code](const ClaimOutcome& outcome) {
-                           auto found = jobs_.find(ticket);
-                           if (found == jobs_.end()) return;
-                           SendRefused(found->second, code, Certainty::kNotRun);
-                           Forget(ticket);
-                         });
+    writer_.Finish(job, job.pending_answer,
+                   [this, ticket](const ClaimOutcome&) { Deliver(ticket); });
+    EndRun(ticket, now);
   }
 
-  void Follow(const AdmissionEffects& effects, Instant now) {
-    for (Ticket ticket : effects.admitted) StartRun(ticket, now);
-    for (const SlotRefusal& refusal : effects.refused) {
-      auto found = jobs_.find(refusal.ticket);
-      if (found == jobs_.end()) continue;
-      if (!found->second.attempt.repeatable) {
-        BurnAndRefuse(refusal.ticket, refusal.code, now);
-        continue;
-      }
-      SendRefused(found->second, refusal.code, Certainty::kNotRun);
-      Forget(refusal.ticket);
+  /// Passes on the answer of a request that ran, whether kept or not.
+  void Deliver(Ticket ticket) {
+    Job* job = Find(ticket);
+    if (job == nullptr) return;
+    if (job->streaming) {
+      sender_.End(*job);
+    } else {
+      sender_.Kept(*job, job->pending_answer);
     }
+    Forget(ticket);
   }
 
-  void StartRun(Ticket ticket, Instant now) {
+  /// Refuses what did not run. "Not run" of a claimed attempt is said only
+  /// once the ledger has burnt it.
+  void GiveUp(Ticket ticket, const std::error_code& code) {
     Job& job = jobs_[ticket];
-    job.stage = JobStage::kRunning;
-    job.run_began = now;
-    job.attempt.remaining = job.deadline - now;
-    parts_.upstream.Start(ticket, upstream_->address, job.attempt);
+    if (job.attempt.repeatable) {
+      sender_.Refused(job, code, Certainty::kNotRun);
+      Forget(ticket);
+      return;
+    }
+    job.stage = JobStage::kBurning;
+    writer_.Burn(job, [this, ticket, code](const ClaimOutcome& outcome) {
+      Job* burnt = Find(ticket);
+      if (burnt == nullptr) return;
+      if (outcome.error) {
+        sender_.Refused(*burnt, ClaimsCode::kLedgerSilent, Certainty::kUnknown);
+      } else {
+        sender_.Refused(*burnt, code, Certainty::kNotRun);
+      }
+      Forget(ticket);
+    });
   }
 
-  void SendData(Job& job, const std::string& data) {
-    for (size_t at = 0; at < data.size(); at += kMaxChunkBytes) {
-      std::string chunk = data.substr(at, kMaxChunkBytes);
-      job.digest = DigestOf(chunk, job.digest);
-      job.bytes += chunk.size();
-      job.credit -= std::min<uint64_t>(job.credit, chunk.size());
-      parts_.entries.SendChunk(job.entry, job.attempt.id, job.chunks++,
-                               std::move(chunk));
+  void Cancel(Ticket ticket, Instant now) {
+    Job& job = jobs_[ticket];
+    const std::error_code gone = RoutingCode::kCallerGone;
+    switch (job.stage) {
+      case JobStage::kClaiming:
+        job.give_up = gone;
+        break;
+      case JobStage::kWaiting:
+        admission_->Withdraw(ticket);
+        GiveUp(ticket, gone);
+        break;
+      case JobStage::kHeld:
+        GiveUp(ticket, gone);
+        EndRun(ticket, now);
+        break;
+      case JobStage::kRunning:
+        // A request that may run only once is seen through; its answer is
+        // kept for the resend.
+        if (!job.attempt.repeatable) break;
+        parts_.upstream.Cancel(ticket);
+        Forget(ticket);
+        EndRun(ticket, now);
+        break;
+      case JobStage::kBurning:
+      case JobStage::kFinishing:
+        break;
     }
   }
 
-  void SendEnd(const Job& job) {
-    parts_.entries.SendEnd(job.entry, job.attempt.id,
-                           {job.chunks, job.bytes, job.digest},
-                           admission_->Load());
+  void CheckJobs(Instant now) {
+    std::vector<Ticket> tickets;
+    for (const auto& [ticket, job] : jobs_) tickets.push_back(ticket);
+    for (Ticket ticket : tickets) {
+      if (Job* job = Find(ticket)) CheckJob(ticket, *job, now);
+    }
   }
 
-  void SendKept(Job& job, const std::string& encoded) {
-    auto answer = DecodeKeptAnswer(encoded);
-    if (!answer.has_value()) {
-      SendRefused(job, ClaimsCode::kOutcomeUnknown, Certainty::kUnknown);
-      return;
+  void CheckJob(Ticket ticket, Job& job, Instant now) {
+    const bool late = now >= job.deadline;
+    if (!job.entry.empty() && now - job.entry_heard > kEntrySilence) {
+      Cancel(ticket, now);
+    } else if (job.stage == JobStage::kClaiming && late && !job.give_up) {
+      job.give_up = AdmissionCode::kDeadlineTooNear;
+    } else if (job.stage == JobStage::kHeld && late) {
+      GiveUp(ticket, AdmissionCode::kWaitedTooLong);
+      EndRun(ticket, now);
+    } else if (job.stage == JobStage::kFinishing &&
+               now - job.answer_ready >= kFinishPatience) {
+      Deliver(ticket);
     }
-    parts_.entries.SendHead(job.entry, job.attempt.id, answer->head,
-                            admission_->Load());
-    SendData(job, answer->body);
-    SendEnd(job);
   }
 
-  void SendRefused(const Job& job, const std::error_code& code,
-                   Certainty certainty) {
-    parts_.metrics
-        .CounterOf("owner_refusals_total",
-                   "code=\"" + std::to_string(code.value()) + "\"")
-        .Add();
-    parts_.entries.SendRefused(job.entry, job.attempt.id,
-                               RefusalOf(code, certainty), admission_->Load());
+  void CheckUpstream(Instant now) {
+    if (probing_ || !upstream_.has_value()) return;
+    if (blamed_.empty() && (!down_ || now < next_probe_)) return;
+    probing_ = true;
+    next_probe_ = now + kProbeInterval;
+    parts_.upstream.Probe(upstream_->address);
   }
 
-  void FinishRun(Ticket ticket, Instant now) {
-    FreeSlot(ticket, now);
-    Forget(ticket);
+  void RefuseWaiting(AdmissionCode code, Instant) {
+    std::vector<Ticket> waiting;
+    for (const auto& [ticket, job] : jobs_) {
+      if (job.stage == JobStage::kWaiting) waiting.push_back(ticket);
+    }
+    for (Ticket ticket : waiting) {
+      admission_->Withdraw(ticket);
+      GiveUp(ticket, code);
+    }
   }
 
-  void FreeSlot(Ticket ticket, Instant now) {
-    auto found = jobs_.find(ticket);
-    const Duration service_time =
-        found == jobs_.end() ? Duration{} : now - found->second.run_began;
+  void Follow(const AdmissionEffects& effects, Instant now) {
+    for (Ticket ticket : effects.admitted) {
+      Job* job = Find(ticket);
+      if (job == nullptr) continue;
+      job->stage = JobStage::kHeld;
+      job->suspect = parts_.quarantine.Judge(job->fingerprint, now) !=
+                     QuarantineVerdict::kClear;
+      gate_.Add(ticket, job->suspect);
+    }
+    for (const SlotRefusal& refusal : effects.refused) {
+      if (Find(refusal.ticket) != nullptr) GiveUp(refusal.ticket, refusal.code);
+    }
+    for (Ticket ticket : gate_.TakeReady()) StartRun(ticket, now);
+  }
+
+  void StartRun(Ticket ticket, Instant now) {
+    Job& job = jobs_[ticket];
+    job.stage = JobStage::kRunning;
+    job.run_began = now;
+    job.attempt.remaining = job.deadline - now;
+    parts_.upstream.Start(ticket, upstream_->address, job.attempt);
+  }
+
+  /// Gives a slot back, also one of a run that never began.
+  void EndRun(Ticket ticket, Instant now) {
+    const Job* job = Find(ticket);
+    const bool began = job != nullptr && job->run_began != Instant{};
+    const Duration service_time = began ? now - job->run_began : Duration{};
+    gate_.Remove(ticket);
     Follow(admission_->OnFinished(ticket, service_time, now), now);
   }
 
@@ -365,18 +415,26 @@
     jobs_.erase(found);
   }
 
-  Job* JobOf(const AttemptId& attempt) {
-    auto found = by_attempt_.find(attempt);
-    return found == by_attempt_.end() ? nullptr : &jobs_[found->second];
+  Job* Find(Ticket ticket) {
+    auto found = jobs_.find(ticket);
+    return found == jobs_.end() ? nullptr : &found->second;
   }
 
-  std::string instance_;
   OwnerParts parts_;
+  ClaimWriter writer_;
+  AnswerSender sender_;
   std::unique_ptr<Admission> admission_ = MakeAdmission();
+  SlotGate gate_;
+  DeathWatch death_watch_;
   std::optional<UpstreamAnnouncement> upstream_;
   std::map<Ticket, Job> jobs_;
   std::map<AttemptId, Ticket> by_attempt_;
   Ticket last_ticket_ = 0;
+  bool draining_ = false;
+  bool down_ = false;  ///< The upstream takes no connection.
+  bool probing_ = false;
+  Instant next_probe_;
+  std::vector<Digest> blamed_;  ///< Waits for the probe's word.
 };
 
 }  // namespace
--- a/src/requests/internal/call_codec.cc
+++ b/src/requests/internal/call_codec.cc
@@ -92,6 +92,19 @@
           in.state() == 1};
 }
 
+void ToWire(const QuarantineNews& news, wire::QuarantineNotice& out) {
+  out.set_fingerprint(news.fingerprint);
+  out.set_blames(news.blames);
+  out.set_expires_in_ms(static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(news.expires_in)
+          .count()));
+}
+
+QuarantineNews FromWire(const wire::QuarantineNotice& in) {
+  return {in.fingerprint(), in.blames(),
+          std::chrono::milliseconds(in.expires_in_ms())};
+}
+
 std::error_code ResultCodeFromNumber(int number) {
   for (const ResultCodeCategory* category :
        {&RoutingCategory(), &AdmissionCategory(), &ClaimsCategory(),
--- a/src/requests/internal/call_codec.h
+++ b/src/requests/internal/call_codec.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSGLADE_REQUESTS_INTERNAL_CALL_CODEC_H_
 #define HIBISCUSGLADE_REQUESTS_INTERNAL_CALL_CODEC_H_
 
+#include "admission/quarantine.h"
 #include "calls/types/call_types.h"
 #include "wire/peer.pb.h"
 
@@ -15,6 +16,9 @@
 void ToWire(const LoadReport& load, wire::LoadReport& out);
 LoadReport FromWire(const wire::LoadReport& in);
 
+void ToWire(const QuarantineNews& news, wire::QuarantineNotice& out);
+QuarantineNews FromWire(const wire::QuarantineNotice& in);
+
 /// Finds the result code that a number of another daemon stands for.
 std::error_code ResultCodeFromNumber(int number);
 
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -23,13 +23,17 @@
 constexpr Duration kPingInterval = std::chrono::milliseconds(500);
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(1500);
 
-class RequestLoopImpl : public RequestLoop, OwnerLink, EntryLink {
+class RequestLoopImpl : public RequestLoop,
+                        OwnerLink,
+                        EntryLink,
+                        OwnerListener {
  public:
   RequestLoopImpl(const RequestLoopConfig& config, const Clock& clock,
                   Metrics& metrics, const RouteTableHolder& routes)
       : config_(config),
         clock_(clock),
         metrics_(metrics),
+        routes_(routes),
         transport_(
             MakePeerTransport(config.identity, "request", clock, metrics)),
         chooser_(MakeUpstreamChooser(ChoicePolicy::kTwoChoices,
@@ -46,8 +50,9 @@
   std::error_code Start(ClaimStore& claims) override {
     upstream_ = MakeHttpUpstreamClient({config_.upstream_connections},
                                        run_events_, executor_, clock_);
-    owner_ = MakeOwner(config_.identity.instance,
-                       {*this, *upstream_, claims, *quarantine_, metrics_});
+    owner_ = MakeOwner(
+        config_.identity.instance,
+        {*this, *upstream_, claims, *quarantine_, metrics_, clock_, *this});
     run_events_.owner = owner_.get();
     std::error_code error = transport_->Listen(config_.listen_address);
     if (error) return error;
@@ -197,6 +202,22 @@
     SendToEntry(entry, message);
   }
 
+  // OwnerListener.
+  void OnSuspicions(const std::string& service,
+                    const std::vector<QuarantineNews>& news) override {
+    const RouteTablePtr table = routes_.Current();
+    if (table == nullptr) return;
+    // Only owners of the service may be asked to run the request.
+    for (const UpstreamTarget& target : table->UpstreamsOf(service)) {
+      if (IsSelf(target.owner_address)) continue;
+      for (const QuarantineNews& item : news) {
+        wire::Envelope message;
+        ToWire(item, *message.mutable_quarantine_notice());
+        transport_->Send(target.owner_address, message);
+      }
+    }
+  }
+
  private:
   /// Hands run events to the owner, which is made after the client.
   struct RunEventsRelay : public RunEvents {
@@ -209,9 +230,12 @@
     void OnRunEnd(RunId run, Instant now) override {
       owner->OnRunEnd(run, now);
     }
-    void OnRunFailed(RunId run, RunProgress progress, const std::string& reason,
+    void OnRunFailed(RunId run, const RunFailure& failure,
                      Instant now) override {
-      owner->OnRunFailed(run, progress, reason, now);
+      owner->OnRunFailed(run, failure, now);
+    }
+    void OnProbed(bool reachable, Instant now) override {
+      owner->OnProbed(reachable, now);
     }
     Owner* owner = nullptr;
   };
@@ -308,6 +332,9 @@
         owner_->OnCancel(path, message.call_cancel().attempt(), now);
         break;
       case wire::Envelope::kLinkPing:
+        owner_->OnEntryAlive({message.link_ping().attempts().begin(),
+                              message.link_ping().attempts().end()},
+                             now);
         AnswerPing(path, message.link_ping());
         break;
       case wire::Envelope::kLinkPong:
@@ -316,6 +343,9 @@
           entry_->OnAttemptUnknown(attempt, now);
         }
         break;
+      case wire::Envelope::kQuarantineNotice:
+        quarantine_->OnNews(FromWire(message.quarantine_notice()), now);
+        break;
       default:
         OnAnswer(message, now);
     }
@@ -369,6 +399,7 @@
   RequestLoopConfig config_;
   const Clock& clock_;
   Metrics& metrics_;
+  const RouteTableHolder& routes_;
   Executor executor_;
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<UpstreamChooser> chooser_;
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -24,8 +24,11 @@
   CallRequest request;
   AnswerHead head;
   bool head_told = false;
-  bool sent = false;
-  bool paused = false;
+  bool sent = false;      ///< Began to be sent over some connection.
+  int64_t allowance = 0;  ///< Answer bytes that may still be read.
+  bool paused = false;    ///< The library waits for the allowance.
+  bool is_probe = false;
+  bool repeatable = false;
   class Client* client = nullptr;
 };
 
@@ -54,15 +57,21 @@
     Post([this, run, address, attempt] { StartHere(run, address, attempt); });
   }
 
-  void SetPaused(RunId run, bool paused) override {
-    Post([this, run, paused] {
+  void Allow(RunId run, uint64_t bytes) override {
+    Post([this, run, bytes] {
       auto found = runs_.find(run);
       if (found == runs_.end()) return;
-      found->second->paused = paused;
-      if (!paused) curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
+      found->second->allowance += static_cast<int64_t>(bytes);
+      if (!found->second->paused || found->second->allowance <= 0) return;
+      found->second->paused = false;
+      curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
     });
   }
 
+  void Probe(const std::string& address) override {
+    Post([this, address] { ProbeHere(address); });
+  }
+
   void Cancel(RunId run) override {
     Post([this, run] {
       auto found = runs_.find(run);
@@ -102,12 +111,33 @@
     run->id = id;
     run->client = this;
     run->request = attempt.request;
+    run->repeatable = attempt.repeatable;
+    run->allowance = static_cast<int64_t>(attempt.credit_bytes);
     run->easy = curl_easy_init();
     SetOptions(*run, address, attempt);
     curl_multi_add_handle(multi_, run->easy);
     runs_[id] = std::move(run);
   }
 
+  void ProbeHere(const std::string& address) {
+    auto run = std::make_unique<Run>();
+    run->id = --last_probe_;
+    run->client = this;
+    run->is_probe = true;
+    run->easy = curl_easy_init();
+    const std::string url = "http://" + address + "/";
+    curl_easy_setopt(run->easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(run->easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(run->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(run->easy, CURLOPT_CONNECT_ONLY, 1L);
+    curl_easy_setopt(run->easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(run->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(config_.connect_timeout.count() / 1000));
+    curl_easy_setopt(run->easy, CURLOPT_PRIVATE, run.get());
+    curl_multi_add_handle(multi_, run->easy);
+    runs_[run->id] = std::move(run);
+  }
+
   void SetOptions(Run& run, const std::string& address,
                   const CallAttempt& attempt) {
     const CallRequest& request = run.request;
@@ -147,9 +177,23 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &run);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Client::OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &run);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Client::OnSending);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &run);
+    // A connection that the upstream has just closed would leave the outcome
+    // of a request that may not be repeated unknown.
+    if (!attempt.repeatable) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &run);
   }
 
+  /// Called before each sending. The library sends a request again by itself
+  /// when a connection that it used before is lost.
+  static int OnSending(void* cls, char*, char*, int, int) {
+    auto* run = static_cast<Run*>(cls);
+    if (run->sent && !run->repeatable) return CURL_PREREQFUNC_ABORT;
+    run->sent = true;
+    return CURL_PREREQFUNC_OK;
+  }
+
   static void AddField(Run& run, const std::string& name,
                        const std::string& value) {
     const std::string line = value.empty() ? name + ";" : name + ": " + value;
@@ -194,7 +238,11 @@
 
   static size_t OnBody(char* data, size_t size, size_t count, void* cls) {
     auto* run = static_cast<Run*>(cls);
-    if (run->paused) return CURL_WRITEFUNC_PAUSE;
+    if (run->allowance <= 0) {
+      run->paused = true;
+      return CURL_WRITEFUNC_PAUSE;
+    }
+    run->allowance -= static_cast<int64_t>(size * count);
     std::string bytes(data, size * count);
     Client* self = run->client;
     self->executor_.Post([self, id = run->id, bytes = std::move(bytes)] {
@@ -216,25 +264,30 @@
 
   void Finish(Run& run, CURLcode result) {
     const RunId id = run.id;
-    if (result == CURLE_OK) {
+    if (run.is_probe) {
+      executor_.Post([this, reachable = result == CURLE_OK] {
+        events_.OnProbed(reachable, clock_.Now());
+      });
+    } else if (result == CURLE_OK) {
       executor_.Post([this, id] { events_.OnRunEnd(id, clock_.Now()); });
     } else {
-      const RunProgress progress = ProgressOf(run, result);
-      executor_.Post([this, id, progress,
-                      reason = std::string(curl_easy_strerror(result))] {
-        events_.OnRunFailed(id, progress, reason, clock_.Now());
+      executor_.Post([this, id, failure = FailureOf(run, result)] {
+        events_.OnRunFailed(id, failure, clock_.Now());
       });
     }
     Release(run);
     runs_.erase(id);
   }
 
-  static RunProgress ProgressOf(const Run& run, CURLcode result) {
-    if (run.head_told) return RunProgress::kAnswering;
-    long request_bytes = 0;
-    curl_easy_getinfo(run.easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-    const bool sent = request_bytes > 0;
-    return sent ? RunProgress::kSent : RunProgress::kNotSent;
+  static RunFailure FailureOf(const Run& run, CURLcode result) {
+    RunProgress progress = RunProgress::kNotSent;
+    if (run.sent) progress = RunProgress::kSent;
+    if (run.head_told) progress = RunProgress::kAnswering;
+    const bool lost =
+        result == CURLE_COULDNT_CONNECT || result == CURLE_SEND_ERROR ||
+        result == CURLE_RECV_ERROR || result == CURLE_GOT_NOTHING ||
+        result == CURLE_PARTIAL_FILE || result == CURLE_ABORTED_BY_CALLBACK;
+    return {progress, lost, curl_easy_strerror(result)};
   }
 
   void Release(Run& run) {
@@ -253,6 +306,7 @@
   std::mutex mutex_;
   std::vector<Executor::Task> tasks_;
   std::map<RunId, std::unique_ptr<Run>> runs_;
+  RunId last_probe_ = 0;  ///< Probes count down from the largest number.
   std::atomic<bool> stopping_{false};
   std::thread thread_;
 };
