--- a/src/owner/internal/answer_sender.cc
+++ b/src/owner/internal/answer_sender.cc
@@ -18,7 +18,8 @@
 
 void AnswerSender::Head(Job& job) {
   job.streaming = true;
-  entries_.SendHead(job.entry, job.attempt.id, job.head, load_());
+  entries_.SendHead(job.entry, job.attempt.id, job.head,
+                    load_(job.attempt.request_class));
 }
 
 void AnswerSender::Data(Job& job, const std::string& data) {
@@ -33,7 +34,8 @@
 
 void AnswerSender::End(const Job& job) {
   entries_.SendEnd(job.entry, job.attempt.id,
-                   {job.chunks, job.bytes, job.digest}, load_());
+                   {job.chunks, job.bytes, job.digest},
+                   load_(job.attempt.request_class));
 }
 
 void AnswerSender::Kept(Job& job, const std::string& encoded) {
@@ -56,7 +58,8 @@
       .Add();
   entries_.SendRefused(
       job.entry, job.attempt.id,
-      {code, certainty, detail.empty() ? code.message() : detail, {}}, load_());
+      {code, certainty, detail.empty() ? code.message() : detail, {}},
+      load_(job.attempt.request_class));
 }
 
 }  // namespace hibiscusglade
