--- a/src/ctl/internal/api_client.cc
+++ b/src/ctl/internal/api_client.cc
@@ -34,6 +34,9 @@
   if (curl_easy_perform(easy) == CURLE_OK) {
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &answer.status);
   }
+  curl_off_t connect_micros = 0;
+  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_micros);
+  answer.connected = connect_micros > 0;
   curl_easy_cleanup(easy);
   answer.body = nlohmann::json::parse(answer.text, nullptr, false);
   return answer;
--- a/src/ctl/internal/api_client.h
+++ b/src/ctl/internal/api_client.h
@@ -9,6 +9,7 @@
 /// A daemon's answer; status 0 when there was none.
 struct ApiAnswer {
   long status = 0;
+  bool connected = false;  ///< The request may have reached the daemon.
   nlohmann::json body;
   std::string text;
 };
--- a/src/ctl/internal/commands.cc
+++ b/src/ctl/internal/commands.cc
@@ -1,5 +1,6 @@
 #include "ctl/commands.h"
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <functional>
@@ -12,6 +13,7 @@
 #include "ctl/internal/api_client.h"
 #include "operator/operator_result_codes.h"
 #include "platform/data_folder.h"
+#include "platform/strict_json.h"
 #include "settings/daemon_settings.h"
 #include "versions/versions_result_codes.h"
 
@@ -20,6 +22,7 @@
 
 using nlohmann::json;
 
+constexpr long kHttpOk = 200;
 constexpr std::chrono::milliseconds kWatchInterval{200};
 
 /// What a command runs with.
@@ -34,6 +37,12 @@
   }
 };
 
+bool IsNumber(const std::string& text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return c >= '0' && c <= '9';
+  });
+}
+
 int ExitOf(int code) {
   if (code == static_cast<int>(VersionsCode::kConflict) ||
       code == static_cast<int>(VersionsCode::kPatchIdReused)) {
@@ -53,18 +62,44 @@
   return kExitInvalid;
 }
 
+json ErrorBody(const std::error_code& error) {
+  return {{"code", error.value()},
+          {"name", FindResultCode(error)->name},
+          {"message", error.message()}};
+}
+
+/// Prints one fault; an empty pointer means the whole text.
+void PrintFault(std::ostream& err, const std::string& pointer,
+                const std::string& message) {
+  if (!pointer.empty()) err << pointer << ": ";
+  err << message << "\n";
+}
+
+void PrintFaults(std::ostream& err, const json& faults) {
+  for (const json& fault : faults) {
+    err << "  ";
+    PrintFault(err, fault.value("pointer", ""), fault.value("message", ""));
+  }
+}
+
+/// Prints that the daemon gave no readable answer.
+/// @return the exit status.
+int PrintUnreachable(const Context& context, const ApiAnswer& answer) {
+  const std::error_code error = OperatorCode::kUnreachable;
+  if (context.options.json) context.out << ErrorBody(error).dump() << "\n";
+  context.err << (answer.status == 0 ? "no answer from "
+                                     : "no readable answer from ")
+              << context.options.api << " (" << error.value() << ")\n";
+  return kExitUnreachable;
+}
+
 /// Prints a refusal with every fault.
 /// @return the exit status.
 int PrintError(const Context& context, const ApiAnswer& answer) {
-  if (answer.status == 0) {
-    context.err << "no answer from " << context.options.api << "\n";
-    return kExitUnreachable;
+  if (answer.status == 0 || !answer.body.is_object()) {
+    return PrintUnreachable(context, answer);
   }
   if (context.options.json) context.out << answer.text;
-  if (!answer.body.is_object()) {
-    context.err << "unreadable answer: " << answer.text << "\n";
-    return kExitUnreachable;
-  }
   const json& body = answer.body;
   context.err << "refused: " << body.value("message", "") << " ("
               << body.value("code", 0) << " " << body.value("name", "") << ")";
@@ -75,18 +110,29 @@
     context.err << "; " << body["detail"].get<std::string>();
   }
   context.err << "\n";
-  for (const json& fault : body.value("faults", json::array())) {
-    context.err << "  " << fault.value("pointer", "") << ": "
-                << fault.value("message", "") << "\n";
-  }
+  PrintFaults(context.err, body.value("faults", json::array()));
   return ExitOf(body.value("code", 0));
 }
 
+/// Prints the faults of a file.
+void PrintFileFaults(const Context& context, const std::string& path,
+                     const std::vector<SettingsFault>& faults) {
+  json rows = json::array();
+  for (const SettingsFault& fault : faults) {
+    rows.push_back({{"pointer", fault.pointer}, {"message", fault.message}});
+    context.err << path << ": ";
+    PrintFault(context.err, fault.pointer, fault.message);
+  }
+  if (context.options.json) {
+    context.out << json({{"file", path}, {"faults", rows}}).dump() << "\n";
+  }
+}
+
 /// Asks for a path and prints the answer by `print`, or as JSON.
 int Show(const Context& context, const std::string& path,
          const std::function<void(const json&)>& print) {
   const ApiAnswer answer = context.api.Ask(path);
-  if (answer.status != 200) return PrintError(context, answer);
+  if (answer.status != kHttpOk) return PrintError(context, answer);
   if (context.options.json) {
     context.out << answer.text;
   } else {
@@ -95,11 +141,45 @@
   return kExitOk;
 }
 
+/// Reads a patch file.
+/// @param fault says why it can't be read; empty when it was.
+json ReadPatch(const std::string& path, std::string& fault) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file || !text) {
+    fault = "can't be read";
+    return {};
+  }
+  StrictJson parsed = ParseStrictJson(text.str());
+  fault = parsed.fault;
+  if (fault.empty() && !parsed.value.is_array()) {
+    fault = "expected an array of patch operations";
+  }
+  return std::move(parsed.value);
+}
+
+int SendProposal(const Context& context, const json& body) {
+  const ApiAnswer answer = context.api.Post("/v1/patches", body.dump());
+  if (answer.status == 0 && answer.connected) {
+    PrintUnreachable(context, answer);
+    context.err << "the outcome is unknown; resend with the same patch id\n";
+    return kExitUnknown;
+  }
+  if (answer.status != kHttpOk) return PrintError(context, answer);
+  if (context.options.json) {
+    context.out << answer.text;
+  } else {
+    context.out << "accepted as version " << answer.body["number"] << "\n";
+  }
+  return kExitOk;
+}
+
 int Propose(const Context& context) {
   const CommandOptions& options = context.options;
   if (options.base < 0 || options.patch_id.empty() ||
-      (options.patch_file.empty() && options.restore == 0)) {
-    context.err << "propose needs --base, --patch_id and --patch or "
+      (options.patch_file.empty() == (options.restore == 0))) {
+    context.err << "propose needs --base, --patch_id and either --patch or "
                    "--restore\n";
     return kExitUsage;
   }
@@ -109,27 +189,22 @@
                {"restore_content_of", options.restore},
                {"patch", json::array()}};
   if (!options.patch_file.empty()) {
-    std::ifstream file(options.patch_file);
-    std::ostringstream text;
-    text << file.rdbuf();
-    body["patch"] = json::parse(text.str(), nullptr, false, true);
-    if (!file || body["patch"].is_discarded()) {
-      context.err << options.patch_file << ": no readable JSON\n";
+    std::string fault;
+    body["patch"] = ReadPatch(options.patch_file, fault);
+    if (!fault.empty()) {
+      PrintFileFaults(context, options.patch_file, {{"", fault}});
       return kExitInvalid;
     }
   }
-  const ApiAnswer answer = context.api.Post("/v1/patches", body.dump());
-  if (answer.status != 200) return PrintError(context, answer);
-  if (options.json) {
-    context.out << answer.text;
-  } else {
-    context.out << "accepted as version " << answer.body["number"] << "\n";
-  }
-  return kExitOk;
+  return SendProposal(context, body);
 }
 
 int ShowVersion(const Context& context) {
   const std::string number = context.Operand(1);
+  if (!number.empty() && !IsNumber(number)) {
+    context.err << "show takes the number of a version\n";
+    return kExitUsage;
+  }
   return Show(context, "/v1/versions/" + (number.empty() ? "latest" : number),
               [&](const json& body) {
                 context.out << "version " << body["number"] << "\n"
@@ -175,7 +250,7 @@
 
 int Drain(const Context& context) {
   const ApiAnswer answer = context.api.Post("/v1/drain", "");
-  if (answer.status != 200) return PrintError(context, answer);
+  if (answer.status != kHttpOk) return PrintError(context, answer);
   context.out << (context.options.json ? "{}" : "draining") << "\n";
   return kExitOk;
 }
@@ -191,12 +266,16 @@
 
 int Watch(const Context& context) {
   const std::string number = context.Operand(1);
+  if (!IsNumber(number)) {
+    context.err << "watch needs the number of a version\n";
+    return kExitUsage;
+  }
   const auto deadline = std::chrono::steady_clock::now() +
                         std::chrono::seconds(context.options.timeout_s);
   std::string shown;
   while (true) {
     const ApiAnswer answer = context.api.Ask("/v1/in-force/" + number);
-    if (answer.status != 200) return PrintError(context, answer);
+    if (answer.status != kHttpOk) return PrintError(context, answer);
     if (answer.text != shown) {
       shown = answer.text;
       if (context.options.json) {
@@ -212,6 +291,8 @@
       return kExitOk;
     }
     if (std::chrono::steady_clock::now() >= deadline) {
+      const std::error_code error = OperatorCode::kWatchTimeout;
+      if (context.options.json) context.out << ErrorBody(error).dump() << "\n";
       context.err << "version " << number << " is not in force everywhere\n";
       return kExitTimeout;
     }
@@ -219,21 +300,21 @@
   }
 }
 
-/// Prints every fault of a settings file.
+/// Loads a settings file and prints every fault.
 SettingsLoad LoadAndPrint(const Context& context, const std::string& path) {
   SettingsLoad load = LoadDaemonSettings(path);
-  for (const SettingsFault& fault : load.faults) {
-    context.err << path << ": " << fault.pointer << ": " << fault.message
-                << "\n";
-  }
+  if (load.error) PrintFileFaults(context, path, load.faults);
   return load;
 }
 
 int CheckSettings(const Context& context) {
   SettingsLoad load = LoadAndPrint(context, context.Operand(1));
   if (load.error) return kExitInvalid;
-  context.out << (context.options.json ? "{\"faults\":[]}" : "no faults")
-              << "\n";
+  if (context.options.json) {
+    PrintFileFaults(context, context.Operand(1), {});
+  } else {
+    context.out << "no faults\n";
+  }
   return kExitOk;
 }
 
@@ -255,12 +336,32 @@
                 << error.value() << ")\n";
     return kExitInvalid;
   }
-  context.out << "founded " << load.settings->data_folder << "\n";
+  const std::string& path = load.settings->data_folder;
+  if (context.options.json) {
+    context.out << json({{"founded", path}}).dump() << "\n";
+  } else {
+    context.out << "founded " << path << "\n";
+  }
   return kExitOk;
 }
 
 int DescribeSettings(const Context& context) {
-  context.out << DescribeDaemonSettings();
+  if (!context.options.json) {
+    context.out << DescribeDaemonSettings();
+    return kExitOk;
+  }
+  SettingsReader reader = SettingsReader::Describing();
+  ReadDaemonSettings(reader);
+  json rows = json::array();
+  for (const SettingDoc& doc : reader.Docs()) {
+    rows.push_back({{"pointer", doc.pointer},
+                    {"type", doc.type},
+                    {"unit", doc.unit},
+                    {"range", doc.range},
+                    {"default", doc.default_value},
+                    {"text", doc.text}});
+  }
+  context.out << rows.dump() << "\n";
   return kExitOk;
 }
 
@@ -284,27 +385,35 @@
 }  // namespace
 
 std::string UsageText() {
-  return "the operators' tool\n\n"
-         "  hibiscusgladectl [--api IP:PORT] [--json] COMMAND\n\n"
-         "Configuration:\n"
-         "  propose --base N --patch_id ID --patch FILE   propose a patch\n"
-         "  propose --base N --patch_id ID --restore M    go back to the "
-         "content of M\n"
-         "  show [N]            print a version, the latest by default\n"
-         "  history [--most N]  list versions, newest first\n"
-         "  watch N [--timeout S]  wait until a version is in force "
-         "everywhere\n"
-         "Mesh:\n"
-         "  status              this daemon\n"
-         "  upstreams           all instances known\n"
-         "  drain               take the local upstream out of service\n"
-         "Files:\n"
-         "  check-settings FILE          list every fault\n"
-         "  describe-settings            print all settings as a table\n"
-         "  found-replica --settings F   prepare a new mesh's replica\n\n"
-         "Exit status: 0 done, 1 usage, 2 invalid, 3 conflict, 4 not "
-         "accepted,\n5 outcome unknown, 6 timeout, 7 unreachable, 8 not "
-         "found.";
+  return R"(hibiscusgladectl: the operators' tool
+
+  hibiscusgladectl [--api IP:PORT] [--json] COMMAND
+
+Configuration:
+  propose --base N --patch_id ID --patch FILE [--author NAME]
+                               propose an RFC 6902 patch of version N
+  propose --base N --patch_id ID --restore M [--author NAME]
+                               go back to the content of version M
+  show [N]                     print a version, the latest by default
+  history [--most ROWS]        list versions, newest first (20)
+  watch N [--timeout SECONDS]  wait until N is in force everywhere (30)
+Mesh:
+  status                       this daemon
+  upstreams                    all instances known
+  drain                        take the local upstream out of service
+Files:
+  check-settings FILE          list every fault
+  describe-settings            print all settings as a table
+  found-replica --settings FILE
+                               prepare a new mesh's replica, once
+Everywhere:
+  --api IP:PORT                operators' API of a daemon (127.0.0.1:7003)
+  --json                       print answers, also refusals, as JSON
+
+Exit status: 0 done, 1 usage, 2 invalid, 3 conflict, 4 not accepted,
+5 outcome unknown (resend with the same patch id), 6 timeout,
+7 unreachable, 8 not found.
+)";
 }
 
 int RunCommand(const CommandOptions& options, std::ostream& out,
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "ctl/commands.h"
+#include "platform/command_line.h"
 
 DEFINE_string(api, "127.0.0.1:7003", "operators' API of a daemon, ip:port");
 DEFINE_bool(json, false, "print the answer as JSON");
@@ -18,6 +19,10 @@
 DEFINE_string(settings, "", "found-replica: settings file of the replica");
 
 int main(int argc, char** argv) {
+  if (hibiscusglade::AsksForHelp(argc, argv)) {
+    std::cout << hibiscusglade::UsageText();
+    return hibiscusglade::kExitOk;
+  }
   gflags::SetUsageMessage(hibiscusglade::UsageText());
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   hibiscusglade::CommandOptions options;
