Try bad input at every listener with real processes

Cause: nothing showed what a damaged request, frame or a client without manners does to others; X-Request-Timeout-Ms: soon was read as 0 and the code 7004 was used nowhere. Change: bad_input_test sends damaged and oversized HTTP, foreign bytes, trickled bytes, vanishing clients, 3000 connections, mixed-up ports, damaged frames and peers of another mesh and wire version, while a well-behaved caller runs at two daemons and must lose nothing; it also asks dead and silent daemons by hibiscusgladectl. The caller gateway (a small change in src/caller) refuses numbers that it can't read with 7004.

--- a/src/caller/internal/caller_gateway.cc
+++ b/src/caller/internal/caller_gateway.cc
@@ -5,8 +5,10 @@
 #include <strings.h>
 
 #include <array>
+#include <charconv>
 #include <cstring>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "caller/caller_result_codes.h"
@@ -62,9 +64,19 @@
   bool answered = false;
   bool completed = false;
   bool too_large = false;
+  bool bad_field = false;  ///< A field that the gateway reads is no number.
   CallHandler* handler = nullptr;
 };
 
+/// @return the number that a field consists of; nullopt when it is none.
+std::optional<uint32_t> NumberIn(const std::string& text) {
+  uint32_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc{} || stop != end) return std::nullopt;
+  return number;
+}
+
 MHD_Result CollectField(void* cls, MHD_ValueKind, const char* name,
                         const char* value) {
   auto* exchange = static_cast<Exchange*>(cls);
@@ -78,11 +90,13 @@
   if (SameField(field, "X-Request-Id")) {
     request.request_id = text;
   } else if (SameField(field, "X-Request-Timeout-Ms")) {
-    request.timeout =
-        std::chrono::milliseconds(std::strtoul(text.c_str(), nullptr, 10));
+    const auto timeout = NumberIn(text);
+    exchange->bad_field |= !timeout.has_value();
+    request.timeout = std::chrono::milliseconds(timeout.value_or(0));
   } else if (SameField(field, "X-Request-Depth")) {
-    request.depth =
-        static_cast<uint32_t>(std::strtoul(text.c_str(), nullptr, 10));
+    const auto depth = NumberIn(text);
+    exchange->bad_field |= !depth.has_value();
+    request.depth = depth.value_or(0);
   } else if (SameField(field, "X-Caller")) {
     request.caller = text;
   } else if (SameField(field, "Idempotency-Key")) {
@@ -211,6 +225,7 @@
   }
 
   static std::optional<std::error_code> Check(const Exchange& exchange) {
+    if (exchange.bad_field) return make_error_code(CallerCode::kHeaderInvalid);
     if (exchange.too_large) return make_error_code(CallerCode::kBodyTooLarge);
     for (const char* method : kMethods) {
       if (exchange.request.method == method) return std::nullopt;
--- /dev/null
+++ b/tests/processes/bad_input_test.cc
@@ -0,0 +1,371 @@
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <thread>
+#include <zmq.hpp>
+
+#include "platform/digest.h"
+#include "tests/harness/load.h"
+#include "tests/harness/mesh.h"
+#include "wire/peer.pb.h"
+
+namespace hibiscusglade {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kNetwork = 121;
+constexpr int kCallerPort = 7000;
+constexpr int kControlPort = 7001;
+constexpr int kRequestPort = 7002;
+constexpr int kOperatorPort = 7003;
+constexpr int kAnnouncementPort = 7004;
+constexpr int kMaxCallerConnections = 1000;
+constexpr int kAnswerTimeoutMs = 3000;
+constexpr uint32_t kWireVersion = 1;
+
+constexpr char kFirstVersion[] = R"([
+  {"op": "add", "path": "/services/plots", "value": {"max_queue": 64}},
+  {"op": "add", "path": "/classes/short", "value": {"max_wait_ms": 1000}},
+  {"op": "add", "path": "/routes/plots", "value": {"path_prefix": "/plots/",
+    "service": "plots", "class": "short", "repeatable": true}}])";
+
+/// A TCP client that keeps no rules.
+class RawClient {
+ public:
+  RawClient(const std::string& ip, int port)
+      : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    const timeval wait{kAnswerTimeoutMs / 1000, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    setsockopt(fd_, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait));
+    connected_ = connect(fd_, reinterpret_cast<const sockaddr*>(&address),
+                         sizeof(address)) == 0;
+  }
+  ~RawClient() { close(fd_); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  bool Connected() const { return connected_; }
+
+  void Send(std::string_view bytes) const {
+    while (!bytes.empty()) {
+      const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      if (sent <= 0) return;
+      bytes.remove_prefix(static_cast<size_t>(sent));
+    }
+  }
+
+  /// @return the first bytes of the answer; empty at its end or a timeout.
+  std::string Read() const {
+    std::string block(4096, '\0');
+    const ssize_t taken = recv(fd_, block.data(), block.size(), 0);
+    block.resize(taken > 0 ? static_cast<size_t>(taken) : 0);
+    return block;
+  }
+
+ private:
+  int fd_;
+  bool connected_ = false;
+};
+
+/// A caller that keeps the rules, while the others don't.
+class WellBehavedCaller {
+ public:
+  explicit WellBehavedCaller(const Mesh& mesh)
+      : thread_([this, &mesh] {
+          while (!stop_) {
+            for (const char* instance : {"x", "y"}) {
+              const HttpAnswer answer =
+                  SendHttp("GET", mesh.CallerUrl(instance) + "/plots/7");
+              ++sent_;
+              if (answer.body == "plots answers GET /plots/7\n") ++good_;
+            }
+            std::this_thread::sleep_for(milliseconds(5));
+          }
+        }) {}
+  ~WellBehavedCaller() { Finish(); }
+
+  /// Stops it and expects that nothing of its own was lost.
+  void Finish() {
+    if (!thread_.joinable()) return;
+    stop_ = true;
+    thread_.join();
+    EXPECT_GT(sent_, 0);
+    EXPECT_EQ(good_, sent_);
+  }
+
+ private:
+  std::atomic<bool> stop_{false};
+  int sent_ = 0;
+  int good_ = 0;
+  std::thread thread_;
+};
+
+class BadInput : public testing::Test {
+ protected:
+  BadInput()
+      : mesh_(kNetwork, {{"x", "a", "plots", 6, true, {}},
+                         {"y", "b", "plots", 6, true, {}},
+                         {"z", "c", "plots", 6, true, {}}}) {
+    mesh_.Start();
+  }
+
+  void SetUp() override {
+    ASSERT_TRUE(mesh_.WaitForUpstreams("x", 3, seconds(20)));
+    ASSERT_TRUE(mesh_.WaitForUpstreams("y", 3, seconds(20)));
+    ASSERT_EQ(mesh_.Propose("x", "first", 0, kFirstVersion).status, 200);
+    ASSERT_TRUE(mesh_.WaitForVersion(1, seconds(20)));
+    if (CallerRuns()) caller_ = std::make_unique<WellBehavedCaller>(mesh_);
+  }
+
+  /// @return whether a well-behaved caller runs during the test.
+  virtual bool CallerRuns() const { return true; }
+
+  void TearDown() override {
+    caller_.reset();
+    for (const char* instance : {"x", "y", "z"}) {
+      EXPECT_TRUE(mesh_.Daemon(instance).Running()) << instance;
+    }
+  }
+
+  /// Sends bytes to a port of x.
+  /// @return the begin of the answer.
+  std::string Answer(int port, const std::string& bytes) {
+    RawClient client(mesh_.IpOf("x"), port);
+    EXPECT_TRUE(client.Connected());
+    client.Send(bytes);
+    return client.Read();
+  }
+
+  double Refusals(int code) {
+    return mesh_.Metric(
+        "x", "peer_refusals_total{code=\"" + std::to_string(code) + "\"}");
+  }
+
+  bool EventuallyRefused(int code) {
+    return Mesh::Eventually([&] { return Refusals(code) > 0; }, seconds(5));
+  }
+
+  Mesh mesh_;
+  std::unique_ptr<WellBehavedCaller> caller_;
+};
+
+class HttpThatIsDamaged : public BadInput {};
+
+TEST_F(HttpThatIsDamaged, IsRefusedAtEachListener) {
+  for (int port : {kCallerPort, kOperatorPort, kAnnouncementPort}) {
+    EXPECT_NE(Answer(port, "GET\r\n\r\n").substr(0, 9), "HTTP/1.1 2") << port;
+    EXPECT_EQ(Answer(port,
+                     "GET /x HTTP/1.1\r\nHost: a\r\nContent-Length: x"
+                     "\r\n\r\n")
+                  .substr(0, 12),
+              "HTTP/1.1 400")
+        << port;
+    const std::string large(200'000, 'a');
+    EXPECT_EQ(Answer(port, "GET /x HTTP/1.1\r\nHost: a\r\nX-Large: " + large +
+                               "\r\n\r\n")
+                  .substr(0, 10),
+              "HTTP/1.1 4")
+        << port;
+    Answer(port, std::string(5000, '\0') + "\xff\xfe\r\n\r\n");
+  }
+}
+
+TEST_F(HttpThatIsDamaged, IsRefusedWithNumbersAboveTheHttpLayer) {
+  const std::string operators = mesh_.OperatorUrl("x");
+  const std::string callers = mesh_.CallerUrl("x");
+  const std::string announcements =
+      "http://" + mesh_.IpOf("x") + ":" + std::to_string(kAnnouncementPort);
+  const std::string path = "/v1/announcement";
+  EXPECT_NE(SendHttp("POST", operators + "/v1/patches", "{\"a\":\"\xff")
+                .body.find("9502"),
+            std::string::npos);
+  EXPECT_NE(SendHttp("PUT", announcements + path, "{\"service\":\"\xff")
+                .body.find("8002"),
+            std::string::npos);
+  EXPECT_NE(SendHttp("PUT", announcements + path, std::string(2'000'000, '['))
+                .body.find("8002"),
+            std::string::npos);
+  EXPECT_NE(SendHttp("GET", announcements + "/v1/other").body.find("8001"),
+            std::string::npos);
+  EXPECT_NE(
+      SendHttp("POST", operators + "/v1/patches", std::string(9 << 20, ' '))
+          .body.find("9602"),
+      std::string::npos);
+  EXPECT_EQ(SendHttp("GET", callers + "/nowhere").Code(), 4001);
+  EXPECT_EQ(SendHttp("TRACE", callers + "/plots/7").Code(), 7003);
+  EXPECT_EQ(
+      SendHttp("PUT", callers + "/plots/7", std::string(9 << 20, ' ')).Code(),
+      7002);
+}
+
+TEST_F(HttpThatIsDamaged, IsRefusedOrServedWhenFieldsHoldForeignBytes) {
+  const auto answer = [&](const std::string& target, const std::string& field) {
+    return Answer(kCallerPort, "GET " + target + " HTTP/1.1\r\nHost: a\r\n" +
+                                   field + "\r\n\r\n");
+  };
+  // Often enough to reach upstreams of other instances.
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(answer("/plots/\xff", "X-A: b").substr(0, 10), "HTTP/1.1 2");
+  }
+  EXPECT_EQ(answer("/plots/7", "X-Owner: Jos\xe9").substr(0, 10), "HTTP/1.1 2");
+  for (const char* field :
+       {"X-Request-Timeout-Ms: soon", "X-Request-Timeout-Ms: -5",
+        "X-Request-Timeout-Ms: 99999999999999999999", "X-Request-Depth: x"}) {
+    EXPECT_NE(answer("/plots/7", field).find("X-Result-Code: 7004"),
+              std::string::npos)
+        << field;
+  }
+}
+
+class AClientWithoutManners : public BadInput {};
+
+TEST_F(AClientWithoutManners, MaySendByteByByteOrVanish) {
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int i = 0; i < 20; ++i) {
+    clients.push_back(
+        std::make_unique<RawClient>(mesh_.IpOf("x"), kCallerPort));
+  }
+  const std::string request = "GET /plots/9 HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (char byte : request) {
+    for (auto& client : clients) client->Send({&byte, 1});
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  for (auto& client : clients) {
+    EXPECT_EQ(client->Read().substr(0, 12), "HTTP/1.1 200");
+  }
+  for (int i = 0; i < 200; ++i) {
+    for (int port : {kCallerPort, kOperatorPort, kAnnouncementPort}) {
+      RawClient gone(mesh_.IpOf("x"), port);
+      gone.Send("PUT /plots/9 HTTP/1.1\r\nContent-Length: 500\r\n\r\nabc");
+    }
+  }
+}
+
+class AHerdOfConnections : public BadInput {
+ protected:
+  bool CallerRuns() const override { return false; }
+};
+
+TEST_F(AHerdOfConnections, BeyondTheLimitLeavesOtherListenersFree) {
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int i = 0; i < 3 * kMaxCallerConnections; ++i) {
+    clients.push_back(
+        std::make_unique<RawClient>(mesh_.IpOf("x"), kCallerPort));
+  }
+  EXPECT_EQ(SendHttp("GET", mesh_.CallerUrl("y") + "/plots/7").status, 200);
+  EXPECT_EQ(SendHttp("GET", mesh_.OperatorUrl("x") + "/v1/status").status, 200);
+  clients.clear();
+  EXPECT_TRUE(Mesh::Eventually(
+      [&] {
+        return SendHttp("GET", mesh_.CallerUrl("x") + "/plots/7").status == 200;
+      },
+      seconds(10)));
+}
+
+class APortMixedUp : public BadInput {};
+
+TEST_F(APortMixedUp, LeavesTheDaemonWhole) {
+  for (int port : {kControlPort, kRequestPort}) {
+    Answer(port, "GET /plots/7 HTTP/1.1\r\nHost: a\r\n\r\n");
+    Answer(port, std::string(100'000, '\xff'));
+  }
+  zmq::context_t context(1);
+  for (int port : {kCallerPort, kOperatorPort, kAnnouncementPort}) {
+    zmq::socket_t socket(context, zmq::socket_type::dealer);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.connect("tcp://" + mesh_.IpOf("x") + ":" + std::to_string(port));
+    socket.send(zmq::str_buffer("hello"), zmq::send_flags::dontwait);
+    std::this_thread::sleep_for(milliseconds(300));
+  }
+}
+
+class AForeignPeer : public BadInput {
+ protected:
+  /// Sends frames to x's control and request ports.
+  /// @return the code of the refusal; 0 without an answer.
+  int SendFrame(int port, const std::string& frame) {
+    zmq::socket_t socket(context_, zmq::socket_type::dealer);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::rcvtimeo, kAnswerTimeoutMs);
+    socket.connect("tcp://" + mesh_.IpOf("x") + ":" + std::to_string(port));
+    socket.send(zmq::buffer(frame), zmq::send_flags::none);
+    zmq::message_t answer;
+    wire::Envelope envelope;
+    if (!socket.recv(answer).has_value()) return 0;
+    envelope.ParseFromArray(answer.data(), static_cast<int>(answer.size()));
+    return envelope.refused().code();
+  }
+
+  static std::string Frame(const std::string& mesh, uint32_t wire_version) {
+    wire::Envelope envelope;
+    envelope.set_mesh(DigestOf(mesh));
+    envelope.set_wire_version(wire_version);
+    envelope.set_instance("stranger");
+    envelope.mutable_gossip();
+    return envelope.SerializeAsString();
+  }
+
+  zmq::context_t context_{1};
+};
+
+TEST_F(AForeignPeer, IsRefusedAtItsFirstMessageAndCounted) {
+  for (int port : {kControlPort, kRequestPort}) {
+    EXPECT_EQ(SendFrame(port, Frame("another-mesh", kWireVersion)), 9003);
+    EXPECT_EQ(SendFrame(port, Frame("test-121", kWireVersion + 1)), 9004);
+  }
+  EXPECT_TRUE(EventuallyRefused(9003));
+  EXPECT_TRUE(EventuallyRefused(9004));
+}
+
+TEST_F(AForeignPeer, MaySendDamagedFrames) {
+  for (int port : {kControlPort, kRequestPort}) {
+    for (int i = 0; i < 100; ++i) {
+      zmq::socket_t socket(context_, zmq::socket_type::dealer);
+      socket.set(zmq::sockopt::linger, 500);
+      socket.connect("tcp://" + mesh_.IpOf("x") + ":" + std::to_string(port));
+      const std::string whole = Frame("test-121", kWireVersion);
+      socket.send(zmq::buffer(whole.substr(0, i % whole.size())),
+                  zmq::send_flags::sndmore);
+      socket.send(zmq::buffer(std::string(i * 100, '\xff')),
+                  zmq::send_flags::none);
+    }
+  }
+  EXPECT_TRUE(EventuallyRefused(9005));
+}
+
+class TheOperatorsTool : public BadInput {
+ protected:
+  int Ctl(const std::string& api, const std::vector<std::string>& words) {
+    std::vector<std::string> command = {
+        std::string(HG_BINARY_DIR) + "/bin/hibiscusgladectl", "--api=" + api};
+    command.insert(command.end(), words.begin(), words.end());
+    return ChildProcess(command, mesh_.LogFile("ctl"), "/").Wait(20000);
+  }
+};
+
+TEST_F(TheOperatorsTool, TellsADeadDaemonFromASilentOne) {
+  EXPECT_EQ(Ctl(mesh_.IpOf("x") + ":1", {"status"}), 7);
+  EXPECT_EQ(Ctl("nonsense", {"status"}), 7);
+  EXPECT_EQ(Ctl(mesh_.IpOf("x") + ":1",
+                {"propose", "--base=1", "--patch_id=p", "--restore=1"}),
+            7);
+  caller_.reset();
+  mesh_.Daemon("z").Signal(SIGSTOP);
+  EXPECT_EQ(Ctl(mesh_.IpOf("z") + ":7003",
+                {"propose", "--base=1", "--patch_id=p", "--restore=1"}),
+            5);
+  mesh_.Daemon("z").Signal(SIGCONT);
+}
+
+}  // namespace
+}  // namespace hibiscusglade
