--- a/src/platform/log.h
+++ b/src/platform/log.h
@@ -6,6 +6,8 @@
 
 namespace hibiscusglade {
 
+// Prefixes: app, consensus, distribution, http, requests.
+
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
 /// Sets up logging to standard error for the process.
@@ -17,7 +19,7 @@
 
 /// Writes one short sentence.
 /// @param level level of the line.
-/// @param part fixed prefix of the part that writes, for example "consensus".
+/// @param part fixed prefix of the part that writes, out of the list above.
 /// @param sentence what happened.
 void Log(LogLevel level, std::string_view part, const std::string& sentence);
 
