Describe every metric and give the state of the mesh as gauges

Cause: /metrics had neither HELP nor TYPE lines nor gauges, and operators had no page that says what a counter means. Gauges for the version in use, its age, instances by state, upstreams that serve by service, stopping. The harness reads samples only at the begin of a line, as HELP lines name the metric too.

--- a/docs/check-guarantees.sh
+++ b/docs/check-guarantees.sh
@@ -36,7 +36,7 @@
 }
 
 check_filter() {
-  "$1" --gtest_list_tests "--gtest_filter=${2//[\'\"]/}" | grep -q '^  ' || fault "$1 has no test $2"
+  "$1" --gtest_list_tests "--gtest_filter=${2//[\'\"]/}" | grep '^  ' > /dev/null || fault "$1 has no test $2"
 }
 
 rows=0
--- a/docs/check-links.sh
+++ b/docs/check-links.sh
@@ -15,7 +15,7 @@
     if [ ! -e "$path" ]; then
       echo "$page: $target does not exist" >&2
       faults=$((faults + 1))
-    elif [[ $target == *#* ]] && ! anchors "$path" | grep -qxF -- "${target#*#}"; then
+    elif [[ $target == *#* ]] && ! anchors "$path" | grep -xF -- "${target#*#}" > /dev/null; then
       echo "$page: $target has no such heading" >&2
       faults=$((faults + 1))
     fi
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -2,10 +2,13 @@
 
 #include <charconv>
 #include <limits>
+#include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 
 #include "operator/operator_result_codes.h"
+#include "platform/metrics.h"
 
 namespace hibiscusglade {
 namespace {
@@ -225,6 +228,34 @@
                             {"stopping", status.stopping}});
 }
 
+/// @return the state of the daemon and the mesh as gauges.
+std::string GaugesText(OperatorBackend& backend) {
+  const std::unique_ptr<Metrics> gauges = MakeMetrics();
+  const DaemonStatus status = backend.Status();
+  gauges->SetGauge("version_in_use", "",
+                   static_cast<double>(status.version_in_use));
+  gauges->SetGauge("version_age_seconds", "",
+                   static_cast<double>(status.version_age_ms) * 1e-3);
+  gauges->SetGauge("stopping", "", status.stopping ? 1 : 0);
+  std::map<std::string, int> states;
+  std::map<std::string, int> serving;
+  for (const InstanceRecord& record : backend.Instances()) {
+    ++states[NameOf(record.state)];
+    if (record.service.empty()) continue;
+    const bool serves = record.state == InstanceState::kAlive &&
+                        record.upstream_state == UpstreamState::kServing;
+    serving[record.service] += serves ? 1 : 0;
+  }
+  for (const auto& [state, count] : states) {
+    gauges->SetGauge("instances", "state=\"" + state + "\"", count);
+  }
+  for (const auto& [service, count] : serving) {
+    gauges->SetGauge("upstreams_serving", "service=" + json(service).dump(),
+                     count);
+  }
+  return gauges->Exposition();
+}
+
 /// @return what follows a prefix of the path, if it has that prefix.
 std::optional<std::string> After(const std::string& path,
                                  std::string_view prefix) {
@@ -237,7 +268,8 @@
                                  const HttpRequest& request) {
   const std::string& path = request.path;
   if (path == "/metrics") {
-    return HttpResponse{200, kMetricsType, backend.MetricsText()};
+    return HttpResponse{200, kMetricsType,
+                        backend.MetricsText() + GaugesText(backend)};
   }
   if (path == "/v1/status") return Status(backend);
   if (path == "/v1/instances") return Instances(backend);
--- /dev/null
+++ b/src/platform/internal/metric_catalog.cc
@@ -0,0 +1,75 @@
+#include "platform/metric_catalog.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace hibiscusglade {
+namespace {
+
+constexpr MetricInfo kMetrics[] = {
+    {"call_refusals_total", "counter", "code", "Calls that the entry refused.",
+     "Look the code up in RESULT_CODES."},
+    {"call_seconds", "summary", "",
+     "Time from a call's begin at the entry to the end of its answer.",
+     "When 0.99 grows: look for slow upstreams and full queues."},
+    {"caller_refusals_total", "counter", "code", "Refusals sent to callers.",
+     "Look the code up in RESULT_CODES."},
+    {"instances", "gauge", "state",
+     "Instances that this daemon knows, by state.",
+     "Suspected or dead instances: check them and the links to them."},
+    {"owner_refusals_total", "counter", "code",
+     "Attempts that the daemon beside the upstream refused.",
+     "Look the code up in RESULT_CODES."},
+    {"peer_received_bytes_total", "counter", "plane",
+     "Bytes of frames received from other daemons.",
+     "Compare with the limit of the control plane in CAPACITY."},
+    {"peer_refusals_total", "counter", "code",
+     "Frames of other daemons that were refused or could not be sent.",
+     "9003 and 9004: check mesh and release of both ends."},
+    {"peer_sent_bytes_total", "counter", "plane",
+     "Bytes of frames sent to other daemons.",
+     "Compare with the limit of the control plane in CAPACITY."},
+    {"retries_total", "counter", "code",
+     "Attempts after the first, by the refusal that led to them.",
+     "Look at the daemons that refuse, by owner_refusals_total."},
+    {"silent_links_total", "counter", "",
+     "Connections to other daemons replaced after falling silent.",
+     "When it keeps growing: look for what loses connections between them."},
+    {"stopping", "gauge", "", "1 while the daemon drains.", "Nothing."},
+    {"upstreams_serving", "gauge", "service",
+     "Upstreams that serve, by service.",
+     "When it falls: check the upstreams' announcements."},
+    {"version_age_seconds", "gauge", "",
+     "Time since the version in use was put in use.", "Nothing."},
+    {"version_in_use", "gauge", "", "Number of the version in use.",
+     "When it lags behind other daemons: check links and the daemon's log."},
+};
+
+}  // namespace
+
+const MetricInfo* FindMetric(std::string_view name) {
+  const auto* found = std::find_if(
+      std::begin(kMetrics), std::end(kMetrics),
+      [name](const MetricInfo& info) { return info.name == name; });
+  return found == std::end(kMetrics) ? nullptr : found;
+}
+
+std::string DescribeMetrics() {
+  std::string out =
+      "| metric | type | by | what it says | what to do |\n"
+      "|---|---|---|---|---|\n";
+  for (const MetricInfo& info : kMetrics) {
+    out += "| `hibiscusglade_";
+    out += info.name;
+    for (std::string_view cell :
+         {info.type, info.labels, info.help, info.action}) {
+      out += cell.data() == info.type.data() ? "` | " : " | ";
+      out += cell;
+    }
+    out += " |\n";
+  }
+  return out;
+}
+
+}  // namespace hibiscusglade
--- a/src/platform/internal/metrics.cc
+++ b/src/platform/internal/metrics.cc
@@ -7,6 +7,8 @@
 #include <sstream>
 #include <utility>
 
+#include "platform/metric_catalog.h"
+
 namespace hibiscusglade {
 namespace {
 
@@ -76,8 +78,10 @@
 
 using MetricKey = std::pair<std::string, std::string>;
 
+constexpr std::string_view kPrefix = "hibiscusglade_";
+
 MetricKey KeyOf(std::string_view name, std::string_view labels) {
-  return {"hibiscusglade_" + std::string(name), std::string(labels)};
+  return {std::string(kPrefix) + std::string(name), std::string(labels)};
 }
 
 class MetricsRegistry : public Metrics {
@@ -103,17 +107,35 @@
     std::lock_guard<std::mutex> lock(mutex_);
     std::ostringstream out;
     out.precision(9);
+    std::string described;
     for (const auto& [key, counter] : counters_) {
+      WriteDescription(out, key.first, "counter", described);
       WriteSample(out, key, static_cast<double>(counter.Value()));
     }
-    for (const auto& [key, value] : gauges_) WriteSample(out, key, value);
+    for (const auto& [key, value] : gauges_) {
+      WriteDescription(out, key.first, "gauge", described);
+      WriteSample(out, key, value);
+    }
     for (const auto& [key, histogram] : histograms_) {
+      WriteDescription(out, key.first, "summary", described);
       histogram.Expose(out, key.first, key.second);
     }
     return out.str();
   }
 
  private:
+  /// Writes the lines that stand once before all samples of a name.
+  /// @param described name described last.
+  static void WriteDescription(std::ostream& out, const std::string& name,
+                               std::string_view type, std::string& described) {
+    if (name == described) return;
+    described = name;
+    const MetricInfo* info =
+        FindMetric(std::string_view(name).substr(kPrefix.size()));
+    if (info != nullptr) out << "# HELP " << name << " " << info->help << "\n";
+    out << "# TYPE " << name << " " << type << "\n";
+  }
+
   static void WriteSample(std::ostream& out, const MetricKey& key,
                           double value) {
     out << key.first;
--- a/src/platform/tests/metrics_test.cc
+++ b/src/platform/tests/metrics_test.cc
@@ -11,9 +11,19 @@
 };
 
 TEST_F(AMetricsRegistry, WritesItsCountersInTheTextFormat) {
-  metrics_->CounterOf("refusals_total", "code=\"5001\"").Add(3);
+  metrics_->CounterOf("retries_total", "code=\"5001\"").Add(3);
+  metrics_->CounterOf("retries_total", "code=\"5003\"").Add();
+  metrics_->SetGauge("version_in_use", "", 7);
   EXPECT_EQ(metrics_->Exposition(),
-            "hibiscusglade_refusals_total{code=\"5001\"} 3\n");
+            "# HELP hibiscusglade_retries_total Attempts after the first, by "
+            "the refusal that led to them.\n"
+            "# TYPE hibiscusglade_retries_total counter\n"
+            "hibiscusglade_retries_total{code=\"5001\"} 3\n"
+            "hibiscusglade_retries_total{code=\"5003\"} 1\n"
+            "# HELP hibiscusglade_version_in_use Number of the version in "
+            "use.\n"
+            "# TYPE hibiscusglade_version_in_use gauge\n"
+            "hibiscusglade_version_in_use 7\n");
 }
 
 TEST_F(AMetricsRegistry, GivesQuantilesWithinABucketOfTheTruth) {
--- a/src/settings/tests/settings_docs_test.cc
+++ b/src/settings/tests/settings_docs_test.cc
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "platform/metric_catalog.h"
 #include "settings/daemon_settings.h"
 
 namespace hibiscusglade {
@@ -23,6 +24,13 @@
       << DescribeDaemonSettings();
 }
 
+TEST(TheOperationsPage, HoldsTheTableOfMetrics) {
+  const std::string page = ContentOf(HG_SOURCE_DIR "/docs/OPERATIONS.md");
+  EXPECT_NE(page.find(DescribeMetrics()), std::string::npos)
+      << "put this into docs/OPERATIONS.md:\n"
+      << DescribeMetrics();
+}
+
 TEST(TheExampleSettings, HaveNoFaults) {
   size_t files = 0;
   for (const auto& entry : std::filesystem::recursive_directory_iterator(
--- a/tests/harness/mesh.cc
+++ b/tests/harness/mesh.cc
@@ -237,7 +237,8 @@
 double Mesh::Metric(const std::string& instance,
                     const std::string& line) const {
   const HttpAnswer answer = SendHttp("GET", OperatorUrl(instance) + "/metrics");
-  const std::string wanted = "hibiscusglade_" + line + " ";
+  // The lines before the samples name the metric too.
+  const std::string wanted = "\nhibiscusglade_" + line + " ";
   const size_t at = answer.body.find(wanted);
   if (at == std::string::npos) return 0;
   return std::strtod(answer.body.c_str() + at + wanted.size(), nullptr);
