--- a/src/consensus/internal/node.cc
+++ b/src/consensus/internal/node.cc
@@ -81,7 +81,10 @@
 
 ConsensusEffects Node::OnSynced(Instant now) {
   synced_index_ = log_.LastIndex();
-  if (role_ == ReplicaRole::kLeader) AdvanceCommit(now);
+  if (role_ == ReplicaRole::kLeader) {
+    AdvanceCommit(now);
+    SendNews(now);
+  }
   return Take();
 }
 
@@ -91,7 +94,7 @@
   if (role_ != ReplicaRole::kLeader) return std::nullopt;
   const LogIndex index = log_.LastIndex() + 1;
   Append({vote_.term, index, kind, std::move(command)});
-  BroadcastAppend(now);
+  // OnSynced sends it, together with what else is proposed until then.
   effects = Take();
   return std::pair(vote_.term, index);
 }
@@ -313,10 +316,7 @@
         1, std::min(progress.next - 1, body.match_index + 1));
   }
   GrantReads();
-  if (role_ == ReplicaRole::kLeader && progress_.contains(message.from) &&
-      progress_[message.from].next <= log_.LastIndex()) {
-    SendAppend(message.from, now);
-  }
+  if (role_ == ReplicaRole::kLeader) SendNews(now);
 }
 
 void Node::OnInstallSnapshot(const ConsensusMessage& message,
@@ -346,29 +346,14 @@
                    body.round});
 }
 
-void Node::OnJoinRequest(const JoinRequest& body, Instant now) {
-  if (role_ != ReplicaRole::kLeader) return;
-  // This instance holds its disk, so the request is a late one.
-  if (body.member.id.instance == self_.instance) return;
-  std::vector<Member> members;
-  for (const Member& member : members_) {
-    if (member.id == body.member.id) return;
-    // An older identity of the same instance has lost its disk.
-    if (member.id.instance != body.member.id.instance) {
-      members.push_back(member);
-    }
-  }
-  Member joining = body.member;
-  joining.voter = false;
-  members.push_back(joining);
-  ProposeMembers(members, now);
-}
-
 void Node::SendAppend(const MemberId& to, Instant now) {
   Progress& progress = progress_[to];
   progress.last_sent = now;
+  progress.sent_commit = commit_index_;
   auto previous_term = log_.TermAt(progress.next - 1);
-  if (!previous_term.has_value()) {
+  progress.needs_snapshot = !previous_term.has_value();
+  if (progress.needs_snapshot) {
+    progress.waiting = true;
     Send(to, vote_.term, InstallSnapshot{log_.Snapshot(), ++round_});
     return;
   }
@@ -390,7 +375,21 @@
 void Node::BroadcastAppend(Instant now) {
   heartbeat_deadline_ = now + times_.heartbeat;
   for (auto& [id, progress] : progress_) {
-    SendAppend(id, now);
+    // A snapshot takes longer than a heartbeat to arrive.
+    const bool snapshot_is_under_way =
+        progress.needs_snapshot && progress.waiting &&
+        now - progress.last_sent < times_.election_lowest / 2;
+    if (!snapshot_is_under_way) SendAppend(id, now);
+  }
+}
+
+void Node::SendNews(Instant now) {
+  for (auto& [id, progress] : progress_) {
+    if (progress.waiting) continue;
+    if (progress.next <= log_.LastIndex() ||
+        progress.sent_commit < commit_index_) {
+      SendAppend(id, now);
+    }
   }
 }
 
@@ -407,7 +406,7 @@
   if (majority <= commit_index_ || log_.TermAt(majority) != vote_.term) return;
   CommitThrough(majority);
   GrantReads();
-  BroadcastAppend(now);
+  SendNews(now);
 }
 
 void Node::CommitThrough(LogIndex index) {
@@ -426,130 +425,6 @@
   log_.Append(std::move(entry));
 }
 
-void Node::GrantReads() {
-  if (role_ != ReplicaRole::kLeader) return;
-  const uint64_t confirmed = QuorumRound();
-  std::vector<PendingRead> waiting;
-  for (const PendingRead& read : pending_reads_) {
-    if (read.round <= confirmed && read.index <= commit_index_) {
-      out_.reads.push_back({read.read, true, read.index});
-    } else {
-      waiting.push_back(read);
-    }
-  }
-  pending_reads_ = std::move(waiting);
-}
-
-void Node::FailReads() {
-  for (const PendingRead& read : pending_reads_) {
-    out_.reads.push_back({read.read, false, 0});
-  }
-  pending_reads_.clear();
-}
-
-uint64_t Node::QuorumRound() const {
-  std::vector<uint64_t> rounds;
-  for (const Member& member : members_) {
-    if (!member.voter) continue;
-    auto found = progress_.find(member.id);
-    if (member.id == self_) {
-      rounds.push_back(round_);
-    } else {
-      rounds.push_back(
-          found == progress_.end() ? 0 : found->second.confirmed_round);
-    }
-  }
-  if (rounds.empty()) return 0;
-  std::sort(rounds.begin(), rounds.end(), std::greater<>());
-  return rounds[QuorumSize() - 1];
-}
-
-bool Node::QuorumAnsweredSince(Instant since) const {
-  size_t answered = 0;
-  for (const Member& member : members_) {
-    if (!member.voter) continue;
-    auto found = progress_.find(member.id);
-    const bool fresh =
-        member.id == self_ ||
-        (found != progress_.end() && found->second.last_reply >= since);
-    if (fresh) ++answered;
-  }
-  return answered >= QuorumSize();
-}
-
-void Node::SetMembers(std::vector<Member> members) {
-  members_ = std::move(members);
-  if (role_ == ReplicaRole::kLeader) {
-    for (const Member& member : members_) {
-      if (member.id == self_ || progress_.contains(member.id)) continue;
-      progress_[member.id].next = log_.LastIndex() + 1;
-    }
-    std::erase_if(progress_, [this](const auto& item) {
-      return std::none_of(
-          members_.begin(), members_.end(),
-          [&item](const Member& member) { return member.id == item.first; });
-    });
-    return;
-  }
-  role_ = IsVoter(self_) ? ReplicaRole::kFollower : ReplicaRole::kNonVoter;
-}
-
-std::pair<LogIndex, std::vector<Member>> Node::MembersAt(LogIndex index) const {
-  for (; index >= log_.FirstIndex(); --index) {
-    const LogEntry& entry = log_.At(index);
-    if (entry.kind == EntryKind::kMembers) {
-      return {index, DecodeMembers(entry.command)};
-    }
-  }
-  return {log_.Snapshot().last_index, log_.Snapshot().members};
-}
-
-void Node::ReadMembersFromLog() {
-  auto [index, members] = MembersAt(log_.LastIndex());
-  members_index_ = index;
-  SetMembers(std::move(members));
-}
-
-bool Node::ProposeMembers(const std::vector<Member>& members, Instant now) {
-  // One change at a time, and only once this term has committed an entry.
-  const bool change_open = members_index_ > commit_index_;
-  if (change_open || commit_index_ < term_start_index_) return false;
-  const LogIndex index = log_.LastIndex() + 1;
-  Append({vote_.term, index, EntryKind::kMembers, EncodeMembers(members)});
-  BroadcastAppend(now);
-  return true;
-}
-
-void Node::PromoteCaughtUp(const MemberId& id, uint64_t round, Instant now) {
-  auto found = progress_.find(id);
-  if (found == progress_.end() || IsVoter(id)) return;
-  Progress& progress = found->second;
-  if (progress.match < commit_index_) {
-    progress.caught_up_round = 0;
-    return;
-  }
-  // Once may be chance: it must keep up with a round asked after that.
-  if (progress.caught_up_round == 0) progress.caught_up_round = round_;
-  if (round <= progress.caught_up_round) return;
-  std::vector<Member> members = members_;
-  for (Member& member : members) {
-    if (member.id == id) member.voter = true;
-  }
-  ProposeMembers(members, now);
-}
-
-bool Node::IsVoter(const MemberId& id) const {
-  return std::any_of(
-      members_.begin(), members_.end(),
-      [&id](const Member& member) { return member.id == id && member.voter; });
-}
-
-size_t Node::QuorumSize() const {
-  auto voters = std::count_if(members_.begin(), members_.end(),
-                              [](const Member& m) { return m.voter; });
-  return static_cast<size_t>(voters) / 2 + 1;
-}
-
 void Node::Send(const MemberId& to, Term term,
                 decltype(ConsensusMessage::body) body) {
   out_.send.push_back({self_, to, term, std::move(body)});
