--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -69,7 +69,7 @@
     if (call == nullptr || call->HeadPassed()) return;
     const OpenAttempt& attempt = *calls_.FindAttempt(id);
     policy_.OnFirstByte(call->route->name, now - attempt.sent);
-    if (attempt.is_hedge) CountReason("hedges_total", "won");
+    if (attempt.is_hedge) Count("hedges_total", "won");
     call->answering = id;
     CancelOpen(*call, now);
     call->stream->OnHead(head);
@@ -178,7 +178,7 @@
       return;
     }
     CountChoice(choice->reason);
-    if (is_hedge) CountReason("hedges_total", "sent");
+    if (is_hedge) Count("hedges_total", "sent");
     const UpstreamTarget& target = candidates[choice->index];
     const AttemptId id = prefix_ + std::to_string(++last_attempt_);
     ++call.attempts;
@@ -234,7 +234,7 @@
     if (verdict == AttemptVerdict::kAllowed) {
       SendAttempt(handle, call, true, now);
     } else {
-      CountReason("hedges_total", AttemptVerdictName(verdict));
+      Count("hedges_total", AttemptVerdictName(verdict));
     }
   }
 
@@ -259,7 +259,7 @@
       SendAttempt(handle, call, false, now);
       return;
     }
-    CountReason("retries_denied_total", AttemptVerdictName(verdict));
+    Count("retries_denied_total", AttemptVerdictName(verdict));
     Refuse(call, *call.last_refusal);
     calls_.Remove(handle);
   }
@@ -334,13 +334,13 @@
 
   void CountChoice(ChoiceReason reason) {
     if (reason == ChoiceReason::kSpillOver) {
-      CountReason("choices_total", "spill_over");
+      Count("choices_total", "spill_over");
     } else if (reason == ChoiceReason::kProbe) {
-      CountReason("choices_total", "probe");
+      Count("choices_total", "probe");
     }
   }
 
-  void CountReason(std::string_view name, std::string_view reason) {
+  void Count(std::string_view name, std::string_view reason) {
     parts_.metrics.CounterOf(name, "reason=\"" + std::string(reason) + "\"")
         .Add();
   }
--- a/tests/tools/standin_upstream.cc
+++ b/tests/tools/standin_upstream.cc
@@ -253,10 +253,10 @@
   /// @return the first byte wanted by a field "Range: bytes=N-"; else 0.
   static uint64_t RangeStart(MHD_Connection* connection, uint64_t size) {
     const std::string range = Field(connection, "Range");
-    constexpr std::string_view kUnit = "bytes=";
-    if (!range.starts_with(kUnit)) return 0;
+    const std::string unit = "bytes=";
+    if (!range.starts_with(unit)) return 0;
     const uint64_t first =
-        std::strtoull(range.c_str() + kUnit.size(), nullptr, 10);
+        std::strtoull(range.c_str() + unit.size(), nullptr, 10);
     return first < size ? first : 0;
   }
 
