Limit the pulls a daemon answers and notify peers at activation

Cause: notices went to random peers each half second, so a version took some such rounds; a herd of restarts could ask one peer for everything; a pull that was lost waited for the next notice. Change: a daemon tells its bounded peers when it puts a version in use and one of them each second; it answers at most 10 pulls of older numbers per half second, the others with `busy`, which are asked again elsewhere after a jittered pause. Who knows of a newer number or floor pulls from peers in turn. Result: AHerdOfFollowers: 40 of 50 pulls at once get busy, a busy answer is followed by a new pull; distribution_test and the process tests pass.

--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -17,7 +17,8 @@
   FollowerEffects OnTick(Instant now) override {
     FollowerEffects effects;
     AskForFloor(now, effects);
-    SendNotices(now, effects);
+    PullWhenBehind(now, effects);
+    SendNotice(now, effects);
     return effects;
   }
 
@@ -28,11 +29,9 @@
     if (const auto* notice = std::get_if<VersionNotice>(&message)) {
       OnNotice(from, *notice, now, effects);
     } else if (const auto* pull = std::get_if<VersionPull>(&message)) {
-      effects.send.push_back({from, history_.AnswerTo(*pull)});
+      effects.send.push_back({from, AnswerPull(*pull, now)});
     } else if (const auto* answer = std::get_if<VersionPullAnswer>(&message)) {
-      pull_open_until_ = now;
-      history_.TakeAnswer(*answer);
-      Activate(effects);
+      OnPullAnswer(*answer, now, effects);
     }
     return effects;
   }
@@ -71,40 +70,78 @@
   }
 
  private:
-  static constexpr size_t kNoticeFanout = 3;
+  static constexpr size_t kMaxPullsPerWindow = 10;
+  static constexpr Duration kPullCountWindow = std::chrono::milliseconds(500);
 
   void AskForFloor(Instant now, FollowerEffects& effects) {
     if (floor_known_ || now < next_floor_read_) return;
-    const auto interval = static_cast<uint64_t>(config_.floor_interval.count());
-    next_floor_read_ =
-        now +
-        Duration(static_cast<int64_t>(interval / 2 + random_.Below(interval)));
+    next_floor_read_ = now + Jittered(config_.floor_interval);
     effects.read_floor = true;
   }
 
   void OnNotice(const std::string& from, const VersionNotice& notice,
                 Instant now, FollowerEffects& effects) {
-    if (notice.number <= history_.Latest()->number || now < pull_open_until_) {
+    newest_heard_ = std::max(newest_heard_, notice.number);
+    if (notice.number <= history_.Latest()->number || now < next_pull_) return;
+    Pull(from, now, effects);
+  }
+
+  /// Asks peers in turn while a newer version is known to be there.
+  void PullWhenBehind(Instant now, FollowerEffects& effects) {
+    const uint64_t wanted = std::max(newest_heard_, floor_);
+    if (history_.Latest()->number >= wanted || now < next_pull_ ||
+        peers_.empty()) {
       return;
     }
-    pull_open_until_ = now + config_.pull_timeout;
-    effects.send.push_back({from, VersionPull{history_.Latest()->number,
-                                              history_.Latest()->digest}});
+    Pull(peers_[random_.Below(peers_.size())].address, now, effects);
   }
 
-  void SendNotices(Instant now, FollowerEffects& effects) {
-    if (now < next_notice_ || peers_.empty()) return;
-    const auto interval =
-        static_cast<uint64_t>(config_.notice_interval.count());
-    next_notice_ =
-        now +
-        Duration(static_cast<int64_t>(interval / 2 + random_.Below(interval)));
-    const VersionNotice notice{history_.Latest()->number,
-                               history_.Latest()->digest};
-    for (size_t i = 0; i < std::min(kNoticeFanout, peers_.size()); ++i) {
-      const DistributionPeer& peer = peers_[random_.Below(peers_.size())];
-      effects.send.push_back({peer.address, notice});
+  void Pull(const std::string& address, Instant now, FollowerEffects& effects) {
+    next_pull_ = now + config_.pull_timeout;
+    effects.send.push_back({address, VersionPull{history_.Latest()->number,
+                                                 history_.Latest()->digest}});
+  }
+
+  VersionPullAnswer AnswerPull(const VersionPull& pull, Instant now) {
+    if (now >= pulls_counted_until_) {
+      pulls_counted_until_ = now + kPullCountWindow;
+      pulls_answered_ = 0;
+    }
+    if (pull.have_number < history_.Latest()->number &&
+        ++pulls_answered_ > kMaxPullsPerWindow) {
+      VersionPullAnswer busy;
+      busy.busy = true;
+      return busy;
     }
+    return history_.AnswerTo(pull);
+  }
+
+  void OnPullAnswer(const VersionPullAnswer& answer, Instant now,
+                    FollowerEffects& effects) {
+    if (history_.TakeAnswer(answer) != nullptr) {
+      next_pull_ = now;
+      Activate(effects);
+      return;
+    }
+    next_pull_ = now + Jittered(config_.busy_pause);
+  }
+
+  void SendNotice(Instant now, FollowerEffects& effects) {
+    if (now < next_notice_ || peers_.empty()) return;
+    next_notice_ = now + Jittered(config_.notice_interval);
+    Notify(peers_[random_.Below(peers_.size())], effects);
+  }
+
+  void Notify(const DistributionPeer& peer, FollowerEffects& effects) const {
+    effects.send.push_back(
+        {peer.address,
+         VersionNotice{history_.Latest()->number, history_.Latest()->digest}});
+  }
+
+  /// @return between half and one and a half of an interval.
+  Duration Jittered(Duration interval) {
+    const auto length = static_cast<uint64_t>(interval.count());
+    return Duration(static_cast<int64_t>(length / 2 + random_.Below(length)));
   }
 
   void Activate(FollowerEffects& effects) {
@@ -113,6 +150,7 @@
     if (in_use_ != nullptr && in_use_->number >= latest->number) return;
     in_use_ = latest;
     effects.activate = latest;
+    for (const DistributionPeer& peer : peers_) Notify(peer, effects);
   }
 
   FollowerConfig config_;
@@ -126,7 +164,10 @@
   Instant next_floor_read_;
 
   Instant next_notice_;
-  Instant pull_open_until_;
+  uint64_t newest_heard_ = 0;
+  Instant next_pull_;
+  size_t pulls_answered_ = 0;
+  Instant pulls_counted_until_;
 };
 
 }  // namespace
--- a/src/distribution/tests/version_follower_test.cc
+++ b/src/distribution/tests/version_follower_test.cc
@@ -85,5 +85,33 @@
   EXPECT_EQ(follower_->OnMessage("y", answer, now_).activate, nullptr);
 }
 
+class AHerdOfFollowers : public AFollower {};
+
+TEST_F(AHerdOfFollowers, IsToldToAskElsewhere) {
+  follower_->OnFloor(0);
+  follower_->OnCommitted(VersionWith(1, "a"), now_);
+  const VersionPull pull{0, EmptyConfigVersion()->digest};
+  int busy = 0;
+  for (int i = 0; i < 50; ++i) {
+    auto sent = follower_->OnMessage("y", pull, now_).send;
+    busy += std::get<VersionPullAnswer>(sent.at(0).message).busy ? 1 : 0;
+  }
+  EXPECT_EQ(busy, 40);
+  auto later = follower_->OnMessage("y", pull, now_ + std::chrono::seconds(1));
+  EXPECT_FALSE(std::get<VersionPullAnswer>(later.send.at(0).message).busy);
+}
+
+TEST_F(AHerdOfFollowers, AsksAgainAfterABusyAnswer) {
+  follower_->OnFloor(3);
+  follower_->SetPeers({{"p", "a", "p-address", false}});
+  EXPECT_FALSE(follower_->OnTick(now_).send.empty());
+  VersionPullAnswer busy;
+  busy.busy = true;
+  follower_->OnMessage("p-address", busy, now_);
+  auto sent = follower_->OnTick(now_ + std::chrono::milliseconds(200)).send;
+  ASSERT_FALSE(sent.empty());
+  EXPECT_TRUE(std::holds_alternative<VersionPull>(sent.front().message));
+}
+
 }  // namespace
 }  // namespace hibiscusglade
--- a/src/distribution/version_follower.h
+++ b/src/distribution/version_follower.h
@@ -17,8 +17,9 @@
   std::string instance;
   std::string failure_domain;
   bool replica = false;  ///< A control replica runs here.
-  Duration notice_interval = std::chrono::milliseconds(500);
+  Duration notice_interval = std::chrono::seconds(1);
   Duration pull_timeout = std::chrono::seconds(2);
+  Duration busy_pause = std::chrono::milliseconds(100);
   Duration floor_interval = std::chrono::milliseconds(500);
 };
 
