Test cut-off domains, stopped daemons and herds with real processes

Cause: partitions, SIGSTOP and herds had no test with real processes. Change: partition_domains_test cuts one of three domains off by reset and by silent links: reads go on in each domain, a patch in the cut one is not accepted, the others go on, and all converge after healing; a stopped daemon comes back to the latest version; a killed one leaves every choice. herd_restart_test kills all plain daemons, also while 115 versions pass.

--- /dev/null
+++ b/tests/processes/herd_restart_test.cc
@@ -0,0 +1,85 @@
+#include <gtest/gtest.h>
+
+#include "tests/harness/mesh.h"
+
+namespace hibiscusglade {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr int kPlainDaemons = 12;
+constexpr int kVersions = 120;
+
+std::vector<SeatSpec> Seats() {
+  std::vector<SeatSpec> seats;
+  for (const char* domain : {"a", "b", "c"}) {
+    seats.push_back({std::string("r") + domain, domain, "", 6, true, {}});
+    for (int i = 0; i < kPlainDaemons / 3; ++i) {
+      seats.push_back({domain + std::to_string(i), domain, "", 6, false, {}});
+    }
+  }
+  return seats;
+}
+
+std::string PatchOf(int version) {
+  return R"([{"op":"add","path":"/services/s)" + std::to_string(version) +
+         R"(","value":{}}])";
+}
+
+class AHerd : public testing::Test {
+ protected:
+  AHerd() : mesh_(33, Seats()) { mesh_.Start(); }
+
+  void Propose(int first, int last) {
+    for (int version = first; version <= last; ++version) {
+      ASSERT_TRUE(Mesh::Eventually(
+          [&] {
+            return mesh_
+                       .Propose("ra", "p" + std::to_string(version),
+                                static_cast<uint64_t>(version - 1),
+                                PatchOf(version))
+                       .status == 200;
+          },
+          seconds(20)));
+    }
+  }
+
+  template <typename Action>
+  void ForEachPlain(Action action) {
+    for (const SeatSpec& seat : Seats()) {
+      if (!seat.replica) action(seat.instance);
+    }
+  }
+
+  Mesh mesh_;
+};
+
+TEST_F(AHerd, ThatDiesWhileVersionsPassComesBackToTheLatest) {
+  Propose(1, 5);
+  ASSERT_TRUE(mesh_.WaitForVersion(5, seconds(12)));
+  ForEachPlain([&](const auto& plain) { mesh_.KillDaemon(plain); });
+  Propose(6, kVersions);
+  ForEachPlain([&](const auto& plain) { mesh_.StartDaemon(plain); });
+  EXPECT_TRUE(mesh_.WaitForVersion(kVersions, seconds(20)));
+}
+
+TEST_F(AHerd, ThatDiesAgainAndAgainNeverUsesAnOlderVersion) {
+  Propose(1, 3);
+  ASSERT_TRUE(mesh_.WaitForVersion(3, seconds(12)));
+  for (int round = 0; round < 3; ++round) {
+    ForEachPlain([&](const auto& plain) { mesh_.KillDaemon(plain); });
+    ForEachPlain([&](const auto& plain) { mesh_.StartDaemon(plain); });
+    ForEachPlain([&](const auto& plain) {
+      EXPECT_TRUE(Mesh::Eventually(
+          [&] {
+            const uint64_t used = mesh_.VersionInUse(plain).value_or(0);
+            EXPECT_TRUE(used == 0 || used == 3) << used;
+            return used == 3;
+          },
+          seconds(20)));
+    });
+  }
+}
+
+}  // namespace
+}  // namespace hibiscusglade
--- /dev/null
+++ b/tests/processes/partition_domains_test.cc
@@ -0,0 +1,124 @@
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+#include "tests/harness/mesh.h"
+
+namespace hibiscusglade {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr char kFirstVersion[] = R"([
+  {"op": "add", "path": "/services/plots", "value": {"max_queue": 64}},
+  {"op": "add", "path": "/classes/short", "value": {"max_wait_ms": 1000}},
+  {"op": "add", "path": "/routes/plots", "value": {"path_prefix": "/plots/",
+    "service": "plots", "class": "short", "repeatable": true}}])";
+constexpr char kNextPatch[] =
+    R"([{"op": "add", "path": "/services/species", "value": {}}])";
+
+std::vector<SeatSpec> SixSeats() {
+  std::vector<SeatSpec> seats;
+  for (const char* domain : {"a", "b", "c"}) {
+    seats.push_back({std::string("r") + domain, domain, "plots", 6, true, {}});
+    seats.push_back({std::string("p") + domain, domain, "plots", 6, false, {}});
+  }
+  return seats;
+}
+
+class ThreeDomains : public testing::TestWithParam<LinkMode> {
+ protected:
+  ThreeDomains() : mesh_(32, SixSeats()) { mesh_.Start(); }
+
+  void PutFirstVersionInForce() {
+    for (const char* instance : {"ra", "pa", "rb", "pb", "rc", "pc"}) {
+      ASSERT_TRUE(mesh_.WaitForUpstreams(instance, 6, seconds(20)));
+    }
+    ASSERT_EQ(mesh_.Propose("ra", "first", 0, kFirstVersion).status, 200);
+    ASSERT_TRUE(mesh_.WaitForVersion(1, seconds(12)));
+  }
+
+  void CutOff(const std::string& domain, LinkMode mode) {
+    mesh_.Links().SetPolicy(
+        [this, domain, mode](const std::string& from, const std::string& to) {
+          const bool inside = mesh_.DomainOfIp(from) == domain;
+          Relay::Link link;
+          if (inside != (mesh_.DomainOfIp(to) == domain)) link.mode = mode;
+          return link;
+        });
+  }
+
+  bool Serves(const std::string& instance) {
+    return SendHttp("GET", mesh_.CallerUrl(instance) + "/plots/7").status ==
+           200;
+  }
+
+  Mesh mesh_;
+};
+
+TEST_P(ThreeDomains, ServeWhileOneIsCutOffAndConvergeAfterwards) {
+  PutFirstVersionInForce();
+  CutOff("c", GetParam());
+  // Until the cut is noticed a call may still go across and wait there.
+  for (const char* instance : {"pc", "rc", "pa", "pb"}) {
+    EXPECT_TRUE(Mesh::Eventually([&] { return Serves(instance); }, seconds(20)))
+        << instance;
+  }
+  EXPECT_NE(mesh_.Propose("pc", "cut", 1, kNextPatch).status, 200);
+  EXPECT_TRUE(Mesh::Eventually(
+      [&] { return mesh_.Propose("pa", "next", 1, kNextPatch).status == 200; },
+      seconds(30)));
+  EXPECT_TRUE(Mesh::Eventually(
+      [&] { return mesh_.VersionInUse("pb").value_or(0) == 2; }, seconds(12)));
+  EXPECT_EQ(mesh_.VersionInUse("pc"), 1u);
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_TRUE(Serves("pc"));
+    EXPECT_TRUE(Serves("pa"));
+  }
+  mesh_.Links().SetPolicy(
+      [](const std::string&, const std::string&) { return Relay::Link{}; });
+  EXPECT_TRUE(mesh_.WaitForVersion(2, seconds(20)));
+  for (const char* instance : {"pa", "pc"}) {
+    EXPECT_TRUE(mesh_.WaitForUpstreams(instance, 6, seconds(20)));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Links, ThreeDomains,
+                         testing::Values(LinkMode::kReset, LinkMode::kSilent));
+
+class AStoppedDaemon : public ThreeDomains {};
+
+TEST_F(AStoppedDaemon, ComesBackToTheLatestVersion) {
+  PutFirstVersionInForce();
+  mesh_.Daemon("pb").Signal(SIGSTOP);
+  ASSERT_EQ(mesh_.Propose("ra", "next", 1, kNextPatch).status, 200);
+  EXPECT_TRUE(Mesh::Eventually(
+      [&] { return mesh_.VersionInUse("pa").value_or(0) == 2; }, seconds(12)));
+  mesh_.Daemon("pb").Signal(SIGCONT);
+  EXPECT_TRUE(mesh_.WaitForVersion(2, seconds(12)));
+  EXPECT_TRUE(mesh_.WaitForUpstreams("rc", 6, seconds(20)));
+}
+
+class ADeadUpstream : public ThreeDomains {};
+
+TEST_F(ADeadUpstream, LeavesEveryChoice) {
+  PutFirstVersionInForce();
+  mesh_.KillDaemon("pb");
+  for (const char* instance : {"rb", "pa", "rc"}) {
+    EXPECT_TRUE(Mesh::Eventually(
+        [&] {
+          const HttpAnswer answer =
+              SendHttp("GET", mesh_.OperatorUrl(instance) + "/v1/instances");
+          for (const auto& row : nlohmann::json::parse(answer.body)) {
+            if (row["instance"] == "pb") return row["state"] != "alive";
+          }
+          return true;
+        },
+        seconds(12)))
+        << instance;
+  }
+}
+
+}  // namespace
+}  // namespace hibiscusglade
