Split the control loop and expire domains that stay cut off

Change: the claim store and the views for operators are files of their own; in-force progress takes reachability from the relays. After ten minutes without a way to it a failure domain's records are dropped; comparisons with seeds bring it back.

--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -6,12 +6,12 @@
 #include <thread>
 #include <utility>
 
-#include "claims/claim_codec.h"
-#include "claims/claims_result_codes.h"
 #include "consensus/consensus_codec.h"
 #include "consensus/consensus_result_codes.h"
 #include "control/internal/control_codec.h"
+#include "control/internal/control_views.h"
 #include "control/internal/group_client.h"
+#include "control/internal/ledger_claim_store.h"
 #include "control/internal/replica_host.h"
 #include "distribution/version_follower.h"
 #include "membership/membership.h"
@@ -27,34 +27,12 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 constexpr std::chrono::seconds kOperatorWait{6};
 
-std::error_code ErrorFromNumber(int number) {
-  if (number == 0) return {};
-  if (ConsensusCategory().Find(number) != nullptr) {
-    return static_cast<ConsensusCode>(number);
-  }
-  return static_cast<VersionsCode>(number);
-}
-
 std::vector<std::string> AddressesOf(const std::vector<Member>& members) {
   std::vector<std::string> addresses;
   for (const Member& member : members) addresses.push_back(member.address);
   return addresses;
 }
 
-VersionRow RowOf(const wire::StoredVersion& in) {
-  return {in.number(), in.parent(),      in.digest(), in.patch_id(),
-          in.author(), in.accepted_at(), in.whole()};
-}
-
-ProposalVerdict VerdictOfWire(const wire::PatchVerdict& in) {
-  ProposalVerdict verdict{
-      ErrorFromNumber(in.code()), in.number(), in.latest(), {}};
-  for (const wire::PatchFault& fault : in.faults()) {
-    verdict.faults.push_back({fault.pointer(), fault.message()});
-  }
-  return verdict;
-}
-
 class ControlLoopImpl : public ControlLoop {
  public:
   ControlLoopImpl(const ControlConfig& config, const Clock& clock,
@@ -131,7 +109,15 @@
   }
 
   std::unique_ptr<ClaimStore> MakeClaimStore(Executor& executor) override {
-    return std::make_unique<LedgerClaimStore>(*this, executor);
+    return std::make_unique<LedgerClaimStore>(
+        [this](std::string command, ReplicaCallback done) {
+          executor_.Post(
+              [this, command = std::move(command), done = std::move(done)] {
+                groups_.Submit(GroupId::kClaims, command, false, clock_.Now(),
+                               done);
+              });
+        },
+        executor);
   }
 
   // AnnouncementSink.
@@ -190,25 +176,8 @@
   }
 
   std::vector<DomainProgress> InForce(uint64_t number) override {
-    std::map<std::string, DomainProgress> domains;
-    for (const InstanceRecord& record : Instances()) {
-      if (record.state == InstanceState::kLeft ||
-          record.state == InstanceState::kDead) {
-        continue;
-      }
-      DomainProgress& domain = domains[record.failure_domain];
-      domain.failure_domain = record.failure_domain;
-      domain.reachable |= record.state == InstanceState::kAlive;
-      ++domain.daemons;
-      if (record.version_in_use >= number) {
-        ++domain.in_force;
-      } else {
-        domain.lagging.push_back(record.instance);
-      }
-    }
-    std::vector<DomainProgress> progress;
-    for (auto& [name, domain] : domains) progress.push_back(std::move(domain));
-    return progress;
+    return OnLoop<std::vector<DomainProgress>>(
+        [this, number] { return ProgressOf(*membership_, number); });
   }
 
   std::vector<InstanceRecord> Instances() override {
@@ -250,51 +219,6 @@
   }
 
  private:
-  /// Submits claims from another thread and tells it the outcome.
-  class LedgerClaimStore : public ClaimStore {
-   public:
-    LedgerClaimStore(ControlLoopImpl& loop, Executor& executor)
-        : loop_(loop), executor_(executor) {}
-
-    void Submit(const ClaimCommand& command, Done done) override {
-      loop_.executor_.Post(
-          [this, bytes = EncodeClaim(command), done = std::move(done)] {
-            loop_.groups_.Submit(
-                GroupId::kClaims, bytes, false, loop_.clock_.Now(),
-                [this, done](const ReplicaResult& result) {
-                  ClaimOutcome outcome = OutcomeOf(result);
-                  executor_.Post([done, outcome] { done(outcome); });
-                });
-          });
-    }
-
-   private:
-    static ClaimOutcome OutcomeOf(const ReplicaResult& result) {
-      if (!result.error) return DecodeClaimOutcome(result.result);
-      if (result.error == ConsensusCode::kNoQuorum) {
-        return {ClaimsCode::kLedgerUnavailable, ""};
-      }
-      return {ClaimsCode::kLedgerSilent, ""};
-    }
-
-    ControlLoopImpl& loop_;
-    Executor& executor_;
-  };
-
-  static std::string NameOf(ReplicaRole role) {
-    switch (role) {
-      case ReplicaRole::kLeader:
-        return "leader";
-      case ReplicaRole::kFollower:
-        return "follower";
-      case ReplicaRole::kCandidate:
-        return "candidate";
-      case ReplicaRole::kNonVoter:
-        break;
-    }
-    return "non-voter";
-  }
-
   bool IsReplica() const { return !config_.data_folder.empty(); }
 
   MembershipConfig MembershipSettings() const {
@@ -409,20 +333,8 @@
     if (version == nullptr) return;
     routes_.Publish(
         std::make_shared<const RouteTable>(version, membership_->Records()));
-    listener_.OnLocalUpstream(membership_->LocalUpstream(), LimitsOf(*version));
-  }
-
-  AdmissionConfig LimitsOf(const ConfigVersion& version) const {
-    AdmissionConfig limits;
-    limits.classes = version.document.classes;
-    auto upstream = membership_->LocalUpstream();
-    if (!upstream.has_value()) return limits;
-    limits.slots = upstream->slots;
-    auto service = version.document.services.find(upstream->service);
-    if (service != version.document.services.end()) {
-      limits.max_queue = service->second.max_queue;
-    }
-    return limits;
+    listener_.OnLocalUpstream(membership_->LocalUpstream(),
+                              LimitsOf(*version, membership_->LocalUpstream()));
   }
 
   /// Sends a message; one to this daemon itself is handled after the current
--- /dev/null
+++ b/src/control/internal/control_views.cc
@@ -0,0 +1,85 @@
+#include "control/internal/control_views.h"
+
+#include <map>
+#include <utility>
+
+#include "consensus/consensus_result_codes.h"
+#include "versions/versions_result_codes.h"
+
+namespace hibiscusglade {
+
+std::error_code ErrorFromNumber(int number) {
+  if (number == 0) return {};
+  if (ConsensusCategory().Find(number) != nullptr) {
+    return static_cast<ConsensusCode>(number);
+  }
+  return static_cast<VersionsCode>(number);
+}
+
+VersionRow RowOf(const wire::StoredVersion& in) {
+  return {in.number(), in.parent(),      in.digest(), in.patch_id(),
+          in.author(), in.accepted_at(), in.whole()};
+}
+
+ProposalVerdict VerdictOfWire(const wire::PatchVerdict& in) {
+  ProposalVerdict verdict{
+      ErrorFromNumber(in.code()), in.number(), in.latest(), {}};
+  for (const wire::PatchFault& fault : in.faults()) {
+    verdict.faults.push_back({fault.pointer(), fault.message()});
+  }
+  return verdict;
+}
+
+std::vector<DomainProgress> ProgressOf(const Membership& membership,
+                                       uint64_t number) {
+  std::map<std::string, DomainProgress> domains;
+  for (const InstanceRecord& record : membership.Records()) {
+    if (record.state == InstanceState::kLeft ||
+        record.state == InstanceState::kDead) {
+      continue;
+    }
+    DomainProgress& domain = domains[record.failure_domain];
+    domain.failure_domain = record.failure_domain;
+    ++domain.daemons;
+    if (record.version_in_use >= number) {
+      ++domain.in_force;
+    } else {
+      domain.lagging.push_back(record.instance);
+    }
+  }
+  std::vector<DomainProgress> progress;
+  for (auto& [name, domain] : domains) {
+    domain.reachable = membership.DomainReachable(name);
+    progress.push_back(std::move(domain));
+  }
+  return progress;
+}
+
+AdmissionConfig LimitsOf(const ConfigVersion& version,
+                         const std::optional<UpstreamAnnouncement>& upstream) {
+  AdmissionConfig limits;
+  limits.classes = version.document.classes;
+  if (!upstream.has_value()) return limits;
+  limits.slots = upstream->slots;
+  auto service = version.document.services.find(upstream->service);
+  if (service != version.document.services.end()) {
+    limits.max_queue = service->second.max_queue;
+  }
+  return limits;
+}
+
+std::string NameOf(ReplicaRole role) {
+  switch (role) {
+    case ReplicaRole::kLeader:
+      return "leader";
+    case ReplicaRole::kFollower:
+      return "follower";
+    case ReplicaRole::kCandidate:
+      return "candidate";
+    case ReplicaRole::kNonVoter:
+      break;
+  }
+  return "non-voter";
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/control/internal/ledger_claim_store.h
@@ -0,0 +1,35 @@
+#ifndef HIBISCUSGLADE_CONTROL_INTERNAL_LEDGER_CLAIM_STORE_H_
+#define HIBISCUSGLADE_CONTROL_INTERNAL_LEDGER_CLAIM_STORE_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+
+#include "claims/claim_store.h"
+#include "consensus/replica.h"
+#include "platform/executor.h"
+
+namespace hibiscusglade {
+
+/// Submits claims to the replicated group from another thread and tells that
+/// thread the outcome.
+class LedgerClaimStore : public ClaimStore {
+ public:
+  /// Submits a command to the claims group; any thread may call it.
+  using Submitter =
+      std::function<void(std::string command, ReplicaCallback done)>;
+
+  /// @param executor thread on which outcomes are told.
+  LedgerClaimStore(Submitter submitter, Executor& executor)
+      : submitter_(std::move(submitter)), executor_(executor) {}
+
+  void Submit(const ClaimCommand& command, Done done) override;
+
+ private:
+  Submitter submitter_;
+  Executor& executor_;
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_CONTROL_INTERNAL_LEDGER_CLAIM_STORE_H_
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -41,6 +41,7 @@
     TakeSilent(now, effects);
     EndSuspicions(now, effects);
     WatchDomains(now, effects);
+    if (now >= next_expiry_) ExpireCutOffDomains(now, effects);
     if (now >= next_probe_) SendProbes(now, effects);
     if (now >= next_gossip_) SendNews(now, effects);
     if (now >= next_compare_) SendComparison(now, effects);
@@ -282,6 +283,30 @@
     OwnChange(now, effects);
   }
 
+  void ExpireCutOffDomains(Instant now, MembershipEffects& effects) {
+    next_expiry_ = now + config_.probe_interval;
+    for (auto seen = domains_seen_.begin(); seen != domains_seen_.end();) {
+      const std::string& domain = seen->first;
+      if (DomainReachable(domain)) {
+        cut_off_since_.erase(domain);
+        ++seen;
+        continue;
+      }
+      const Instant since = cut_off_since_.emplace(domain, now).first->second;
+      if (now - since <= config_.forget_after) {
+        ++seen;
+        continue;
+      }
+      table_.ForgetDomain(domain);
+      std::erase_if(suspected_, [this](const auto& item) {
+        return table_.Find(item.first) == nullptr;
+      });
+      ViewChanged(effects);
+      cut_off_since_.erase(domain);
+      seen = domains_seen_.erase(seen);
+    }
+  }
+
   void SendProbes(Instant now, MembershipEffects& effects) {
     next_probe_ = now + Jittered(config_.probe_interval);
     if (!view_.own_domain.empty()) {
@@ -408,6 +433,8 @@
   std::map<std::string, size_t> news_;  ///< Rounds left to tell a record in.
   std::map<std::string, Instant> suspected_;
   std::map<std::string, Instant> domains_seen_;
+  std::map<std::string, Instant> cut_off_since_;
+  Instant next_expiry_;
   std::optional<UpstreamAnnouncement> upstream_;
   Instant lease_end_;
   Instant last_heard_;
--- a/src/membership/internal/record_table.cc
+++ b/src/membership/internal/record_table.cc
@@ -37,6 +37,15 @@
   return any;
 }
 
+void RecordTable::ForgetDomain(const std::string& failure_domain) {
+  std::erase_if(records_, [&](const auto& item) {
+    const InstanceRecord& record = item.second.record;
+    if (record.failure_domain != failure_domain) return false;
+    Toggle(record);
+    return true;
+  });
+}
+
 std::vector<Digest> RecordTable::BucketDigests() const {
   return {buckets_.begin(), buckets_.end()};
 }
--- a/src/membership/internal/record_table.h
+++ b/src/membership/internal/record_table.h
@@ -31,6 +31,9 @@
   /// @return whether there were any.
   bool Forget(Instant now, Duration age);
 
+  /// Removes all records of a failure domain.
+  void ForgetDomain(const std::string& failure_domain);
+
   const std::map<std::string, Held>& All() const { return records_; }
 
   std::vector<Digest> BucketDigests() const;
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -140,6 +140,16 @@
   }
 }
 
+TEST_F(TwelveInstancesInThreeDomains, ForgetADomainThatStaysCutOff) {
+  cut_domains_ = {'c'};
+  Run(seconds(660));
+  EXPECT_EQ(KnownAt("a1"), 8u);
+  EXPECT_EQ(KnownAt("c1"), 4u);
+  cut_domains_.clear();
+  Run(seconds(60));
+  for (const auto& [name, node] : nodes_) EXPECT_EQ(KnownAt(name), 12u) << name;
+}
+
 TEST_F(TwelveInstancesInThreeDomains, TakeBackOneThatWasStoppedForLong) {
   auto stopped = std::move(nodes_["b2"]);
   nodes_.erase("b2");
