--- /dev/null
+++ b/tests/processes/answers_whole_test.cc
@@ -0,0 +1,129 @@
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <thread>
+
+#include "tests/harness/mesh.h"
+#include "tests/harness/process_cost.h"
+#include "tests/processes/claims_mesh.h"
+
+namespace hibiscusglade {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint64_t kArchiveBytes = uint64_t{200} * 1000 * 1000;
+
+/// A caller that reads as slowly as the test wants.
+class SlowCaller {
+ public:
+  SlowCaller(const std::string& ip, const std::string& url_port,
+             const std::string& target) {
+    socket_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(std::stoi(url_port)));
+    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    Send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  ~SlowCaller() { close(socket_); }
+  SlowCaller(const SlowCaller&) = delete;
+  SlowCaller& operator=(const SlowCaller&) = delete;
+
+  /// @return bytes read; 0 at the end.
+  size_t Read(size_t most) {
+    std::string data(most, ' ');
+    const ssize_t count = recv(socket_, data.data(), most, 0);
+    return count > 0 ? static_cast<size_t>(count) : 0;
+  }
+
+ private:
+  void Send(const std::string& text) const {
+    send(socket_, text.data(), text.size(), MSG_NOSIGNAL);
+  }
+
+  int socket_ = -1;
+};
+
+class AMeshWithArchives : public ClaimsMesh {
+ protected:
+  AMeshWithArchives()
+      : ClaimsMesh(92, {{"x", "a", "orders", 6, true, {}},
+                        {"y", "b", "", 6, true, {}},
+                        {"z", "c", "", 6, true, {}}}) {}
+
+  std::string ArchiveTarget(uint64_t bytes) const {
+    return "/archive/1?bytes=" + std::to_string(bytes);
+  }
+
+  SlowCaller CallerOf(const std::string& entry, uint64_t bytes) const {
+    const std::string url = mesh_.CallerUrl(entry);
+    return {mesh_.IpOf(entry), url.substr(url.rfind(':') + 1),
+            ArchiveTarget(bytes)};
+  }
+};
+
+TEST_F(AMeshWithArchives, HoldsLittleOfAnArchiveWhoseCallerReadsSlowly) {
+  PutFirstVersionInForce(1);
+  ASSERT_EQ(SendHttp("GET", mesh_.CallerUrl("y") + "/catalogue/1").status, 200);
+  const double entry_kb = ProcessResidentKb(mesh_.Daemon("y").Pid());
+  const double owner_kb = ProcessResidentKb(mesh_.Daemon("x").Pid());
+  SlowCaller caller = CallerOf("y", kArchiveBytes);
+  size_t read = caller.Read(1000);
+  std::this_thread::sleep_for(seconds(3));
+  const double entry_grown =
+      ProcessResidentKb(mesh_.Daemon("y").Pid()) - entry_kb;
+  const double owner_grown =
+      ProcessResidentKb(mesh_.Daemon("x").Pid()) - owner_kb;
+  RecordProperty("entry_grown_kb", std::to_string(entry_grown));
+  RecordProperty("owner_grown_kb", std::to_string(owner_grown));
+  std::printf("entry +%.0f KB, owner +%.0f KB\n", entry_grown, owner_grown);
+  EXPECT_LT(entry_grown, 8000);
+  EXPECT_LT(owner_grown, 8000);
+  while (size_t count = caller.Read(1 << 20)) {
+    read += count;
+    if (read >= kArchiveBytes) break;
+  }
+  EXPECT_GE(read, kArchiveBytes);
+}
+
+TEST_F(AMeshWithArchives, BreaksOffTheTransferWhenTheUpstreamDiesHalfway) {
+  PutFirstVersionInForce(1);
+  SlowCaller caller = CallerOf("y", kArchiveBytes);
+  size_t read = caller.Read(1000);
+  ASSERT_GT(read, 0U);
+  mesh_.KillUpstream("x");
+  while (size_t count = caller.Read(1 << 20)) read += count;
+  EXPECT_LT(read, kArchiveBytes);
+}
+
+TEST_F(AMeshWithArchives, CancelsAtTheUpstreamWhenTheCallerGoes) {
+  PutFirstVersionInForce(1);
+  {
+    SlowCaller caller = CallerOf("y", kArchiveBytes);
+    caller.Read(1000);
+  }
+  EXPECT_TRUE(Mesh::Eventually(
+      [this] {
+        return mesh_.Metric("y", "call_refusals_total{code=\"4008\"}") > 0;
+      },
+      seconds(20)));
+}
+
+TEST_F(AMeshWithArchives, EndsTheRunsOfAnEntryThatDies) {
+  PutFirstVersionInForce(1);
+  SlowCaller caller = CallerOf("y", kArchiveBytes);
+  caller.Read(1000);
+  mesh_.KillDaemon("y");
+  // The owner ends only when nothing runs any more.
+  mesh_.Daemon("x").Signal(SIGTERM);
+  EXPECT_EQ(mesh_.Daemon("x").Wait(15000), 0);
+}
+
+}  // namespace
+}  // namespace hibiscusglade
