--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -92,8 +92,8 @@
     upstream_ = upstream;
     AdmissionConfig limits = config;
     limits.slots = upstream.has_value() ? upstream->slots : 0;
+    limits.draining = UpstreamDrains();
     Follow(admission_->Configure(limits, now), now);
-    if (UpstreamDrains()) RefuseWaiting(AdmissionCode::kDraining, now);
   }
 
   void Drain(Instant now) override {
