--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -48,7 +48,7 @@
         gateway_(MakeCallerGateway(CallerSettings(), *requests_, *metrics_)) {}
 
   std::error_code Start() {
-    std::error_code error = requests_->Start(*claims_);
+    std::error_code error = requests_->Start(*claims_, *control_);
     if (!error) error = control_->Start();
     if (!error) error = gateway_->Start();
     if (error) return error;
--- a/src/owner/internal/death_watch.h
+++ b/src/owner/internal/death_watch.h
@@ -24,6 +24,9 @@
   /// A run ended otherwise: the upstream lived at that time.
   void OnEnded(RunId run);
 
+  /// @return whether no loss waits for its verdict.
+  bool Idle() const { return lost_.empty(); }
+
   /// @return what ran when the upstream seems to have died; empty when it
   /// lives or it is too early to say.
   std::vector<Digest> TakeDeath(Instant now);
--- a/src/owner/internal/job.h
+++ b/src/owner/internal/job.h
@@ -17,6 +17,7 @@
   kWaiting,    ///< Waits for a slot.
   kHeld,       ///< Has a slot, but may not run beside what runs.
   kRunning,    ///< In the upstream's hands.
+  kLost,       ///< Connection lost; waits to know whether the upstream died.
   kBurning,    ///< Never ran; the ledger is being told.
   kFinishing,  ///< Ran; the ledger is being told.
 };
@@ -32,6 +33,7 @@
   std::error_code give_up;  ///< Why it must not run, known while claiming.
   bool suspect = false;     ///< Runs alone.
   Instant run_began;
+  std::string failure;  ///< Why the connection was lost.
   uint64_t chunks = 0;
   uint64_t bytes = 0;
   Digest digest = 0;
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -11,6 +11,7 @@
 #include "owner/internal/death_watch.h"
 #include "owner/internal/job.h"
 #include "owner/internal/slot_gate.h"
+#include "platform/log.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
@@ -84,6 +85,7 @@
     Follow(admission_->OnTick(now), now);
     CheckJobs(now);
     if (blamed_.empty()) blamed_ = death_watch_.TakeDeath(now);
+    if (blamed_.empty() && death_watch_.Idle()) RefuseLost();
     CheckUpstream(now);
   }
 
@@ -154,7 +156,12 @@
       return;
     }
     if (failure.connection_lost) {
+      // A retry elsewhere must not overtake the news of a suspicion.
       death_watch_.OnLost(run, job->fingerprint, gate_.Running(), now);
+      job->stage = JobStage::kLost;
+      job->failure = failure.reason;
+      EndRun(run, now);
+      return;
     }
     sender_.Refused(*job, RoutingCode::kAnswerBroken, Certainty::kUnknown,
                     failure.reason);
@@ -165,13 +172,16 @@
   void OnProbed(bool reachable, Instant now) override {
     probing_ = false;
     down_ = !reachable;
+    if (reachable) told_down_ = false;
     const std::vector<Digest> blamed = std::exchange(blamed_, {});
-    if (reachable || !upstream_.has_value()) return;
-    RefuseWaiting(AdmissionCode::kNotServing, now);
-    if (blamed.empty()) return;
-    parts_.metrics.CounterOf("upstream_deaths_total", "").Add();
-    parts_.listener.OnSuspicions(
-        upstream_->service, parts_.quarantine.OnUpstreamDeath(blamed, now));
+    if (down_ && upstream_.has_value()) {
+      if (!blamed.empty()) Blame(blamed, now);
+      if (!std::exchange(told_down_, true)) {
+        parts_.listener.OnUpstreamDown(*upstream_);
+      }
+      RefuseWaiting(AdmissionCode::kNotServing, now);
+    }
+    if (death_watch_.Idle()) RefuseLost();
   }
 
  private:
@@ -328,6 +338,7 @@
         Forget(ticket);
         EndRun(ticket, now);
         break;
+      case JobStage::kLost:
       case JobStage::kBurning:
       case JobStage::kFinishing:
         break;
@@ -365,12 +376,34 @@
     parts_.upstream.Probe(upstream_->address);
   }
 
-  void RefuseWaiting(AdmissionCode code, Instant) {
-    std::vector<Ticket> waiting;
+  void Blame(const std::vector<Digest>& running, Instant now) {
+    parts_.metrics.CounterOf("upstream_deaths_total", "").Add();
+    Log(LogLevel::kWarning, "owner",
+        "The upstream died while " + std::to_string(running.size()) +
+            " requests ran.");
+    parts_.listener.OnSuspicions(
+        upstream_->service, parts_.quarantine.OnUpstreamDeath(running, now));
+  }
+
+  std::vector<Ticket> TicketsAt(JobStage stage) const {
+    std::vector<Ticket> tickets;
     for (const auto& [ticket, job] : jobs_) {
-      if (job.stage == JobStage::kWaiting) waiting.push_back(ticket);
+      if (job.stage == stage) tickets.push_back(ticket);
     }
-    for (Ticket ticket : waiting) {
+    return tickets;
+  }
+
+  void RefuseLost() {
+    for (Ticket ticket : TicketsAt(JobStage::kLost)) {
+      const Job& job = jobs_[ticket];
+      sender_.Refused(job, RoutingCode::kAnswerBroken, Certainty::kUnknown,
+                      job.failure);
+      Forget(ticket);
+    }
+  }
+
+  void RefuseWaiting(AdmissionCode code, Instant) {
+    for (Ticket ticket : TicketsAt(JobStage::kWaiting)) {
       admission_->Withdraw(ticket);
       GiveUp(ticket, code);
     }
@@ -432,6 +465,7 @@
   Ticket last_ticket_ = 0;
   bool draining_ = false;
   bool down_ = false;  ///< The upstream takes no connection.
+  bool told_down_ = false;
   bool probing_ = false;
   Instant next_probe_;
   std::vector<Digest> blamed_;  ///< Waits for the probe's word.
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -23,6 +23,9 @@
   /// The upstream died while requests ran that may have killed it.
   virtual void OnSuspicions(const std::string& service,
                             const std::vector<QuarantineNews>& news) = 0;
+
+  /// The upstream takes no connection any more.
+  virtual void OnUpstreamDown(const UpstreamAnnouncement& upstream) = 0;
 };
 
 /// What an owner works with; all must outlive it.
--- a/src/owner/tests/owner_fixture.h
+++ b/src/owner/tests/owner_fixture.h
@@ -102,6 +102,10 @@
     Note(text);
   }
 
+  void OnUpstreamDown(const UpstreamAnnouncement&) override {
+    Note("upstream is down");
+  }
+
   void Note(const std::string& line) { log += "  " + line + "\n"; }
 
   std::string log;
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -47,7 +47,9 @@
 
   Executor& Queue() override { return executor_; }
 
-  std::error_code Start(ClaimStore& claims) override {
+  std::error_code Start(ClaimStore& claims,
+                        AnnouncementSink& announcements) override {
+    announcements_ = &announcements;
     upstream_ = MakeHttpUpstreamClient({config_.upstream_connections},
                                        run_events_, executor_, clock_);
     owner_ = MakeOwner(
@@ -218,6 +220,13 @@
     }
   }
 
+  void OnUpstreamDown(const UpstreamAnnouncement& upstream) override {
+    UpstreamAnnouncement gone = upstream;
+    // Its next announcement brings it back.
+    gone.state = UpstreamState::kDraining;
+    announcements_->Announce(gone);
+  }
+
  private:
   /// Hands run events to the owner, which is made after the client.
   struct RunEventsRelay : public RunEvents {
@@ -408,6 +417,7 @@
   RunEventsRelay run_events_;
   std::unique_ptr<UpstreamClient> upstream_;
   std::unique_ptr<Owner> owner_;
+  AnnouncementSink* announcements_ = nullptr;
   std::map<std::string, LinkState> links_;
   std::atomic<CallHandle> last_call_{0};
   Instant next_tick_;
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -13,6 +13,7 @@
 #include "platform/executor.h"
 #include "platform/metrics.h"
 #include "routing/route_table_holder.h"
+#include "upstream/announcement_api.h"
 
 namespace hibiscusglade {
 
@@ -32,7 +33,8 @@
 
   /// Listens and starts the thread.
   /// @param claims way to the ledger; it must outlive the loop.
-  virtual std::error_code Start(ClaimStore& claims) = 0;
+  virtual std::error_code Start(ClaimStore& claims,
+                                AnnouncementSink& announcements) = 0;
 
   /// Refuses new calls and attempts as not run; open ones go on.
   virtual void Drain() = 0;
