--- a/src/caller/internal/caller_gateway.cc
+++ b/src/caller/internal/caller_gateway.cc
@@ -5,6 +5,7 @@
 #include <strings.h>
 
 #include <array>
+#include <charconv>
 #include <cstring>
 #include <memory>
 #include <utility>
@@ -21,6 +22,8 @@
 constexpr std::array<const char*, 8> kHopFields = {
     "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
     "TE",         "Trailer",    "Transfer-Encoding",  "Upgrade"};
+constexpr uint32_t kMaxTimeoutMs = 24U * 3600 * 1000;
+constexpr uint32_t kMaxDepth = 1000;
 constexpr size_t kResponseBlockBytes = 32 * 1024;
 constexpr size_t kConnectionMemoryBytes = 64 * 1024;
 
@@ -35,6 +38,16 @@
   return false;
 }
 
+/// @return the number that a field holds; nullopt unless it is a decimal
+/// number from 0 to `most`.
+std::optional<uint32_t> ParseNumber(const std::string& text, uint32_t most) {
+  uint32_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || stop != end || number > most) return std::nullopt;
+  return number;
+}
+
 /// Passes the answer from the request thread to the response buffer.
 class BufferedStream : public CallerStream {
  public:
@@ -62,6 +75,7 @@
   bool answered = false;
   bool completed = false;
   bool too_large = false;
+  bool field_invalid = false;
   CallHandler* handler = nullptr;
 };
 
@@ -78,11 +92,13 @@
   if (SameField(field, "X-Request-Id")) {
     request.request_id = text;
   } else if (SameField(field, "X-Request-Timeout-Ms")) {
-    request.timeout =
-        std::chrono::milliseconds(std::strtoul(text.c_str(), nullptr, 10));
+    const auto millis = ParseNumber(text, kMaxTimeoutMs);
+    exchange->field_invalid |= !millis.has_value();
+    request.timeout = std::chrono::milliseconds(millis.value_or(0));
   } else if (SameField(field, "X-Request-Depth")) {
-    request.depth =
-        static_cast<uint32_t>(std::strtoul(text.c_str(), nullptr, 10));
+    const auto depth = ParseNumber(text, kMaxDepth);
+    exchange->field_invalid |= !depth.has_value();
+    request.depth = depth.value_or(0);
   } else if (SameField(field, "X-Caller")) {
     request.caller = text;
   } else if (SameField(field, "Idempotency-Key")) {
@@ -212,6 +228,9 @@
 
   static std::optional<std::error_code> Check(const Exchange& exchange) {
     if (exchange.too_large) return make_error_code(CallerCode::kBodyTooLarge);
+    if (exchange.field_invalid) {
+      return make_error_code(CallerCode::kHeaderInvalid);
+    }
     for (const char* method : kMethods) {
       if (exchange.request.method == method) return std::nullopt;
     }
--- a/src/owner/internal/claim_writer.cc
+++ b/src/owner/internal/claim_writer.cc
@@ -49,7 +49,7 @@
 }
 
 void ClaimWriter::Send(const ClaimCommand& command, int tries_left,
-                       ClaimStore::Done done) {
+                       const ClaimStore::Done& done) {
   ++unsettled_;
   store_.Submit(command,
                 [this, command, tries_left, done](const ClaimOutcome& outcome) {
--- a/src/owner/internal/claim_writer.h
+++ b/src/owner/internal/claim_writer.h
@@ -30,7 +30,8 @@
 
  private:
   ClaimCommand CommandOf(const Job& job, ClaimKind kind) const;
-  void Send(const ClaimCommand& command, int tries_left, ClaimStore::Done done);
+  void Send(const ClaimCommand& command, int tries_left,
+            const ClaimStore::Done& done);
 
   std::string instance_;
   ClaimStore& store_;
--- a/tests/harness/http_client.cc
+++ b/tests/harness/http_client.cc
@@ -56,6 +56,7 @@
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout_ms));
+  if (method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, lines);
   if (!body.empty()) {
