Bound the commands that wait for the ledger

Cause: at 400 deposits a second none was answered: claims waited past their deadlines, were sent again and had to be burnt. Ruled out: a larger bound (1,024 was the one that collapsed). The session slow_ledger covers it. The log's own limit, about 200 deposits a second, stands.

--- a/bench/claims_bench.cc
+++ b/bench/claims_bench.cc
@@ -86,6 +86,10 @@
     for (int round = 0; round < FLAGS_rounds; ++round) {
       const LoadResult result =
           Run(mesh, path, rate, "r" + std::to_string(++run) + "-");
+      for (const auto& [code, count] : result.refusals) {
+        std::fprintf(stderr, "%s at %.0f /s: %llu refused with %d\n", path,
+                     rate, static_cast<unsigned long long>(count), code);
+      }
       median.push_back(static_cast<double>(result.Quantile(0.5)) / 1000);
       tail.push_back(static_cast<double>(result.Quantile(0.99)) / 1000);
       good.push_back(static_cast<double>(result.good) / FLAGS_seconds);
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -17,8 +17,9 @@
 namespace hibiscusglade {
 namespace {
 
-/// Attempts that may wait for the ledger at once.
-constexpr size_t kMaxClaiming = 1024;
+/// Commands that may wait for the ledger at once. More would only wait past
+/// their callers' deadlines and need a burn each.
+constexpr size_t kMaxUnsettled = 64;
 /// Without a sign of life for this long an entry counts as gone. Entries ping
 /// every 500 ms.
 constexpr Duration kEntrySilence = std::chrono::seconds(3);
@@ -210,7 +211,7 @@
     if (!attempt.repeatable && attempt.request.idempotency_key.empty()) {
       return make_error_code(ClaimsCode::kMissingKey);
     }
-    if (!attempt.repeatable && jobs_.size() >= kMaxClaiming) {
+    if (!attempt.repeatable && writer_.Unsettled() >= kMaxUnsettled) {
       return make_error_code(AdmissionCode::kQueueFull);
     }
     const QuarantineVerdict verdict =
--- a/src/owner/tests/owner_session_test.cc
+++ b/src/owner/tests/owner_session_test.cc
@@ -168,6 +168,19 @@
   ExpectSession("poison");
 }
 
+TEST_F(AnOwnersSession, RefusesClaimsThatASlowLedgerCanNotTake) {
+  for (int i = 0; i < 64; ++i) {
+    seat_.Start("a" + std::to_string(i), "k" + std::to_string(i));
+  }
+  Step("the ledger has taken none of 64 claims");
+  seat_.Start("b1", "k64");
+  Step("it answers one");
+  Pass(Way::kUnavailable);
+  seat_.Start("b2", "k64");
+  EXPECT_EQ(seat_.store.open.size(), 64U);
+  ExpectSession("slow_ledger");
+}
+
 TEST_F(AnOwnersSession, StreamsAnAnswerTooLargeToKeep) {
   seat_.Start("a1", "k1");
   Pass(Way::kAnswered);
