--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -11,13 +11,15 @@
 #include "owner/internal/death_watch.h"
 #include "owner/internal/job.h"
 #include "owner/internal/slot_gate.h"
+#include "platform/log.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
 
-/// Attempts that may wait for the ledger at once.
-constexpr size_t kMaxClaiming = 1024;
+/// Commands that may wait for the ledger at once. More would only wait past
+/// their callers' deadlines and need a burn each.
+constexpr size_t kMaxUnsettled = 64;
 /// Without a sign of life for this long an entry counts as gone. Entries ping
 /// every 500 ms.
 constexpr Duration kEntrySilence = std::chrono::seconds(3);
@@ -87,6 +89,7 @@
     Follow(admission_->OnTick(now), now);
     CheckJobs(now);
     if (blamed_.empty()) blamed_ = death_watch_.TakeDeath(now);
+    if (blamed_.empty() && death_watch_.Idle()) RefuseLost();
     CheckUpstream(now);
   }
 
@@ -95,10 +98,8 @@
     upstream_ = upstream;
     AdmissionConfig limits = config;
     limits.slots = upstream.has_value() ? upstream->slots : 0;
-    limits.draining =
-        upstream.has_value() && upstream->state == UpstreamState::kDraining;
+    limits.draining = UpstreamDrains();
     Follow(admission_->Configure(limits, now), now);
-    if (UpstreamDrains()) RefuseWaiting(AdmissionCode::kDraining, now);
   }
 
   void Drain(Instant now) override {
@@ -159,7 +160,12 @@
       return;
     }
     if (failure.connection_lost) {
+      // A retry elsewhere must not overtake the news of a suspicion.
       death_watch_.OnLost(run, job->fingerprint, gate_.Running(), now);
+      job->stage = JobStage::kLost;
+      job->failure = failure.reason;
+      EndRun(run, now);
+      return;
     }
     sender_.Refused(*job, RoutingCode::kAnswerBroken, Certainty::kUnknown,
                     failure.reason);
@@ -170,13 +176,16 @@
   void OnProbed(bool reachable, Instant now) override {
     probing_ = false;
     down_ = !reachable;
+    if (reachable) told_down_ = false;
     const std::vector<Digest> blamed = std::exchange(blamed_, {});
-    if (reachable || !upstream_.has_value()) return;
-    RefuseWaiting(AdmissionCode::kNotServing, now);
-    if (blamed.empty()) return;
-    parts_.metrics.CounterOf("upstream_deaths_total", "").Add();
-    parts_.listener.OnSuspicions(
-        upstream_->service, parts_.quarantine.OnUpstreamDeath(blamed, now));
+    if (down_ && upstream_.has_value()) {
+      if (!blamed.empty()) Blame(blamed, now);
+      if (!std::exchange(told_down_, true)) {
+        parts_.listener.OnUpstreamDown(*upstream_);
+      }
+      RefuseWaiting(AdmissionCode::kNotServing, now);
+    }
+    if (death_watch_.Idle()) RefuseLost();
   }
 
  private:
@@ -205,7 +214,7 @@
     if (!attempt.repeatable && attempt.request.idempotency_key.empty()) {
       return make_error_code(ClaimsCode::kMissingKey);
     }
-    if (!attempt.repeatable && jobs_.size() >= kMaxClaiming) {
+    if (!attempt.repeatable && writer_.Unsettled() >= kMaxUnsettled) {
       return make_error_code(AdmissionCode::kQueueFull);
     }
     const QuarantineVerdict verdict =
@@ -333,6 +342,7 @@
         Forget(ticket);
         EndRun(ticket, now);
         break;
+      case JobStage::kLost:
       case JobStage::kBurning:
       case JobStage::kFinishing:
         break;
@@ -370,12 +380,34 @@
     parts_.upstream.Probe(upstream_->address);
   }
 
-  void RefuseWaiting(AdmissionCode code, Instant) {
-    std::vector<Ticket> waiting;
+  void Blame(const std::vector<Digest>& running, Instant now) {
+    parts_.metrics.CounterOf("upstream_deaths_total", "").Add();
+    Log(LogLevel::kWarning, "owner",
+        "The upstream died while " + std::to_string(running.size()) +
+            " requests ran.");
+    parts_.listener.OnSuspicions(
+        upstream_->service, parts_.quarantine.OnUpstreamDeath(running, now));
+  }
+
+  std::vector<Ticket> TicketsAt(JobStage stage) const {
+    std::vector<Ticket> tickets;
     for (const auto& [ticket, job] : jobs_) {
-      if (job.stage == JobStage::kWaiting) waiting.push_back(ticket);
+      if (job.stage == stage) tickets.push_back(ticket);
     }
-    for (Ticket ticket : waiting) {
+    return tickets;
+  }
+
+  void RefuseLost() {
+    for (Ticket ticket : TicketsAt(JobStage::kLost)) {
+      const Job& job = jobs_[ticket];
+      sender_.Refused(job, RoutingCode::kAnswerBroken, Certainty::kUnknown,
+                      job.failure);
+      Forget(ticket);
+    }
+  }
+
+  void RefuseWaiting(AdmissionCode code, Instant) {
+    for (Ticket ticket : TicketsAt(JobStage::kWaiting)) {
       admission_->Withdraw(ticket);
       GiveUp(ticket, code);
     }
@@ -437,6 +469,7 @@
   Ticket last_ticket_ = 0;
   bool draining_ = false;
   bool down_ = false;  ///< The upstream takes no connection.
+  bool told_down_ = false;
   bool probing_ = false;
   Instant next_probe_;
   std::vector<Digest> blamed_;  ///< Waits for the probe's word.
