--- a/bench/state_size_bench.cc
+++ b/bench/state_size_bench.cc
@@ -99,6 +99,15 @@
 }
 BENCHMARK(RecordsHeld)->Arg(225)->Arg(kServers);
 
+void RecordsCopied(benchmark::State& state) {
+  const auto records = Records(static_cast<int>(state.range(0)), kServices);
+  for (auto _ : state) {
+    auto copy = records;
+    benchmark::DoNotOptimize(copy);
+  }
+}
+BENCHMARK(RecordsCopied)->Arg(225)->Arg(kServers);
+
 void RouteTableBuild(benchmark::State& state) {
   const auto version = Version(kServices);
   const auto records = Records(static_cast<int>(state.range(0)), kServices);
@@ -133,11 +142,11 @@
 
 void PatchApply(benchmark::State& state) {
   const std::string text = DocumentText(static_cast<int>(state.range(0)));
-  constexpr char kPatch[] =
+  constexpr char patch[] =
       R"([{"op":"replace","path":"/services/service-1/max_queue","value":9}])";
   for (auto _ : state) {
     std::vector<SettingsFault> faults;
-    benchmark::DoNotOptimize(ApplyPatch(text, kPatch, faults));
+    benchmark::DoNotOptimize(ApplyPatch(text, patch, faults));
   }
 }
 BENCHMARK(PatchApply)->Arg(3)->Arg(kServices);
