--- a/src/owner/internal/answer_sender.h
+++ b/src/owner/internal/answer_sender.h
@@ -14,7 +14,9 @@
 /// Sends answers and refusals back to the entries of jobs, and counts them.
 class AnswerSender {
  public:
-  using LoadSource = std::function<LoadReport()>;
+  /// Gives the load as a class of requests sees it.
+  using LoadSource =
+      std::function<LoadReport(const std::string& request_class)>;
 
   AnswerSender(EntryLink& entries, Metrics& metrics, LoadSource load);
 
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -33,7 +33,10 @@
   OwnerImpl(std::string instance, const OwnerParts& parts)
       : parts_(parts),
         writer_(std::move(instance), parts.claims, parts.clock),
-        sender_(parts.entries, parts.metrics, [this] { return Load(); }) {}
+        sender_(parts.entries, parts.metrics,
+                [this](const std::string& request_class) {
+                  return Load(request_class);
+                }) {}
 
   void OnStart(const EntryRef& entry, const CallAttempt& attempt,
                Instant now) override {
@@ -177,8 +180,8 @@
   }
 
  private:
-  LoadReport Load() const {
-    LoadReport load = admission_->Load();
+  LoadReport Load(const std::string& request_class) const {
+    LoadReport load = admission_->Load(request_class);
     load.serving = load.serving && !down_ && !UpstreamDrains();
     return load;
   }
