Make the test of a full disk see half a record

Cause: the test of a full disk looked for a new identity before the replica had been taken in again, so it passed with half a record left in the log. Change: it waits 5 s first.

--- a/src/consensus/tests/storage_faults_test.cc
+++ b/src/consensus/tests/storage_faults_test.cc
@@ -112,6 +112,7 @@
   ASSERT_FALSE(Propose(group_.LeaderName(), "after").error) << next;
   EXPECT_EQ(group_.StateOf(leader_).Commands().back(), "after");
   Restart(leader_);
+  group_.Run(seconds(5));
   EXPECT_FALSE(HasNewIdentity(leader_)) << "a half record stayed in the log";
 }
 
--- a/tests/processes/versions_failure_test.cc
+++ b/tests/processes/versions_failure_test.cc
@@ -16,6 +16,7 @@
 using std::chrono::seconds;
 
 constexpr int kAccepted = 200;
+constexpr uint64_t kRounds = 10;
 const std::vector<std::string> kInstances = {"x", "y", "z"};
 
 std::string PatchNaming(const std::string& service) {
@@ -166,7 +167,6 @@
 };
 
 TEST_F(RacingOperators, WinEachNumberOnce) {
-  constexpr uint64_t kRounds = 10;
   for (uint64_t base = 1; base <= kRounds; ++base) {
     std::vector<std::future<HttpAnswer>> answers;
     for (const std::string& instance : kInstances) {
