Wait for every daemon's upstreams in the claims tests

Cause: two tests failed once in three runs: the first deposit through y came not back as 200; the fixture waited for the upstreams at x only. Change: it waits at each daemon; a failure now prints the answer. Ruled out: resending in the tests.

--- a/tests/processes/claims_mesh.h
+++ b/tests/processes/claims_mesh.h
@@ -37,6 +37,10 @@
         mesh_.WaitForUpstreams(first, upstreams, std::chrono::seconds(20)));
     ASSERT_EQ(mesh_.Propose(first, "first", 0, kVersion).status, 200);
     ASSERT_TRUE(mesh_.WaitForVersion(1, std::chrono::seconds(20)));
+    for (const SeatSpec& seat : seats_) {
+      ASSERT_TRUE(mesh_.WaitForUpstreams(seat.instance, upstreams,
+                                         std::chrono::seconds(20)));
+    }
   }
 
   HttpAnswer Deposit(const std::string& entry, const std::string& key,
--- a/tests/processes/claims_restart_test.cc
+++ b/tests/processes/claims_restart_test.cc
@@ -44,7 +44,7 @@
 TEST_F(AMeshWithOneOwner, KeepsTheAnswerWhenItsOwnerDiesAfterTheRun) {
   PutFirstVersionInForce(1);
   HttpAnswer first = Deposit("y", "8");
-  ASSERT_EQ(first.status, 200);
+  ASSERT_EQ(first.status, 200) << first.body;
   mesh_.KillDaemon("x");
   mesh_.StartDaemon("x");
   ASSERT_TRUE(mesh_.WaitForUpstreams("z", 1, seconds(20)));
@@ -61,7 +61,8 @@
 
 TEST_F(AMeshWithOneOwner, KeepsClaimsWhenAReplicaIsLost) {
   PutFirstVersionInForce(1);
-  ASSERT_EQ(Deposit("y", "9").status, 200);
+  const HttpAnswer first = Deposit("y", "9");
+  ASSERT_EQ(first.status, 200) << first.body;
   mesh_.KillDaemon("z");
   mesh_.WipeData("z");
   HttpAnswer again;
