Give up a peer's handshake after two seconds

Cause: a domain that came back from a silent cut could not reach the ledger for up to 30 s: connections begun during the cut had lost their greeting, and ZeroMQ waits 30 s for a handshake before it connects again. A deposit was refused as 6004 for more than 20 s after the link was back.

Ruled out: a claim in doubt that blocks the key (the refusal was 6004, not 6003); a group without a leader (the other two domains kept theirs).

Change: handshake timeout of 2 s at both ends.

--- a/src/owner/internal/claim_writer.cc
+++ b/src/owner/internal/claim_writer.cc
@@ -21,19 +21,19 @@
                          const Clock& clock)
     : instance_(std::move(instance)), store_(store), clock_(clock) {}
 
-void ClaimWriter::Claim(const Job& job, ClaimStore::Done done) {
-  Send(CommandOf(job, ClaimKind::kClaim), 1, std::move(done));
+void ClaimWriter::Claim(const Job& job, const ClaimStore::Done& done) {
+  Send(CommandOf(job, ClaimKind::kClaim), 1, done);
 }
 
-void ClaimWriter::Burn(const Job& job, ClaimStore::Done done) {
-  Send(CommandOf(job, ClaimKind::kBurn), kMaxTries, std::move(done));
+void ClaimWriter::Burn(const Job& job, const ClaimStore::Done& done) {
+  Send(CommandOf(job, ClaimKind::kBurn), kMaxTries, done);
 }
 
 void ClaimWriter::Finish(const Job& job, std::string answer,
-                         ClaimStore::Done done) {
+                         const ClaimStore::Done& done) {
   ClaimCommand command = CommandOf(job, ClaimKind::kFinish);
   command.answer = std::move(answer);
-  Send(command, kMaxTries, std::move(done));
+  Send(command, kMaxTries, done);
 }
 
 ClaimCommand ClaimWriter::CommandOf(const Job& job, ClaimKind kind) const {
--- a/src/owner/internal/claim_writer.h
+++ b/src/owner/internal/claim_writer.h
@@ -16,14 +16,14 @@
  public:
   ClaimWriter(std::string instance, ClaimStore& store, const Clock& clock);
 
-  void Claim(const Job& job, ClaimStore::Done done);
+  void Claim(const Job& job, const ClaimStore::Done& done);
 
   /// @param done told the outcome of the first try.
-  void Burn(const Job& job, ClaimStore::Done done);
+  void Burn(const Job& job, const ClaimStore::Done& done);
 
   /// @param answer an encoded KeptAnswer; empty when it is not to be kept.
   /// @param done told the outcome of the first try.
-  void Finish(const Job& job, std::string answer, ClaimStore::Done done);
+  void Finish(const Job& job, std::string answer, const ClaimStore::Done& done);
 
   /// @return how many commands have no outcome yet.
   size_t Unsettled() const { return unsettled_; }
--- a/src/peer/internal/zmq_transport.cc
+++ b/src/peer/internal/zmq_transport.cc
@@ -18,6 +18,7 @@
 constexpr int kReconnectHighestMs = 2000;
 constexpr int kHeartbeatMs = 2000;
 constexpr int kHeartbeatTimeoutMs = 5000;
+constexpr int kHandshakeTimeoutMs = 2000;
 constexpr int kMaxMessagesPerTurn = 256;
 constexpr Duration kIdleConnectionLife = std::chrono::seconds(60);
 
@@ -122,6 +123,9 @@
     socket.set(zmq::sockopt::maxmsgsize, int64_t{kMaxMessageBytes});
     socket.set(zmq::sockopt::reconnect_ivl, kReconnectLowestMs);
     socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectHighestMs);
+    // A connection begun while the link loses everything must not be waited
+    // for long after the link is back.
+    socket.set(zmq::sockopt::handshake_ivl, kHandshakeTimeoutMs);
     socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
     socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
     socket.set(zmq::sockopt::tcp_keepalive, 1);
--- a/tests/processes/claims_restart_test.cc
+++ b/tests/processes/claims_restart_test.cc
@@ -100,8 +100,14 @@
   EXPECT_EQ(Runs("10"), 0);
   mesh_.Links().SetPolicy(
       [](const std::string&, const std::string&) { return Relay::Link{}; });
-  EXPECT_TRUE(Mesh::Eventually([&] { return Deposit("x", "10").status == 200; },
-                               seconds(20)));
+  HttpAnswer healed;
+  EXPECT_TRUE(Mesh::Eventually(
+      [&] {
+        healed = Deposit("x", "10");
+        return healed.status == 200;
+      },
+      seconds(20)))
+      << healed.status << " " << healed.body;
   EXPECT_EQ(Runs("10"), 1);
 }
 
