Bound what copies of a patch may grow a document to

Cause: a patch of copies that doubles the document is short but grows it without bound, at every replica and again at each replay.

Change: a patch is applied up to each copy, and refused at the copy that makes the document longer than 1 MiB. The linter names local constants as the style guide does; a report runs all benches and draws their charts.

--- a/bench/claims_bench.cc
+++ b/bench/claims_bench.cc
@@ -67,10 +67,10 @@
   spec.length = std::chrono::seconds(FLAGS_seconds);
   spec.rate = [rate](std::chrono::milliseconds) { return rate; };
   spec.call = [&mesh, path, tag](uint64_t n) {
-    static const char* const kEntries[] = {"x", "y", "z"};
+    static const char* const entries[] = {"x", "y", "z"};
     LoadCall call;
     call.method = "POST";
-    call.url = mesh.CallerUrl(kEntries[n % 3]) + path + std::to_string(n);
+    call.url = mesh.CallerUrl(entries[n % 3]) + path + std::to_string(n);
     call.body = "100";
     call.fields = {"Idempotency-Key: " + tag + std::to_string(n)};
     return call;
--- a/bench/deployment.h
+++ b/bench/deployment.h
@@ -73,15 +73,15 @@
                              same ? std::chrono::microseconds(0) : delay};
         });
     mesh_->Start();
-    constexpr std::chrono::seconds kStartLimit(30);
+    const std::chrono::seconds start_limit(30);
     const int upstreams = static_cast<int>(names_.size());
     for (const std::string& name : names_) {
-      if (!mesh_->WaitForUpstreams(name, upstreams, kStartLimit)) {
+      if (!mesh_->WaitForUpstreams(name, upstreams, start_limit)) {
         throw std::runtime_error("upstreams are missing at " + name);
       }
     }
     if (mesh_->Propose(names_[0], "first", 0, version).status != 200 ||
-        !mesh_->WaitForVersion(1, kStartLimit)) {
+        !mesh_->WaitForVersion(1, start_limit)) {
       throw std::runtime_error("the first version is not in force");
     }
   }
--- /dev/null
+++ b/bench/report.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# Runs the measurements of the brief with their baselines, one after the other,
+# and writes bench/report.md and a bar chart of each table's chosen column to
+# bench/plots/. Usage: bench/report.sh [NAME ...], all by default. The tables
+# of measures that are not run again are kept.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake --preset release > /dev/null
+cmake --build --preset release > /dev/null
+mkdir -p bench/report bench/plots
+
+# name, column of the chart, its title, command
+measures() {
+  cat <<'LIST'
+path_latency|8|added p99 in us, by calls/s|path_latency_bench
+control_cost|2|% of a core of an idle daemon, by daemons|control_cost_bench
+choice|3|p99 in ms, one slowed upstream, by policy|choice_bench --pairs 2
+blocking|3|p99 in ms of short calls beside archives|blocking_bench
+crest|2|on time in %, by admission|crest_bench
+amplification|2|runs per call in an outage|amplification_bench
+claims|2|claims|claims_bench --rounds 2
+proposals|2|commits per second|proposals_bench
+state_size|2|time|state_size_bench --benchmark_repetitions=3 --benchmark_report_aggregates_only=true
+LIST
+}
+
+# Draws the rows of a markdown table as bars.
+plot() {
+  awk -F'|' -v column="$1" -v title="$2" '
+    /^\|/ && !/^\|-/ && $2 !~ /^ *$/ && rows++ > 0 {
+      value = $(column + 1); gsub(/[^0-9.\/]/, "", value); sub(/\/.*/, "", value)
+      if (value != "") { n++; label[n] = $2; size[n] = value + 0; if (size[n] > most) most = size[n] }
+    }
+    END {
+      if (n == 0) exit
+      printf "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"720\" height=\"%d\" font-family=\"sans-serif\" font-size=\"13\">\n", 40 + 24 * n
+      printf "<text x=\"8\" y=\"20\">%s</text>\n", title
+      for (i = 1; i <= n; i++) {
+        y = 32 + 24 * (i - 1)
+        width = most > 0 ? 380 * size[i] / most : 0
+        printf "<text x=\"8\" y=\"%d\">%s</text><rect x=\"250\" y=\"%d\" width=\"%.1f\" height=\"16\" fill=\"#4477aa\"/><text x=\"%.1f\" y=\"%d\">%g</text>\n", y + 13, label[i], y, width, 256 + width, y + 13, size[i]
+      }
+      print "</svg>"
+    }'
+}
+
+wanted=" $* "
+while IFS='|' read -r name column title command; do
+  [ "$wanted" = "  " ] || [[ $wanted == *" $name "* ]] || continue
+  echo "running $command" >&2
+  {
+    echo "## $name"
+    echo
+    echo "Commit $(git rev-parse --short HEAD), $(date -u +%F), $(nproc) cores: \`build/release/bin/$command\`"
+    echo
+    # shellcheck disable=SC2086
+    build/release/bin/$command 2>&1 || echo "The run failed with status $?."
+    echo
+  } > "bench/report/$name.md"
+  plot "$column" "$title" < "bench/report/$name.md" > "bench/plots/$name.svg"
+  [ -s "bench/plots/$name.svg" ] || rm "bench/plots/$name.svg"
+done < <(measures)
+
+{
+  echo "# Measurements"
+  echo
+  echo "Written by \`bench/report.sh\`. Each table names the commit and command of its run."
+  echo
+  while IFS='|' read -r name _; do
+    [ -f "bench/report/$name.md" ] || continue
+    cat "bench/report/$name.md"
+    [ ! -f "bench/plots/$name.svg" ] || printf '![%s](plots/%s.svg)\n\n' "$name" "$name"
+  done < <(measures)
+} > bench/report.md
--- a/bench/state_size_bench.cc
+++ b/bench/state_size_bench.cc
@@ -142,11 +142,11 @@
 
 void PatchApply(benchmark::State& state) {
   const std::string text = DocumentText(static_cast<int>(state.range(0)));
-  constexpr char patch[] =
+  constexpr char kPatch[] =
       R"([{"op":"replace","path":"/services/service-1/max_queue","value":9}])";
   for (auto _ : state) {
     std::vector<SettingsFault> faults;
-    benchmark::DoNotOptimize(ApplyPatch(text, patch, faults));
+    benchmark::DoNotOptimize(ApplyPatch(text, kPatch, faults));
   }
 }
 BENCHMARK(PatchApply)->Arg(3)->Arg(kServices);
--- a/src/versions/internal/config_reader.cc
+++ b/src/versions/internal/config_reader.cc
@@ -14,6 +14,7 @@
 constexpr int64_t kMaxMillis = 600'000;
 constexpr int64_t kMaxBodyBytes = 8 << 20;
 constexpr int64_t kDefaultBodyBytes = 1 << 20;
+constexpr size_t kMaxPatchedBytes = 1U << 20U;
 
 ServiceConfig ReadService(const std::string& name, SettingsReader& reader) {
   ServiceConfig service;
@@ -116,6 +117,31 @@
   }
 }
 
+bool IsCopy(const json& operation) {
+  return operation.is_object() && operation.value("op", "") == "copy";
+}
+
+/// Applies operations while the document stays within its bound. Only copies
+/// can make a document much longer than the patch, so the rest is applied in
+/// one go.
+std::optional<json> ApplyBounded(json document, const json& operations,
+                                 std::vector<SettingsFault>& faults) {
+  json batch = json::array();
+  for (size_t i = 0; i < operations.size(); ++i) {
+    batch.push_back(operations[i]);
+    const bool last = i + 1 == operations.size();
+    if (!last && !IsCopy(operations[i])) continue;
+    document = document.patch(std::exchange(batch, json::array()));
+    if (!IsCopy(operations[i])) continue;
+    if (document.dump().size() <= kMaxPatchedBytes) continue;
+    faults.push_back({"/" + std::to_string(i),
+                      "the copy makes the document longer than " +
+                          std::to_string(kMaxPatchedBytes) + " bytes"});
+    return std::nullopt;
+  }
+  return document;
+}
+
 }  // namespace
 
 ConfigDocument ReadConfigDocument(SettingsReader& reader) {
@@ -154,7 +180,9 @@
     return std::nullopt;
   }
   try {
-    return json::parse(text).patch(operations).dump();
+    auto document = ApplyBounded(json::parse(text), operations, faults);
+    if (!document.has_value()) return std::nullopt;
+    return document->dump();
   } catch (const json::exception& error) {
     faults.push_back(
         {"", std::string("the patch does not apply: ") + error.what()});
--- a/src/versions/tests/version_ledger_test.cc
+++ b/src/versions/tests/version_ledger_test.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "versions/config_reader.h"
 #include "versions/versions_result_codes.h"
 #include "wire/storage.pb.h"
 
@@ -194,5 +195,19 @@
   }
 }
 
+TEST(APatchThatCopiesADocumentIntoItself, IsRefusedAtTheCopyThatIsTooMuch) {
+  std::string patch = "[";
+  for (int i = 0; i < 24; ++i) {
+    if (i > 0) patch += ",";
+    patch += R"({"op":"copy","from":"/services","path":"/services/c)" +
+             std::to_string(i) + "\"}";
+  }
+  std::vector<SettingsFault> faults;
+  EXPECT_FALSE(
+      ApplyPatch(EmptyConfigVersion()->text, patch + "]", faults).has_value());
+  ASSERT_EQ(faults.size(), 1u);
+  EXPECT_EQ(faults[0].pointer, "/17");
+}
+
 }  // namespace
 }  // namespace hibiscusglade
--- a/tests/harness/relay.cc
+++ b/tests/harness/relay.cc
@@ -162,7 +162,10 @@
   pipe->to_ip = listener.target.substr(0, listener.target.find(':'));
   const int onward = NewSocket();
   const sockaddr_in source = AddressOf(pipe->from_ip);
-  bind(onward, reinterpret_cast<const sockaddr*>(&source), sizeof(source));
+  if (bind(onward, reinterpret_cast<const sockaddr*>(&source),
+           sizeof(source)) != 0) {
+    pipe->closing = true;
+  }
   const sockaddr_in target = AddressOf(listener.target);
   const int connected = connect(
       onward, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
--- a/tests/processes/answers_whole_test.cc
+++ b/tests/processes/answers_whole_test.cc
@@ -28,7 +28,9 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<uint16_t>(std::stoi(url_port)));
     inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-    connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    EXPECT_EQ(connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                      sizeof(address)),
+              0);
     Send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
   }
   ~SlowCaller() { close(socket_); }
