--- a/bench/report.sh
+++ b/bench/report.sh
@@ -12,7 +12,7 @@
 # name, column of the chart, its title, command
 measures() {
   cat <<'LIST'
-path_latency|8|added p99 in us, by calls/s|path_latency_bench
+path_latency|7|added p99 in us, by calls/s|path_latency_bench
 control_cost|2|% of a core of an idle daemon, by daemons|control_cost_bench
 choice|3|p99 in ms, one slowed upstream, by policy|choice_bench --pairs 2
 blocking|3|p99 in ms of short calls beside archives|blocking_bench
