--- a/bench/report.sh
+++ b/bench/report.sh
@@ -1,35 +1,41 @@
 #!/usr/bin/env bash
 # Runs the measurements of the brief with their baselines, one after the other,
 # and writes bench/report.md and a bar chart of each table's chosen column to
-# bench/plots/. Usage: bench/report.sh [NAME ...], all by default. The tables
-# of measures that are not run again are kept.
+# bench/plots/. Usage: bench/report.sh [NAME ...], all by default, or
+# "none" to draw the charts again. The tables of measures that are not run are
+# kept.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake --preset release > /dev/null
 cmake --build --preset release > /dev/null
 mkdir -p bench/report bench/plots
 
-# name, column of the chart, its title, command
+# name, table columns of the chart's labels, column of its values, title, command
 measures() {
   cat <<'LIST'
-path_latency|7|added p99 in us, by calls/s|path_latency_bench
-control_cost|2|% of a core of an idle daemon, by daemons|control_cost_bench
-choice|3|p99 in ms, one slowed upstream, by policy|choice_bench --pairs 2
-blocking|3|p99 in ms of short calls beside archives|blocking_bench
-crest|2|on time in %, by admission|crest_bench
-amplification|2|runs per call in an outage|amplification_bench
-claims|2|claims|claims_bench --rounds 2
-proposals|2|commits per second|proposals_bench
-state_size|2|time|state_size_bench --benchmark_repetitions=3 --benchmark_report_aggregates_only=true
+path_latency|1|7|added p99 in us, by calls/s|path_latency_bench
+control_cost|1|2|% of a core of an idle daemon, by daemons|control_cost_bench
+choice|2,3,4|6|p99 in ms, by choice, ejection, slowed upstreams|choice_bench --pairs 2
+blocking|2|4|p99 in ms of short calls beside archives|blocking_bench
+crest|2|3|on time in % of the possible|crest_bench
+amplification|2|4|attempts per call in an outage|amplification_bench
+claims|1|4|median in ms|claims_bench --rounds 2
+proposals|||no chart|proposals_bench
+state_size|||no chart|state_size_bench --benchmark_repetitions=3 --benchmark_report_aggregates_only=true
 LIST
 }
 
 # Draws the rows of a markdown table as bars.
 plot() {
-  awk -F'|' -v column="$1" -v title="$2" '
+  awk -F'|' -v labels="$1" -v column="$2" -v title="$3" '
     /^\|/ && !/^\|-/ && $2 !~ /^ *$/ && rows++ > 0 {
       value = $(column + 1); gsub(/[^0-9.\/]/, "", value); sub(/\/.*/, "", value)
-      if (value != "") { n++; label[n] = $2; size[n] = value + 0; if (size[n] > most) most = size[n] }
+      if (value == "") next
+      n++
+      size[n] = value + 0
+      if (size[n] > most) most = size[n]
+      parts = split(labels, part, ",")
+      for (i = 1; i <= parts; i++) label[n] = label[n] $(part[i] + 1)
     }
     END {
       if (n == 0) exit
@@ -45,7 +51,7 @@
 }
 
 wanted=" $* "
-while IFS='|' read -r name column title command; do
+while IFS='|' read -r name labels column title command; do
   [ "$wanted" = "  " ] || [[ $wanted == *" $name "* ]] || continue
   echo "running $command" >&2
   {
@@ -57,8 +63,11 @@
     build/release/bin/$command 2>&1 || echo "The run failed with status $?."
     echo
   } > "bench/report/$name.md"
-  plot "$column" "$title" < "bench/report/$name.md" > "bench/plots/$name.svg"
-  [ -s "bench/plots/$name.svg" ] || rm "bench/plots/$name.svg"
+done < <(measures)
+
+while IFS='|' read -r name labels column title _; do
+  [ -n "$column" ] && [ -f "bench/report/$name.md" ] || continue
+  plot "$labels" "$column" "$title" < "bench/report/$name.md" > "bench/plots/$name.svg"
 done < <(measures)
 
 {
