Convert header fields in one place

Cause: the codecs of calls and of kept answers held the same two loops.

Change: calls/header_codec.h serves both. Behaviour is unchanged.

--- a/src/claims/internal/claim_codec.cc
+++ b/src/claims/internal/claim_codec.cc
@@ -1,5 +1,6 @@
 #include "claims/claim_codec.h"
 
+#include "calls/header_codec.h"
 #include "claims/claims_result_codes.h"
 #include "wire/peer.pb.h"
 #include "wire/storage.pb.h"
@@ -58,11 +59,7 @@
 std::string EncodeKeptAnswer(const KeptAnswer& answer) {
   wire::StoredAnswer out;
   out.set_status(static_cast<uint32_t>(answer.head.status));
-  for (const HeaderField& field : answer.head.headers) {
-    wire::Header* header = out.add_headers();
-    header->set_name(field.name);
-    header->set_value(field.value);
-  }
+  FillHeaders(answer.head.headers, out);
   out.set_body(answer.body);
   return out.SerializeAsString();
 }
@@ -72,9 +69,7 @@
   if (!Parse(bytes, in)) return std::nullopt;
   KeptAnswer answer;
   answer.head.status = static_cast<int>(in.status());
-  for (const wire::Header& header : in.headers()) {
-    answer.head.headers.push_back({header.name(), header.value()});
-  }
+  answer.head.headers = HeadersOf(in);
   answer.head.content_length = static_cast<int64_t>(in.body().size());
   answer.body = in.body();
   return answer;
--- a/src/requests/internal/call_codec.cc
+++ b/src/requests/internal/call_codec.cc
@@ -1,33 +1,12 @@
 #include "requests/internal/call_codec.h"
 
 #include "admission/admission_result_codes.h"
+#include "calls/header_codec.h"
 #include "claims/claims_result_codes.h"
 #include "peer/peer_result_codes.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
-namespace {
-
-template <typename Message>
-void FillHeaders(const std::vector<HeaderField>& fields, Message& out) {
-  for (const HeaderField& field : fields) {
-    wire::Header* header = out.add_headers();
-    header->set_name(field.name);
-    header->set_value(field.value);
-  }
-}
-
-template <typename Message>
-std::vector<HeaderField> HeadersOf(const Message& in) {
-  std::vector<HeaderField> fields;
-  for (const wire::Header& header : in.headers()) {
-    fields.push_back({header.name(), header.value()});
-  }
-  return fields;
-}
-
-}  // namespace
-
 void ToWire(const CallAttempt& attempt, wire::CallStart& out) {
   const CallRequest& request = attempt.request;
   out.set_attempt(attempt.id);
