Take the variants of a bench in turn by one function

Cause: three benches held the same loop over rounds and variants.

Change: MeasureInTurn in bench/deployment.h. What is measured is unchanged.

--- a/bench/amplification_bench.cc
+++ b/bench/amplification_bench.cc
@@ -79,12 +79,10 @@
   const Deployment deployment = DeploymentOf(FLAGS_deployment);
   const std::vector<Variant> variants = {
       {"no retries", 0, 0}, {"budgets", 10, 5}, {"without limit", 100, 100}};
-  std::map<size_t, Samples> all;
-  for (int pair = 0; pair < FLAGS_pairs; ++pair) {
-    for (size_t v = 0; v < variants.size(); ++v) {
-      Measure(deployment, variants[v], all[v]);
-    }
-  }
+  const auto all = MeasureInTurn<Samples>(
+      variants, FLAGS_pairs, [&](const Variant& variant, Samples& samples) {
+        Measure(deployment, variant, samples);
+      });
   std::printf(
       "| deployment | retries and hedges | runs per call | attempts per call "
       "| on time %% |\n|---|---|---|---|---|\n");
--- a/bench/blocking_bench.cc
+++ b/bench/blocking_bench.cc
@@ -86,12 +86,10 @@
          "reserved_percent": 20}, "archive": {"max_wait_ms": 3000,
          "priority": 1, "max_percent": 70}})",
        "short", "archive"}};
-  std::map<size_t, Samples> all;
-  for (int pair = 0; pair < FLAGS_pairs; ++pair) {
-    for (size_t v = 0; v < variants.size(); ++v) {
-      Measure(deployment, variants[v], all[v]);
-    }
-  }
+  const auto all = MeasureInTurn<Samples>(
+      variants, FLAGS_pairs, [&](const Variant& variant, Samples& samples) {
+        Measure(deployment, variant, samples);
+      });
   std::printf(
       "| deployment | queueing | short p50 ms | p99 ms | p99.9 ms | short lost "
       "| archives | archives lost |\n|---|---|---|---|---|---|---|---|\n");
--- a/bench/crest_bench.cc
+++ b/bench/crest_bench.cc
@@ -101,12 +101,10 @@
       {"bounded queue", R"("max_queue": 64)", 30000, false},
       {"bounded, wait limit", R"("max_queue": 64)", 500, false},
       {"deadline-aware", R"("max_queue": 64)", 1000, true}};
-  std::map<size_t, Samples> all;
-  for (int pair = 0; pair < FLAGS_pairs; ++pair) {
-    for (size_t v = 0; v < variants.size(); ++v) {
-      Measure(deployment, variants[v], all[v]);
-    }
-  }
+  const auto all = MeasureInTurn<Samples>(
+      variants, FLAGS_pairs, [&](const Variant& variant, Samples& samples) {
+        Measure(deployment, variant, samples);
+      });
   std::printf(
       "| deployment | admission | on time, %% of the possible | p99 ms | late "
       "| refused | broken | wrong |\n|---|---|---|---|---|---|---|---|\n");
--- a/bench/deployment.h
+++ b/bench/deployment.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <cstdlib>
+#include <map>
 #include <memory>
 #include <sstream>
 #include <stdexcept>
@@ -133,6 +134,20 @@
   std::vector<std::string> names_;
 };
 
+/// Measures each variant in turn, again and again, so that what changes on the
+/// machine meanwhile meets all of them.
+/// @param measure called with a variant and its samples.
+/// @return the samples by the variant's place.
+template <typename Samples, typename Variant, typename Measure>
+std::map<size_t, Samples> MeasureInTurn(const std::vector<Variant>& variants,
+                                        int rounds, const Measure& measure) {
+  std::map<size_t, Samples> all;
+  for (int round = 0; round < rounds; ++round) {
+    for (size_t v = 0; v < variants.size(); ++v) measure(variants[v], all[v]);
+  }
+  return all;
+}
+
 }  // namespace hibiscusglade
 
 #endif  // HIBISCUSGLADE_BENCH_DEPLOYMENT_H_
