--- a/bench/proposals_bench.cc
+++ b/bench/proposals_bench.cc
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "consensus/replica.h"
-#include "platform/data_folder.h"
+#include "base/data_folder.h"
 #include "versions/version_ledger.h"
 #include "wire/storage.pb.h"
 
--- a/bench/state_size_bench.cc
+++ b/bench/state_size_bench.cc
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "platform/metrics.h"
-#include "platform/settings_reader.h"
+#include "base/metrics.h"
+#include "base/settings_reader.h"
 #include "routing/types/route_table.h"
 #include "settings/daemon_settings.h"
 #include "versions/config_reader.h"
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "calls/types/call_types.h"
-#include "platform/clock.h"
+#include "base/clock.h"
 #include "versions/types/config_document.h"
 
 namespace hibiscusglade {
--- a/src/admission/internal/service_estimate.h
+++ b/src/admission/internal/service_estimate.h
@@ -5,7 +5,7 @@
 #include <array>
 #include <cstddef>
 
-#include "platform/clock.h"
+#include "base/clock.h"
 
 namespace hibiscusglade {
 
--- a/src/admission/quarantine.h
+++ b/src/admission/quarantine.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <vector>
 
-#include "platform/clock.h"
-#include "platform/digest.h"
+#include "base/clock.h"
+#include "base/digest.h"
 
 namespace hibiscusglade {
 
--- a/src/app/internal/result_code_catalog.cc
+++ b/src/app/internal/result_code_catalog.cc
@@ -9,7 +9,7 @@
 #include "http/http_result_codes.h"
 #include "operator/operator_result_codes.h"
 #include "peer/peer_result_codes.h"
-#include "platform/platform_result_codes.h"
+#include "base/base_result_codes.h"
 #include "routing/routing_result_codes.h"
 #include "upstream/upstream_result_codes.h"
 #include "versions/versions_result_codes.h"
@@ -17,7 +17,7 @@
 namespace hibiscusglade {
 
 std::vector<const ResultCodeCategory*> AllResultCodeCategories() {
-  return {&PlatformCategory(), &VersionsCategory(),  &ConsensusCategory(),
+  return {&BaseCategory(), &VersionsCategory(),  &ConsensusCategory(),
           &RoutingCategory(),  &AdmissionCategory(), &ClaimsCategory(),
           &CallerCategory(),   &UpstreamCategory(),  &PeerCategory(),
           &OperatorCategory(), &HttpCategory()};
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -3,8 +3,8 @@
 #include <iostream>
 
 #include "app/daemon.h"
-#include "platform/command_line.h"
-#include "platform/stop_signal.h"
+#include "base/command_line.h"
+#include "base/stop_signal.h"
 #include "settings/daemon_settings.h"
 
 DEFINE_string(settings, "", "path of the settings file (JSON with comments)");
--- a/src/app/result_code_catalog.h
+++ b/src/app/result_code_catalog.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/result_code.h"
+#include "base/result_code.h"
 
 namespace hibiscusglade {
 
--- a/src/platform/clock.h
+++ b/src/base/clock.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_CLOCK_H_
-#define HIBISCUSGLADE_PLATFORM_CLOCK_H_
+#ifndef HIBISCUSGLADE_BASE_CLOCK_H_
+#define HIBISCUSGLADE_BASE_CLOCK_H_
 
 #include <chrono>
 #include <cstdint>
@@ -33,4 +33,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_CLOCK_H_
+#endif  // HIBISCUSGLADE_BASE_CLOCK_H_
--- a/src/platform/command_line.h
+++ b/src/base/command_line.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_COMMAND_LINE_H_
-#define HIBISCUSGLADE_PLATFORM_COMMAND_LINE_H_
+#ifndef HIBISCUSGLADE_BASE_COMMAND_LINE_H_
+#define HIBISCUSGLADE_BASE_COMMAND_LINE_H_
 
 #include <string_view>
 
@@ -18,4 +18,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_COMMAND_LINE_H_
+#endif  // HIBISCUSGLADE_BASE_COMMAND_LINE_H_
--- a/src/platform/data_folder.h
+++ b/src/base/data_folder.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_DATA_FOLDER_H_
-#define HIBISCUSGLADE_PLATFORM_DATA_FOLDER_H_
+#ifndef HIBISCUSGLADE_BASE_DATA_FOLDER_H_
+#define HIBISCUSGLADE_BASE_DATA_FOLDER_H_
 
 #include <memory>
 #include <optional>
@@ -16,11 +16,11 @@
   virtual ~AppendFile() = default;
 
   /// Adds bytes at the end; they last only after Sync().
-  /// @return PlatformCode::kFileUnwritable on failure, for example a full disk.
+  /// @return BaseCode::kFileUnwritable on failure, for example a full disk.
   virtual std::error_code Append(std::string_view bytes) = 0;
 
   /// Makes all that was appended last.
-  /// @return PlatformCode::kSyncFailed; afterwards the file must not be
+  /// @return BaseCode::kSyncFailed; afterwards the file must not be
   /// trusted, since what the disk holds is not known.
   virtual std::error_code Sync() = 0;
 
@@ -35,7 +35,7 @@
 
   /// @param name file name without a path.
   /// @return the whole content; nullopt when there is no such file.
-  /// @param error set to PlatformCode::kFileUnreadable when reading fails.
+  /// @param error set to BaseCode::kFileUnreadable when reading fails.
   virtual std::optional<std::string> Read(const std::string& name,
                                           std::error_code& error) = 0;
 
@@ -65,4 +65,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_DATA_FOLDER_H_
+#endif  // HIBISCUSGLADE_BASE_DATA_FOLDER_H_
--- a/src/platform/digest.h
+++ b/src/base/digest.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_DIGEST_H_
-#define HIBISCUSGLADE_PLATFORM_DIGEST_H_
+#ifndef HIBISCUSGLADE_BASE_DIGEST_H_
+#define HIBISCUSGLADE_BASE_DIGEST_H_
 
 #include <xxhash.h>
 
@@ -22,4 +22,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_DIGEST_H_
+#endif  // HIBISCUSGLADE_BASE_DIGEST_H_
--- a/src/platform/executor.h
+++ b/src/base/executor.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_EXECUTOR_H_
-#define HIBISCUSGLADE_PLATFORM_EXECUTOR_H_
+#ifndef HIBISCUSGLADE_BASE_EXECUTOR_H_
+#define HIBISCUSGLADE_BASE_EXECUTOR_H_
 
 #include <functional>
 #include <mutex>
@@ -34,4 +34,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_EXECUTOR_H_
+#endif  // HIBISCUSGLADE_BASE_EXECUTOR_H_
--- a/src/platform/internal/platform_result_codes.cc
+++ b/src/base/internal/base_result_codes.cc
@@ -1,4 +1,4 @@
-#include "platform/platform_result_codes.h"
+#include "base/base_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
@@ -23,13 +23,13 @@
 
 }  // namespace
 
-const ResultCodeCategory& PlatformCategory() {
-  static const ResultCodeCategory category("platform", kCodes);
+const ResultCodeCategory& BaseCategory() {
+  static const ResultCodeCategory category("base", kCodes);
   return category;
 }
 
-std::error_code make_error_code(PlatformCode code) {
-  return {static_cast<int>(code), PlatformCategory()};
+std::error_code make_error_code(BaseCode code) {
+  return {static_cast<int>(code), BaseCategory()};
 }
 
 }  // namespace hibiscusglade
--- a/src/platform/internal/executor.cc
+++ b/src/base/internal/executor.cc
@@ -1,4 +1,4 @@
-#include "platform/executor.h"
+#include "base/executor.h"
 
 #include <sys/eventfd.h>
 #include <unistd.h>
--- a/src/platform/internal/log.cc
+++ b/src/base/internal/log.cc
@@ -1,4 +1,4 @@
-#include "platform/log.h"
+#include "base/log.h"
 
 #include <boost/log/core.hpp>
 #include <boost/log/sources/severity_logger.hpp>
--- a/src/platform/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -1,4 +1,4 @@
-#include "platform/metric_catalog.h"
+#include "base/metric_catalog.h"
 
 #include <algorithm>
 #include <array>
--- a/src/platform/internal/metrics.cc
+++ b/src/base/internal/metrics.cc
@@ -1,4 +1,4 @@
-#include "platform/metrics.h"
+#include "base/metrics.h"
 
 #include <boost/histogram.hpp>
 #include <cmath>
@@ -7,7 +7,7 @@
 #include <sstream>
 #include <utility>
 
-#include "platform/metric_catalog.h"
+#include "base/metric_catalog.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/platform/internal/posix_data_folder.cc
+++ b/src/base/internal/posix_data_folder.cc
@@ -8,8 +8,8 @@
 #include <cerrno>
 #include <utility>
 
-#include "platform/data_folder.h"
-#include "platform/platform_result_codes.h"
+#include "base/data_folder.h"
+#include "base/base_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
@@ -52,19 +52,19 @@
 
   std::error_code Append(std::string_view bytes) override {
     if (WriteAll(descriptor_.Value(), bytes)) return {};
-    return PlatformCode::kFileUnwritable;
+    return BaseCode::kFileUnwritable;
   }
 
   std::error_code Sync() override {
     if (fdatasync(descriptor_.Value()) == 0) return {};
-    return PlatformCode::kSyncFailed;
+    return BaseCode::kSyncFailed;
   }
 
   std::error_code Truncate(uint64_t size) override {
     if (ftruncate(descriptor_.Value(), static_cast<off_t>(size)) == 0) {
       return {};
     }
-    return PlatformCode::kFileUnwritable;
+    return BaseCode::kFileUnwritable;
   }
 
  private:
@@ -80,7 +80,7 @@
                                   std::error_code& error) override {
     Descriptor file(open(PathOf(name).c_str(), O_RDONLY | O_CLOEXEC));
     if (!file.Ok()) {
-      if (errno != ENOENT) error = PlatformCode::kFileUnreadable;
+      if (errno != ENOENT) error = BaseCode::kFileUnreadable;
       return std::nullopt;
     }
     std::string content;
@@ -89,7 +89,7 @@
       ssize_t taken = read(file.Value(), block.data(), block.size());
       if (taken < 0 && errno == EINTR) continue;
       if (taken < 0) {
-        error = PlatformCode::kFileUnreadable;
+        error = BaseCode::kFileUnreadable;
         return std::nullopt;
       }
       if (taken == 0) return content;
@@ -105,12 +105,12 @@
                            O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
                            kFileMode));
       if (!file.Ok() || !WriteAll(file.Value(), content)) {
-        return PlatformCode::kFileUnwritable;
+        return BaseCode::kFileUnwritable;
       }
-      if (fsync(file.Value()) != 0) return PlatformCode::kSyncFailed;
+      if (fsync(file.Value()) != 0) return BaseCode::kSyncFailed;
     }
     if (rename(temporary.c_str(), PathOf(name).c_str()) != 0) {
-      return PlatformCode::kFileUnwritable;
+      return BaseCode::kFileUnwritable;
     }
     return SyncFolder();
   }
@@ -120,7 +120,7 @@
     int fd = open(PathOf(name).c_str(),
                   O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
     if (fd < 0) {
-      error = PlatformCode::kFileUnwritable;
+      error = BaseCode::kFileUnwritable;
       return nullptr;
     }
     auto file = std::make_unique<PosixAppendFile>(fd);
@@ -130,7 +130,7 @@
 
   std::error_code Remove(const std::string& name) override {
     if (unlink(PathOf(name).c_str()) != 0 && errno != ENOENT) {
-      return PlatformCode::kFileUnwritable;
+      return BaseCode::kFileUnwritable;
     }
     return SyncFolder();
   }
@@ -158,7 +158,7 @@
   std::error_code SyncFolder() const {
     Descriptor folder(open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
     if (!folder.Ok() || fsync(folder.Value()) != 0) {
-      return PlatformCode::kSyncFailed;
+      return BaseCode::kSyncFailed;
     }
     return {};
   }
@@ -172,7 +172,7 @@
 std::unique_ptr<DataFolder> OpenDataFolder(const std::string& path,
                                            std::error_code& error) {
   if (mkdir(path.c_str(), kFolderMode) != 0 && errno != EEXIST) {
-    error = PlatformCode::kFileUnwritable;
+    error = BaseCode::kFileUnwritable;
     return nullptr;
   }
   const std::string lock_path = path + "/" + kLockFile;
@@ -180,7 +180,7 @@
       open(lock_path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
   if (lock_fd < 0 || flock(lock_fd, LOCK_EX | LOCK_NB) != 0) {
     if (lock_fd >= 0) close(lock_fd);
-    error = PlatformCode::kFileUnwritable;
+    error = BaseCode::kFileUnwritable;
     return nullptr;
   }
   return std::make_unique<PosixDataFolder>(path, lock_fd);
--- a/src/platform/internal/settings_reader.cc
+++ b/src/base/internal/settings_reader.cc
@@ -1,4 +1,4 @@
-#include "platform/settings_reader.h"
+#include "base/settings_reader.h"
 
 #include <arpa/inet.h>
 
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "platform/strict_json.h"
+#include "base/strict_json.h"
 
 namespace hibiscusglade {
 
--- a/src/platform/internal/steady_clock.cc
+++ b/src/base/internal/steady_clock.cc
@@ -1,4 +1,4 @@
-#include "platform/clock.h"
+#include "base/clock.h"
 
 namespace hibiscusglade {
 
--- a/src/platform/internal/stop_signal.cc
+++ b/src/base/internal/stop_signal.cc
@@ -1,4 +1,4 @@
-#include "platform/stop_signal.h"
+#include "base/stop_signal.h"
 
 #include <csignal>
 #include <ctime>
--- a/src/platform/internal/strict_json.cc
+++ b/src/base/internal/strict_json.cc
@@ -1,4 +1,4 @@
-#include "platform/strict_json.h"
+#include "base/strict_json.h"
 
 #include <set>
 #include <stdexcept>
--- a/src/platform/log.h
+++ b/src/base/log.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_LOG_H_
-#define HIBISCUSGLADE_PLATFORM_LOG_H_
+#ifndef HIBISCUSGLADE_BASE_LOG_H_
+#define HIBISCUSGLADE_BASE_LOG_H_
 
 #include <string>
 #include <string_view>
@@ -25,4 +25,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_LOG_H_
+#endif  // HIBISCUSGLADE_BASE_LOG_H_
--- a/src/platform/metric_catalog.h
+++ b/src/base/metric_catalog.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_METRIC_CATALOG_H_
-#define HIBISCUSGLADE_PLATFORM_METRIC_CATALOG_H_
+#ifndef HIBISCUSGLADE_BASE_METRIC_CATALOG_H_
+#define HIBISCUSGLADE_BASE_METRIC_CATALOG_H_
 
 #include <string>
 #include <string_view>
@@ -23,4 +23,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_METRIC_CATALOG_H_
+#endif  // HIBISCUSGLADE_BASE_METRIC_CATALOG_H_
--- a/src/platform/metrics.h
+++ b/src/base/metrics.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_METRICS_H_
-#define HIBISCUSGLADE_PLATFORM_METRICS_H_
+#ifndef HIBISCUSGLADE_BASE_METRICS_H_
+#define HIBISCUSGLADE_BASE_METRICS_H_
 
 #include <atomic>
 #include <cstdint>
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-#include "platform/clock.h"
+#include "base/clock.h"
 
 namespace hibiscusglade {
 
@@ -69,4 +69,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_METRICS_H_
+#endif  // HIBISCUSGLADE_BASE_METRICS_H_
--- a/src/platform/random.h
+++ b/src/base/random.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_RANDOM_H_
-#define HIBISCUSGLADE_PLATFORM_RANDOM_H_
+#ifndef HIBISCUSGLADE_BASE_RANDOM_H_
+#define HIBISCUSGLADE_BASE_RANDOM_H_
 
 #include <cstdint>
 #include <random>
@@ -30,4 +30,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_RANDOM_H_
+#endif  // HIBISCUSGLADE_BASE_RANDOM_H_
--- a/src/platform/result_code.cc
+++ b/src/base/result_code.cc
@@ -1,4 +1,4 @@
-#include "platform/result_code.h"
+#include "base/result_code.h"
 
 namespace hibiscusglade {
 
--- a/src/platform/result_code.h
+++ b/src/base/result_code.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_RESULT_CODE_H_
-#define HIBISCUSGLADE_PLATFORM_RESULT_CODE_H_
+#ifndef HIBISCUSGLADE_BASE_RESULT_CODE_H_
+#define HIBISCUSGLADE_BASE_RESULT_CODE_H_
 
 #include <span>
 #include <string>
@@ -55,4 +55,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_RESULT_CODE_H_
+#endif  // HIBISCUSGLADE_BASE_RESULT_CODE_H_
--- a/src/platform/settings_reader.h
+++ b/src/base/settings_reader.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_SETTINGS_READER_H_
-#define HIBISCUSGLADE_PLATFORM_SETTINGS_READER_H_
+#ifndef HIBISCUSGLADE_BASE_SETTINGS_READER_H_
+#define HIBISCUSGLADE_BASE_SETTINGS_READER_H_
 
 #include <cstdint>
 #include <functional>
@@ -124,4 +124,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_SETTINGS_READER_H_
+#endif  // HIBISCUSGLADE_BASE_SETTINGS_READER_H_
--- a/src/platform/stop_signal.h
+++ b/src/base/stop_signal.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_STOP_SIGNAL_H_
-#define HIBISCUSGLADE_PLATFORM_STOP_SIGNAL_H_
+#ifndef HIBISCUSGLADE_BASE_STOP_SIGNAL_H_
+#define HIBISCUSGLADE_BASE_STOP_SIGNAL_H_
 
 namespace hibiscusglade {
 
@@ -14,4 +14,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_STOP_SIGNAL_H_
+#endif  // HIBISCUSGLADE_BASE_STOP_SIGNAL_H_
--- a/src/platform/strict_json.h
+++ b/src/base/strict_json.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_PLATFORM_STRICT_JSON_H_
-#define HIBISCUSGLADE_PLATFORM_STRICT_JSON_H_
+#ifndef HIBISCUSGLADE_BASE_STRICT_JSON_H_
+#define HIBISCUSGLADE_BASE_STRICT_JSON_H_
 
 #include <nlohmann/json.hpp>
 #include <string>
@@ -23,4 +23,4 @@
 
 }  // namespace hibiscusglade
 
-#endif  // HIBISCUSGLADE_PLATFORM_STRICT_JSON_H_
+#endif  // HIBISCUSGLADE_BASE_STRICT_JSON_H_
--- a/src/platform/tests/data_folder_test.cc
+++ b/src/base/tests/data_folder_test.cc
@@ -1,4 +1,4 @@
-#include "platform/data_folder.h"
+#include "base/data_folder.h"
 
 #include <gtest/gtest.h>
 
--- a/src/platform/tests/metrics_test.cc
+++ b/src/base/tests/metrics_test.cc
@@ -1,4 +1,4 @@
-#include "platform/metrics.h"
+#include "base/metrics.h"
 
 #include <gtest/gtest.h>
 
--- a/src/platform/tests/settings_reader_test.cc
+++ b/src/base/tests/settings_reader_test.cc
@@ -1,4 +1,4 @@
-#include "platform/settings_reader.h"
+#include "base/settings_reader.h"
 
 #include <gtest/gtest.h>
 
--- a/src/platform/tests/strict_json_test.cc
+++ b/src/base/tests/strict_json_test.cc
@@ -1,8 +1,8 @@
-#include "platform/strict_json.h"
+#include "base/strict_json.h"
 
 #include <gtest/gtest.h>
 
-#include "platform/settings_reader.h"
+#include "base/settings_reader.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/caller/caller_gateway.h
+++ b/src/caller/caller_gateway.h
@@ -6,7 +6,7 @@
 #include <system_error>
 
 #include "calls/call_handler.h"
-#include "platform/metrics.h"
+#include "base/metrics.h"
 
 namespace hibiscusglade {
 
--- a/src/calls/types/call_types.h
+++ b/src/calls/types/call_types.h
@@ -6,9 +6,9 @@
 #include <system_error>
 #include <vector>
 
-#include "platform/clock.h"
-#include "platform/digest.h"
-#include "platform/result_code.h"
+#include "base/clock.h"
+#include "base/digest.h"
+#include "base/result_code.h"
 
 namespace hibiscusglade {
 
--- a/src/claims/types/claim_types.h
+++ b/src/claims/types/claim_types.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <system_error>
 
-#include "platform/digest.h"
+#include "base/digest.h"
 
 namespace hibiscusglade {
 
--- a/src/consensus/consensus_node.h
+++ b/src/consensus/consensus_node.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "consensus/types/consensus_types.h"
-#include "platform/clock.h"
+#include "base/clock.h"
 
 namespace hibiscusglade {
 
--- a/src/consensus/internal/entry_store.cc
+++ b/src/consensus/internal/entry_store.cc
@@ -5,7 +5,7 @@
 
 #include "consensus/consensus_result_codes.h"
 #include "consensus/internal/record_format.h"
-#include "platform/platform_result_codes.h"
+#include "base/base_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
@@ -125,7 +125,7 @@
   }
   // Part of the bytes may be in the file; a later record behind them would
   // look like a damaged middle.
-  if (log_->Truncate(log_bytes_)) return PlatformCode::kSyncFailed;
+  if (log_->Truncate(log_bytes_)) return BaseCode::kSyncFailed;
   return error;
 }
 
@@ -173,7 +173,7 @@
   std::error_code error;
   auto log = folder_.OpenAppend(NameOf(kLogFile), error);
   // Without a handle on the new file the old one must not be written.
-  if (error) return PlatformCode::kSyncFailed;
+  if (error) return BaseCode::kSyncFailed;
   log_ = std::move(log);
   return {};
 }
--- a/src/consensus/internal/entry_store.h
+++ b/src/consensus/internal/entry_store.h
@@ -8,7 +8,7 @@
 
 #include "consensus/consensus_codec.h"
 #include "consensus/consensus_node.h"
-#include "platform/data_folder.h"
+#include "base/data_folder.h"
 
 namespace hibiscusglade {
 
@@ -33,7 +33,7 @@
                                const std::vector<LogEntry>& after);
 
   /// Appends entries; lasting only after Sync().
-  /// @return PlatformCode::kFileUnwritable with the file as it was before, so
+  /// @return BaseCode::kFileUnwritable with the file as it was before, so
   /// that the call may be repeated; kSyncFailed when it could not be undone.
   std::error_code Append(const std::vector<LogEntry>& entries);
   std::error_code Sync();
--- a/src/consensus/internal/node.h
+++ b/src/consensus/internal/node.h
@@ -10,7 +10,7 @@
 
 #include "consensus/consensus_node.h"
 #include "consensus/internal/entry_log.h"
-#include "platform/random.h"
+#include "base/random.h"
 
 namespace hibiscusglade {
 
--- a/src/consensus/internal/record_format.cc
+++ b/src/consensus/internal/record_format.cc
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <cstring>
 
-#include "platform/digest.h"
+#include "base/digest.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/consensus/internal/replica.cc
+++ b/src/consensus/internal/replica.cc
@@ -9,8 +9,8 @@
 #include "consensus/consensus_result_codes.h"
 #include "consensus/internal/entry_store.h"
 #include "consensus/internal/record_format.h"
-#include "platform/log.h"
-#include "platform/platform_result_codes.h"
+#include "base/log.h"
+#include "base/base_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
@@ -124,7 +124,7 @@
   /// write is tried again. After any other error it is not known what the disk
   /// holds.
   void OnStorageError(std::error_code error) {
-    if (error == PlatformCode::kFileUnwritable) {
+    if (error == BaseCode::kFileUnwritable) {
       if (!storage_full_) {
         Log(LogLevel::kError, "consensus",
             "The replica pauses: " + error.message() + ".");
@@ -162,7 +162,7 @@
     if (error) return error;
     if (effects.install.has_value()) {
       if (!state_.Restore(effects.install->state)) {
-        return PlatformCode::kFileDamaged;
+        return BaseCode::kFileDamaged;
       }
       applied_ = effects.install->last_index;
       error = store_.SaveSnapshot(*effects.install, effects.append);
@@ -258,7 +258,7 @@
     std::error_code error = store_.SaveSnapshot(node_->LastSnapshot(),
                                                 node_->EntriesAfterSnapshot());
     // On a full disk the log merely stays longer than needed.
-    if (error && error != PlatformCode::kFileUnwritable) OnStorageError(error);
+    if (error && error != BaseCode::kFileUnwritable) OnStorageError(error);
   }
 
   Member self_;
@@ -293,7 +293,7 @@
   std::string_view rest = *content;
   auto bytes = TakeRecord(rest);
   auto identity = bytes.has_value() ? DecodeIdentity(*bytes) : std::nullopt;
-  if (!identity.has_value()) error = PlatformCode::kFileDamaged;
+  if (!identity.has_value()) error = BaseCode::kFileDamaged;
   return identity;
 }
 
@@ -351,7 +351,7 @@
   if (restored.snapshot.has_value()) {
     applied = restored.snapshot->last_index;
     if (!state.Restore(restored.snapshot->state)) {
-      error = PlatformCode::kFileDamaged;
+      error = BaseCode::kFileDamaged;
       return nullptr;
     }
   }
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -8,7 +8,7 @@
 
 #include "consensus/consensus_node.h"
 #include "consensus/replicated_state.h"
-#include "platform/data_folder.h"
+#include "base/data_folder.h"
 
 namespace hibiscusglade {
 
--- a/src/consensus/tests/replica_group.h
+++ b/src/consensus/tests/replica_group.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "consensus/replica.h"
-#include "platform/platform_result_codes.h"
-#include "platform/random.h"
+#include "base/base_result_codes.h"
+#include "base/random.h"
 
 namespace hibiscusglade {
 
@@ -33,8 +33,8 @@
   }
   std::error_code WriteAtomically(const std::string& name,
                                   std::string_view content) override {
-    if (faults_->sync_fails) return PlatformCode::kSyncFailed;
-    if (faults_->full) return PlatformCode::kFileUnwritable;
+    if (faults_->sync_fails) return BaseCode::kSyncFailed;
+    if (faults_->full) return BaseCode::kFileUnwritable;
     files_[name] = std::string(content);
     return {};
   }
@@ -63,13 +63,13 @@
     std::error_code Append(std::string_view bytes) override {
       if (faults_.full) {
         unsynced_ += bytes.substr(0, bytes.size() / 2);
-        return PlatformCode::kFileUnwritable;
+        return BaseCode::kFileUnwritable;
       }
       unsynced_ += bytes;
       return {};
     }
     std::error_code Sync() override {
-      if (faults_.sync_fails) return PlatformCode::kSyncFailed;
+      if (faults_.sync_fails) return BaseCode::kSyncFailed;
       content_ += std::exchange(unsynced_, "");
       return {};
     }
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -14,9 +14,9 @@
 #include "membership/types/instance_record.h"
 #include "operator/operator_backend.h"
 #include "peer/peer_transport.h"
-#include "platform/clock.h"
-#include "platform/executor.h"
-#include "platform/metrics.h"
+#include "base/clock.h"
+#include "base/executor.h"
+#include "base/metrics.h"
 #include "routing/route_table_holder.h"
 #include "upstream/announcement_api.h"
 
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -16,7 +16,7 @@
 #include "distribution/version_follower.h"
 #include "membership/membership.h"
 #include "operator/operator_result_codes.h"
-#include "platform/log.h"
+#include "base/log.h"
 #include "versions/versions_result_codes.h"
 #include "wire/peer.pb.h"
 #include "wire/storage.pb.h"
--- a/src/control/internal/group_client.h
+++ b/src/control/internal/group_client.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "consensus/replica.h"
-#include "platform/clock.h"
+#include "base/clock.h"
 
 namespace hibiscusglade {
 
--- a/src/control/internal/ledger_claim_store.h
+++ b/src/control/internal/ledger_claim_store.h
@@ -7,7 +7,7 @@
 
 #include "claims/claim_store.h"
 #include "consensus/replica.h"
-#include "platform/executor.h"
+#include "base/executor.h"
 
 namespace hibiscusglade {
 
--- a/src/control/internal/replica_host.h
+++ b/src/control/internal/replica_host.h
@@ -9,7 +9,7 @@
 #include "claims/claim_ledger.h"
 #include "consensus/replica.h"
 #include "control/internal/group_client.h"
-#include "platform/data_folder.h"
+#include "base/data_folder.h"
 #include "versions/version_ledger.h"
 
 namespace hibiscusglade {
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "ctl/commands.h"
-#include "platform/command_line.h"
+#include "base/command_line.h"
 
 DEFINE_string(api, "127.0.0.1:7003", "operators' API of a daemon, ip:port");
 DEFINE_bool(json, false, "print the answer as JSON");
--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "distribution/internal/version_history.h"
-#include "platform/random.h"
+#include "base/random.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/distribution/types/distribution_types.h
+++ b/src/distribution/types/distribution_types.h
@@ -6,8 +6,8 @@
 #include <variant>
 #include <vector>
 
-#include "platform/clock.h"
-#include "platform/digest.h"
+#include "base/clock.h"
+#include "base/digest.h"
 
 namespace hibiscusglade {
 
--- a/src/distribution/version_follower.h
+++ b/src/distribution/version_follower.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "distribution/types/distribution_types.h"
-#include "platform/clock.h"
+#include "base/clock.h"
 #include "versions/types/config_document.h"
 
 namespace hibiscusglade {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -6,7 +6,7 @@
 
 #include "calls/call_handler.h"
 #include "calls/call_links.h"
-#include "platform/metrics.h"
+#include "base/metrics.h"
 #include "routing/route_table_holder.h"
 #include "routing/upstream_chooser.h"
 
--- a/src/entry/internal/attempt_policy.h
+++ b/src/entry/internal/attempt_policy.h
@@ -7,7 +7,7 @@
 #include <string_view>
 
 #include "calls/types/call_types.h"
-#include "platform/clock.h"
+#include "base/clock.h"
 #include "routing/retry_budget.h"
 #include "versions/types/config_document.h"
 
--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "calls/call_handler.h"
-#include "platform/digest.h"
+#include "base/digest.h"
 #include "routing/types/route_table.h"
 
 namespace hibiscusglade {
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -5,7 +5,7 @@
 
 #include "entry/internal/attempt_policy.h"
 #include "entry/internal/call_table.h"
-#include "platform/digest.h"
+#include "base/digest.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
--- a/src/http/http_result_codes.h
+++ b/src/http/http_result_codes.h
@@ -1,7 +1,7 @@
 #ifndef HIBISCUSGLADE_HTTP_HTTP_RESULT_CODES_H_
 #define HIBISCUSGLADE_HTTP_HTTP_RESULT_CODES_H_
 
-#include "platform/result_code.h"
+#include "base/result_code.h"
 
 namespace hibiscusglade {
 
--- a/src/http/internal/simple_http_server.cc
+++ b/src/http/internal/simple_http_server.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "http/http_result_codes.h"
-#include "platform/log.h"
+#include "base/log.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/membership/internal/failure_detector.h
+++ b/src/membership/internal/failure_detector.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "membership/membership.h"
-#include "platform/random.h"
+#include "base/random.h"
 
 namespace hibiscusglade {
 
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -7,7 +7,7 @@
 #include "membership/internal/failure_detector.h"
 #include "membership/internal/peer_view.h"
 #include "membership/internal/record_table.h"
-#include "platform/random.h"
+#include "base/random.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "membership/types/instance_record.h"
-#include "platform/clock.h"
+#include "base/clock.h"
 
 namespace hibiscusglade {
 
--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/digest.h"
+#include "base/digest.h"
 
 namespace hibiscusglade {
 
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -8,7 +8,7 @@
 #include <optional>
 
 #include "operator/operator_result_codes.h"
-#include "platform/metrics.h"
+#include "base/metrics.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/operator/operator_backend.h
+++ b/src/operator/operator_backend.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "membership/types/instance_record.h"
-#include "platform/settings_reader.h"
+#include "base/settings_reader.h"
 
 namespace hibiscusglade {
 
--- a/src/owner/internal/answer_sender.h
+++ b/src/owner/internal/answer_sender.h
@@ -7,7 +7,7 @@
 
 #include "calls/call_links.h"
 #include "owner/internal/job.h"
-#include "platform/metrics.h"
+#include "base/metrics.h"
 
 namespace hibiscusglade {
 
--- a/src/owner/internal/claim_writer.h
+++ b/src/owner/internal/claim_writer.h
@@ -5,7 +5,7 @@
 
 #include "claims/claim_store.h"
 #include "owner/internal/job.h"
-#include "platform/clock.h"
+#include "base/clock.h"
 
 namespace hibiscusglade {
 
--- a/src/owner/internal/death_watch.h
+++ b/src/owner/internal/death_watch.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "calls/call_links.h"
-#include "platform/clock.h"
-#include "platform/digest.h"
+#include "base/clock.h"
+#include "base/digest.h"
 
 namespace hibiscusglade {
 
--- a/src/owner/internal/job.h
+++ b/src/owner/internal/job.h
@@ -7,8 +7,8 @@
 
 #include "calls/call_links.h"
 #include "calls/types/call_types.h"
-#include "platform/clock.h"
-#include "platform/digest.h"
+#include "base/clock.h"
+#include "base/digest.h"
 
 namespace hibiscusglade {
 
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -11,7 +11,7 @@
 #include "owner/internal/death_watch.h"
 #include "owner/internal/job.h"
 #include "owner/internal/slot_gate.h"
-#include "platform/log.h"
+#include "base/log.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -11,7 +11,7 @@
 #include "calls/call_links.h"
 #include "claims/claim_store.h"
 #include "membership/types/instance_record.h"
-#include "platform/metrics.h"
+#include "base/metrics.h"
 
 namespace hibiscusglade {
 
--- a/src/peer/internal/zmq_transport.cc
+++ b/src/peer/internal/zmq_transport.cc
@@ -5,7 +5,7 @@
 
 #include "peer/peer_result_codes.h"
 #include "peer/peer_transport.h"
-#include "platform/digest.h"
+#include "base/digest.h"
 #include "wire/peer.pb.h"
 
 namespace hibiscusglade {
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <system_error>
 
-#include "platform/clock.h"
-#include "platform/executor.h"
-#include "platform/metrics.h"
+#include "base/clock.h"
+#include "base/executor.h"
+#include "base/metrics.h"
 
 namespace hibiscusglade {
 
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -10,7 +10,7 @@
 #include "admission/quarantine.h"
 #include "entry/entry.h"
 #include "owner/owner.h"
-#include "platform/log.h"
+#include "base/log.h"
 #include "requests/internal/call_codec.h"
 #include "routing/upstream_chooser.h"
 #include "upstream/http_upstream_client.h"
--- a/src/routing/internal/ejection_judge.h
+++ b/src/routing/internal/ejection_judge.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/clock.h"
+#include "base/clock.h"
 #include "routing/types/route_table.h"
 #include "routing/upstream_chooser.h"
 
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -6,8 +6,8 @@
 #include <utility>
 #include <vector>
 
-#include "platform/digest.h"
-#include "platform/random.h"
+#include "base/digest.h"
+#include "base/random.h"
 #include "routing/internal/ejection_judge.h"
 
 namespace hibiscusglade {
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -8,7 +8,7 @@
 #include <string_view>
 
 #include "calls/types/call_types.h"
-#include "platform/clock.h"
+#include "base/clock.h"
 #include "routing/types/route_table.h"
 
 namespace hibiscusglade {
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "consensus/types/consensus_types.h"
-#include "platform/log.h"
-#include "platform/settings_reader.h"
+#include "base/log.h"
+#include "base/settings_reader.h"
 
 namespace hibiscusglade {
 
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -5,7 +5,7 @@
 #include <sstream>
 #include <utility>
 
-#include "platform/platform_result_codes.h"
+#include "base/base_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
@@ -152,7 +152,7 @@
   std::ifstream file(path);
   if (!file) {
     return {std::nullopt,
-            PlatformCode::kSettingsUnreadable,
+            BaseCode::kSettingsUnreadable,
             {{"", "can't be read"}}};
   }
   std::ostringstream text;
@@ -160,12 +160,12 @@
   SettingsReader reader(text.str());
   // Fields of an unreadable text are not missing.
   if (!reader.Faults().empty()) {
-    return {std::nullopt, PlatformCode::kSettingsInvalid, reader.Faults()};
+    return {std::nullopt, BaseCode::kSettingsInvalid, reader.Faults()};
   }
   DaemonSettings settings = ReadDaemonSettings(reader);
   reader.Finish();
   if (!reader.Faults().empty()) {
-    return {std::nullopt, PlatformCode::kSettingsInvalid, reader.Faults()};
+    return {std::nullopt, BaseCode::kSettingsInvalid, reader.Faults()};
   }
   return {std::move(settings), {}, {}};
 }
--- a/src/settings/tests/settings_docs_test.cc
+++ b/src/settings/tests/settings_docs_test.cc
@@ -4,7 +4,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "platform/metric_catalog.h"
+#include "base/metric_catalog.h"
 #include "settings/daemon_settings.h"
 
 namespace hibiscusglade {
--- a/src/upstream/http_upstream_client.h
+++ b/src/upstream/http_upstream_client.h
@@ -4,8 +4,8 @@
 #include <memory>
 
 #include "calls/call_links.h"
-#include "platform/clock.h"
-#include "platform/executor.h"
+#include "base/clock.h"
+#include "base/executor.h"
 
 namespace hibiscusglade {
 
--- a/src/upstream/internal/announcement_api.cc
+++ b/src/upstream/internal/announcement_api.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/settings_reader.h"
+#include "base/settings_reader.h"
 #include "upstream/upstream_result_codes.h"
 
 namespace hibiscusglade {
--- a/src/upstream/upstream_result_codes.h
+++ b/src/upstream/upstream_result_codes.h
@@ -1,7 +1,7 @@
 #ifndef HIBISCUSGLADE_UPSTREAM_UPSTREAM_RESULT_CODES_H_
 #define HIBISCUSGLADE_UPSTREAM_UPSTREAM_RESULT_CODES_H_
 
-#include "platform/result_code.h"
+#include "base/result_code.h"
 
 namespace hibiscusglade {
 
--- a/src/versions/tests/version_ledger_property_test.cc
+++ b/src/versions/tests/version_ledger_property_test.cc
@@ -3,7 +3,7 @@
 
 #include <map>
 
-#include "platform/random.h"
+#include "base/random.h"
 #include "versions/version_ledger.h"
 #include "versions/versions_result_codes.h"
 #include "wire/storage.pb.h"
--- a/src/versions/types/config_document.h
+++ b/src/versions/types/config_document.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "platform/clock.h"
-#include "platform/digest.h"
-#include "platform/settings_reader.h"
+#include "base/clock.h"
+#include "base/digest.h"
+#include "base/settings_reader.h"
 
 namespace hibiscusglade {
 
--- a/tests/processes/bad_input_test.cc
+++ b/tests/processes/bad_input_test.cc
@@ -8,7 +8,7 @@
 #include <thread>
 #include <zmq.hpp>
 
-#include "platform/digest.h"
+#include "base/digest.h"
 #include "tests/harness/load.h"
 #include "tests/harness/mesh.h"
 #include "wire/peer.pb.h"
--- a/tests/tools/standin_upstream.cc
+++ b/tests/tools/standin_upstream.cc
@@ -18,7 +18,7 @@
 #include <string>
 #include <thread>
 
-#include "platform/stop_signal.h"
+#include "base/stop_signal.h"
 #include "tests/tools/standin_behavior.h"
 
 DEFINE_string(service, "", "service that the upstream runs");
