--- a/src/admission/admission_result_codes.h
+++ b/src/admission/admission_result_codes.h
@@ -15,6 +15,7 @@
   kQuarantined = 5006,
   kWrongService = 5007,
   kShed = 5008,
+  kRejected = 5009,
 };
 
 const ResultCodeCategory& AdmissionCategory();
--- a/src/admission/internal/admission_result_codes.cc
+++ b/src/admission/internal/admission_result_codes.cc
@@ -20,6 +20,8 @@
      Certainty::kNotRun, "Nothing; the entry learns the new service."},
     {5008, "shed", "less important work was refused under load", 503,
      Certainty::kNotRun, "Add upstreams, or raise the class's priority."},
+    {5009, "rejected", "the upstream itself turned the request away", 503,
+     Certainty::kNotRun, "See why the upstream sheds load."},
 };
 
 }  // namespace
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -5,14 +5,15 @@
 #include <random>
 #include <thread>
 
-#include "caller/caller_gateway.h"
-#include "control/control_loop.h"
-#include "http/simple_http_server.h"
-#include "operator/operator_api.h"
+#include "app/internal/settings_watch.h"
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/stop_signal.h"
+#include "caller/caller_gateway.h"
+#include "control/control_loop.h"
+#include "http/simple_http_server.h"
+#include "operator/operator_api.h"
 #include "requests/request_loop.h"
 #include "routing/route_table_holder.h"
 #include "upstream/announcement_api.h"
@@ -24,8 +25,9 @@
 constexpr int kExitStart = 1;
 constexpr int kExitCutOff = 3;
 constexpr int kDrainPollMs = 50;
-/// Lets peers learn that this daemon leaves before it refuses their work.
-constexpr std::chrono::milliseconds kLeaveNotice{500};
+/// How often the settings file is read again, as a change may come without a
+/// signal.
+constexpr int kRereadMs = 2000;
 
 uint64_t RandomSeed() {
   std::random_device device;
@@ -35,8 +37,9 @@
 /// All parts of the daemon, in the order in which they depend on each other.
 class Daemon {
  public:
-  explicit Daemon(const DaemonSettings& settings)
+  Daemon(const DaemonSettings& settings, const OutsideInterface& outside)
       : settings_(settings),
+        outside_(outside),
         metrics_(MakeMetrics()),
         identity_{settings.mesh, settings.instance, settings.failure_domain,
                   static_cast<uint64_t>(clock_.UnixMicros()),
@@ -51,33 +54,59 @@
   std::error_code Start() {
     std::error_code error = requests_->Start(*claims_, *control_);
     if (!error) error = control_->Start();
-    if (!error) error = gateway_->Start();
-    if (error) return error;
-    operators_ = StartSimpleHttpServer(
-        settings_.operators.address, settings_.operators.port,
-        [this](const HttpRequest& request) {
-          return AnswerOperator(*control_, request);
-        },
-        error);
-    if (error) return error;
-    announcements_ = StartSimpleHttpServer(
-        settings_.announcements.address, settings_.announcements.port,
-        [this](const HttpRequest& request) {
-          return AnswerAnnouncement(*control_, request);
-        },
-        error);
+    if (!error && settings_.callers.port != 0) error = gateway_->Start();
+    if (!error) {
+      operators_ = Serve(
+          settings_.operators,
+          [this](const HttpRequest& request) {
+            return outside_.AnswerOperator(*control_, request);
+          },
+          HttpThreads::kOneEach, error);
+    }
+    if (!error) {
+      announcements_ = Serve(
+          settings_.announcements,
+          [this](const HttpRequest& request) {
+            return outside_.AnswerAnnouncement(*control_, request);
+          },
+          HttpThreads::kOne, error);
+    }
+    if (!error) {
+      readiness_ = Serve(
+          settings_.readiness,
+          [this](const HttpRequest& request) {
+            return outside_.AnswerReadiness(control_->Ready(), request);
+          },
+          HttpThreads::kOne, error);
+    }
+    if (!error) {
+      metrics_server_ = Serve(
+          settings_.metrics,
+          [this](const HttpRequest& request) {
+            return hibiscusglade::AnswerOperator(*control_,
+                                                 {"GET", "/metrics", {}, {}});
+          },
+          HttpThreads::kOneEach, error);
+    }
     return error;
   }
 
-  /// Drains: peers learn first, then new work is refused, then what runs is
-  /// finished.
+  /// Takes in settings that may change while the daemon runs.
+  void Reload(const DaemonSettings& settings) {
+    control_->SetSeeds(settings.seeds, settings.replicas);
+  }
+
+  /// Drains: peers and callers learn first, then new work is refused, then
+  /// what runs is finished.
   /// @return whether nothing was cut off.
   bool Stop() {
-    control_->BeginStop();
-    std::this_thread::sleep_for(kLeaveNotice);
-    requests_->Drain();
     const Instant deadline =
         clock_.Now() + std::chrono::seconds(settings_.stop_timeout_s);
+    control_->BeginStop();
+    gateway_->CloseAfterAnswers();
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(settings_.stop_notice_ms));
+    requests_->Drain();
     bool idle = requests_->Idle();
     while (!idle && clock_.Now() < deadline) {
       if (WaitForStopSignal(kDrainPollMs)) break;
@@ -85,6 +114,8 @@
     }
     gateway_->Quiesce();
     gateway_.reset();
+    metrics_server_.reset();
+    readiness_.reset();
     operators_.reset();
     announcements_.reset();
     requests_->Stop();
@@ -93,12 +124,21 @@
   }
 
  private:
+  static std::unique_ptr<SimpleHttpServer> Serve(
+      const ListenerSettings& listener, SimpleHttpServer::Handler handler,
+      HttpThreads threads, std::error_code& error) {
+    if (listener.port == 0) return nullptr;
+    return StartSimpleHttpServer(listener.address, listener.port,
+                                 std::move(handler), threads, error);
+  }
+
   RequestLoopConfig RequestSettings() const {
     return {identity_,
             settings_.RequestAddress(),
             settings_.AdvertisedRequestAddress(),
             settings_.upstream_connections,
             RandomSeed(),
+            outside_.Upstreams(),
             ChoiceFromEnv()};
   }
 
@@ -121,21 +161,25 @@
     config.request_address = settings_.AdvertisedRequestAddress();
     config.seeds = settings_.seeds;
     config.replicas = settings_.replicas;
+    config.local_service = settings_.local_service;
+    config.local_upstream = settings_.local_upstream;
+    config.founds_mesh = settings_.founds_mesh;
+    config.serves_claims = settings_.serves_claims;
     config.data_folder = settings_.data_folder;
     config.seed = RandomSeed();
     return config;
   }
 
   CallerGatewayConfig CallerSettings() const {
-    CallerGatewayConfig config;
-    config.address = settings_.callers.address;
-    config.port = settings_.callers.port;
-    config.threads = settings_.caller_threads;
-    config.max_connections = settings_.max_caller_connections;
-    return config;
+    const CallerGatewayConfig defaults;
+    return {settings_.callers.address, settings_.callers.port,
+            settings_.caller_threads,  settings_.max_caller_connections,
+            defaults.idle_timeout_s,   defaults.max_body_bytes,
+            settings_.local_service,   outside_.Callers()};
   }
 
   const DaemonSettings& settings_;
+  const OutsideInterface& outside_;
   SteadyClock clock_;
   std::unique_ptr<Metrics> metrics_;
   PeerIdentity identity_;
@@ -146,13 +190,16 @@
   std::unique_ptr<CallerGateway> gateway_;
   std::unique_ptr<SimpleHttpServer> operators_;
   std::unique_ptr<SimpleHttpServer> announcements_;
+  std::unique_ptr<SimpleHttpServer> readiness_;
+  std::unique_ptr<SimpleHttpServer> metrics_server_;
 };
 
 }  // namespace
 
-int RunDaemon(const DaemonSettings& settings) {
+int RunDaemon(const std::string& path, const DaemonSettings& settings,
+              const OutsideInterface& outside) {
   InitLogging(settings.log_level, settings.instance, settings.failure_domain);
-  Daemon daemon(settings);
+  Daemon daemon(settings, outside);
   if (std::error_code error = daemon.Start()) {
     Log(LogLevel::kError, "app",
         "The daemon can't start: " + error.message() + " (" +
@@ -160,7 +207,10 @@
     return kExitStart;
   }
   Log(LogLevel::kInfo, "app", "The daemon runs.");
-  WaitForStopSignal(-1);
+  SettingsWatch watch(path, settings);
+  while (WaitForSignal(kRereadMs) != SignalRequest::kStop) {
+    if (auto changed = watch.Reread()) daemon.Reload(*changed);
+  }
   Log(LogLevel::kInfo, "app", "The daemon drains.");
   const bool clean = daemon.Stop();
   Log(LogLevel::kInfo, "app",
--- /dev/null
+++ b/src/app/internal/own_interface.cc
@@ -0,0 +1,41 @@
+#include "app/outside_interface.h"
+#include "operator/operator_api.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+
+class Own : public OutsideInterface {
+ public:
+  const CallerDialect& Callers() const override { return OwnCallerDialect(); }
+
+  const UpstreamDialect& Upstreams() const override {
+    return OwnUpstreamDialect();
+  }
+
+  HttpResponse AnswerAnnouncement(AnnouncementSink& sink,
+                                  const HttpRequest& request) const override {
+    return hibiscusglade::AnswerAnnouncement(sink, request);
+  }
+
+  HttpResponse AnswerOperator(OperatorBackend& backend,
+                              const HttpRequest& request) const override {
+    return hibiscusglade::AnswerOperator(backend, request);
+  }
+
+  HttpResponse AnswerReadiness(bool ready, const HttpRequest&) const override {
+    return {ready ? kStatusOk : kStatusUnavailable, "application/json",
+            ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n"};
+  }
+};
+
+}  // namespace
+
+const OutsideInterface& OwnInterface() {
+  static const Own own;
+  return own;
+}
+
+}  // namespace hibiscusglade
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,10 +1,13 @@
 #include <gflags/gflags.h>
 
+#include <cstdlib>
 #include <iostream>
+#include <string>
 
 #include "app/daemon.h"
 #include "base/command_line.h"
 #include "base/stop_signal.h"
+#include "platform/platform_interface.h"
 #include "settings/daemon_settings.h"
 
 DEFINE_string(settings, "", "path of the settings file (JSON with comments)");
@@ -16,11 +19,20 @@
     "hibiscusgladed: the daemon beside one upstream instance\n\n"
     "  hibiscusgladed --settings FILE\n\n"
     "The settings file is JSON with comments; docs/SETTINGS.md lists every\n"
-    "field, and hibiscusgladectl check-settings FILE every fault.\n\n"
-    "Signals: TERM or INT drains and stops; a second one hurries.\n"
+    "field, and hibiscusgladectl check-settings FILE every fault. Without\n"
+    "--settings the environment variable HIBISCUSGLADE_CONFIG names it.\n\n"
+    "Signals: TERM or INT drains and stops; a second one hurries. HUP reads\n"
+    "the settings again.\n"
     "Exit status: 0 stopped cleanly, 1 can't start, 2 faults in the settings,\n"
     "3 stopped with requests still open.\n";
 
+/// @return the path given on the command line, else in the environment.
+std::string SettingsPath() {
+  if (!FLAGS_settings.empty()) return FLAGS_settings;
+  const char* path = std::getenv("HIBISCUSGLADE_CONFIG");
+  return path == nullptr ? "" : path;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -30,15 +42,20 @@
   }
   gflags::SetUsageMessage(kUsage);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  hibiscusglade::SettingsLoad load =
-      hibiscusglade::LoadDaemonSettings(FLAGS_settings);
+  const std::string path = SettingsPath();
+  hibiscusglade::SettingsLoad load = hibiscusglade::LoadDaemonSettings(path);
   if (load.error) {
     for (const hibiscusglade::SettingsFault& fault : load.faults) {
-      std::cerr << FLAGS_settings << ": " << fault.pointer << ": "
-                << fault.message << "\n";
+      std::cerr << path << ": " << fault.pointer << ": " << fault.message
+                << "\n";
     }
     return kExitSettings;
   }
   hibiscusglade::BlockStopSignals();
-  return hibiscusglade::RunDaemon(*load.settings);
+  const bool on_platform =
+      load.settings->outside == hibiscusglade::OutsideInterfaceKind::kPlatform;
+  return hibiscusglade::RunDaemon(path, *load.settings,
+                                  on_platform
+                                      ? hibiscusglade::PlatformInterface()
+                                      : hibiscusglade::OwnInterface());
 }
--- a/src/base/internal/stop_signal.cc
+++ b/src/base/internal/stop_signal.cc
@@ -1,32 +1,71 @@
 #include "base/stop_signal.h"
 
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <ctime>
 
 namespace hibiscusglade {
 namespace {
 
-sigset_t StopSignals() {
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+sigset_t AwaitedSignals() {
   sigset_t set;
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   return set;
 }
 
+SignalRequest RequestOf(int signal) {
+  return signal == SIGHUP ? SignalRequest::kReload : SignalRequest::kStop;
+}
+
 }  // namespace
 
 void BlockStopSignals() {
-  sigset_t set = StopSignals();
+  sigset_t set = AwaitedSignals();
   sigaddset(&set, SIGPIPE);
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
+SignalRequest WaitForSignal(int timeout_ms) {
+  const sigset_t set = AwaitedSignals();
+  const auto deadline = steady_clock::now() + milliseconds(timeout_ms);
+  while (true) {
+    int signal = 0;
+    if (timeout_ms < 0) {
+      signal = sigwaitinfo(&set, nullptr);
+    } else {
+      const auto left = std::chrono::ceil<milliseconds>(
+          std::max(deadline - steady_clock::now(), steady_clock::duration{}));
+      const timespec timeout{left.count() / 1000,
+                             (left.count() % 1000) * 1000000L};
+      signal = sigtimedwait(&set, nullptr, &timeout);
+    }
+    if (signal > 0) return RequestOf(signal);
+    if (errno != EINTR) return SignalRequest::kNone;
+  }
+}
+
 bool WaitForStopSignal(int timeout_ms) {
-  sigset_t set = StopSignals();
-  if (timeout_ms < 0) return sigwaitinfo(&set, nullptr) > 0;
-  timespec timeout{timeout_ms / 1000, (timeout_ms % 1000) * 1000000L};
-  return sigtimedwait(&set, nullptr, &timeout) > 0;
+  const auto deadline = steady_clock::now() + milliseconds(timeout_ms);
+  while (true) {
+    int left_ms = -1;
+    if (timeout_ms >= 0) {
+      const auto left = std::chrono::ceil<milliseconds>(
+          std::max(deadline - steady_clock::now(), steady_clock::duration{}));
+      left_ms = static_cast<int>(left.count());
+    }
+    const SignalRequest request = WaitForSignal(left_ms);
+    if (request != SignalRequest::kReload) {
+      return request == SignalRequest::kStop;
+    }
+  }
 }
 
 }  // namespace hibiscusglade
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -6,7 +6,7 @@
 
 namespace hibiscusglade {
 
-// Prefixes: app, consensus, distribution, http, owner, requests.
+// Prefixes: app, consensus, control, distribution, http, owner, requests.
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
--- a/src/base/stop_signal.h
+++ b/src/base/stop_signal.h
@@ -7,7 +7,19 @@
 /// Call it before any thread is started.
 void BlockStopSignals();
 
-/// Waits for the next TERM or INT.
+/// What a signal asks of the process.
+enum class SignalRequest {
+  kNone,    ///< No signal came in time.
+  kStop,    ///< TERM or INT.
+  kReload,  ///< HUP: the settings have changed.
+};
+
+/// Waits for the next TERM, INT or HUP. A wait that is interrupted, as when
+/// the process was paused and goes on, is taken up again.
+/// @param timeout_ms longest wait in milliseconds; negative waits for ever.
+SignalRequest WaitForSignal(int timeout_ms);
+
+/// Waits for the next TERM or INT; HUP is passed over.
 /// @param timeout_ms longest wait in milliseconds; negative waits for ever.
 /// @return true when a signal came, false at the timeout.
 bool WaitForStopSignal(int timeout_ms);
--- a/src/caller/caller_gateway.h
+++ b/src/caller/caller_gateway.h
@@ -5,8 +5,9 @@
 #include <string>
 #include <system_error>
 
-#include "calls/call_handler.h"
 #include "base/metrics.h"
+#include "caller/caller_dialect.h"
+#include "calls/call_handler.h"
 
 namespace hibiscusglade {
 
@@ -16,7 +17,10 @@
   uint32_t threads = 2;
   uint32_t max_connections = 1000;
   uint32_t idle_timeout_s = 60;
-  uint64_t max_body_bytes = 8 << 20;
+  uint64_t max_body_bytes = 64 << 20;  ///< The largest that a version allows.
+  /// Service of the upstream beside this daemon, told of each request.
+  std::string origin_service;
+  const CallerDialect& dialect = OwnCallerDialect();
 };
 
 /// HTTP server towards callers.
@@ -28,6 +32,9 @@
   /// @return CallerCode::kListenFailed when the address can't be used.
   virtual std::error_code Start() = 0;
 
+  /// From now on each answer ends its connection.
+  virtual void CloseAfterAnswers() = 0;
+
   /// Takes no new connections; open ones go on.
   virtual void Quiesce() = 0;
 };
--- a/src/caller/internal/caller_gateway.cc
+++ b/src/caller/internal/caller_gateway.cc
@@ -2,17 +2,17 @@
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
-#include <strings.h>
 
 #include <array>
-#include <charconv>
-#include <cstring>
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <utility>
 
 #include "caller/caller_result_codes.h"
+#include "caller/internal/departure_watch.h"
 #include "caller/internal/response_stream.h"
+#include "calls/field_values.h"
 
 namespace hibiscusglade {
 namespace {
@@ -23,15 +23,9 @@
 constexpr std::array<const char*, 8> kHopFields = {
     "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
     "TE",         "Trailer",    "Transfer-Encoding",  "Upgrade"};
-constexpr uint32_t kMaxTimeoutMs = 24U * 3600 * 1000;
-constexpr uint32_t kMaxDepth = 1000;
 constexpr size_t kResponseBlockBytes = 32 * 1024;
 constexpr size_t kConnectionMemoryBytes = 64 * 1024;
 
-bool SameField(const std::string& name, const char* other) {
-  return strcasecmp(name.c_str(), other) == 0;
-}
-
 bool IsHopField(const std::string& name) {
   for (const char* field : kHopFields) {
     if (SameField(name, field)) return true;
@@ -39,16 +33,6 @@
   return false;
 }
 
-/// @return the number that a field holds; nullopt unless it is a decimal
-/// number from 0 to `most`.
-std::optional<uint32_t> ParseNumber(const std::string& text, uint32_t most) {
-  uint32_t number = 0;
-  const char* end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, number);
-  if (error != std::errc() || stop != end || number > most) return std::nullopt;
-  return number;
-}
-
 /// Passes the answer from the request thread to the response buffer.
 class BufferedStream : public CallerStream {
  public:
@@ -78,6 +62,8 @@
   bool too_large = false;
   bool field_invalid = false;
   CallHandler* handler = nullptr;
+  const CallerDialect* dialect = nullptr;
+  int descriptor = -1;  ///< Of the connection while its caller is watched.
 };
 
 MHD_Result CollectField(void* cls, MHD_ValueKind, const char* name,
@@ -86,28 +72,13 @@
   CallRequest& request = exchange->request;
   const std::string text = value == nullptr ? "" : value;
   const std::string field = name;
+  if (SameField(field, "Host")) request.host = text;
   if (IsHopField(field) || SameField(field, "Content-Length") ||
       SameField(field, "Host") || SameField(field, "Expect")) {
     return MHD_YES;
   }
-  if (SameField(field, "X-Request-Id")) {
-    request.request_id = text;
-  } else if (SameField(field, "X-Request-Timeout-Ms")) {
-    const auto millis = ParseNumber(text, kMaxTimeoutMs);
-    exchange->field_invalid |= !millis.has_value();
-    request.timeout = std::chrono::milliseconds(millis.value_or(0));
-  } else if (SameField(field, "X-Request-Depth")) {
-    const auto depth = ParseNumber(text, kMaxDepth);
-    exchange->field_invalid |= !depth.has_value();
-    request.depth = depth.value_or(0);
-  } else if (SameField(field, "X-Caller")) {
-    request.caller = text;
-  } else if (SameField(field, "Idempotency-Key")) {
-    request.idempotency_key = text;
-    request.headers.push_back({field, text});
-  } else {
-    request.headers.push_back({field, text});
-  }
+  exchange->field_invalid |=
+      !exchange->dialect->TakeField({field, text}, request);
   return MHD_YES;
 }
 
@@ -151,6 +122,8 @@
     return {};
   }
 
+  void CloseAfterAnswers() override { closing_ = true; }
+
   void Quiesce() override {
     if (daemon_ == nullptr) return;
     const MHD_socket listener = MHD_quiesce_daemon(daemon_);
@@ -186,7 +159,9 @@
                     Exchange& exchange) {
     exchange.buffer = std::make_shared<ResponseBuffer>(connection);
     exchange.handler = &handler_;
+    exchange.dialect = &config_.dialect;
     exchange.request.method = method;
+    exchange.request.origin_service = config_.origin_service;
     exchange.request.caller = AddressOf(connection);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectField,
                               &exchange);
@@ -215,6 +190,7 @@
         exchange.call =
             handler_.Begin(exchange.request,
                            std::make_unique<BufferedStream>(exchange.buffer));
+        WatchCaller(connection, exchange);
       }
     }
     if (exchange.answered || !exchange.buffer->SuspendUntilHead()) {
@@ -238,34 +214,48 @@
     return make_error_code(CallerCode::kMethodUnknown);
   }
 
+  void WatchCaller(MHD_Connection* connection, Exchange& exchange) {
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info == nullptr) return;
+    exchange.descriptor = info->connect_fd;
+    departures_.Add(exchange.descriptor,
+                    [this, call = exchange.call, buffer = exchange.buffer] {
+                      handler_.Cancel(call);
+                      // Wakes the connection, so that the server closes it.
+                      buffer->PutGone();
+                    });
+  }
+
   MHD_Result SendRefusal(MHD_Connection* connection, const Exchange& exchange,
                          const Refusal& refusal) {
-    const ResultCodeInfo* info = FindResultCode(refusal.code);
-    const unsigned status = info == nullptr
-                                ? MHD_HTTP_BAD_GATEWAY
-                                : static_cast<unsigned>(info->http_status);
-    std::string certainty(CertaintyName(refusal.certainty));
-    std::string body = "{\"code\":" + std::to_string(refusal.code.value()) +
-                       ",\"outcome\":\"" + certainty + "\",\"message\":\"" +
-                       refusal.code.message() + "\"}\n";
+    const CallerNotice notice =
+        config_.dialect.NoticeOf(exchange.request, refusal);
+    std::string body = notice.body;
     MHD_Response* response = MHD_create_response_from_buffer(
         body.size(), body.data(), MHD_RESPMEM_MUST_COPY);
-    MHD_add_response_header(response, "Content-Type", "application/json");
-    MHD_add_response_header(response, "X-Outcome", certainty.c_str());
-    MHD_add_response_header(response, "X-Result-Code",
-                            std::to_string(refusal.code.value()).c_str());
-    MHD_add_response_header(response, "X-Request-Id",
-                            exchange.request.request_id.c_str());
+    for (const HeaderField& field : notice.headers) {
+      MHD_add_response_header(response, field.name.c_str(),
+                              field.value.c_str());
+    }
+    AddClose(response);
     metrics_
         .CounterOf("caller_refusals_total",
                    "code=\"" + std::to_string(refusal.code.value()) + "\"")
         .Add();
-    const MHD_Result queued = MHD_queue_response(connection, status, response);
+    const MHD_Result queued = MHD_queue_response(
+        connection, static_cast<unsigned>(notice.status), response);
     MHD_destroy_response(response);
     return queued;
   }
 
-  static MHD_Result SendAnswer(MHD_Connection* connection, Exchange& exchange) {
+  /// While the daemon stops, callers are told to go elsewhere next time.
+  void AddClose(MHD_Response* response) const {
+    if (!closing_) return;
+    MHD_add_response_header(response, "Connection", "close");
+  }
+
+  MHD_Result SendAnswer(MHD_Connection* connection, Exchange& exchange) {
     const AnswerHead head = *exchange.buffer->Head();
     const uint64_t size = head.content_length < 0
                               ? MHD_SIZE_UNKNOWN
@@ -279,8 +269,12 @@
       MHD_add_response_header(response, field.name.c_str(),
                               field.value.c_str());
     }
-    MHD_add_response_header(response, "X-Request-Id",
-                            exchange.request.request_id.c_str());
+    for (const HeaderField& field :
+         config_.dialect.AnswerFields(exchange.request)) {
+      MHD_add_response_header(response, field.name.c_str(),
+                              field.value.c_str());
+    }
+    AddClose(response);
     const MHD_Result queued = MHD_queue_response(
         connection, static_cast<unsigned>(head.status), response);
     MHD_destroy_response(response);
@@ -292,9 +286,13 @@
     std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*state));
     *state = nullptr;
     if (exchange == nullptr || exchange->buffer == nullptr) return;
+    auto* self = static_cast<Gateway*>(cls);
+    if (exchange->descriptor >= 0) {
+      self->departures_.Forget(exchange->descriptor);
+    }
     exchange->buffer->Detach();
     if (reason != MHD_REQUEST_TERMINATED_COMPLETED_OK && exchange->call != 0) {
-      static_cast<Gateway*>(cls)->handler_.Cancel(exchange->call);
+      self->handler_.Cancel(exchange->call);
     }
   }
 
@@ -312,8 +310,10 @@
   CallerGatewayConfig config_;
   CallHandler& handler_;
   Metrics& metrics_;
+  DepartureWatch departures_;
   MHD_Daemon* daemon_ = nullptr;
   std::atomic<uint64_t> last_request_{0};
+  std::atomic<bool> closing_{false};
 };
 
 }  // namespace
--- /dev/null
+++ b/src/caller/internal/own_caller_dialect.cc
@@ -0,0 +1,65 @@
+#include "caller/caller_dialect.h"
+#include "calls/field_values.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr uint32_t kMaxTimeoutMs = 24U * 3600 * 1000;
+constexpr uint32_t kMaxDepth = 1000;
+constexpr int kStatusBadGateway = 502;
+
+class OwnDialect : public CallerDialect {
+ public:
+  bool TakeField(const HeaderField& field,
+                 CallRequest& request) const override {
+    if (SameField(field.name, "X-Request-Id")) {
+      request.request_id = field.value;
+    } else if (SameField(field.name, "X-Request-Timeout-Ms")) {
+      const auto millis = ParseFieldNumber(field.value, kMaxTimeoutMs);
+      request.timeout = std::chrono::milliseconds(millis.value_or(0));
+      return millis.has_value();
+    } else if (SameField(field.name, "X-Request-Depth")) {
+      const auto depth = ParseFieldNumber(field.value, kMaxDepth);
+      request.depth = depth.value_or(0);
+      return depth.has_value();
+    } else if (SameField(field.name, "X-Caller")) {
+      request.caller = field.value;
+    } else if (SameField(field.name, "Idempotency-Key")) {
+      request.idempotency_key = field.value;
+      request.headers.push_back(field);
+    } else {
+      request.headers.push_back(field);
+    }
+    return true;
+  }
+
+  CallerNotice NoticeOf(const CallRequest& request,
+                        const Refusal& refusal) const override {
+    const ResultCodeInfo* info = FindResultCode(refusal.code);
+    const std::string certainty(CertaintyName(refusal.certainty));
+    const std::string code = std::to_string(refusal.code.value());
+    CallerNotice notice;
+    notice.status = info == nullptr ? kStatusBadGateway : info->http_status;
+    notice.headers = {{"Content-Type", "application/json"},
+                      {"X-Outcome", certainty},
+                      {"X-Result-Code", code},
+                      {"X-Request-Id", request.request_id}};
+    notice.body = "{\"code\":" + code + ",\"outcome\":\"" + certainty +
+                  "\",\"message\":\"" + refusal.code.message() + "\"}\n";
+    return notice;
+  }
+
+  std::vector<HeaderField> AnswerFields(
+      const CallRequest& request) const override {
+    return {{"X-Request-Id", request.request_id}};
+  }
+};
+
+}  // namespace
+
+const CallerDialect& OwnCallerDialect() {
+  static const OwnDialect dialect;
+  return dialect;
+}
+
+}  // namespace hibiscusglade
--- a/src/caller/internal/response_stream.cc
+++ b/src/caller/internal/response_stream.cc
@@ -4,6 +4,8 @@
 #include <cstring>
 #include <utility>
 
+#include "routing/routing_result_codes.h"
+
 namespace hibiscusglade {
 
 void ResponseBuffer::PutHead(const AnswerHead& head) {
@@ -41,6 +43,15 @@
   Wake();
 }
 
+void ResponseBuffer::PutGone() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  broken_ = true;
+  if (!head_.has_value() && !refusal_.has_value()) {
+    refusal_ = Refusal{RoutingCode::kCallerGone, Certainty::kUnknown, "", {}};
+  }
+  Wake();
+}
+
 bool ResponseBuffer::SuspendUntilHead() {
   std::lock_guard<std::mutex> lock(mutex_);
   if (head_.has_value() || refusal_.has_value()) return true;
--- a/src/caller/internal/response_stream.h
+++ b/src/caller/internal/response_stream.h
@@ -27,6 +27,9 @@
   void PutBroken();
   void PutRefusal(const Refusal& refusal);
 
+  /// The caller has left; whatever state the answer is in, it ends.
+  void PutGone();
+
   // Called by the server's thread.
 
   /// Suspends the connection until the head or a refusal has come.
--- a/src/calls/call_links.h
+++ b/src/calls/call_links.h
@@ -44,6 +44,7 @@
 /// How far a run came before it failed.
 enum class RunProgress {
   kNotSent,   ///< No byte of the request reached the upstream.
+  kRejected,  ///< The upstream states that it did not run it.
   kSent,      ///< The upstream may have run it.
   kAnswering  ///< Part of the answer had arrived.
 };
@@ -52,6 +53,7 @@
 struct RunFailure {
   RunProgress progress = RunProgress::kNotSent;
   bool connection_lost = false;  ///< Closed or refused, not timed out.
+  bool other_upstream = false;   ///< Rejected: another one has the address.
   std::string reason;
 
   friend bool operator==(const RunFailure&, const RunFailure&) = default;
--- /dev/null
+++ b/src/calls/field_values.h
@@ -0,0 +1,45 @@
+#ifndef HIBISCUSGLADE_CALLS_FIELD_VALUES_H_
+#define HIBISCUSGLADE_CALLS_FIELD_VALUES_H_
+
+#include <strings.h>
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "calls/types/call_types.h"
+
+namespace hibiscusglade {
+
+/// @return whether a header field has a name; case does not matter.
+inline bool SameField(std::string_view name, std::string_view other) {
+  return name.size() == other.size() &&
+         strncasecmp(name.data(), other.data(), name.size()) == 0;
+}
+
+/// @return the first field with a name; nullptr when there is none.
+inline const HeaderField* FindField(const std::vector<HeaderField>& fields,
+                                    std::string_view name) {
+  for (const HeaderField& field : fields) {
+    if (SameField(field.name, name)) return &field;
+  }
+  return nullptr;
+}
+
+/// @return the number that a field holds; nullopt unless it is a decimal
+/// number from 0 to `most`.
+inline std::optional<uint32_t> ParseFieldNumber(std::string_view text,
+                                                uint32_t most) {
+  uint32_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || stop != end || number > most) return std::nullopt;
+  return number;
+}
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_CALLS_FIELD_VALUES_H_
--- a/src/calls/types/call_types.h
+++ b/src/calls/types/call_types.h
@@ -27,11 +27,14 @@
   std::string request_id;  ///< From the caller, or made by the entry.
   std::string caller;      ///< Whom to be fair to: a name or an address.
   std::string method;
+  std::string host;    ///< As the caller named it.
   std::string target;  ///< Path and query.
   std::vector<HeaderField> headers;
   std::string body;
   Duration timeout{};  ///< What the caller allows; zero when it does not say.
   uint32_t depth = 0;  ///< Calls above this one.
+  /// Service of the instance where the request began; set by its entry.
+  std::string origin_service;
   std::string idempotency_key;
 
   friend bool operator==(const CallRequest&, const CallRequest&) = default;
@@ -48,9 +51,14 @@
   std::string route;
   std::string request_class;
   bool repeatable = false;
-  Duration remaining{};       ///< Until the deadline, at the time of sending.
+  bool claimed = true;   ///< Takes a claim where it may not be repeated.
+  Duration remaining{};  ///< Until the deadline, at the time of sending.
+  Duration objective{};  ///< Until an answer is worth less; may be negative.
   uint64_t credit_bytes = 0;  ///< Answer bytes the owner may send unasked.
   uint64_t version = 0;       ///< Configuration version of the entry.
+  std::string upstream_id;    ///< Set by the owner: whom it means to reach.
+
+  bool NeedsClaim() const { return !repeatable && claimed; }
 
   friend bool operator==(const CallAttempt&, const CallAttempt&) = default;
 };
--- a/src/consensus/consensus_node.h
+++ b/src/consensus/consensus_node.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "consensus/types/consensus_types.h"
 #include "base/clock.h"
+#include "consensus/types/consensus_types.h"
 
 namespace hibiscusglade {
 
@@ -16,6 +16,9 @@
   Duration heartbeat = std::chrono::milliseconds(100);
   Duration election_lowest = std::chrono::milliseconds(600);
   Duration election_highest = std::chrono::milliseconds(1200);
+  /// A member that has not answered for this long is taken out of the group
+  /// where enough others are there. It asks to be taken in again when it lives.
+  Duration retire_after = std::chrono::seconds(4);
 };
 
 /// What a node needs to start again.
--- a/src/consensus/internal/node.cc
+++ b/src/consensus/internal/node.cc
@@ -38,6 +38,7 @@
       BecomeFollower(vote_.term, std::nullopt, now);
       return Take();
     }
+    RetireSilentMember(now);
     if (now >= heartbeat_deadline_) BroadcastAppend(now);
     return Take();
   }
--- a/src/consensus/internal/node.h
+++ b/src/consensus/internal/node.h
@@ -8,9 +8,9 @@
 #include <utility>
 #include <vector>
 
+#include "base/random.h"
 #include "consensus/consensus_node.h"
 #include "consensus/internal/entry_log.h"
-#include "base/random.h"
 
 namespace hibiscusglade {
 
@@ -106,6 +106,7 @@
   /// @return the members as of an index and the index that set them.
   std::pair<LogIndex, std::vector<Member>> MembersAt(LogIndex index) const;
   void ReadMembersFromLog();
+  void RetireSilentMember(Instant now);
   void PromoteCaughtUp(const MemberId& id, uint64_t round, Instant now);
   bool IsVoter(const MemberId& id) const;
   size_t QuorumSize() const;
--- a/src/consensus/internal/node_members.cc
+++ b/src/consensus/internal/node_members.cc
@@ -4,6 +4,12 @@
 #include "consensus/internal/node.h"
 
 namespace hibiscusglade {
+namespace {
+
+/// One loss can be borne with these.
+constexpr size_t kLeastVoters = 3;
+
+}  // namespace
 
 void Node::OnJoinRequest(const JoinRequest& body, Instant now) {
   if (role_ != ReplicaRole::kLeader) return;
@@ -84,6 +90,33 @@
   ProposeMembers(members, now);
 }
 
+/// A replica that was replaced for good would count for the quorum for ever.
+/// A voter goes only while all others answer and enough of them are left, so
+/// that its loss is no larger than it was.
+void Node::RetireSilentMember(Instant now) {
+  size_t voters = 0;
+  const Member* silent = nullptr;
+  for (const Member& member : members_) {
+    if (member.voter) ++voters;
+    if (member.id == self_) continue;
+    Progress& progress = progress_[member.id];
+    if (progress.last_reply == Instant{}) progress.last_reply = now;
+    const Duration silence = now - progress.last_reply;
+    if (silence >= times_.retire_after && silent == nullptr) {
+      silent = &member;
+    } else if (member.voter && silence > times_.election_highest) {
+      return;
+    }
+  }
+  if (silent == nullptr) return;
+  if (silent->voter && voters <= kLeastVoters) return;
+  std::vector<Member> members = members_;
+  std::erase_if(members, [silent](const Member& member) {
+    return member.id == silent->id;
+  });
+  ProposeMembers(members, now);
+}
+
 bool Node::IsVoter(const MemberId& id) const {
   return std::any_of(
       members_.begin(), members_.end(),
--- a/src/consensus/internal/replica.cc
+++ b/src/consensus/internal/replica.cc
@@ -5,12 +5,12 @@
 #include <random>
 #include <utility>
 
+#include "base/base_result_codes.h"
+#include "base/log.h"
 #include "consensus/consensus_codec.h"
 #include "consensus/consensus_result_codes.h"
 #include "consensus/internal/entry_store.h"
 #include "consensus/internal/record_format.h"
-#include "base/log.h"
-#include "base/base_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
@@ -111,6 +111,10 @@
 
   const ConsensusNode& Node() const override { return *node_; }
 
+  void SetKnown(std::vector<Member> known) override {
+    known_ = std::move(known);
+  }
+
   std::string LeaderAddress() const override {
     if (failure_ || storage_full_) return "";
     auto leader = node_->Leader();
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <system_error>
 
+#include "base/data_folder.h"
 #include "consensus/consensus_node.h"
 #include "consensus/replicated_state.h"
-#include "base/data_folder.h"
 
 namespace hibiscusglade {
 
@@ -54,6 +54,9 @@
 
   virtual const ConsensusNode& Node() const = 0;
 
+  /// Replaces the replicas to ask when no leader is known.
+  virtual void SetKnown(std::vector<Member> known) = 0;
+
   /// @return control address of the leader, empty while none is known.
   virtual std::string LeaderAddress() const = 0;
 
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -9,14 +9,14 @@
 #include <vector>
 
 #include "admission/admission.h"
+#include "base/clock.h"
+#include "base/executor.h"
+#include "base/metrics.h"
 #include "claims/claim_store.h"
 #include "consensus/types/consensus_types.h"
 #include "membership/types/instance_record.h"
 #include "operator/operator_backend.h"
 #include "peer/peer_transport.h"
-#include "base/clock.h"
-#include "base/executor.h"
-#include "base/metrics.h"
 #include "routing/route_table_holder.h"
 #include "upstream/announcement_api.h"
 
@@ -30,7 +30,11 @@
   std::string control_address;     ///< Own, as peers reach it.
   std::string request_address;     ///< Own, as peers reach it.
   std::vector<std::string> seeds;  ///< Control addresses of other daemons.
-  std::vector<Member> replicas;    ///< Instances with the replica role.
+  std::vector<Member> replicas;    ///< Replicas to start from.
+  std::string local_service;       ///< Announcements of others are not taken,
+  std::string local_upstream;      ///< nor at another address; empty: any.
+  bool founds_mesh = false;        ///< Those found a new mesh.
+  bool serves_claims = true;       ///< The replica keeps the claims as well.
   std::string data_folder;         ///< Set when this instance is a replica.
   uint64_t seed = 0;               ///< Of all random choices.
 };
@@ -58,6 +62,15 @@
   /// Marks the daemon as stopping: its upstream takes no new work.
   virtual void BeginStop() = 0;
 
+  /// Replaces the daemons and replicas to start from, when the settings have
+  /// changed.
+  virtual void SetSeeds(const std::vector<std::string>& seeds,
+                        const std::vector<Member>& replicas) = 0;
+
+  /// @return whether a version is in use and the daemon is not stopping. Any
+  /// thread may call it.
+  virtual bool Ready() const = 0;
+
   /// Makes a way to the ledger of claims.
   /// @param executor thread on which results are told; must outlive the store.
   virtual std::unique_ptr<ClaimStore> MakeClaimStore(Executor& executor) = 0;
--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -20,7 +20,11 @@
     auto* to = out.mutable_version_pull_answer();
     to->set_base_number(m.base_number);
     to->set_base_digest(m.base_digest);
-    for (const std::string& patch : m.patches) to->add_patches(patch);
+    for (const VersionStep& step : m.steps) {
+      wire::VersionStep* out_step = to->add_steps();
+      out_step->set_number(step.number);
+      out_step->set_patch(step.patch);
+    }
     to->set_whole(m.whole);
     to->set_number(m.number);
     to->set_digest(m.digest);
@@ -100,7 +104,9 @@
   VersionPullAnswer answer;
   answer.base_number = in.base_number();
   answer.base_digest = in.base_digest();
-  answer.patches.assign(in.patches().begin(), in.patches().end());
+  for (const wire::VersionStep& step : in.steps()) {
+    answer.steps.push_back({step.number(), step.patch()});
+  }
   answer.whole = in.whole();
   answer.number = in.number();
   answer.digest = in.digest();
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -1,11 +1,13 @@
 #include "control/control_loop.h"
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <set>
 #include <thread>
 #include <utility>
 
+#include "base/log.h"
 #include "consensus/consensus_codec.h"
 #include "consensus/consensus_result_codes.h"
 #include "control/internal/control_codec.h"
@@ -16,7 +18,6 @@
 #include "distribution/version_follower.h"
 #include "membership/membership.h"
 #include "operator/operator_result_codes.h"
-#include "base/log.h"
 #include "versions/versions_result_codes.h"
 #include "wire/peer.pb.h"
 #include "wire/storage.pb.h"
@@ -75,7 +76,8 @@
                   config_.control_address,
                   config_.identity.failure_domain};
       std::error_code error = replicas_.Open(
-          config_.data_folder, self, config_.replicas, config_.seed + 2, now);
+          config_.data_folder, self, config_.replicas, config_.founds_mesh,
+          config_.serves_claims, config_.seed + 2, now);
       if (error) return error;
     }
     std::error_code error = transport_->Listen(config_.listen_address);
@@ -89,7 +91,22 @@
     return {};
   }
 
+  bool Ready() const override { return ready_; }
+
+  void SetSeeds(const std::vector<std::string>& seeds,
+                const std::vector<Member>& replicas) override {
+    executor_.Post([this, seeds, replicas] {
+      config_.seeds = seeds;
+      config_.replicas = replicas;
+      membership_->SetSeeds(SeedAddresses());
+      LearnReplicas();
+      Log(LogLevel::kInfo, "control",
+          "There are " + std::to_string(seeds.size()) + " new seeds.");
+    });
+  }
+
   void BeginStop() override {
+    ready_ = false;
     executor_.Post([this] {
       stopping_ = true;
       auto upstream = membership_->LocalUpstream();
@@ -129,9 +146,10 @@
     });
   }
 
-  void Gone() override {
-    executor_.Post(
-        [this] { Follow(membership_->OnUpstreamGone(clock_.Now())); });
+  void Gone(const std::string& id, int64_t born_ms) override {
+    executor_.Post([this, id, born_ms] {
+      Follow(membership_->OnUpstreamGone(id, born_ms, clock_.Now()));
+    });
   }
 
   // OperatorBackend.
@@ -150,6 +168,22 @@
     return VerdictOfWire(verdict);
   }
 
+  ProposalVerdict ProposeDocument(const DocumentProposal& proposal) override {
+    wire::PatchCommand command;
+    command.set_patch_id(proposal.proposal_id);
+    command.set_base(proposal.base);
+    command.set_number(proposal.number);
+    command.set_document(proposal.document);
+    command.set_source(proposal.source);
+    command.set_author(proposal.author);
+    command.set_proposed_at(static_cast<uint64_t>(clock_.UnixMicros()));
+    ReplicaResult result = SubmitAndWait(command.SerializeAsString(), false);
+    if (result.error) return {result.error, 0, 0, {}};
+    wire::PatchVerdict verdict;
+    verdict.ParseFromString(result.result);
+    return VerdictOfWire(verdict);
+  }
+
   ProposalVerdict VerdictOf(const std::string& patch_id) override {
     wire::VersionQuery query;
     query.set_kind(wire::VersionQuery::VERDICT);
@@ -231,13 +265,43 @@
     self.control_address = config_.control_address;
     self.request_address = config_.request_address;
     self.replica = IsReplica();
-    settings.seeds = config_.seeds;
-    for (const Member& member : config_.replicas) {
-      settings.seeds.push_back(member.address);
-    }
+    settings.seeds = SeedAddresses();
+    settings.expected_service = config_.local_service;
+    settings.expected_address = config_.local_upstream;
     return settings;
   }
 
+  std::vector<std::string> SeedAddresses() const {
+    std::vector<std::string> seeds = config_.seeds;
+    for (const std::string& address : AddressesOf(config_.replicas)) {
+      if (std::find(seeds.begin(), seeds.end(), address) == seeds.end()) {
+        seeds.push_back(address);
+      }
+    }
+    return seeds;
+  }
+
+  /// Replicas come and go: those that live are known from the membership, the
+  /// settings name some to start from.
+  void LearnReplicas() {
+    std::vector<Member> known;
+    for (const InstanceRecord& record : membership_->Records()) {
+      if (!record.replica || record.state > InstanceState::kSuspected) continue;
+      known.push_back({{record.instance, 0},
+                       true,
+                       record.control_address,
+                       record.failure_domain});
+    }
+    for (const Member& named : config_.replicas) {
+      const bool is_known = std::any_of(
+          known.begin(), known.end(),
+          [&](const Member& m) { return m.address == named.address; });
+      if (!is_known) known.push_back(named);
+    }
+    groups_.SetReplicas(AddressesOf(known));
+    replicas_.SetKnown(known);
+  }
+
   void Run() {
     while (!ended_) {
       transport_->Poll(executor_.WakeDescriptor(), kTickInterval);
@@ -309,6 +373,7 @@
                        record.control_address, record.replica});
     }
     follower_->SetPeers(std::move(peers));
+    LearnReplicas();
     PublishRoutes();
   }
 
@@ -321,6 +386,7 @@
     if (effects.read_floor) ReadFloor();
     if (effects.activate == nullptr) return;
     activated_at_ = clock_.Now();
+    ready_ = !stopping_;
     membership_->SetVersionInUse(effects.activate->number,
                                  effects.activate->digest, activated_at_);
     Log(LogLevel::kInfo, "distribution",
@@ -529,6 +595,7 @@
   bool stopping_ = false;
   bool draining_ = false;
   bool ended_ = false;
+  std::atomic<bool> ready_{false};
   std::thread thread_;
 };
 
--- a/src/control/internal/control_views.cc
+++ b/src/control/internal/control_views.cc
@@ -18,7 +18,7 @@
 
 VersionRow RowOf(const wire::StoredVersion& in) {
   return {in.number(), in.parent(),      in.digest(), in.patch_id(),
-          in.author(), in.accepted_at(), in.whole()};
+          in.author(), in.accepted_at(), in.whole(),  in.source()};
 }
 
 ProposalVerdict VerdictOfWire(const wire::PatchVerdict& in) {
--- a/src/control/internal/group_client.cc
+++ b/src/control/internal/group_client.cc
@@ -18,6 +18,10 @@
 GroupClient::GroupClient(std::vector<std::string> replicas, Sender sender)
     : replicas_(std::move(replicas)), sender_(std::move(sender)) {}
 
+void GroupClient::SetReplicas(std::vector<std::string> replicas) {
+  replicas_ = std::move(replicas);
+}
+
 void GroupClient::Submit(GroupId group, std::string command, bool read,
                          Instant now, ReplicaCallback done) {
   const uint64_t request = ++last_request_;
--- a/src/control/internal/group_client.h
+++ b/src/control/internal/group_client.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "consensus/replica.h"
 #include "base/clock.h"
+#include "consensus/replica.h"
 
 namespace hibiscusglade {
 
@@ -46,6 +46,9 @@
 
   GroupClient(std::vector<std::string> replicas, Sender sender);
 
+  /// Replaces the replicas that are asked in turn while no leader is known.
+  void SetReplicas(std::vector<std::string> replicas);
+
   /// @param done called with the result, ConsensusCode::kNoQuorum when no
   /// leader ever took the request, or kOutcomeUnknown.
   void Submit(GroupId group, std::string command, bool read, Instant now,
--- a/src/control/internal/replica_host.cc
+++ b/src/control/internal/replica_host.cc
@@ -1,7 +1,11 @@
 #include "control/internal/replica_host.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "base/log.h"
+#include "consensus/consensus_result_codes.h"
+
 namespace hibiscusglade {
 
 ReplicaHost::ReplicaHost(ConsensusSender sender,
@@ -13,11 +17,20 @@
 }
 
 std::error_code ReplicaHost::Open(const std::string& path, const Member& self,
-                                  const std::vector<Member>& known,
-                                  uint64_t seed, Instant now) {
+                                  const std::vector<Member>& known, bool founds,
+                                  bool claims, uint64_t seed, Instant now) {
   std::error_code error;
   folder_ = OpenDataFolder(path, error);
   if (error) return error;
+  const bool named = std::any_of(
+      known.begin(), known.end(),
+      [&self](const Member& m) { return m.id.instance == self.id.instance; });
+  if (founds && named && folder_->Names().empty()) {
+    error = FoundReplica(*folder_, self.id.instance, known);
+    if (error) return error;
+    Log(LogLevel::kInfo, "control",
+        "The replica founds a group of " + std::to_string(known.size()) + ".");
+  }
   auto open = [&](GroupId group, const char* prefix, ReplicatedState& state) {
     if (error) return;
     const uint64_t group_seed = seed + static_cast<uint64_t>(group);
@@ -26,10 +39,14 @@
                     links_.at(group), state, group_seed, now, error);
   };
   open(GroupId::kVersions, "versions-", versions_);
-  open(GroupId::kClaims, "claims-", claims_);
+  if (claims) open(GroupId::kClaims, "claims-", claims_);
   return error;
 }
 
+void ReplicaHost::SetKnown(const std::vector<Member>& known) {
+  for (auto& [group, replica] : replicas_) replica->SetKnown(known);
+}
+
 void ReplicaHost::OnTick(Instant now) {
   for (auto& [group, replica] : replicas_) replica->OnTick(now);
 }
@@ -42,7 +59,12 @@
 
 void ReplicaHost::Submit(const GroupRequest& request, Instant now,
                          ReplicaCallback done) {
-  Replica& replica = *replicas_.at(request.group);
+  auto found = replicas_.find(request.group);
+  if (found == replicas_.end()) {
+    done({ConsensusCode::kNotLeader, ""});
+    return;
+  }
+  Replica& replica = *found->second;
   if (request.read) {
     replica.Read(request.command, now, std::move(done));
   } else {
@@ -55,7 +77,8 @@
 }
 
 std::string ReplicaHost::LeaderAddress(GroupId group) const {
-  return replicas_.at(group)->LeaderAddress();
+  auto found = replicas_.find(group);
+  return found == replicas_.end() ? "" : found->second->LeaderAddress();
 }
 
 ReplicaRole ReplicaHost::Role(GroupId group) const {
--- a/src/control/internal/replica_host.h
+++ b/src/control/internal/replica_host.h
@@ -6,10 +6,10 @@
 #include <string>
 #include <system_error>
 
+#include "base/data_folder.h"
 #include "claims/claim_ledger.h"
 #include "consensus/replica.h"
 #include "control/internal/group_client.h"
-#include "base/data_folder.h"
 #include "versions/version_ledger.h"
 
 namespace hibiscusglade {
@@ -24,9 +24,15 @@
   ReplicaHost(ConsensusSender sender, VersionLedger::Listener listener);
 
   /// Opens the data folder and the replicas in it.
+  /// @param founds whether an empty folder is founded with the known replicas,
+  /// if this one is among them.
+  /// @param claims whether the ledger of claims is kept as well.
   std::error_code Open(const std::string& path, const Member& self,
-                       const std::vector<Member>& known, uint64_t seed,
-                       Instant now);
+                       const std::vector<Member>& known, bool founds,
+                       bool claims, uint64_t seed, Instant now);
+
+  /// Replaces the replicas to ask when no leader is known.
+  void SetKnown(const std::vector<Member>& known);
 
   void OnTick(Instant now);
   void OnMessage(GroupId group, const ConsensusMessage& message, Instant now);
--- a/src/distribution/internal/version_history.cc
+++ b/src/distribution/internal/version_history.cc
@@ -16,8 +16,9 @@
 
 bool VersionHistory::Take(const ConfigVersionPtr& version) {
   if (version->number <= latest_->number) return false;
-  if (version->number == latest_->number + 1) {
-    steps_.push_back({version->number, latest_->digest, version->patch});
+  if (version->parent == latest_->number && !version->patch.empty()) {
+    steps_.push_back(
+        {latest_->number, latest_->digest, {version->number, version->patch}});
     if (steps_.size() > kKeptSteps) steps_.pop_front();
   } else {
     steps_.clear();
@@ -33,25 +34,28 @@
   std::vector<Step> steps;
   if (text.empty()) {
     if (answer.base_number != latest_->number ||
-        answer.base_digest != latest_->digest ||
-        answer.number != answer.base_number + answer.patches.size()) {
+        answer.base_digest != latest_->digest || answer.steps.empty() ||
+        answer.number != answer.steps.back().number) {
       return nullptr;
     }
     text = latest_->text;
     uint64_t number = answer.base_number;
-    for (const std::string& patch : answer.patches) {
-      steps.push_back({++number, DigestOf(text), patch});
-      auto next = ApplyPatch(text, patch, faults);
+    for (const VersionStep& step : answer.steps) {
+      if (step.number <= number) return nullptr;
+      steps.push_back({number, DigestOf(text), step});
+      auto next = ApplyPatch(text, step.patch, faults);
       if (!next.has_value()) return nullptr;
       text = std::move(*next);
+      number = step.number;
     }
   }
   if (DigestOf(text) != answer.digest) return nullptr;
-  const std::string patch = steps.empty() ? "" : steps.back().patch;
-  ConfigVersionPtr version = MakeConfigVersion(answer.number, answer.number - 1,
-                                               std::move(text), patch, faults);
+  const bool is_whole = steps.empty();
+  ConfigVersionPtr version = MakeConfigVersion(
+      answer.number, is_whole ? 0 : steps.back().base_number, std::move(text),
+      is_whole ? "" : steps.back().next.patch, faults);
   if (version == nullptr) return nullptr;
-  if (steps.empty()) steps_.clear();
+  if (is_whole) steps_.clear();
   for (Step& step : steps) steps_.push_back(std::move(step));
   while (steps_.size() > kKeptSteps) steps_.pop_front();
   latest_ = version;
@@ -64,18 +68,18 @@
   answer.digest = latest_->digest;
   auto first =
       std::find_if(steps_.begin(), steps_.end(), [&pull](const Step& step) {
-        return step.number == pull.have_number + 1;
+        return step.base_number == pull.have_number;
       });
   size_t bytes = 0;
   if (first != steps_.end() && first->base_digest == pull.have_digest) {
     answer.base_number = pull.have_number;
     answer.base_digest = pull.have_digest;
     for (auto step = first; step != steps_.end(); ++step) {
-      bytes += step->patch.size();
-      answer.patches.push_back(step->patch);
+      bytes += step->next.patch.size();
+      answer.steps.push_back(step->next);
     }
     if (bytes <= latest_->text.size()) return answer;
-    answer.patches.clear();
+    answer.steps.clear();
     answer.base_number = 0;
     answer.base_digest = 0;
   }
--- a/src/distribution/internal/version_history.h
+++ b/src/distribution/internal/version_history.h
@@ -29,9 +29,9 @@
 
  private:
   struct Step {
-    uint64_t number;  ///< Version that the patch leads to.
+    uint64_t base_number;
     Digest base_digest;
-    std::string patch;
+    VersionStep next;
   };
 
   ConfigVersionPtr latest_;
--- a/src/distribution/tests/version_follower_property_test.cc
+++ b/src/distribution/tests/version_follower_property_test.cc
@@ -38,7 +38,7 @@
   answer.base_number = base;
   answer.base_digest = versions[base]->digest;
   for (uint64_t number = base + 1; number <= to; ++number) {
-    answer.patches.push_back(versions[number]->patch);
+    answer.steps.push_back({number, versions[number]->patch});
   }
   return answer;
 }
--- a/src/distribution/tests/version_follower_test.cc
+++ b/src/distribution/tests/version_follower_test.cc
@@ -79,7 +79,7 @@
   VersionPullAnswer answer;
   answer.base_number = 0;
   answer.base_digest = 12345;
-  answer.patches = {"[]"};
+  answer.steps = {{1, "[]"}};
   answer.number = 1;
   answer.digest = EmptyConfigVersion()->digest;
   EXPECT_EQ(follower_->OnMessage("y", answer, now_).activate, nullptr);
--- a/src/distribution/types/distribution_types.h
+++ b/src/distribution/types/distribution_types.h
@@ -27,12 +27,20 @@
   friend bool operator==(const VersionPull&, const VersionPull&) = default;
 };
 
+/// One version as a change of the one before it.
+struct VersionStep {
+  uint64_t number = 0;
+  std::string patch;  ///< RFC 6902.
+
+  friend bool operator==(const VersionStep&, const VersionStep&) = default;
+};
+
 /// Patches from a base, or a whole document.
 struct VersionPullAnswer {
   uint64_t base_number = 0;
   Digest base_digest = 0;
-  std::vector<std::string> patches;  ///< For base+1, base+2, ...
-  std::string whole;                 ///< Used when not empty.
+  std::vector<VersionStep> steps;  ///< In order, from the base on.
+  std::string whole;               ///< Used when not empty.
   uint64_t number = 0;
   Digest digest = 0;
   bool busy = false;  ///< The peer serves enough others; ask elsewhere.
--- a/src/entry/internal/attempt_policy.cc
+++ b/src/entry/internal/attempt_policy.cc
@@ -80,9 +80,8 @@
   }
   if (not_run && IsMisplaced(refusal.code)) return AttemptVerdict::kAllowed;
   if (call.depth > 0) return AttemptVerdict::kDepth;
-  return budgets_[call.route.service].retries.TryTake()
-             ? AttemptVerdict::kAllowed
-             : AttemptVerdict::kBudget;
+  return budgets_[call.service].retries.TryTake() ? AttemptVerdict::kAllowed
+                                                  : AttemptVerdict::kBudget;
 }
 
 AttemptVerdict AttemptPolicy::Hedge(const CallProgress& call) {
@@ -94,7 +93,7 @@
   }
   // A hedge counts against retries as well, so that both together stay under
   // the retries' share.
-  Budgets& budgets = budgets_[call.route.service];
+  Budgets& budgets = budgets_[call.service];
   return budgets.hedges.TryTake() && budgets.retries.TryTake()
              ? AttemptVerdict::kAllowed
              : AttemptVerdict::kBudget;
--- a/src/entry/internal/attempt_policy.h
+++ b/src/entry/internal/attempt_policy.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <string_view>
 
-#include "calls/types/call_types.h"
 #include "base/clock.h"
+#include "calls/types/call_types.h"
 #include "routing/retry_budget.h"
 #include "versions/types/config_document.h"
 
@@ -16,6 +16,7 @@
 /// How far a call has come, as far as further attempts depend on it.
 struct CallProgress {
   const RouteConfig& route;
+  const std::string& service;
   uint32_t depth = 0;
   uint32_t attempts = 0;
   bool head_passed = false;
--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "calls/call_handler.h"
 #include "base/digest.h"
+#include "calls/call_handler.h"
 #include "routing/types/route_table.h"
 
 namespace hibiscusglade {
@@ -31,6 +31,7 @@
   std::unique_ptr<CallerStream> stream;
   RouteTablePtr table;
   const RouteConfig* route = nullptr;
+  std::string service;  ///< Of the route, or the part of it drawn.
   Instant began;
   Instant deadline;
   std::set<AttemptId> open;
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -3,10 +3,11 @@
 #include <utility>
 #include <vector>
 
+#include "base/digest.h"
 #include "entry/internal/attempt_policy.h"
 #include "entry/internal/call_table.h"
-#include "base/digest.h"
 #include "routing/routing_result_codes.h"
+#include "routing/share_picker.h"
 
 namespace hibiscusglade {
 namespace {
@@ -24,7 +25,8 @@
  public:
   EntryImpl(std::string instance, uint64_t incarnation, const EntryParts& parts)
       : prefix_(std::move(instance) + "/" + std::to_string(incarnation) + "/"),
-        parts_(parts) {}
+        parts_(parts),
+        shares_(DigestOf(prefix_)) {}
 
   void Begin(CallHandle handle, CallRequest request,
              std::unique_ptr<CallerStream> stream, Instant now) override {
@@ -42,7 +44,7 @@
       timeout = std::min(timeout, call.request.timeout);
     }
     call.deadline = now + timeout;
-    policy_.OnCall(call.route->service, call.table->Document().limits);
+    policy_.OnCall(call.service, call.table->Document().limits);
     SendAttempt(handle, calls_.Add(handle, std::move(call)), false, now);
   }
 
@@ -147,11 +149,13 @@
   bool Idle() const override { return calls_.Empty(); }
 
  private:
-  std::optional<RoutingCode> FindRoute(OpenCall& call) const {
+  std::optional<RoutingCode> FindRoute(OpenCall& call) {
     if (stopping_) return RoutingCode::kStopping;
     if (call.table == nullptr) return RoutingCode::kNoVersion;
-    call.route = call.table->Match(call.request.method, call.request.target);
+    call.route = call.table->Match(call.request.host, call.request.method,
+                                   call.request.target);
     if (call.route == nullptr) return RoutingCode::kNoRoute;
+    call.service = shares_.ServiceOf(*call.route);
     return std::nullopt;
   }
 
@@ -168,9 +172,9 @@
 
   void SendAttempt(CallHandle handle, OpenCall& call, bool is_hedge,
                    Instant now) {
-    const auto& candidates = call.table->UpstreamsOf(call.route->service);
+    const auto& candidates = call.table->UpstreamsOf(call.service);
     auto choice = parts_.chooser.Choose(
-        {candidates, call.route->service, call.route->request_class, call.tried,
+        {candidates, call.service, call.route->request_class, call.tried,
          call.table->Document().limits.max_ejected_percent},
         now);
     if (!choice.has_value()) {
@@ -194,10 +198,12 @@
     CallAttempt attempt;
     attempt.id = id;
     attempt.request = call.request;
-    attempt.service = call.route->service;
+    attempt.service = call.service;
     attempt.route = call.route->name;
     attempt.request_class = call.route->request_class;
     attempt.repeatable = call.route->repeatable;
+    attempt.claimed = call.route->claimed;
+    attempt.objective = call.began + call.route->objective - now;
     attempt.remaining = call.deadline - now;
     attempt.credit_bytes = kInitialCreditBytes;
     attempt.version = call.table->VersionNumber();
@@ -215,7 +221,8 @@
       const Duration pause =
           std::max(kLeastRetryPause, call.last_refusal->retry_after) *
           (kPauseSteps + handle % kPauseSteps) / kPauseSteps;
-      if (now + pause < call.deadline) {
+      const bool may_hold = pause <= call.table->Document().limits.max_hold;
+      if (may_hold && now + pause < call.deadline) {
         call.retry_at = now + pause;
         return;
       }
@@ -265,7 +272,8 @@
   }
 
   static CallProgress ProgressOf(const OpenCall& call) {
-    return {*call.route, call.request.depth, call.attempts, call.HeadPassed()};
+    return {*call.route, call.service, call.request.depth, call.attempts,
+            call.HeadPassed()};
   }
 
   void FinishBroken(CallHandle handle, Instant now) {
@@ -354,6 +362,7 @@
   std::string prefix_;
   EntryParts parts_;
   AttemptPolicy policy_;
+  SharePicker shares_;
   CallTable calls_;
   uint64_t last_attempt_ = 0;
   ChooserCounts told_;
--- a/src/http/internal/simple_http_server.cc
+++ b/src/http/internal/simple_http_server.cc
@@ -6,8 +6,8 @@
 #include <exception>
 #include <utility>
 
-#include "http/http_result_codes.h"
 #include "base/log.h"
+#include "http/http_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
@@ -37,18 +37,22 @@
     if (daemon_ != nullptr) MHD_stop_daemon(daemon_);
   }
 
-  bool Start(const std::string& ip, uint16_t port) {
+  bool Start(const std::string& ip, uint16_t port, HttpThreads threads) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     if (inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) return false;
+    const unsigned mode = threads == HttpThreads::kOne
+                              ? MHD_USE_EPOLL_INTERNAL_THREAD
+                              : MHD_USE_THREAD_PER_CONNECTION |
+                                    MHD_USE_INTERNAL_POLLING_THREAD |
+                                    MHD_USE_POLL;
     daemon_ = MHD_start_daemon(
-        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
-            MHD_USE_POLL,
-        port, nullptr, nullptr, &Server::OnRequest, this, MHD_OPTION_SOCK_ADDR,
-        &address, MHD_OPTION_NOTIFY_COMPLETED, &Server::OnCompleted, nullptr,
-        MHD_OPTION_CONNECTION_LIMIT, kMaxConnections,
-        MHD_OPTION_CONNECTION_TIMEOUT, kIdleTimeoutSeconds, MHD_OPTION_END);
+        mode, port, nullptr, nullptr, &Server::OnRequest, this,
+        MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
+        &Server::OnCompleted, nullptr, MHD_OPTION_CONNECTION_LIMIT,
+        kMaxConnections, MHD_OPTION_CONNECTION_TIMEOUT, kIdleTimeoutSeconds,
+        MHD_OPTION_END);
     return daemon_ != nullptr;
   }
 
@@ -124,9 +128,10 @@
 
 std::unique_ptr<SimpleHttpServer> StartSimpleHttpServer(
     const std::string& address, uint16_t port,
-    SimpleHttpServer::Handler handler, std::error_code& error) {
+    SimpleHttpServer::Handler handler, HttpThreads threads,
+    std::error_code& error) {
   auto server = std::make_unique<Server>(std::move(handler));
-  if (server->Start(address, port)) return server;
+  if (server->Start(address, port, threads)) return server;
   error = HttpCode::kListenFailed;
   return nullptr;
 }
--- a/src/http/simple_http_server.h
+++ b/src/http/simple_http_server.h
@@ -22,8 +22,14 @@
   std::string body;
 };
 
+/// On which threads requests are handled.
+enum class HttpThreads {
+  kOneEach,  ///< One thread a connection: handlers may wait.
+  kOne,      ///< One for all: handlers must not wait.
+};
+
 /// Small HTTP server for operators and announcements: whole requests, whole
-/// answers, each handled on its connection's thread.
+/// answers.
 class SimpleHttpServer {
  public:
   using Handler = std::function<HttpResponse(const HttpRequest&)>;
@@ -36,7 +42,8 @@
 /// @param error set to HttpCode::kListenFailed when it can't be used.
 std::unique_ptr<SimpleHttpServer> StartSimpleHttpServer(
     const std::string& address, uint16_t port,
-    SimpleHttpServer::Handler handler, std::error_code& error);
+    SimpleHttpServer::Handler handler, HttpThreads threads,
+    std::error_code& error);
 
 }  // namespace hibiscusglade
 
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -1,13 +1,14 @@
 #include "membership/membership.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
+#include "base/random.h"
 #include "membership/internal/failure_detector.h"
 #include "membership/internal/peer_view.h"
 #include "membership/internal/record_table.h"
-#include "base/random.h"
 
 namespace hibiscusglade {
 namespace {
@@ -42,7 +43,7 @@
   MembershipEffects OnTick(Instant now) override {
     MembershipEffects effects;
     if (upstream_.has_value() && now >= lease_end_) {
-      effects = OnUpstreamGone(now);
+      effects = OnUpstreamGone("", 0, now);
     }
     if (table_.Forget(now, config_.forget_after)) ViewChanged(effects);
     detector_.OnTick(now, effects);
@@ -78,9 +79,15 @@
   MembershipEffects OnAnnounce(const UpstreamAnnouncement& upstream,
                                Instant now) override {
     MembershipEffects effects;
+    if (IsLate(upstream) || IsOthers(upstream)) return effects;
     lease_end_ = now + config_.announcement_lease;
-    if (upstream_ == upstream) return effects;
+    last_born_ms_ = upstream.born_ms;
+    last_id_ = upstream.id;
+    last_sequence_ = upstream.sequence;
+    const bool renews =
+        upstream_.has_value() && SameUpstream(*upstream_, upstream);
     upstream_ = upstream;
+    if (renews) return effects;
     self_.service = upstream.service;
     self_.slots = upstream.slots;
     self_.upstream_state = upstream.state;
@@ -88,9 +95,14 @@
     return effects;
   }
 
-  MembershipEffects OnUpstreamGone(Instant now) override {
+  MembershipEffects OnUpstreamGone(const std::string& id, int64_t born_ms,
+                                   Instant now) override {
     MembershipEffects effects;
     if (!upstream_.has_value()) return effects;
+    if (!id.empty() && id != upstream_->id) return effects;
+    if (born_ms != 0 && born_ms != upstream_->born_ms) return effects;
+    // Announcements of this start that are still on their way are late.
+    if (!id.empty()) last_sequence_ = std::numeric_limits<uint64_t>::max();
     upstream_.reset();
     self_.upstream_state = UpstreamState::kNone;
     OwnChange(now, effects);
@@ -104,6 +116,10 @@
     OwnChange(now, effects);
   }
 
+  void SetSeeds(std::vector<std::string> seeds) override {
+    config_.seeds = std::move(seeds);
+  }
+
   MembershipEffects Leave(Instant now) override {
     MembershipEffects effects;
     self_.state = InstanceState::kLeft;
@@ -160,6 +176,30 @@
   }
 
  private:
+  /// @return whether an announcement is of an earlier start of the upstream,
+  /// or older than the last one of this start.
+  bool IsLate(const UpstreamAnnouncement& upstream) const {
+    if (upstream.born_ms != last_born_ms_) {
+      return upstream.born_ms < last_born_ms_;
+    }
+    return upstream.id == last_id_ && upstream.sequence < last_sequence_;
+  }
+
+  bool IsOthers(const UpstreamAnnouncement& upstream) const {
+    return (!config_.expected_service.empty() &&
+            upstream.service != config_.expected_service) ||
+           (!config_.expected_address.empty() &&
+            upstream.address != config_.expected_address);
+  }
+
+  /// @return whether nothing differs that peers or the owner act on.
+  static bool SameUpstream(const UpstreamAnnouncement& a,
+                           UpstreamAnnouncement b) {
+    b.sequence = a.sequence;
+    b.cold_remaining = a.cold_remaining;
+    return a == b;
+  }
+
   void OwnChange(Instant now, MembershipEffects& effects) {
     ++self_.sequence;
     TakeRecord(self_, now, effects);
@@ -446,6 +486,9 @@
   Instant next_expiry_;
   std::optional<UpstreamAnnouncement> upstream_;
   Instant lease_end_;
+  int64_t last_born_ms_ = 0;
+  std::string last_id_;
+  uint64_t last_sequence_ = 0;
   Instant last_heard_;
   Instant next_gossip_;
   Instant next_compare_;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -7,14 +7,18 @@
 #include <variant>
 #include <vector>
 
-#include "membership/types/instance_record.h"
 #include "base/clock.h"
+#include "membership/types/instance_record.h"
 
 namespace hibiscusglade {
 
 struct MembershipConfig {
   InstanceRecord self;             ///< Without an upstream.
   std::vector<std::string> seeds;  ///< Control addresses to start from.
+  /// Announcements of another service or address are not this upstream's and
+  /// are passed over; empty takes any.
+  std::string expected_service;
+  std::string expected_address;
   Duration gossip_interval = std::chrono::milliseconds(200);
   Duration compare_interval = std::chrono::seconds(5);
   Duration probe_interval = std::chrono::seconds(1);
@@ -89,16 +93,25 @@
                                       const MembershipMessage& message,
                                       Instant now) = 0;
 
-  /// Takes an announcement or renewal of the upstream beside this daemon.
+  /// Takes an announcement or renewal of the upstream beside this daemon. One
+  /// of an earlier start, or older than the last one of this start, is late
+  /// and is passed over.
   virtual MembershipEffects OnAnnounce(const UpstreamAnnouncement& upstream,
                                        Instant now) = 0;
 
   /// The upstream has gone, or its lease has ended.
-  virtual MembershipEffects OnUpstreamGone(Instant now) = 0;
+  /// @param id of the start that has gone; empty for whichever there is. One
+  /// that another start has replaced is passed over.
+  /// @param born_ms of that start; 0 when it is not told.
+  virtual MembershipEffects OnUpstreamGone(const std::string& id,
+                                           int64_t born_ms, Instant now) = 0;
 
   /// Tells peers which version this daemon has in use.
   virtual void SetVersionInUse(uint64_t number, Digest digest, Instant now) = 0;
 
+  /// Replaces the control addresses to start from.
+  virtual void SetSeeds(std::vector<std::string> seeds) = 0;
+
   /// Tells peers that this daemon leaves on purpose.
   virtual MembershipEffects Leave(Instant now) = 0;
 
--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/digest.h"
 
 namespace hibiscusglade {
@@ -64,6 +65,10 @@
   uint32_t slots = 0;
   uint32_t connections = 0;
   UpstreamState state = UpstreamState::kServing;
+  std::string id;             ///< Of this start of the upstream; may be empty.
+  int64_t born_ms = 0;        ///< Calendar time of its start; 0: not told.
+  uint64_t sequence = 0;      ///< Raised with each announcement; 0: not told.
+  Duration cold_remaining{};  ///< How much longer it is slow after its start.
 
   friend bool operator==(const UpstreamAnnouncement&,
                          const UpstreamAnnouncement&) = default;
--- a/src/operator/operator_backend.h
+++ b/src/operator/operator_backend.h
@@ -6,8 +6,8 @@
 #include <system_error>
 #include <vector>
 
-#include "membership/types/instance_record.h"
 #include "base/settings_reader.h"
+#include "membership/types/instance_record.h"
 
 namespace hibiscusglade {
 
@@ -22,6 +22,20 @@
   friend bool operator==(const PatchProposal&, const PatchProposal&) = default;
 };
 
+/// An operator's proposal of a whole configuration.
+struct DocumentProposal {
+  std::string proposal_id;  ///< Same for the same content, so that a resend of
+                            ///< one that was accepted gets its verdict again.
+  uint64_t base = 0;
+  uint64_t number = 0;   ///< The operator's choice, above the latest.
+  std::string document;  ///< Configuration document, JSON.
+  std::string source;    ///< The operator's own form of it; kept as it is.
+  std::string author;
+
+  friend bool operator==(const DocumentProposal&,
+                         const DocumentProposal&) = default;
+};
+
 /// The mesh's word on a proposal.
 struct ProposalVerdict {
   std::error_code error;  ///< No error: accepted.
@@ -41,6 +55,7 @@
   std::string author;
   uint64_t accepted_at = 0;  ///< Calendar time in microseconds.
   std::string text;          ///< Empty in a history.
+  std::string source;        ///< The proposer's own form; latest version only.
 
   friend bool operator==(const VersionRow&, const VersionRow&) = default;
 };
@@ -85,6 +100,8 @@
 
   virtual ProposalVerdict Propose(const PatchProposal& proposal) = 0;
 
+  virtual ProposalVerdict ProposeDocument(const DocumentProposal& proposal) = 0;
+
   /// @return the verdict on a patch id proposed before.
   virtual ProposalVerdict VerdictOf(const std::string& patch_id) = 0;
 
--- a/src/owner/internal/answer_sender.cc
+++ b/src/owner/internal/answer_sender.cc
@@ -51,14 +51,15 @@
 }
 
 void AnswerSender::Refused(const Job& job, const std::error_code& code,
-                           Certainty certainty, const std::string& detail) {
+                           Certainty certainty, const std::string& detail,
+                           Duration retry_after) {
   metrics_
       .CounterOf("owner_refusals_total",
                  "code=\"" + std::to_string(code.value()) + "\"")
       .Add();
   entries_.SendRefused(
       job.entry, job.attempt.id,
-      {code, certainty, detail.empty() ? code.message() : detail, {}},
+      {code, certainty, detail.empty() ? code.message() : detail, retry_after},
       load_(job.attempt.request_class));
 }
 
--- a/src/owner/internal/answer_sender.h
+++ b/src/owner/internal/answer_sender.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <system_error>
 
+#include "base/metrics.h"
 #include "calls/call_links.h"
 #include "owner/internal/job.h"
-#include "base/metrics.h"
 
 namespace hibiscusglade {
 
@@ -29,7 +29,7 @@
   void Kept(Job& job, const std::string& encoded);
 
   void Refused(const Job& job, const std::error_code& code, Certainty certainty,
-               const std::string& detail = "");
+               const std::string& detail = "", Duration retry_after = {});
 
  private:
   EntryLink& entries_;
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "admission/admission_result_codes.h"
+#include "base/log.h"
 #include "claims/claim_codec.h"
 #include "claims/claims_result_codes.h"
 #include "owner/internal/answer_sender.h"
@@ -11,7 +12,6 @@
 #include "owner/internal/death_watch.h"
 #include "owner/internal/job.h"
 #include "owner/internal/slot_gate.h"
-#include "base/log.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
@@ -27,6 +27,8 @@
 constexpr Duration kFinishPatience = std::chrono::milliseconds(500);
 /// Between probes of an upstream that is down.
 constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
+/// Longest answer of known length that is held until it is whole: one chunk.
+constexpr int64_t kMaxHeldAnswerBytes = int64_t{64} * 1024;
 /// Room for an answer's head in the kept answer.
 constexpr size_t kKeptHeadBytes = size_t{8} * 1024;
 
@@ -56,10 +58,10 @@
     const Ticket ticket = ++last_ticket_;
     by_attempt_[attempt.id] = ticket;
     jobs_[ticket] = std::move(job);
-    if (attempt.repeatable) {
-      AskForSlot(ticket, now);
-    } else {
+    if (attempt.NeedsClaim()) {
       AskForClaim(ticket);
+    } else {
+      AskForSlot(ticket, now);
     }
   }
 
@@ -119,7 +121,7 @@
     Job* job = Find(run);
     if (job == nullptr) return;
     job->head = head;
-    if (job->attempt.repeatable) sender_.Head(*job);
+    if (!job->attempt.NeedsClaim() && !HeldWhole(*job)) sender_.Head(*job);
   }
 
   void OnRunData(RunId run, std::string data, Instant) override {
@@ -141,10 +143,14 @@
     if (job == nullptr) return;
     parts_.quarantine.OnSurvived(job->fingerprint, now);
     death_watch_.OnEnded(run);
-    if (!job->attempt.repeatable) {
+    if (job->attempt.NeedsClaim()) {
       FinishClaim(run, now);
       return;
     }
+    if (!job->streaming) {
+      sender_.Head(*job);
+      sender_.Data(*job, std::exchange(job->kept_body, {}));
+    }
     sender_.End(*job);
     EndRun(run, now);
     Forget(run);
@@ -159,6 +165,12 @@
       GiveUp(run, AdmissionCode::kNotServing);
       return;
     }
+    if (failure.progress == RunProgress::kRejected) {
+      EndRun(run, now);
+      GiveUp(run, failure.other_upstream ? AdmissionCode::kNotServing
+                                         : AdmissionCode::kRejected);
+      return;
+    }
     if (failure.connection_lost) {
       // A retry elsewhere must not overtake the news of a suspicion.
       death_watch_.OnLost(run, job->fingerprint, gate_.Running(), now);
@@ -195,6 +207,13 @@
     return load;
   }
 
+  /// A short answer is passed on once it is whole, so that one that breaks off
+  /// can still be tried elsewhere.
+  static bool HeldWhole(const Job& job) {
+    return job.head.content_length >= 0 &&
+           job.head.content_length <= kMaxHeldAnswerBytes;
+  }
+
   bool UpstreamDrains() const {
     return upstream_.has_value() &&
            upstream_->state == UpstreamState::kDraining;
@@ -211,10 +230,10 @@
     if (upstream_->service != attempt.service) {
       return make_error_code(AdmissionCode::kWrongService);
     }
-    if (!attempt.repeatable && attempt.request.idempotency_key.empty()) {
+    if (attempt.NeedsClaim() && attempt.request.idempotency_key.empty()) {
       return make_error_code(ClaimsCode::kMissingKey);
     }
-    if (!attempt.repeatable && writer_.Unsettled() >= kMaxUnsettled) {
+    if (attempt.NeedsClaim() && writer_.Unsettled() >= kMaxUnsettled) {
       return make_error_code(AdmissionCode::kQueueFull);
     }
     const QuarantineVerdict verdict =
@@ -299,10 +318,11 @@
 
   /// Refuses what did not run. "Not run" of a claimed attempt is said only
   /// once the ledger has burnt it.
-  void GiveUp(Ticket ticket, const std::error_code& code) {
+  void GiveUp(Ticket ticket, const std::error_code& code,
+              Duration retry_after = {}) {
     Job& job = jobs_[ticket];
-    if (job.attempt.repeatable) {
-      sender_.Refused(job, code, Certainty::kNotRun);
+    if (!job.attempt.NeedsClaim()) {
+      sender_.Refused(job, code, Certainty::kNotRun, "", retry_after);
       Forget(ticket);
       return;
     }
@@ -423,7 +443,8 @@
       gate_.Add(ticket, job->suspect);
     }
     for (const SlotRefusal& refusal : effects.refused) {
-      if (Find(refusal.ticket) != nullptr) GiveUp(refusal.ticket, refusal.code);
+      if (Find(refusal.ticket) == nullptr) continue;
+      GiveUp(refusal.ticket, refusal.code, refusal.retry_after);
     }
     for (Ticket ticket : gate_.TakeReady()) StartRun(ticket, now);
   }
@@ -433,6 +454,7 @@
     job.stage = JobStage::kRunning;
     job.run_began = now;
     job.attempt.remaining = job.deadline - now;
+    job.attempt.upstream_id = upstream_->id;
     parts_.upstream.Start(ticket, upstream_->address, job.attempt);
   }
 
--- a/src/requests/internal/call_codec.cc
+++ b/src/requests/internal/call_codec.cc
@@ -1,5 +1,7 @@
 #include "requests/internal/call_codec.h"
 
+#include <algorithm>
+
 #include "admission/admission_result_codes.h"
 #include "calls/header_codec.h"
 #include "claims/claims_result_codes.h"
@@ -25,6 +27,11 @@
   out.set_credit_bytes(attempt.credit_bytes);
   out.set_version(attempt.version);
   out.set_caller(request.caller);
+  out.set_host(request.host);
+  out.set_origin_service(request.origin_service);
+  out.set_unclaimed(!attempt.claimed);
+  out.set_objective_micros(
+      static_cast<uint64_t>(std::max<int64_t>(0, attempt.objective.count())));
 }
 
 CallAttempt FromWire(const wire::CallStart& in) {
@@ -38,6 +45,10 @@
   attempt.request.body = in.body();
   attempt.request.depth = in.depth();
   attempt.request.idempotency_key = in.idempotency_key();
+  attempt.request.host = in.host();
+  attempt.request.origin_service = in.origin_service();
+  attempt.claimed = !in.unclaimed();
+  attempt.objective = Duration(static_cast<int64_t>(in.objective_micros()));
   attempt.service = in.service();
   attempt.route = in.route();
   attempt.request_class = in.request_class();
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -8,9 +8,9 @@
 #include <utility>
 
 #include "admission/quarantine.h"
+#include "base/log.h"
 #include "entry/entry.h"
 #include "owner/owner.h"
-#include "base/log.h"
 #include "requests/internal/call_codec.h"
 #include "routing/upstream_chooser.h"
 #include "upstream/http_upstream_client.h"
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(5);
+/// Nothing is open then that could be late.
+constexpr Duration kIdleTickInterval = std::chrono::milliseconds(100);
 constexpr Duration kPingInterval = std::chrono::milliseconds(500);
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(1500);
 
@@ -48,8 +50,10 @@
   std::error_code Start(ClaimStore& claims,
                         AnnouncementSink& announcements) override {
     announcements_ = &announcements;
-    upstream_ = MakeHttpUpstreamClient({config_.upstream_connections},
-                                       run_events_, executor_, clock_);
+    const UpstreamClientConfig client{config_.upstream_connections,
+                                      UpstreamClientConfig{}.connect_timeout,
+                                      config_.upstream_dialect};
+    upstream_ = MakeHttpUpstreamClient(client, run_events_, executor_, clock_);
     owner_ = MakeOwner(
         config_.identity.instance,
         {*this, *upstream_, claims, *quarantine_, metrics_, clock_, *this});
@@ -268,7 +272,9 @@
 
   void Run() {
     while (!ended_) {
-      transport_->Poll(executor_.WakeDescriptor(), kTickInterval);
+      const bool idle = entry_->Idle() && owner_->Idle();
+      transport_->Poll(executor_.WakeDescriptor(),
+                       idle ? kIdleTickInterval : kTickInterval);
       executor_.RunPending();
       const Instant now = clock_.Now();
       if (now < next_tick_) continue;
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -5,16 +5,17 @@
 #include <string>
 #include <system_error>
 
+#include "base/clock.h"
+#include "base/executor.h"
+#include "base/metrics.h"
 #include "calls/call_handler.h"
 #include "claims/claim_store.h"
 #include "control/control_loop.h"
 #include "peer/peer_transport.h"
-#include "base/clock.h"
-#include "base/executor.h"
-#include "base/metrics.h"
 #include "routing/route_table_holder.h"
 #include "routing/upstream_chooser.h"
 #include "upstream/announcement_api.h"
+#include "upstream/upstream_dialect.h"
 
 namespace hibiscusglade {
 
@@ -24,6 +25,7 @@
   std::string request_address;  ///< Own, as peers reach it.
   uint32_t upstream_connections = 100;
   uint64_t seed = 0;
+  const UpstreamDialect& upstream_dialect = OwnUpstreamDialect();
   ChooserConfig choice;  ///< Instance, failure domain and seed are filled in.
 };
 
--- a/src/routing/internal/route_table.cc
+++ b/src/routing/internal/route_table.cc
@@ -1,9 +1,19 @@
 #include "routing/types/route_table.h"
 
+#include <strings.h>
+
 #include <algorithm>
 #include <utility>
 
 namespace hibiscusglade {
+namespace {
+
+/// Host names are compared without regard to case.
+bool SameHost(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+}  // namespace
 
 RouteTable::RouteTable(ConfigVersionPtr version,
                        const std::vector<InstanceRecord>& records)
@@ -36,11 +46,14 @@
   }
 }
 
-const RouteConfig* RouteTable::Match(std::string_view method,
+const RouteConfig* RouteTable::Match(std::string_view host,
+                                     std::string_view method,
                                      std::string_view target) const {
+  const std::string_view name = host.substr(0, host.find(':'));
   const std::string_view path = target.substr(0, target.find('?'));
   for (const RouteConfig* route : by_length_) {
     if (!path.starts_with(route->path_prefix)) continue;
+    if (!route->host.empty() && !SameHost(route->host, name)) continue;
     if (route->methods.empty() ||
         std::find(route->methods.begin(), route->methods.end(), method) !=
             route->methods.end()) {
--- a/src/routing/tests/route_table_test.cc
+++ b/src/routing/tests/route_table_test.cc
@@ -35,9 +35,11 @@
 
 TEST_F(ARouteTable, TakesTheLongestPrefixThatAllowsTheMethod) {
   RouteTable table = TableOf({});
-  EXPECT_EQ(table.Match("GET", "/plots/files/1?x=1")->name, "files");
-  EXPECT_EQ(table.Match("POST", "/plots/files/1")->name, "plots");
-  EXPECT_EQ(table.Match("GET", "/other"), nullptr);
+  EXPECT_EQ(table.Match("any.example", "GET", "/plots/files/1?x=1")->name,
+            "files");
+  EXPECT_EQ(table.Match("any.example", "POST", "/plots/files/1")->name,
+            "plots");
+  EXPECT_EQ(table.Match("any.example", "GET", "/other"), nullptr);
 }
 
 TEST_F(ARouteTable, HoldsOnlyUpstreamsThatTakeWork) {
--- a/src/routing/types/route_table.h
+++ b/src/routing/types/route_table.h
@@ -34,9 +34,10 @@
   RouteTable(ConfigVersionPtr version,
              const std::vector<InstanceRecord>& records);
 
-  /// @return the route with the longest matching prefix that allows the
-  /// method; nullptr when there is none.
-  const RouteConfig* Match(std::string_view method,
+  /// @param host as the caller named it, with or without a port.
+  /// @return the route of the host with the longest matching prefix that
+  /// allows the method; nullptr when there is none.
+  const RouteConfig* Match(std::string_view host, std::string_view method,
                            std::string_view target) const;
 
   /// @return upstreams of a service, sorted by instance; may be empty.
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -6,12 +6,16 @@
 #include <system_error>
 #include <vector>
 
-#include "consensus/types/consensus_types.h"
 #include "base/log.h"
 #include "base/settings_reader.h"
+#include "consensus/types/consensus_types.h"
 
 namespace hibiscusglade {
 
+/// Interfaces towards callers, upstreams and operators.
+enum class OutsideInterfaceKind { kOwn, kPlatform };
+
+/// Where to listen; port 0 means that nothing listens.
 struct ListenerSettings {
   std::string address;
   uint16_t port = 0;
@@ -35,19 +39,30 @@
   std::string advertised_address;  ///< Where other daemons connect to.
   uint16_t advertised_control_port = 0;
   uint16_t advertised_request_port = 0;
-  std::vector<std::string> seeds;  ///< Control addresses, "ip:port".
+  std::vector<std::string> seeds;       ///< Control addresses, "ip:port".
+  std::vector<std::string> seed_hosts;  ///< IP addresses among the seeds.
+  /// Which interface callers, upstreams and operators meet.
+  OutsideInterfaceKind outside = OutsideInterfaceKind::kOwn;
 
   ListenerSettings callers;
   uint32_t caller_threads = 2;
   uint32_t max_caller_connections = 1000;
   ListenerSettings operators;
   ListenerSettings announcements;
+  ListenerSettings readiness;  ///< Answers whether this daemon can serve.
+  ListenerSettings metrics;    ///< Metrics alone; operators' API has them too.
+  std::string local_upstream;  ///< Its "ip:port"; empty: as it announces.
+  std::string local_service;   ///< Service of the upstream beside this daemon.
   uint32_t upstream_connections = 100;
 
   std::string data_folder;       ///< Empty without the replica role.
-  std::vector<Member> replicas;  ///< All control replicas of the mesh.
+  std::vector<Member> replicas;  ///< Control replicas to start from.
+  /// Whether the replicas above found a new mesh where their folders are empty.
+  bool founds_mesh = false;
 
   uint32_t stop_timeout_s = 30;
+  uint32_t stop_notice_ms = 500;  ///< From the signal to the first refusal.
+  bool serves_claims = true;      ///< The replica keeps the claims as well.
 
   std::string ControlAddress() const {
     return peer_address + ":" + std::to_string(control_port);
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -1,6 +1,9 @@
 #include "settings/daemon_settings.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
+#include <charconv>
 #include <fstream>
 #include <sstream>
 #include <utility>
@@ -21,13 +24,55 @@
   return LogLevel::kInfo;
 }
 
+/// Takes "ip:port" apart.
+/// @return nullopt when it is no IP address in figures with a port.
+std::optional<ListenerSettings> ParseHostPort(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  ListenerSettings parsed{text.substr(0, colon), 0};
+  const char* end = text.data() + text.size();
+  const auto [stop, error] =
+      std::from_chars(text.data() + colon + 1, end, parsed.port);
+  in_addr address{};
+  if (error != std::errc() || stop != end || parsed.port == 0 ||
+      inet_pton(AF_INET, parsed.address.c_str(), &address) != 1) {
+    return std::nullopt;
+  }
+  return parsed;
+}
+
+/// Reads `address` and `port`, or both in one as `host_port`.
 ListenerSettings ReadListener(SettingsReader& reader) {
   ListenerSettings listener;
+  const std::string text = reader.Text(
+      "host_port", {"", "\"ip:port\", in place of address and port."});
+  const bool apart = text.empty();
   listener.address = reader.IpAddress(
-      "address", {"", "IP address to listen on, in figures.", true});
-  listener.port =
-      static_cast<uint16_t>(reader.Number("port", PortSpec("Port.")));
-  return listener;
+      "address", {"", "IP address to listen on, in figures.", apart});
+  listener.port = static_cast<uint16_t>(
+      reader.Number("port", {1, 65535, 0, "port", "Port.", apart}));
+  if (apart) return listener;
+  if (!listener.address.empty() || listener.port != 0) {
+    reader.Fault("host_port", "stands beside address or port; give one form");
+  }
+  auto parsed = ParseHostPort(text);
+  if (!parsed.has_value()) {
+    reader.Fault("host_port", "expected ip:port, found \"" + text + "\"");
+    return listener;
+  }
+  return *parsed;
+}
+
+/// Reads a listener that may be left out.
+ListenerSettings ReadOptionalListener(SettingsReader& parent,
+                                      std::string_view name,
+                                      std::string_view text) {
+  if (!parent.Has(name)) {
+    parent.Object(name, text);
+    return {};
+  }
+  SettingsReader reader = parent.Object(name, text);
+  return ReadListener(reader);
 }
 
 void ReadAdvertised(SettingsReader& peer, DaemonSettings& settings) {
@@ -62,23 +107,45 @@
     const ListenerSettings address = ReadListener(seed);
     settings.seeds.push_back(address.HostPort());
   });
+  // Every daemon of such a mesh has its control plane at the same port.
+  const TextSpec hosts{"",
+                       "Instances to start from, as ip or ip:port; their "
+                       "control plane is at this daemon's control port."};
+  for (const std::string& host : reader.Texts("seed_hosts", hosts)) {
+    const std::string ip = host.substr(0, host.find(':'));
+    settings.seed_hosts.push_back(ip);
+    settings.seeds.push_back(ip + ":" + std::to_string(settings.control_port));
+  }
 }
 
 void ReadReplicas(SettingsReader& reader, DaemonSettings& settings) {
-  reader.Array("replicas", "All control replicas of the mesh.",
-               [&](SettingsReader& item) {
-                 Member member;
-                 member.voter = true;
-                 member.id.instance = item.Text(
-                     "instance", {"", "Name of the replica's instance.", true});
-                 member.failure_domain = item.Text(
-                     "failure_domain", {"", "Its failure domain.", true});
-                 member.address = ReadListener(item).HostPort();
-                 settings.replicas.push_back(std::move(member));
-               });
+  reader.Array(
+      "replicas", "Control replicas to start from.", [&](SettingsReader& item) {
+        Member member;
+        member.voter = true;
+        member.id.instance = item.Text(
+            "instance", {"", "Name of the replica's instance.", true});
+        member.failure_domain =
+            item.Text("failure_domain", {"", "Its failure domain.", true});
+        member.address = ReadListener(item).HostPort();
+        settings.replicas.push_back(std::move(member));
+      });
+}
+
+/// Replicas that are known by their addresses alone are named by them.
+void TakeSeedsAsReplicas(DaemonSettings& settings) {
+  for (size_t i = 0; i < settings.seed_hosts.size(); ++i) {
+    Member member;
+    member.voter = true;
+    member.id.instance = settings.seed_hosts[i];
+    member.address = settings.seeds[i];
+    settings.replicas.push_back(std::move(member));
+  }
 }
 
 void CheckReplicaRole(SettingsReader& reader, const DaemonSettings& settings) {
+  // Replicas told by seeds change: this one may not be among them.
+  if (!settings.seed_hosts.empty()) return;
   if (settings.replicas.empty()) {
     reader.Fault("replicas", "expected at least one control replica");
     return;
@@ -106,8 +173,16 @@
       "failure_domain", {"", "Failure domain of this instance.", true});
   settings.region = reader.Text("region", {"", "Region of the instance."});
   ReadPeer(reader.Object("peer", "Other daemons."), settings);
-  {
-    SettingsReader callers = reader.Object("callers", "Callers' HTTP.");
+  settings.outside =
+      reader.Text("interface", {"own",
+                                "What callers, upstreams and operators meet.",
+                                false,
+                                {"own", "platform"}}) == "platform"
+          ? OutsideInterfaceKind::kPlatform
+          : OutsideInterfaceKind::kOwn;
+  if (reader.Has("callers")) {
+    SettingsReader callers =
+        reader.Object("callers", "Callers' HTTP; none is served without it.");
     settings.callers = ReadListener(callers);
     settings.caller_threads = static_cast<uint32_t>(
         callers.Number("threads", {1, 64, 2, "threads", "Server threads."}));
@@ -115,16 +190,29 @@
         "max_connections",
         {1, 100000, 1000, "connections", "Connections taken at once."}));
   }
-  {
-    SettingsReader operators = reader.Object("operators", "Operators' API.");
-    settings.operators = ReadListener(operators);
-  }
-  {
-    SettingsReader upstream = reader.Object("upstream", "Local upstream.");
+  settings.operators =
+      ReadOptionalListener(reader, "operators", "Operators' API.");
+  settings.readiness = ReadOptionalListener(
+      reader, "readiness", "Answers GET with 200 while callers are served.");
+  settings.metrics =
+      ReadOptionalListener(reader, "metrics", "Metrics as text at /metrics.");
+  if (reader.Has("upstream")) {
+    SettingsReader upstream = reader.Object(
+        "upstream", "Announcements of the local upstream; none without it.");
     settings.announcements = ReadListener(upstream);
+    settings.local_upstream =
+        upstream.Text("upstream_address",
+                      {"",
+                       "Its \"ip:port\"; an announcement of another one is "
+                       "not taken. Empty: as it announces."});
+    settings.local_service = upstream.Text(
+        "service", {"", "Service it runs, told of requests from here."});
     settings.upstream_connections = static_cast<uint32_t>(upstream.Number(
         "max_connections",
         {1, 129, 100, "connections", "Connections to the upstream."}));
+  } else {
+    // Its fields are optional as a whole, so that reading ends here.
+    reader.Object("upstream", "Local upstream.");
   }
   {
     SettingsReader replica = reader.Object("replica", "Replica role.");
@@ -132,8 +220,16 @@
         "data_folder", {"",
                         "Folder of the replica's state; a replica runs "
                         "here when it is set."});
+    settings.serves_claims = replica.Flag(
+        "claims", true,
+        "Whether it keeps the ledger of claims; the same at all replicas.");
+    settings.founds_mesh = replica.Flag(
+        "founds_mesh", false,
+        "Whether an empty folder is founded with the replicas named here; "
+        "true at the first start of a new mesh only.");
   }
   ReadReplicas(reader, settings);
+  if (settings.replicas.empty()) TakeSeedsAsReplicas(settings);
   {
     SettingsReader log = reader.Object("log", "Logs.");
     settings.log_level =
@@ -144,6 +240,10 @@
   }
   settings.stop_timeout_s = static_cast<uint32_t>(reader.Number(
       "stop_timeout_s", {1, 3600, 30, "s", "Longest planned stop."}));
+  settings.stop_notice_ms = static_cast<uint32_t>(reader.Number(
+      "stop_notice_ms", {0, 60'000, 500, "ms",
+                         "Time for peers and callers to learn of a planned "
+                         "stop before new work is refused."}));
   CheckReplicaRole(reader, settings);
   return settings;
 }
@@ -151,9 +251,8 @@
 SettingsLoad LoadDaemonSettings(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
-    return {std::nullopt,
-            BaseCode::kSettingsUnreadable,
-            {{"", "can't be read"}}};
+    return {
+        std::nullopt, BaseCode::kSettingsUnreadable, {{"", "can't be read"}}};
   }
   std::ostringstream text;
   text << file.rdbuf();
--- a/src/upstream/announcement_api.h
+++ b/src/upstream/announcement_api.h
@@ -15,7 +15,9 @@
   virtual void Announce(const UpstreamAnnouncement& upstream) = 0;
 
   /// The upstream has left.
-  virtual void Gone() = 0;
+  /// @param id of the start that has left; empty for whichever there is.
+  /// @param born_ms calendar time of that start; 0 when it is not told.
+  virtual void Gone(const std::string& id, int64_t born_ms) = 0;
 };
 
 /// Answers one request of the announcements' HTTP API.
--- a/src/upstream/http_upstream_client.h
+++ b/src/upstream/http_upstream_client.h
@@ -3,15 +3,17 @@
 
 #include <memory>
 
-#include "calls/call_links.h"
 #include "base/clock.h"
 #include "base/executor.h"
+#include "calls/call_links.h"
+#include "upstream/upstream_dialect.h"
 
 namespace hibiscusglade {
 
 struct UpstreamClientConfig {
   uint32_t max_connections = 100;  ///< To the one local upstream.
   Duration connect_timeout = std::chrono::milliseconds(500);
+  const UpstreamDialect& dialect = OwnUpstreamDialect();
 };
 
 /// Makes a client that runs requests at the local upstream by HTTP, on a
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -1,8 +1,8 @@
 #include "upstream/http_upstream_client.h"
 
 #include <curl/curl.h>
-#include <strings.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdlib>
 #include <map>
@@ -11,24 +11,30 @@
 #include <utility>
 #include <vector>
 
+#include "calls/field_values.h"
+
 namespace hibiscusglade {
 namespace {
 
 constexpr int kPollMs = 1000;
+/// Idle connections are used again up to this age while the upstream has not
+/// told how long it keeps them.
+constexpr long kKeepAliveSeconds = 4;
+constexpr uint32_t kMaxKeepAliveSeconds = 118;  // The library's own limit.
 
 /// One run on the client's thread.
 struct Run {
   RunId id = 0;
   CURL* easy = nullptr;
   curl_slist* fields = nullptr;
-  CallRequest request;
+  CallAttempt attempt;
   AnswerHead head;
+  HeadMeaning meaning = HeadMeaning::kAnswer;
   bool head_told = false;
   bool sent = false;      ///< Began to be sent over some connection.
   int64_t allowance = 0;  ///< Answer bytes that may still be read.
   bool paused = false;    ///< The library waits for the allowance.
   bool is_probe = false;
-  bool repeatable = false;
   class Client* client = nullptr;
 };
 
@@ -110,11 +116,10 @@
     auto run = std::make_unique<Run>();
     run->id = id;
     run->client = this;
-    run->request = attempt.request;
-    run->repeatable = attempt.repeatable;
+    run->attempt = attempt;
     run->allowance = static_cast<int64_t>(attempt.credit_bytes);
     run->easy = curl_easy_init();
-    SetOptions(*run, address, attempt);
+    SetOptions(*run, address);
     curl_multi_add_handle(multi_, run->easy);
     runs_[id] = std::move(run);
   }
@@ -138,9 +143,9 @@
     runs_[run->id] = std::move(run);
   }
 
-  void SetOptions(Run& run, const std::string& address,
-                  const CallAttempt& attempt) {
-    const CallRequest& request = run.request;
+  void SetOptions(Run& run, const std::string& address) {
+    const CallAttempt& attempt = run.attempt;
+    const CallRequest& request = attempt.request;
     CURL* easy = run.easy;
     const std::string url = "http://" + address + request.target;
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
@@ -160,7 +165,8 @@
     } else {
       curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     }
-    if (!request.body.empty()) {
+    if (!request.body.empty() || request.method == "POST" ||
+        request.method == "PUT" || request.method == "PATCH") {
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                        static_cast<curl_off_t>(request.body.size()));
       curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
@@ -168,10 +174,19 @@
     for (const HeaderField& field : request.headers) {
       AddField(run, field.name, field.value);
     }
-    AddField(run, "X-Request-Id", request.request_id);
-    AddField(run, "X-Request-Timeout-Ms", std::to_string(remaining_ms));
-    AddField(run, "X-Request-Depth", std::to_string(request.depth + 1));
+    for (const HeaderField& field : config_.dialect.RequestFields(
+             attempt, std::chrono::milliseconds(remaining_ms))) {
+      AddField(run, field.name, field.value);
+    }
+    if (!request.host.empty()) AddField(run, "Host", request.host);
+    // Fields that the library would add by itself.
     run.fields = curl_slist_append(run.fields, "Expect:");
+    if (FindField(request.headers, "Accept") == nullptr) {
+      run.fields = curl_slist_append(run.fields, "Accept:");
+    }
+    if (FindField(request.headers, "Content-Type") == nullptr) {
+      run.fields = curl_slist_append(run.fields, "Content-Type:");
+    }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, run.fields);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Client::OnField);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &run);
@@ -180,8 +195,10 @@
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Client::OnSending);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &run);
     // A connection that the upstream has just closed would leave the outcome
-    // of a request that may not be repeated unknown.
-    if (!attempt.repeatable) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    // of a request that may not be repeated unknown. The library looks whether
+    // it is closed before it uses it again, so that only young ones are safe.
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, keep_alive_s_);
+    if (attempt.NeedsClaim()) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &run);
   }
 
@@ -189,7 +206,7 @@
   /// when a connection that it used before is lost.
   static int OnSending(void* cls, char*, char*, int, int) {
     auto* run = static_cast<Run*>(cls);
-    if (run->sent && !run->repeatable) return CURL_PREREQFUNC_ABORT;
+    if (run->sent && !run->attempt.repeatable) return CURL_PREREQFUNC_ABORT;
     run->sent = true;
     return CURL_PREREQFUNC_OK;
   }
@@ -226,18 +243,38 @@
     run.head_told = true;
     run.head.status = static_cast<int>(status);
     for (const HeaderField& field : run.head.headers) {
-      if (strcasecmp(field.name.c_str(), "Content-Length") == 0) {
+      if (SameField(field.name, "Content-Length")) {
         run.head.content_length =
             std::strtoll(field.value.c_str(), nullptr, 10);
       }
+      if (SameField(field.name, "Keep-Alive")) LearnKeepAlive(field.value);
     }
+    run.meaning = config_.dialect.MeaningOf(run.attempt, run.head);
+    if (run.meaning != HeadMeaning::kAnswer) return;
     executor_.Post([this, id = run.id, head = run.head] {
       events_.OnRunHead(id, head, clock_.Now());
     });
   }
 
+  /// @param value such as "timeout=5, max=100".
+  void LearnKeepAlive(const std::string& value) {
+    constexpr std::string_view kTimeout = "timeout=";
+    const size_t at = value.find(kTimeout);
+    if (at == std::string::npos) return;
+    const size_t begin = at + kTimeout.size();
+    const size_t end = value.find_first_not_of("0123456789", begin);
+    const auto seconds =
+        ParseFieldNumber(std::string_view(value).substr(begin, end - begin),
+                         kMaxKeepAliveSeconds);
+    // A second less, since the upstream counts from its last byte.
+    if (seconds.has_value()) keep_alive_s_ = std::max(1L, seconds.value() - 1L);
+  }
+
   static size_t OnBody(char* data, size_t size, size_t count, void* cls) {
     auto* run = static_cast<Run*>(cls);
+    // The body of something else ends the run: nobody waits for it.
+    if (run->meaning == HeadMeaning::kForeign) return 0;
+    if (run->meaning != HeadMeaning::kAnswer) return size * count;
     if (run->allowance <= 0) {
       run->paused = true;
       return CURL_WRITEFUNC_PAUSE;
@@ -268,7 +305,7 @@
       executor_.Post([this, reachable = result == CURLE_OK] {
         events_.OnProbed(reachable, clock_.Now());
       });
-    } else if (result == CURLE_OK) {
+    } else if (result == CURLE_OK && run.meaning == HeadMeaning::kAnswer) {
       executor_.Post([this, id] { events_.OnRunEnd(id, clock_.Now()); });
     } else {
       executor_.Post([this, id, failure = FailureOf(run, result)] {
@@ -280,6 +317,13 @@
   }
 
   static RunFailure FailureOf(const Run& run, CURLcode result) {
+    const bool other = run.meaning == HeadMeaning::kOtherUpstream;
+    if (other || run.meaning == HeadMeaning::kNotRun) {
+      return {RunProgress::kRejected, false, other, "the upstream rejected it"};
+    }
+    if (run.meaning == HeadMeaning::kForeign) {
+      return {RunProgress::kSent, false, false, "not an answer to the request"};
+    }
     RunProgress progress = RunProgress::kNotSent;
     if (run.sent) progress = RunProgress::kSent;
     if (run.head_told) progress = RunProgress::kAnswering;
@@ -287,7 +331,7 @@
         result == CURLE_COULDNT_CONNECT || result == CURLE_SEND_ERROR ||
         result == CURLE_RECV_ERROR || result == CURLE_GOT_NOTHING ||
         result == CURLE_PARTIAL_FILE || result == CURLE_ABORTED_BY_CALLBACK;
-    return {progress, lost, curl_easy_strerror(result)};
+    return {progress, lost, false, curl_easy_strerror(result)};
   }
 
   void Release(Run& run) {
@@ -306,6 +350,7 @@
   std::mutex mutex_;
   std::vector<Executor::Task> tasks_;
   std::map<RunId, std::unique_ptr<Run>> runs_;
+  long keep_alive_s_ = kKeepAliveSeconds;
   RunId last_probe_ = 0;  ///< Probes count down from the largest number.
   std::atomic<bool> stopping_{false};
   std::thread thread_;
--- /dev/null
+++ b/src/upstream/internal/own_upstream_dialect.cc
@@ -0,0 +1,28 @@
+#include "upstream/upstream_dialect.h"
+
+namespace hibiscusglade {
+namespace {
+
+class OwnDialect : public UpstreamDialect {
+ public:
+  std::vector<HeaderField> RequestFields(
+      const CallAttempt& attempt,
+      std::chrono::milliseconds remaining) const override {
+    return {{"X-Request-Id", attempt.request.request_id},
+            {"X-Request-Timeout-Ms", std::to_string(remaining.count())},
+            {"X-Request-Depth", std::to_string(attempt.request.depth + 1)}};
+  }
+
+  HeadMeaning MeaningOf(const CallAttempt&, const AnswerHead&) const override {
+    return HeadMeaning::kAnswer;
+  }
+};
+
+}  // namespace
+
+const UpstreamDialect& OwnUpstreamDialect() {
+  static const OwnDialect dialect;
+  return dialect;
+}
+
+}  // namespace hibiscusglade
--- a/src/versions/internal/config_reader.cc
+++ b/src/versions/internal/config_reader.cc
@@ -9,11 +9,16 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr int64_t kMaxConnections = 129;
+constexpr int64_t kMaxConnections = 100'000;
 constexpr int64_t kMaxQueue = 10000;
 constexpr int64_t kMaxMillis = 600'000;
-constexpr int64_t kMaxBodyBytes = 8 << 20;
+constexpr int64_t kMaxBodyBytes = 64 << 20;
 constexpr int64_t kDefaultBodyBytes = 1 << 20;
+constexpr int64_t kMaxHeaderBytes = 64 << 10;
+constexpr int64_t kDefaultHeaderBytes = 16 << 10;
+constexpr int64_t kMaxWeight = 1'000'000;
+/// An objective may be above the timeout, but not by a minute.
+constexpr Duration kMaxObjectiveExcess = milliseconds(60'000);
 constexpr size_t kMaxPatchedBytes = 1U << 20U;
 
 ServiceConfig ReadService(const std::string& name, SettingsReader& reader) {
@@ -48,6 +53,27 @@
   return config;
 }
 
+void ReadShares(SettingsReader& reader, RouteConfig& route) {
+  reader.Array("shares", "Services that share the requests by weight.",
+               [&route](SettingsReader& item) {
+                 RouteShare share;
+                 share.service = item.Text(
+                     "service", {"", "Service that runs a part.", true});
+                 share.weight = static_cast<uint32_t>(item.Number(
+                     "weight", {0, kMaxWeight, 0, "", "Its part.", true}));
+                 route.shares.push_back(std::move(share));
+               });
+  route.service = reader.Text(
+      "service", {"", "Service that runs the requests.", route.shares.empty()});
+  if (route.shares.empty()) return;
+  if (!route.service.empty()) {
+    reader.Fault("service", "stands beside shares; give one of them");
+  }
+  uint64_t sum = 0;
+  for (const RouteShare& share : route.shares) sum += share.weight;
+  if (sum == 0) reader.Fault("shares", "the weights add up to 0");
+}
+
 RouteConfig ReadRoute(const std::string& name, SettingsReader& reader) {
   RouteConfig route;
   route.name = name;
@@ -61,8 +87,8 @@
                   "Methods of the route; none named allows all.",
                   false,
                   {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}});
-  route.service =
-      reader.Text("service", {"", "Service that runs the requests.", true});
+  route.host = reader.Text("host", {"", "Host of the requests; empty: any."});
+  ReadShares(reader, route);
   route.request_class =
       reader.Text("class", {"", "Class of the requests.", true});
   route.repeatable = reader.Flag("repeatable", false,
@@ -73,6 +99,15 @@
       "timeout_ms", {1, kMaxMillis, 10'000, "ms", "Longest time of a call."}));
   route.max_attempts = static_cast<uint32_t>(reader.Number(
       "max_attempts", {1, 10, 3, "attempts", "Most attempts of a call."}));
+  route.objective = milliseconds(reader.Number(
+      "objective_ms", {1, kMaxMillis + 60'000, route.timeout.count() / 1000,
+                       "ms", "Time in which an answer is worth most."}));
+  if (route.objective >= route.timeout + kMaxObjectiveExcess) {
+    reader.Fault("objective_ms", "is a minute or more above timeout_ms");
+  }
+  route.claimed =
+      reader.Flag("claimed", true,
+                  "Whether requests that may not be repeated take a claim.");
   if (route.hedge && !route.repeatable) {
     reader.Fault("hedge", "only a repeatable route may hedge");
   }
@@ -91,6 +126,19 @@
   limits.max_request_body_bytes = static_cast<uint64_t>(reader.Number(
       "max_request_body_bytes",
       {0, kMaxBodyBytes, kDefaultBodyBytes, "bytes", "Largest body taken."}));
+  limits.max_request_header_bytes = static_cast<uint64_t>(reader.Number(
+      "max_request_header_bytes", {512, kMaxHeaderBytes, kDefaultHeaderBytes,
+                                   "bytes", "Largest head of a request."}));
+  limits.header_timeout = milliseconds(reader.Number(
+      "header_timeout_ms",
+      {1, kMaxMillis, 60'000, "ms", "Longest wait for a whole head."}));
+  limits.idle_timeout = milliseconds(reader.Number(
+      "idle_timeout_ms",
+      {1, kMaxMillis, 60'000, "ms", "Callers' idle connections end."}));
+  limits.max_hold = milliseconds(reader.Number(
+      "max_hold_ms", {0, kMaxMillis, kMaxMillis, "ms",
+                      "Longest pause of an entry before it tries a refused "
+                      "request again."}));
   return limits;
 }
 
@@ -101,6 +149,13 @@
       reader.FaultAt(place + "/service",
                      "service \"" + route.service + "\" does not exist");
     }
+    for (const RouteShare& share : route.shares) {
+      if (share.service.empty() || document.services.contains(share.service)) {
+        continue;
+      }
+      reader.FaultAt(place + "/shares",
+                     "service \"" + share.service + "\" does not exist");
+    }
     if (!route.request_class.empty() &&
         !document.classes.contains(route.request_class)) {
       reader.FaultAt(place + "/class",
--- a/src/versions/internal/version_ledger.cc
+++ b/src/versions/internal/version_ledger.cc
@@ -1,8 +1,10 @@
 #include "versions/version_ledger.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/strict_json.h"
 #include "versions/config_reader.h"
 #include "versions/versions_result_codes.h"
 #include "wire/storage.pb.h"
@@ -11,19 +13,24 @@
 namespace {
 
 constexpr size_t kKeptVersions = 2000;
-constexpr uint64_t kVersionsPerCheckpoint = 100;
+constexpr size_t kVersionsPerCheckpoint = 100;
 constexpr size_t kKeptVerdicts = 10000;
 constexpr size_t kKeptVerdictBytes = 4U << 20U;
 constexpr size_t kMaxPatchIdBytes = 128;
 constexpr size_t kMaxPatchBytes = 256U << 10U;
-constexpr size_t kMaxDocumentBytes = 512U << 10U;
+constexpr size_t kMaxDocumentBytes = 4U << 20U;
 
 int NumberOf(VersionsCode code) { return static_cast<int>(code); }
 
 Digest DigestOfPatch(const wire::PatchCommand& command) {
   const std::string place = std::to_string(command.base()) + "/" +
                             std::to_string(command.restore_content_of());
-  return DigestOf(command.patch(), DigestOf(place));
+  if (command.document().empty()) {
+    return DigestOf(command.patch(), DigestOf(place));
+  }
+  const Digest whole =
+      DigestOf(command.document(), DigestOf(std::to_string(command.number())));
+  return DigestOf(command.source(), DigestOf(place, whole));
 }
 
 std::string TooLong(const char* what, size_t bytes, size_t most) {
@@ -40,7 +47,8 @@
 
 VersionLedger::VersionLedger(Listener listener)
     : listener_(std::move(listener)), latest_(EmptyConfigVersion()) {
-  versions_.push_back({0, 0, latest_->digest, "[]", latest_->text, "", "", 0});
+  versions_.push_back(
+      {0, 0, latest_->digest, "[]", latest_->text, "", "", 0, ""});
 }
 
 VersionLedger::~VersionLedger() = default;
@@ -67,7 +75,11 @@
   if (known == verdicts_.end()) {
     Verdict made = Judge(command);
     verdict = made.verdict;
-    Remember(command.patch_id(), std::move(made));
+    // A whole document that was refused may fit later; only the accepted one
+    // must get its verdict again.
+    if (verdict.code() == 0 || command.document().empty()) {
+      Remember(command.patch_id(), std::move(made));
+    }
     return verdict.SerializeAsString();
   }
   if (known->second.patch_digest == DigestOfPatch(command)) {
@@ -90,7 +102,9 @@
   }
   std::vector<SettingsFault> faults;
   int code = 0;
-  ConfigVersionPtr next = BuildNext(command, faults, code);
+  ConfigVersionPtr next = command.document().empty()
+                              ? BuildNext(command, faults, code)
+                              : BuildWhole(command, faults, code);
   if (next == nullptr) {
     verdict.set_code(code);
     for (const SettingsFault& fault : faults) {
@@ -111,27 +125,41 @@
 void VersionLedger::Keep(const wire::PatchCommand& command,
                          ConfigVersionPtr version) {
   latest_ = std::move(version);
-  const bool checkpoint = latest_->number % kVersionsPerCheckpoint == 0;
+  const bool keep_whole = latest_->patch.empty() || CheckpointDue();
+  versions_.back().source.clear();
   versions_.push_back({latest_->number, latest_->parent, latest_->digest,
-                       latest_->patch, checkpoint ? latest_->text : "",
+                       latest_->patch, keep_whole ? latest_->text : "",
                        command.patch_id(), command.author(),
-                       command.proposed_at()});
+                       command.proposed_at(), command.source()});
   if (versions_.size() > kKeptVersions) DropOldest();
 }
 
+/// Counts back to the last whole text, so that replicas that started from a
+/// snapshot keep the same ones.
+bool VersionLedger::CheckpointDue() const {
+  const auto last =
+      std::find_if(versions_.rbegin(), versions_.rend(),
+                   [](const Held& held) { return !held.whole.empty(); });
+  return last - versions_.rbegin() + 1 >=
+         static_cast<ptrdiff_t>(kVersionsPerCheckpoint);
+}
+
 void VersionLedger::DropOldest() {
-  versions_[1].whole = TextOf(versions_[1].number);
+  versions_[1].whole = TextOf(versions_[1]);
   versions_.pop_front();
 }
 
-std::string VersionLedger::TextOf(uint64_t number) const {
-  const size_t place = number - versions_.front().number;
-  size_t base = place;
-  while (versions_[base].whole.empty()) --base;
-  if (base == place) return versions_[base].whole;
-  auto document = nlohmann::json::parse(versions_[base].whole);
-  for (size_t next = base + 1; next <= place; ++next) {
-    document.patch_inplace(nlohmann::json::parse(versions_[next].patch));
+std::string VersionLedger::TextOf(const Held& version) const {
+  if (version.number == latest_->number) return latest_->text;
+  const auto place = std::find_if(
+      versions_.begin(), versions_.end(),
+      [&](const Held& held) { return held.number == version.number; });
+  auto base = place;
+  while (base->whole.empty()) --base;
+  if (base == place) return base->whole;
+  auto document = nlohmann::json::parse(base->whole);
+  for (auto next = base + 1; next <= place; ++next) {
+    document.patch_inplace(nlohmann::json::parse(next->patch));
   }
   return document.dump();
 }
@@ -152,7 +180,7 @@
       return nullptr;
     }
     patch = nlohmann::json::diff(nlohmann::json::parse(Latest()->text),
-                                 nlohmann::json::parse(TextOf(older->number)))
+                                 nlohmann::json::parse(TextOf(*older)))
                 .dump();
   }
   auto text = ApplyPatch(Latest()->text, patch, faults);
@@ -167,6 +195,36 @@
   return MakeConfigVersion(latest + 1, latest, std::move(*text), patch, faults);
 }
 
+ConfigVersionPtr VersionLedger::BuildWhole(const wire::PatchCommand& command,
+                                           std::vector<SettingsFault>& faults,
+                                           int& code) const {
+  const ConfigVersion& latest = *Latest();
+  code = NumberOf(VersionsCode::kInvalidDocument);
+  if (command.number() <= latest.number) {
+    faults.push_back({"", "the number " + std::to_string(command.number()) +
+                              " is not above the latest, " +
+                              std::to_string(latest.number)});
+    return nullptr;
+  }
+  const size_t bytes = command.document().size() + command.source().size();
+  if (bytes > kMaxDocumentBytes) {
+    faults.push_back({"", TooLong("the document", bytes, kMaxDocumentBytes)});
+    return nullptr;
+  }
+  StrictJson parsed = ParseStrictJson(command.document());
+  if (!parsed.fault.empty()) {
+    faults.push_back({"", parsed.fault});
+    return nullptr;
+  }
+  std::string text = parsed.value.dump();
+  std::string patch =
+      nlohmann::json::diff(nlohmann::json::parse(latest.text), parsed.value)
+          .dump();
+  if (patch.size() >= text.size()) patch.clear();
+  return MakeConfigVersion(command.number(), latest.number, std::move(text),
+                           std::move(patch), faults);
+}
+
 std::string VersionLedger::Read(std::string_view bytes) const {
   wire::VersionQuery query;
   wire::VersionQueryAnswer answer;
@@ -182,7 +240,8 @@
     out->set_patch_id(held.patch_id);
     out->set_author(held.author);
     out->set_accepted_at(held.accepted_at);
-    if (with_text) out->set_whole(TextOf(held.number));
+    if (with_text) out->set_whole(TextOf(held));
+    if (with_text) out->set_source(held.source);
     answer.set_found(true);
   };
   switch (query.kind()) {
@@ -225,6 +284,7 @@
     out->set_patch_id(held.patch_id);
     out->set_author(held.author);
     out->set_accepted_at(held.accepted_at);
+    out->set_source(held.source);
   }
   for (const std::string& patch_id : verdict_order_) {
     const Verdict& verdict = verdicts_.at(patch_id);
@@ -255,26 +315,30 @@
 bool VersionLedger::RestoreVersions(const wire::VersionsSnapshot& snapshot) {
   std::deque<Held> versions;
   for (const wire::StoredVersion& in : snapshot.versions()) {
-    if (!versions.empty() && in.number() != versions.back().number + 1) {
+    if (!versions.empty() && (in.number() <= versions.back().number ||
+                              in.parent() != versions.back().number)) {
       return false;
     }
     versions.push_back({in.number(), in.parent(), in.digest(), in.patch(),
                         in.whole(), in.patch_id(), in.author(),
-                        in.accepted_at()});
+                        in.accepted_at(), in.source()});
   }
   if (versions.empty() || versions.front().whole.empty()) return false;
   versions_.swap(versions);
   const Held& last = versions_.back();
   std::vector<SettingsFault> faults;
   ConfigVersionPtr latest;
+  const ConfigVersionPtr before = std::exchange(latest_, EmptyConfigVersion());
   try {
-    latest = MakeConfigVersion(last.number, last.parent, TextOf(last.number),
+    latest = MakeConfigVersion(last.number, last.parent,
+                               last.number == 0 ? last.whole : TextOf(last),
                                last.patch, faults);
   } catch (const nlohmann::json::exception&) {
     latest = nullptr;
   }
   if (latest == nullptr || latest->digest != last.digest) {
     versions_.swap(versions);
+    latest_ = before;
     return false;
   }
   latest_ = std::move(latest);
@@ -282,9 +346,11 @@
 }
 
 const VersionLedger::Held* VersionLedger::Find(uint64_t number) const {
-  const uint64_t oldest = versions_.front().number;
-  if (number < oldest || number > latest_->number) return nullptr;
-  return &versions_[number - oldest];
+  const auto found = std::lower_bound(
+      versions_.begin(), versions_.end(), number,
+      [](const Held& held, uint64_t wanted) { return held.number < wanted; });
+  if (found == versions_.end() || found->number != number) return nullptr;
+  return &*found;
 }
 
 void VersionLedger::Remember(const std::string& patch_id, Verdict verdict) {
--- a/src/versions/types/config_document.h
+++ b/src/versions/types/config_document.h
@@ -35,16 +35,30 @@
   friend bool operator==(const ClassConfig&, const ClassConfig&) = default;
 };
 
+/// One of several services that share a route's requests.
+struct RouteShare {
+  std::string service;
+  uint32_t weight = 0;  ///< Part of the sum of the route's weights.
+
+  friend bool operator==(const RouteShare&, const RouteShare&) = default;
+};
+
 /// Which requests go to which service, and how.
 struct RouteConfig {
   std::string name;
+  std::string host;  ///< Empty matches any.
   std::string path_prefix;
   std::vector<std::string> methods;  ///< Empty allows all.
-  std::string service;
+  std::string service;               ///< Empty when `shares` is set.
+  std::vector<RouteShare> shares;    ///< Empty when `service` is set.
   std::string request_class;
   bool repeatable = false;  ///< Whether a request may run twice.
+  /// Whether a request that may not be repeated takes a claim, so that its
+  /// callers may send it again through any daemon.
+  bool claimed = true;
   bool hedge = false;
   Duration timeout{};
+  Duration objective{};  ///< Time in which an answer is worth most.
   uint32_t max_attempts = 1;
 
   friend bool operator==(const RouteConfig&, const RouteConfig&) = default;
@@ -56,6 +70,11 @@
   uint32_t hedge_budget_percent = 0;
   uint32_t max_ejected_percent = 0;  ///< Of a service's upstreams.
   uint64_t max_request_body_bytes = 0;
+  uint64_t max_request_header_bytes = 0;
+  Duration header_timeout{};  ///< For the head of a request to come.
+  Duration idle_timeout{};    ///< Of a caller's connection between requests.
+  Duration max_hold{};  ///< An entry keeps a refused request this long at most
+                        ///< before it tries again.
 
   friend bool operator==(const LimitsConfig&, const LimitsConfig&) = default;
 };
--- a/src/versions/version_ledger.h
+++ b/src/versions/version_ledger.h
@@ -20,8 +20,10 @@
 }  // namespace wire
 
 /// The accepted versions and the verdict on every patch, as driven by the
-/// replicated log. Commands are wire::PatchCommand, results
-/// wire::PatchVerdict, reads wire::VersionQuery and wire::VersionQueryAnswer.
+/// replicated log. A proposal is a patch, which becomes the next number, or a
+/// whole document under a number its proposer chose above the latest. Commands
+/// are wire::PatchCommand, results wire::PatchVerdict, reads wire::VersionQuery
+/// and wire::VersionQueryAnswer.
 class VersionLedger : public ReplicatedState {
  public:
   using Listener = std::function<void(const ConfigVersionPtr&)>;
@@ -51,6 +53,7 @@
     std::string patch_id;
     std::string author;
     uint64_t accepted_at = 0;  ///< Calendar time in microseconds.
+    std::string source;        ///< Kept for the latest version only.
   };
   struct Verdict;
 
@@ -58,10 +61,14 @@
   ConfigVersionPtr BuildNext(const wire::PatchCommand& command,
                              std::vector<SettingsFault>& faults,
                              int& code) const;
+  ConfigVersionPtr BuildWhole(const wire::PatchCommand& command,
+                              std::vector<SettingsFault>& faults,
+                              int& code) const;
+  bool CheckpointDue() const;
   void Keep(const wire::PatchCommand& command, ConfigVersionPtr version);
   void DropOldest();
   const Held* Find(uint64_t number) const;
-  std::string TextOf(uint64_t number) const;
+  std::string TextOf(const Held& version) const;
   bool RestoreVersions(const wire::VersionsSnapshot& snapshot);
   void Remember(const std::string& patch_id, Verdict verdict);
 
