Carry callers, owners and upstreams on one event loop

Each request also crossed four threads twice. Ruled out: queueing at the upstreams (slots were free), links (3.5 ms). Change: callers' connections on the request thread's event loop with an HTTP parser library; requests of safe methods begin before earlier ones are answered, answers leave in order. Owners are reached over plain TCP on the same loop, which tells of lost connections at once; libcurl runs by its socket interface. libmicrohttpd stays for operators, announcements and readiness.

--- a/bench/proposals_bench.cc
+++ b/bench/proposals_bench.cc
@@ -15,8 +15,8 @@
 #include <string>
 #include <vector>
 
-#include "consensus/replica.h"
 #include "base/data_folder.h"
+#include "consensus/replica.h"
 #include "versions/version_ledger.h"
 #include "wire/storage.pb.h"
 
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -8,8 +8,8 @@
 #include <system_error>
 #include <vector>
 
-#include "calls/types/call_types.h"
 #include "base/clock.h"
+#include "calls/types/call_types.h"
 #include "versions/types/config_document.h"
 
 namespace hibiscusglade {
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -49,12 +49,14 @@
         control_(MakeControlLoop(ControlSettings(), clock_, *metrics_, routes_,
                                  *requests_)),
         claims_(control_->MakeClaimStore(requests_->Queue())),
-        gateway_(MakeCallerGateway(CallerSettings(), *requests_, *metrics_)) {}
+        gateway_(MakeCallerGateway(CallerSettings(), requests_->Loop(), clock_,
+                                   *requests_, routes_, *metrics_)) {}
 
   std::error_code Start() {
-    std::error_code error = requests_->Start(*claims_, *control_);
+    std::error_code error;
+    if (settings_.callers.port != 0) error = gateway_->Start();
+    if (!error) error = requests_->Start(*claims_, *control_);
     if (!error) error = control_->Start();
-    if (!error && settings_.callers.port != 0) error = gateway_->Start();
     if (!error) {
       operators_ = Serve(
           settings_.operators,
@@ -103,7 +105,7 @@
     const Instant deadline =
         clock_.Now() + std::chrono::seconds(settings_.stop_timeout_s);
     control_->BeginStop();
-    gateway_->CloseAfterAnswers();
+    requests_->Queue().Post([this] { gateway_->CloseAfterAnswers(); });
     std::this_thread::sleep_for(
         std::chrono::milliseconds(settings_.stop_notice_ms));
     requests_->Drain();
@@ -112,13 +114,12 @@
       if (WaitForStopSignal(kDrainPollMs)) break;
       idle = requests_->Idle();
     }
-    gateway_->Quiesce();
-    gateway_.reset();
     metrics_server_.reset();
     readiness_.reset();
     operators_.reset();
     announcements_.reset();
     requests_->Stop();
+    gateway_.reset();
     control_->Stop();
     return idle;
   }
@@ -172,10 +173,9 @@
 
   CallerGatewayConfig CallerSettings() const {
     const CallerGatewayConfig defaults;
-    return {settings_.callers.address, settings_.callers.port,
-            settings_.caller_threads,  settings_.max_caller_connections,
-            defaults.idle_timeout_s,   defaults.max_body_bytes,
-            settings_.local_service,   outside_.Callers()};
+    return {settings_.callers.address,        settings_.callers.port,
+            settings_.max_caller_connections, defaults.idle_timeout_s,
+            settings_.local_service,          outside_.Callers()};
   }
 
   const DaemonSettings& settings_;
--- a/src/app/internal/result_code_catalog.cc
+++ b/src/app/internal/result_code_catalog.cc
@@ -3,13 +3,13 @@
 #include <sstream>
 
 #include "admission/admission_result_codes.h"
+#include "base/base_result_codes.h"
 #include "caller/caller_result_codes.h"
 #include "claims/claims_result_codes.h"
 #include "consensus/consensus_result_codes.h"
 #include "http/http_result_codes.h"
 #include "operator/operator_result_codes.h"
 #include "peer/peer_result_codes.h"
-#include "base/base_result_codes.h"
 #include "routing/routing_result_codes.h"
 #include "upstream/upstream_result_codes.h"
 #include "versions/versions_result_codes.h"
@@ -17,7 +17,7 @@
 namespace hibiscusglade {
 
 std::vector<const ResultCodeCategory*> AllResultCodeCategories() {
-  return {&BaseCategory(), &VersionsCategory(),  &ConsensusCategory(),
+  return {&BaseCategory(),     &VersionsCategory(),  &ConsensusCategory(),
           &RoutingCategory(),  &AdmissionCategory(), &ClaimsCategory(),
           &CallerCategory(),   &UpstreamCategory(),  &PeerCategory(),
           &OperatorCategory(), &HttpCategory()};
--- a/src/base/internal/posix_data_folder.cc
+++ b/src/base/internal/posix_data_folder.cc
@@ -8,8 +8,8 @@
 #include <cerrno>
 #include <utility>
 
-#include "base/data_folder.h"
 #include "base/base_result_codes.h"
+#include "base/data_folder.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/caller/caller_gateway.h
+++ b/src/caller/caller_gateway.h
@@ -5,25 +5,27 @@
 #include <string>
 #include <system_error>
 
+#include "base/clock.h"
+#include "base/event_loop.h"
 #include "base/metrics.h"
 #include "caller/caller_dialect.h"
 #include "calls/call_handler.h"
+#include "routing/route_table_holder.h"
 
 namespace hibiscusglade {
 
 struct CallerGatewayConfig {
   std::string address;  ///< IP address to listen on.
   uint16_t port = 0;
-  uint32_t threads = 2;
   uint32_t max_connections = 1000;
   uint32_t idle_timeout_s = 60;
-  uint64_t max_body_bytes = 64 << 20;  ///< The largest that a version allows.
   /// Service of the upstream beside this daemon, told of each request.
   std::string origin_service;
   const CallerDialect& dialect = OwnCallerDialect();
 };
 
-/// HTTP server towards callers.
+/// HTTP server towards callers, on an event loop. All methods are for the
+/// loop's thread, or for before it runs.
 class CallerGateway {
  public:
   virtual ~CallerGateway() = default;
@@ -40,8 +42,10 @@
 };
 
 /// @param handler takes the requests; it must outlive the gateway.
+/// @param routes gives the limits of the version in use.
 std::unique_ptr<CallerGateway> MakeCallerGateway(
-    const CallerGatewayConfig& config, CallHandler& handler, Metrics& metrics);
+    const CallerGatewayConfig& config, EventLoop& loop, const Clock& clock,
+    CallHandler& handler, const RouteTableHolder& routes, Metrics& metrics);
 
 }  // namespace hibiscusglade
 
--- a/src/caller/caller_result_codes.h
+++ b/src/caller/caller_result_codes.h
@@ -11,6 +11,9 @@
   kBodyTooLarge = 7002,
   kMethodUnknown = 7003,
   kHeaderInvalid = 7004,
+  kMalformed = 7005,
+  kHeadTooLarge = 7006,
+  kHeadTooSlow = 7007,
 };
 
 const ResultCodeCategory& CallerCategory();
--- a/src/caller/internal/caller_result_codes.cc
+++ b/src/caller/internal/caller_result_codes.cc
@@ -12,6 +12,12 @@
      Certainty::kNotRun, "Use GET, HEAD, POST, PUT, PATCH or DELETE."},
     {7004, "header-invalid", "a header field has no valid value", 400,
      Certainty::kNotRun, "Correct the header field named."},
+    {7005, "malformed", "the request can't be read", 400, Certainty::kNotRun,
+     "Look at what the caller sends."},
+    {7006, "head-too-large", "the head of the request is too large", 431,
+     Certainty::kNotRun, "Send less, or raise max_request_header_bytes."},
+    {7007, "head-too-slow", "the head of the request did not come in time", 408,
+     Certainty::kNotRun, "Look for a slow caller or link."},
 };
 
 }  // namespace
--- /dev/null
+++ b/src/caller/internal/hop_fields.h
@@ -0,0 +1,26 @@
+#ifndef HIBISCUSGLADE_CALLER_INTERNAL_HOP_FIELDS_H_
+#define HIBISCUSGLADE_CALLER_INTERNAL_HOP_FIELDS_H_
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+#include "calls/field_values.h"
+
+namespace hibiscusglade {
+
+/// @return whether a header field is about one connection only, so that it is
+/// not passed on.
+inline bool IsHopField(std::string_view name) {
+  constexpr std::array<std::string_view, 9> kHopFields = {
+      "Connection",          "Keep-Alive", "Proxy-Authenticate",
+      "Proxy-Authorization", "TE",         "Trailer",
+      "Transfer-Encoding",   "Upgrade",    "Proxy-Connection"};
+  return std::any_of(
+      kHopFields.begin(), kHopFields.end(),
+      [name](std::string_view field) { return SameField(name, field); });
+}
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_CALLER_INTERNAL_HOP_FIELDS_H_
--- a/src/calls/call_handler.h
+++ b/src/calls/call_handler.h
@@ -23,12 +23,12 @@
   virtual void OnRefused(const Refusal& reason) = 0;
 };
 
-/// Takes requests of callers. Any thread may call it.
+/// Takes requests of callers, on its own thread.
 class CallHandler {
  public:
   virtual ~CallHandler() = default;
 
-  /// Starts a request. The stream is called on another thread.
+  /// Starts a request. The stream is called after this has returned.
   /// @return the handle for the calls below.
   virtual CallHandle Begin(CallRequest request,
                            std::unique_ptr<CallerStream> stream) = 0;
--- a/src/consensus/internal/entry_store.cc
+++ b/src/consensus/internal/entry_store.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/base_result_codes.h"
 #include "consensus/consensus_result_codes.h"
 #include "consensus/internal/record_format.h"
-#include "base/base_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/consensus/internal/entry_store.h
+++ b/src/consensus/internal/entry_store.h
@@ -6,9 +6,9 @@
 #include <system_error>
 #include <vector>
 
+#include "base/data_folder.h"
 #include "consensus/consensus_codec.h"
 #include "consensus/consensus_node.h"
-#include "base/data_folder.h"
 
 namespace hibiscusglade {
 
--- a/src/consensus/tests/replica_group.h
+++ b/src/consensus/tests/replica_group.h
@@ -10,9 +10,9 @@
 #include <utility>
 #include <vector>
 
-#include "consensus/replica.h"
 #include "base/base_result_codes.h"
 #include "base/random.h"
+#include "consensus/replica.h"
 
 namespace hibiscusglade {
 
--- a/src/control/internal/ledger_claim_store.h
+++ b/src/control/internal/ledger_claim_store.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <utility>
 
+#include "base/executor.h"
 #include "claims/claim_store.h"
 #include "consensus/replica.h"
-#include "base/executor.h"
 
 namespace hibiscusglade {
 
--- a/src/ctl/internal/commands.cc
+++ b/src/ctl/internal/commands.cc
@@ -8,12 +8,12 @@
 #include <sstream>
 #include <thread>
 
+#include "base/data_folder.h"
+#include "base/strict_json.h"
 #include "consensus/consensus_result_codes.h"
 #include "consensus/replica.h"
 #include "ctl/internal/api_client.h"
 #include "operator/operator_result_codes.h"
-#include "base/data_folder.h"
-#include "base/strict_json.h"
 #include "settings/daemon_settings.h"
 #include "versions/versions_result_codes.h"
 
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-#include "ctl/commands.h"
 #include "base/command_line.h"
+#include "ctl/commands.h"
 
 DEFINE_string(api, "127.0.0.1:7003", "operators' API of a daemon, ip:port");
 DEFINE_bool(json, false, "print the answer as JSON");
--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "distribution/internal/version_history.h"
 #include "base/random.h"
+#include "distribution/internal/version_history.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/distribution/version_follower.h
+++ b/src/distribution/version_follower.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "distribution/types/distribution_types.h"
 #include "base/clock.h"
+#include "distribution/types/distribution_types.h"
 #include "versions/types/config_document.h"
 
 namespace hibiscusglade {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -4,9 +4,9 @@
 #include <memory>
 #include <string>
 
+#include "base/metrics.h"
 #include "calls/call_handler.h"
 #include "calls/call_links.h"
-#include "base/metrics.h"
 #include "routing/route_table_holder.h"
 #include "routing/upstream_chooser.h"
 
@@ -42,10 +42,13 @@
   virtual void OnAnswerRefused(const AttemptId& attempt, const Refusal& refusal,
                                const LoadReport& load, Instant now) = 0;
 
-  /// The link to an owner is silent or was replaced: what was open on it is
-  /// resolved as unknown.
+  /// The link to an owner is silent, lost or was replaced: what was open on it
+  /// is resolved as unknown.
   /// @param owner request address of the owner.
-  virtual void OnOwnerLost(const std::string& owner, Instant now) = 0;
+  /// @param reached false: there never was a connection, so that what was open
+  /// has not run.
+  virtual void OnOwnerLost(const std::string& owner, bool reached,
+                           Instant now) = 0;
 
   /// An owner says that it does not hold an attempt.
   virtual void OnAttemptUnknown(const AttemptId& attempt, Instant now) = 0;
--- a/src/entry/internal/attempt_policy.cc
+++ b/src/entry/internal/attempt_policy.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "admission/admission_result_codes.h"
+#include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
@@ -17,7 +18,8 @@
 bool IsMisplaced(const std::error_code& code) {
   return code == AdmissionCode::kNotServing ||
          code == AdmissionCode::kDraining ||
-         code == AdmissionCode::kWrongService;
+         code == AdmissionCode::kWrongService ||
+         code == RoutingCode::kOwnerUnreachable;
 }
 
 /// Another place would refuse it as well.
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -115,8 +115,17 @@
     ResolveFailed(id, refusal, now);
   }
 
-  void OnOwnerLost(const std::string& owner, Instant now) override {
-    for (const AttemptId& id : OpenAttempts(owner)) OnAttemptUnknown(id, now);
+  void OnOwnerLost(const std::string& owner, bool reached,
+                   Instant now) override {
+    for (const AttemptId& id : OpenAttempts(owner)) {
+      if (reached) {
+        OnAttemptUnknown(id, now);
+      } else {
+        ResolveFailed(
+            id, RefusalOf(RoutingCode::kOwnerUnreachable, Certainty::kNotRun),
+            now);
+      }
+    }
   }
 
   void OnAttemptUnknown(const AttemptId& id, Instant now) override {
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -137,7 +137,7 @@
 
 TEST_F(AnEntry, NeverRetriesARegistrationThatMayHaveRun) {
   Begin("/tags/1");
-  entry_->OnOwnerLost(owners_.started[0].first, now_);
+  entry_->OnOwnerLost(owners_.started[0].first, true, now_);
   EXPECT_EQ(owners_.started.size(), 1u);
   EXPECT_EQ(seen_, "refused 4006 unknown");
   EXPECT_EQ(Counted("retries_denied_total{reason=\"not_repeatable\"}"), 1);
@@ -145,7 +145,7 @@
 
 TEST_F(AnEntry, SaysUnknownIfAnyAttemptMayHaveRun) {
   Begin("/reads/1");
-  entry_->OnOwnerLost(owners_.started[0].first, now_);
+  entry_->OnOwnerLost(owners_.started[0].first, true, now_);
   Refuse(Attempt(1), AdmissionCode::kQueueFull, Certainty::kNotRun);
   Refuse(Attempt(2), AdmissionCode::kQueueFull, Certainty::kNotRun);
   EXPECT_EQ(seen_, "refused 4006 unknown");
@@ -209,7 +209,7 @@
   Begin("/reads/1");
   now_ += milliseconds(100);
   entry_->OnTick(now_);
-  entry_->OnOwnerLost(owners_.started[0].first, now_);
+  entry_->OnOwnerLost(owners_.started[0].first, true, now_);
   EXPECT_EQ(seen_, "");
   Answer(Attempt(1), "whole");
   EXPECT_EQ(seen_, "head 200 whole end");
--- a/src/membership/internal/failure_detector.h
+++ b/src/membership/internal/failure_detector.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "membership/membership.h"
 #include "base/random.h"
+#include "membership/membership.h"
 
 namespace hibiscusglade {
 
--- a/src/membership/internal/record_table.h
+++ b/src/membership/internal/record_table.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "membership/types/instance_record.h"
 #include "base/clock.h"
+#include "membership/types/instance_record.h"
 
 namespace hibiscusglade {
 
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -7,8 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-#include "operator/operator_result_codes.h"
 #include "base/metrics.h"
+#include "operator/operator_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
--- a/src/owner/internal/claim_writer.h
+++ b/src/owner/internal/claim_writer.h
@@ -3,9 +3,9 @@
 
 #include <string>
 
+#include "base/clock.h"
 #include "claims/claim_store.h"
 #include "owner/internal/job.h"
-#include "base/clock.h"
 
 namespace hibiscusglade {
 
--- a/src/owner/internal/death_watch.h
+++ b/src/owner/internal/death_watch.h
@@ -5,9 +5,9 @@
 #include <set>
 #include <vector>
 
-#include "calls/call_links.h"
 #include "base/clock.h"
 #include "base/digest.h"
+#include "calls/call_links.h"
 
 namespace hibiscusglade {
 
--- a/src/owner/internal/job.h
+++ b/src/owner/internal/job.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <system_error>
 
-#include "calls/call_links.h"
-#include "calls/types/call_types.h"
 #include "base/clock.h"
 #include "base/digest.h"
+#include "calls/call_links.h"
+#include "calls/types/call_types.h"
 
 namespace hibiscusglade {
 
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -8,10 +8,10 @@
 
 #include "admission/admission.h"
 #include "admission/quarantine.h"
+#include "base/metrics.h"
 #include "calls/call_links.h"
 #include "claims/claim_store.h"
 #include "membership/types/instance_record.h"
-#include "base/metrics.h"
 
 namespace hibiscusglade {
 
--- a/src/peer/internal/zmq_transport.cc
+++ b/src/peer/internal/zmq_transport.cc
@@ -3,9 +3,9 @@
 #include <utility>
 #include <zmq.hpp>
 
+#include "base/digest.h"
 #include "peer/peer_result_codes.h"
 #include "peer/peer_transport.h"
-#include "base/digest.h"
 #include "wire/peer.pb.h"
 
 namespace hibiscusglade {
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -7,6 +7,7 @@
 #include <system_error>
 
 #include "base/clock.h"
+#include "base/event_loop.h"
 #include "base/executor.h"
 #include "base/metrics.h"
 
@@ -40,6 +41,12 @@
       std::function<void(const std::string& from, const ReturnPath& path,
                          const wire::Envelope& message)>;
 
+  /// Called when a connection of this process's own was lost.
+  /// @param reached false: it was never there, so that nothing sent on it has
+  /// arrived.
+  using LossListener =
+      std::function<void(const std::string& address, bool reached)>;
+
   virtual ~PeerTransport() = default;
 
   /// Starts listening.
@@ -48,6 +55,9 @@
 
   virtual void SetReceiver(Receiver receiver) = 0;
 
+  /// Not told by a transport that reconnects by itself.
+  virtual void SetLossListener(LossListener listener) {}
+
   /// Sends over this process's own connection to an address; connects first
   /// when there is none. Fills in mesh, version and sender.
   /// @return PeerCode::kBacklog when the connection takes no more.
@@ -76,6 +86,15 @@
                                                  const Clock& clock,
                                                  Metrics& metrics);
 
+/// Makes a transport of plain TCP connections on the caller's event loop. It
+/// tells of lost connections at once and hands nothing to other threads, which
+/// a request's path pays for twice; docs/design/request-path.md.
+std::unique_ptr<PeerTransport> MakeLoopTransport(const PeerIdentity& identity,
+                                                 const std::string& plane,
+                                                 EventLoop& loop,
+                                                 const Clock& clock,
+                                                 Metrics& metrics);
+
 }  // namespace hibiscusglade
 
 #endif  // HIBISCUSGLADE_PEER_PEER_TRANSPORT_H_
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -1,6 +1,7 @@
 #include "requests/request_loop.h"
 
-#include <atomic>
+#include <sys/epoll.h>
+
 #include <future>
 #include <map>
 #include <set>
@@ -36,8 +37,9 @@
         clock_(clock),
         metrics_(metrics),
         routes_(routes),
-        transport_(
-            MakePeerTransport(config.identity, "request", clock, metrics)),
+        loop_(clock),
+        transport_(MakeLoopTransport(config.identity, "request", loop_, clock,
+                                     metrics)),
         chooser_(MakeUpstreamChooser(ChoiceOf(config))),
         quarantine_(MakeQuarantine()),
         entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
@@ -46,6 +48,7 @@
   ~RequestLoopImpl() override { Stop(); }
 
   Executor& Queue() override { return executor_; }
+  EventLoop& Loop() override { return loop_; }
 
   std::error_code Start(ClaimStore& claims,
                         AnnouncementSink& announcements) override {
@@ -53,13 +56,18 @@
     const UpstreamClientConfig client{config_.upstream_connections,
                                       UpstreamClientConfig{}.connect_timeout,
                                       config_.upstream_dialect};
-    upstream_ = MakeHttpUpstreamClient(client, run_events_, executor_, clock_);
+    upstream_ = MakeHttpUpstreamClient(client, run_events_, loop_, clock_);
     owner_ = MakeOwner(
         config_.identity.instance,
         {*this, *upstream_, claims, *quarantine_, metrics_, clock_, *this});
     run_events_.owner = owner_.get();
     std::error_code error = transport_->Listen(config_.listen_address);
     if (error) return error;
+    loop_.Watch(executor_.WakeDescriptor(), EPOLLIN,
+                [this](uint32_t) { executor_.RunPending(); });
+    transport_->SetLossListener([this](const std::string& owner, bool reached) {
+      OnLinkLost(owner, reached);
+    });
     transport_->SetReceiver([this](const std::string& from,
                                    const ReturnPath& path,
                                    const wire::Envelope& message) {
@@ -96,22 +104,21 @@
   CallHandle Begin(CallRequest request,
                    std::unique_ptr<CallerStream> stream) override {
     const CallHandle call = ++last_call_;
+    // The stream must not be called before the caller knows the handle.
     auto shared =
         std::make_shared<std::unique_ptr<CallerStream>>(std::move(stream));
-    executor_.Post([this, call, request = std::move(request), shared] {
-      entry_->Begin(call, request, std::move(*shared), clock_.Now());
+    loop_.Defer([this, call, request = std::move(request), shared]() mutable {
+      entry_->Begin(call, std::move(request), std::move(*shared), clock_.Now());
     });
     return call;
   }
 
   void Consumed(CallHandle call, uint64_t bytes) override {
-    executor_.Post([this, call, bytes] {
-      entry_->OnCallerConsumed(call, bytes, clock_.Now());
-    });
+    entry_->OnCallerConsumed(call, bytes, clock_.Now());
   }
 
   void Cancel(CallHandle call) override {
-    executor_.Post([this, call] { entry_->OnCallerGone(call, clock_.Now()); });
+    entry_->OnCallerGone(call, clock_.Now());
   }
 
   // LocalUpstreamListener.
@@ -125,7 +132,7 @@
   // OwnerLink.
   void Start(const std::string& owner, const CallAttempt& attempt) override {
     if (IsSelf(owner)) {
-      executor_.Post(
+      loop_.Defer(
           [this, attempt] { owner_->OnStart("", attempt, clock_.Now()); });
       return;
     }
@@ -137,7 +144,7 @@
   void Credit(const std::string& owner, const AttemptId& attempt,
               uint64_t bytes) override {
     if (IsSelf(owner)) {
-      executor_.Post([this, attempt, bytes] {
+      loop_.Defer([this, attempt, bytes] {
         owner_->OnCredit("", attempt, bytes, clock_.Now());
       });
       return;
@@ -150,7 +157,7 @@
 
   void Cancel(const std::string& owner, const AttemptId& attempt) override {
     if (IsSelf(owner)) {
-      executor_.Post(
+      loop_.Defer(
           [this, attempt] { owner_->OnCancel("", attempt, clock_.Now()); });
       return;
     }
@@ -275,7 +282,6 @@
       const bool idle = entry_->Idle() && owner_->Idle();
       transport_->Poll(executor_.WakeDescriptor(),
                        idle ? kIdleTickInterval : kTickInterval);
-      executor_.RunPending();
       const Instant now = clock_.Now();
       if (now < next_tick_) continue;
       next_tick_ = now + kTickInterval;
@@ -297,7 +303,7 @@
       transport_->Reply(entry, message);
       return;
     }
-    executor_.Post([this, message] { OnAnswer(message, clock_.Now()); });
+    loop_.Defer([this, message] { OnAnswer(message, clock_.Now()); });
   }
 
   /// Pings owners with open attempts; replaces a connection that is silent.
@@ -316,8 +322,8 @@
         metrics_.CounterOf("silent_links_total", "").Add();
         transport_->Reset(owner);
         item = links_.erase(item);
-        executor_.Post(
-            [this, owner] { entry_->OnOwnerLost(owner, clock_.Now()); });
+        loop_.Defer(
+            [this, owner] { entry_->OnOwnerLost(owner, true, clock_.Now()); });
         continue;
       }
       if (now - link.last_ping >= kPingInterval) Ping(item->first, open, now);
@@ -325,6 +331,13 @@
     }
   }
 
+  void OnLinkLost(const std::string& owner, bool reached) {
+    links_.erase(owner);
+    if (entry_->OpenAttempts(owner).empty()) return;
+    metrics_.CounterOf("lost_links_total", "").Add();
+    entry_->OnOwnerLost(owner, reached, clock_.Now());
+  }
+
   void Ping(const std::string& owner, const std::vector<AttemptId>& open,
             Instant now) {
     LinkState& link = links_[owner];
@@ -422,6 +435,7 @@
   Metrics& metrics_;
   const RouteTableHolder& routes_;
   Executor executor_;
+  EventLoop loop_;
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<UpstreamChooser> chooser_;
   std::unique_ptr<Quarantine> quarantine_;
@@ -431,7 +445,7 @@
   std::unique_ptr<Owner> owner_;
   AnnouncementSink* announcements_ = nullptr;
   std::map<std::string, LinkState> links_;
-  std::atomic<CallHandle> last_call_{0};
+  CallHandle last_call_ = 0;
   Instant next_tick_;
   bool ended_ = false;
   std::thread thread_;
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -6,6 +6,7 @@
 #include <system_error>
 
 #include "base/clock.h"
+#include "base/event_loop.h"
 #include "base/executor.h"
 #include "base/metrics.h"
 #include "calls/call_handler.h"
@@ -35,6 +36,9 @@
   /// The thread's queue; the claim store tells its results there.
   virtual Executor& Queue() = 0;
 
+  /// The thread's event loop, for callers' connections.
+  virtual EventLoop& Loop() = 0;
+
   /// Listens and starts the thread.
   /// @param claims way to the ledger; it must outlive the loop.
   virtual std::error_code Start(ClaimStore& claims,
--- a/src/routing/internal/routing_result_codes.cc
+++ b/src/routing/internal/routing_result_codes.cc
@@ -22,6 +22,9 @@
      "Nothing."},
     {4009, "stopping", "the daemon is stopping", 503, Certainty::kNotRun,
      "Send the request to another daemon."},
+    {4010, "owner-unreachable",
+     "no connection to the daemon beside the upstream came about", 503,
+     Certainty::kNotRun, "Check that instance and the links to it."},
 };
 
 }  // namespace
--- a/src/routing/routing_result_codes.h
+++ b/src/routing/routing_result_codes.h
@@ -16,6 +16,7 @@
   kAnswerBroken = 4007,
   kCallerGone = 4008,
   kStopping = 4009,
+  kOwnerUnreachable = 4010,
 };
 
 const ResultCodeCategory& RoutingCategory();
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <string_view>
 
-#include "calls/types/call_types.h"
 #include "base/clock.h"
+#include "calls/types/call_types.h"
 #include "routing/types/route_table.h"
 
 namespace hibiscusglade {
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -184,8 +184,8 @@
     SettingsReader callers =
         reader.Object("callers", "Callers' HTTP; none is served without it.");
     settings.callers = ReadListener(callers);
-    settings.caller_threads = static_cast<uint32_t>(
-        callers.Number("threads", {1, 64, 2, "threads", "Server threads."}));
+    settings.caller_threads = static_cast<uint32_t>(callers.Number(
+        "threads", {1, 64, 2, "threads", "No effect; from older releases."}));
     settings.max_caller_connections = static_cast<uint32_t>(callers.Number(
         "max_connections",
         {1, 100000, 1000, "connections", "Connections taken at once."}));
--- a/src/upstream/http_upstream_client.h
+++ b/src/upstream/http_upstream_client.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "base/clock.h"
-#include "base/executor.h"
+#include "base/event_loop.h"
 #include "calls/call_links.h"
 #include "upstream/upstream_dialect.h"
 
@@ -16,11 +16,11 @@
   const UpstreamDialect& dialect = OwnUpstreamDialect();
 };
 
-/// Makes a client that runs requests at the local upstream by HTTP, on a
-/// thread of its own.
-/// @param events told of every run, as tasks on `executor`.
+/// Makes a client that runs requests at the local upstream by HTTP, on an
+/// event loop.
+/// @param events told of every run, at the end of the loop's turn.
 std::unique_ptr<UpstreamClient> MakeHttpUpstreamClient(
-    const UpstreamClientConfig& config, RunEvents& events, Executor& executor,
+    const UpstreamClientConfig& config, RunEvents& events, EventLoop& loop,
     const Clock& clock);
 
 }  // namespace hibiscusglade
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -1,13 +1,12 @@
 #include "upstream/http_upstream_client.h"
 
 #include <curl/curl.h>
+#include <sys/epoll.h>
 
 #include <algorithm>
-#include <atomic>
 #include <cstdlib>
+#include <functional>
 #include <map>
-#include <mutex>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -16,7 +15,6 @@
 namespace hibiscusglade {
 namespace {
 
-constexpr int kPollMs = 1000;
 /// Idle connections are used again up to this age while the upstream has not
 /// told how long it keeps them.
 constexpr long kKeepAliveSeconds = 4;
@@ -40,75 +38,103 @@
 
 class Client : public UpstreamClient {
  public:
-  Client(const UpstreamClientConfig& config, RunEvents& events,
-         Executor& executor, const Clock& clock)
-      : config_(config), events_(events), executor_(executor), clock_(clock) {
+  Client(const UpstreamClientConfig& config, RunEvents& events, EventLoop& loop,
+         const Clock& clock)
+      : config_(config), events_(events), loop_(loop), clock_(clock) {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     multi_ = curl_multi_init();
     curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS,
                       static_cast<long>(config_.max_connections));
-    thread_ = std::thread([this] { Loop(); });
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
+                      static_cast<long>(config_.max_connections));
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &Client::OnSocket);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &Client::OnTimer);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
   }
 
   ~Client() override {
-    stopping_ = true;
-    curl_multi_wakeup(multi_);
-    thread_.join();
     for (auto& [id, run] : runs_) Release(*run);
+    for (CURL* easy : spare_) curl_easy_cleanup(easy);
     curl_multi_cleanup(multi_);
+    if (timer_ != 0) loop_.ClearTimer(timer_);
   }
 
   void Start(RunId run, const std::string& address,
              const CallAttempt& attempt) override {
-    Post([this, run, address, attempt] { StartHere(run, address, attempt); });
+    StartHere(run, address, attempt);
   }
 
   void Allow(RunId run, uint64_t bytes) override {
-    Post([this, run, bytes] {
-      auto found = runs_.find(run);
-      if (found == runs_.end()) return;
-      found->second->allowance += static_cast<int64_t>(bytes);
-      if (!found->second->paused || found->second->allowance <= 0) return;
-      found->second->paused = false;
-      curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
-    });
+    auto found = runs_.find(run);
+    if (found == runs_.end()) return;
+    found->second->allowance += static_cast<int64_t>(bytes);
+    if (!found->second->paused || found->second->allowance <= 0) return;
+    found->second->paused = false;
+    curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
   }
 
-  void Probe(const std::string& address) override {
-    Post([this, address] { ProbeHere(address); });
-  }
+  void Probe(const std::string& address) override { ProbeHere(address); }
 
   void Cancel(RunId run) override {
-    Post([this, run] {
-      auto found = runs_.find(run);
-      if (found == runs_.end()) return;
-      Release(*found->second);
-      runs_.erase(found);
-    });
+    auto found = runs_.find(run);
+    if (found == runs_.end()) return;
+    Release(*found->second);
+    runs_.erase(found);
   }
 
  private:
-  void Post(Executor::Task task) {
-    {
-      std::lock_guard<std::mutex> lock(mutex_);
-      tasks_.push_back(std::move(task));
+  /// The library wants a socket watched.
+  static int OnSocket(CURL*, curl_socket_t socket, int what, void* cls, void*) {
+    auto* self = static_cast<Client*>(cls);
+    if (what == CURL_POLL_REMOVE) {
+      self->loop_.Forget(socket);
+      return 0;
     }
-    curl_multi_wakeup(multi_);
+    const bool in = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
+    const bool out = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
+    self->loop_.Watch(socket, (in ? EPOLLIN : 0U) | (out ? EPOLLOUT : 0U),
+                      [self, socket](uint32_t events) {
+                        int mask = 0;
+                        if ((events & EPOLLIN) != 0) mask |= CURL_CSELECT_IN;
+                        if ((events & EPOLLOUT) != 0) mask |= CURL_CSELECT_OUT;
+                        if ((events & (EPOLLERR | EPOLLHUP)) != 0) {
+                          mask |= CURL_CSELECT_ERR | CURL_CSELECT_IN;
+                        }
+                        self->Act(socket, mask);
+                      });
+    return 0;
   }
 
-  void Loop() {
-    while (!stopping_) {
-      std::vector<Executor::Task> tasks;
-      {
-        std::lock_guard<std::mutex> lock(mutex_);
-        tasks.swap(tasks_);
-      }
-      for (Executor::Task& task : tasks) task();
-      int running = 0;
-      curl_multi_perform(multi_, &running);
-      ReadFinished();
-      curl_multi_poll(multi_, nullptr, 0, kPollMs, nullptr);
-    }
+  /// The library wants to be called after a time.
+  static int OnTimer(CURLM*, long timeout_ms, void* cls) {
+    auto* self = static_cast<Client*>(cls);
+    if (self->timer_ != 0) self->loop_.ClearTimer(self->timer_);
+    self->timer_ = 0;
+    if (timeout_ms < 0) return 0;
+    self->timer_ = self->loop_.SetTimer(
+        self->clock_.Now() + std::chrono::milliseconds(timeout_ms), [self] {
+          self->timer_ = 0;
+          self->Act(CURL_SOCKET_TIMEOUT, 0);
+        });
+    return 0;
+  }
+
+  void Act(curl_socket_t socket, int mask) {
+    int running = 0;
+    curl_multi_socket_action(multi_, socket, mask, &running);
+    ReadFinished();
+  }
+
+  /// Events are told after the library has returned: what they lead to may
+  /// call it again.
+  void Tell(std::function<void()> event) { loop_.Defer(std::move(event)); }
+
+  CURL* TakeHandle() {
+    if (spare_.empty()) return curl_easy_init();
+    CURL* easy = spare_.back();
+    spare_.pop_back();
+    return easy;
   }
 
   void StartHere(RunId id, const std::string& address,
@@ -118,7 +144,7 @@
     run->client = this;
     run->attempt = attempt;
     run->allowance = static_cast<int64_t>(attempt.credit_bytes);
-    run->easy = curl_easy_init();
+    run->easy = TakeHandle();
     SetOptions(*run, address);
     curl_multi_add_handle(multi_, run->easy);
     runs_[id] = std::move(run);
@@ -129,7 +155,7 @@
     run->id = --last_probe_;
     run->client = this;
     run->is_probe = true;
-    run->easy = curl_easy_init();
+    run->easy = TakeHandle();
     const std::string url = "http://" + address + "/";
     curl_easy_setopt(run->easy, CURLOPT_URL, url.c_str());
     curl_easy_setopt(run->easy, CURLOPT_PROXY, "");
@@ -251,7 +277,7 @@
     }
     run.meaning = config_.dialect.MeaningOf(run.attempt, run.head);
     if (run.meaning != HeadMeaning::kAnswer) return;
-    executor_.Post([this, id = run.id, head = run.head] {
+    Tell([this, id = run.id, head = run.head] {
       events_.OnRunHead(id, head, clock_.Now());
     });
   }
@@ -282,7 +308,7 @@
     run->allowance -= static_cast<int64_t>(size * count);
     std::string bytes(data, size * count);
     Client* self = run->client;
-    self->executor_.Post([self, id = run->id, bytes = std::move(bytes)] {
+    self->Tell([self, id = run->id, bytes = std::move(bytes)] {
       self->events_.OnRunData(id, bytes, self->clock_.Now());
     });
     return size * count;
@@ -302,13 +328,13 @@
   void Finish(Run& run, CURLcode result) {
     const RunId id = run.id;
     if (run.is_probe) {
-      executor_.Post([this, reachable = result == CURLE_OK] {
+      Tell([this, reachable = result == CURLE_OK] {
         events_.OnProbed(reachable, clock_.Now());
       });
     } else if (result == CURLE_OK && run.meaning == HeadMeaning::kAnswer) {
-      executor_.Post([this, id] { events_.OnRunEnd(id, clock_.Now()); });
+      Tell([this, id] { events_.OnRunEnd(id, clock_.Now()); });
     } else {
-      executor_.Post([this, id, failure = FailureOf(run, result)] {
+      Tell([this, id, failure = FailureOf(run, result)] {
         events_.OnRunFailed(id, failure, clock_.Now());
       });
     }
@@ -336,7 +362,13 @@
 
   void Release(Run& run) {
     curl_multi_remove_handle(multi_, run.easy);
-    curl_easy_cleanup(run.easy);
+    if (run.is_probe) {
+      // Its connection serves no request and goes with the handle.
+      curl_easy_cleanup(run.easy);
+    } else {
+      curl_easy_reset(run.easy);
+      spare_.push_back(run.easy);
+    }
     curl_slist_free_all(run.fields);
     run.easy = nullptr;
     run.fields = nullptr;
@@ -344,24 +376,22 @@
 
   UpstreamClientConfig config_;
   RunEvents& events_;
-  Executor& executor_;
+  EventLoop& loop_;
   const Clock& clock_;
   CURLM* multi_ = nullptr;
-  std::mutex mutex_;
-  std::vector<Executor::Task> tasks_;
+  EventLoop::TimerId timer_ = 0;
+  std::vector<CURL*> spare_;  ///< Handles to use again.
   std::map<RunId, std::unique_ptr<Run>> runs_;
   long keep_alive_s_ = kKeepAliveSeconds;
   RunId last_probe_ = 0;  ///< Probes count down from the largest number.
-  std::atomic<bool> stopping_{false};
-  std::thread thread_;
 };
 
 }  // namespace
 
 std::unique_ptr<UpstreamClient> MakeHttpUpstreamClient(
-    const UpstreamClientConfig& config, RunEvents& events, Executor& executor,
+    const UpstreamClientConfig& config, RunEvents& events, EventLoop& loop,
     const Clock& clock) {
-  return std::make_unique<Client>(config, events, executor, clock);
+  return std::make_unique<Client>(config, events, loop, clock);
 }
 
 }  // namespace hibiscusglade
