Publish routes once a turn and send no entries twice

Cause: each applied version published a route table, which waits for readers (RCU); a replica that applied its log after a restart took 2.8 s for 27 versions. Heartbeats sent entries again that were still under way.

--- a/src/consensus/internal/node.cc
+++ b/src/consensus/internal/node.cc
@@ -376,14 +376,30 @@
 void Node::BroadcastAppend(Instant now) {
   heartbeat_deadline_ = now + times_.heartbeat;
   for (auto& [id, progress] : progress_) {
-    // A snapshot takes longer than a heartbeat to arrive.
-    const bool snapshot_is_under_way =
-        progress.needs_snapshot && progress.waiting &&
-        now - progress.last_sent < times_.election_lowest / 2;
-    if (!snapshot_is_under_way) SendAppend(id, now);
+    // A snapshot or many entries take longer than a heartbeat to arrive.
+    const bool under_way = progress.waiting && now - progress.last_sent <
+                                                   times_.election_lowest / 2;
+    if (!under_way) {
+      SendAppend(id, now);
+    } else if (!progress.needs_snapshot) {
+      SendHeartbeat(id, progress);
+    }
   }
 }
 
+/// Tells a member with entries under way that the leader lives; it holds the
+/// entry that this builds on.
+void Node::SendHeartbeat(const MemberId& to, const Progress& progress) {
+  const auto term = log_.TermAt(progress.match);
+  if (!term.has_value()) return;
+  Send(to, vote_.term,
+       AppendRequest{progress.match,
+                     *term,
+                     {},
+                     std::min(commit_index_, progress.match),
+                     ++round_});
+}
+
 void Node::SendNews(Instant now) {
   for (auto& [id, progress] : progress_) {
     if (progress.waiting) continue;
--- a/src/consensus/internal/node.h
+++ b/src/consensus/internal/node.h
@@ -87,6 +87,7 @@
   void OnJoinRequest(const JoinRequest& body, Instant now);
   void AcceptEntries(const std::vector<LogEntry>& entries);
   void SendAppend(const MemberId& to, Instant now);
+  void SendHeartbeat(const MemberId& to, const Progress& progress);
   void BroadcastAppend(Instant now);
   /// Sends new entries and commit index to whom nothing is under way.
   void SendNews(Instant now);
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -316,6 +316,7 @@
       if (IsReplica()) replicas_.Flush(now);
       TakeAccepted(now);
       RunLocal();
+      if (std::exchange(routes_changed_, false)) PublishRoutes();
     }
   }
 
@@ -376,7 +377,7 @@
     }
     follower_->SetPeers(std::move(peers));
     LearnReplicas();
-    PublishRoutes();
+    routes_changed_ = true;
   }
 
   void Follow(const FollowerEffects& effects) {
@@ -393,7 +394,7 @@
                                  effects.activate->digest, activated_at_);
     Log(LogLevel::kInfo, "distribution",
         "Version " + std::to_string(effects.activate->number) + " is in use.");
-    PublishRoutes();
+    routes_changed_ = true;
   }
 
   void PublishRoutes() {
@@ -594,6 +595,7 @@
   Instant next_tick_;
   Instant activated_at_;
   bool reading_floor_ = false;
+  bool routes_changed_ = false;  ///< Published once at the end of a turn.
   bool stopping_ = false;
   bool draining_ = false;
   bool ended_ = false;
