Bound queues by the objective and count slots that come free for all classes

Cause: at three times the load queues were as long as the longest wait, so that nearly all answers came after their objective; the wait of a class was computed from its own few running requests, which turned away short calls that running work waited for.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -23,6 +23,9 @@
   std::string request_class;
   std::string caller;
   Instant deadline;
+  /// Until an answer is worth less. While others wait, a request that would be
+  /// answered later is refused at once; zero: nothing is known of that.
+  Instant objective;
   Duration expected{};  ///< Learned time in the upstream; zero if not known.
 
   friend bool operator==(const SlotRequest&, const SlotRequest&) = default;
--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -29,7 +29,8 @@
       return Refused(request.ticket, AdmissionCode::kNotServing);
     }
     GrowSlots(now);
-    if (!CanFinish(request, WaitOf(request.request_class), now)) {
+    const Duration wait = WaitOf(request.request_class);
+    if (!CanFinish(request, wait, now)) {
       return Refused(request.ticket, AdmissionCode::kDeadlineTooNear);
     }
     AdmissionEffects effects;
@@ -38,11 +39,16 @@
       Admit(request, effects);
       return effects;
     }
+    const Instant latest_start = LatestStart(request, now);
+    if (now + wait > latest_start) {
+      // Waiting would make it late, and those behind it as well: a queue that
+      // is longer than an objective serves everybody late.
+      return Refused(request.ticket, AdmissionCode::kQueueFull);
+    }
     if (waiting_.size() >= config_.max_queue && !MakeRoom(request, effects)) {
       return Refused(request.ticket, AdmissionCode::kQueueFull);
     }
-    waiting_.push_back(
-        {request, std::min(request.deadline, now + MaxWait(request))});
+    waiting_.push_back({request, latest_start});
     return effects;
   }
 
@@ -130,6 +136,8 @@
   /// @return how long a new request of the class will wait for a slot.
   Duration WaitOf(const std::string& request_class) const {
     if (shares_.MayRun(request_class)) return {};
+    const SlotShare share = shares_.ShareOf(request_class);
+    if (share.most >= shares_.Slots()) return WaitForAnySlot(request_class);
     auto found = estimates_.find(request_class);
     if (found == estimates_.end()) return {};
     const int64_t lanes =
@@ -139,6 +147,37 @@
     return found->second.Median() * (ahead + 1) / lanes;
   }
 
+  /// Slots come free as fast as what runs in them ends, whatever its class;
+  /// they go to those that wait with the same or a higher priority first.
+  Duration WaitForAnySlot(const std::string& request_class) const {
+    double ends_per_micro = 0;
+    for (const auto& [ticket, running_class] : running_) {
+      auto known = estimates_.find(running_class);
+      if (known == estimates_.end()) continue;
+      const Duration median = known->second.Median();
+      if (median > Duration{}) {
+        ends_per_micro += 1.0 / static_cast<double>(median.count());
+      }
+    }
+    if (ends_per_micro <= 0) return {};
+    const uint32_t priority = PriorityOf(request_class);
+    const auto ahead = std::count_if(
+        waiting_.begin(), waiting_.end(), [&](const Waiting& waiting) {
+          return PriorityOf(waiting.request.request_class) >= priority;
+        });
+    return Duration(
+        static_cast<int64_t>(static_cast<double>(ahead + 1) / ends_per_micro));
+  }
+
+  /// @return when a request must start at the latest, or be refused.
+  Instant LatestStart(const SlotRequest& request, Instant now) const {
+    Instant latest = std::min(request.deadline, now + MaxWait(request));
+    if (request.objective != Instant{}) {
+      latest = std::min(latest, request.objective - Expected(request));
+    }
+    return latest;
+  }
+
   /// A class of which nothing runs is let through, so that a wrong estimate
   /// can be unlearned.
   bool CanFinish(const SlotRequest& request, Duration wait, Instant now) const {
--- a/src/entry/internal/attempt_policy.cc
+++ b/src/entry/internal/attempt_policy.cc
@@ -22,6 +22,13 @@
          code == RoutingCode::kOwnerUnreachable;
 }
 
+/// The owner had no room; another one may have.
+bool IsForWantOfRoom(const std::error_code& code) {
+  return code == AdmissionCode::kQueueFull || code == AdmissionCode::kShed ||
+         code == AdmissionCode::kWaitedTooLong ||
+         code == AdmissionCode::kDeadlineTooNear;
+}
+
 /// Another place would refuse it as well.
 bool IsHopeless(const std::error_code& code) {
   return code == AdmissionCode::kQuarantined;
@@ -29,6 +36,11 @@
 
 }  // namespace
 
+bool NeverReachedUpstream(const Refusal& refusal) {
+  return refusal.certainty == Certainty::kNotRun &&
+         (IsMisplaced(refusal.code) || IsForWantOfRoom(refusal.code));
+}
+
 std::string_view AttemptVerdictName(AttemptVerdict verdict) {
   switch (verdict) {
     case AttemptVerdict::kAllowed:
@@ -81,6 +93,10 @@
     return AttemptVerdict::kAttempts;
   }
   if (not_run && IsMisplaced(refusal.code)) return AttemptVerdict::kAllowed;
+  if (not_run && IsForWantOfRoom(refusal.code) &&
+      call.owners_asked < call.max_owner_tries) {
+    return AttemptVerdict::kAllowed;
+  }
   if (call.depth > 0) return AttemptVerdict::kDepth;
   return budgets_[call.service].retries.TryTake() ? AttemptVerdict::kAllowed
                                                   : AttemptVerdict::kBudget;
--- a/src/entry/internal/attempt_policy.h
+++ b/src/entry/internal/attempt_policy.h
@@ -19,6 +19,8 @@
   const std::string& service;
   uint32_t depth = 0;
   uint32_t attempts = 0;
+  uint32_t owners_asked = 0;
+  uint32_t max_owner_tries = 1;
   bool head_passed = false;
 };
 
@@ -32,6 +34,10 @@
   kBudget,         ///< The service's budget is spent.
 };
 
+/// @return whether a refused attempt went no further than its owner, so that
+/// it counts for no upstream.
+bool NeverReachedUpstream(const Refusal& refusal);
+
 /// @return name for a counter's label, such as "budget".
 std::string_view AttemptVerdictName(AttemptVerdict verdict);
 
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -268,6 +268,7 @@
         id, not_run ? AttemptOutcome::kRefusedNotRun : AttemptOutcome::kFailed,
         now);
     call.KeepRefusal(refusal);
+    if (NeverReachedUpstream(refusal) && call.attempts > 0) --call.attempts;
     if (!call.open.empty()) return;  // A hedge may still bring the answer.
     const AttemptVerdict verdict = policy_.Retry(ProgressOf(call), refusal);
     if (verdict == AttemptVerdict::kAllowed) {
@@ -281,7 +282,12 @@
   }
 
   static CallProgress ProgressOf(const OpenCall& call) {
-    return {*call.route, call.service, call.request.depth, call.attempts,
+    return {*call.route,
+            call.service,
+            call.request.depth,
+            call.attempts,
+            static_cast<uint32_t>(call.tried.size()),
+            call.table->Document().limits.max_owner_tries,
             call.HeadPassed()};
   }
 
--- a/src/owner/internal/job.h
+++ b/src/owner/internal/job.h
@@ -27,6 +27,7 @@
   EntryRef entry;
   CallAttempt attempt;
   Instant deadline;
+  Instant objective;  ///< Until its answer is worth less; zero: not told.
   JobStage stage = JobStage::kWaiting;
   Digest fingerprint = 0;
   Instant entry_heard;      ///< The entry's last sign of life for this attempt.
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -49,6 +49,9 @@
     job.entry = entry;
     job.attempt = attempt;
     job.deadline = now + attempt.remaining;
+    if (attempt.objective > Duration{}) {
+      job.objective = now + attempt.objective;
+    }
     job.entry_heard = now;
     job.fingerprint = FingerprintOf(attempt.request);
     if (auto refused = CheckStart(job, now)) {
@@ -249,7 +252,7 @@
     job.stage = JobStage::kWaiting;
     Follow(admission_->OnRequest(
                {ticket, job.attempt.request_class, job.attempt.request.caller,
-                job.deadline, Duration{}},
+                job.deadline, job.objective, Duration{}},
                now),
            now);
   }
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -25,6 +25,8 @@
 /// Wait in the own domain that is worth the way to another one and back.
 constexpr Duration kSpillWait = milliseconds(10);
 /// Counts against an owner that refused a moment ago.
+/// As if all slots of an owner that refused a moment ago were taken twice.
+constexpr double kRefusedPressure = 2;
 constexpr Duration kRefusedTime = seconds(1);
 /// Slots of an upstream that has not reported yet count as a part.
 constexpr double kUnknownShare = 0.25;
@@ -281,8 +283,7 @@
       const Duration time_b = TimeTo(request, b, now);
       if (time_a != time_b) return time_a < time_b;
     }
-    return Pressure(request.candidates[a], now) <
-           Pressure(request.candidates[b], now);
+    return Pressure(request, a, now) < Pressure(request, b, now);
   }
 
   size_t Least(const ChoiceRequest& request, const std::vector<size_t>& among,
@@ -295,15 +296,19 @@
   }
 
   /// @return unfinished requests for each slot, as far as this entry knows.
-  double Pressure(const UpstreamTarget& target, Instant now) {
+  double Pressure(const ChoiceRequest& request, size_t index, Instant now) {
+    const UpstreamTarget& target = request.candidates[index];
     const UpstreamLoad& load = LoadOf(target.instance);
     if (config_.policy == ChoicePolicy::kLeastLoaded) {
       return static_cast<double>(load.stale_report.running +
                                  load.stale_report.queued) /
              std::max<uint32_t>(1, target.slots);
     }
-    return (Unfinished(load, now) + 1) /
-           (SlotsOf(target, load) * judge_.ShareOf(target.instance, now));
+    const double refused =
+        RefusedLately(load, request.request_class, now) ? kRefusedPressure : 0;
+    return refused +
+           (Unfinished(load, now) + 1) /
+               (SlotsOf(target, load) * judge_.ShareOf(target.instance, now));
   }
 
   UpstreamLoad& LoadOf(const std::string& instance) {
--- a/src/versions/internal/config_reader.cc
+++ b/src/versions/internal/config_reader.cc
@@ -123,6 +123,10 @@
   limits.max_ejected_percent = static_cast<uint32_t>(
       reader.Number("max_ejected_percent",
                     {0, 100, 30, "%", "Slow upstreams left out at once."}));
+  limits.max_owner_tries = static_cast<uint32_t>(reader.Number(
+      "max_owner_tries", {1, 10, 1, "daemons",
+                          "Daemons asked in turn beside the retry budget "
+                          "when they refuse for want of room."}));
   limits.max_request_body_bytes = static_cast<uint64_t>(reader.Number(
       "max_request_body_bytes",
       {0, kMaxBodyBytes, kDefaultBodyBytes, "bytes", "Largest body taken."}));
--- a/src/versions/types/config_document.h
+++ b/src/versions/types/config_document.h
@@ -69,6 +69,9 @@
   uint32_t retry_budget_percent = 0;  ///< Retries per hundred requests.
   uint32_t hedge_budget_percent = 0;
   uint32_t max_ejected_percent = 0;  ///< Of a service's upstreams.
+  /// Owners asked in turn, beside the budget, when they refuse for want of
+  /// room. Their refusals cost no upstream's time.
+  uint32_t max_owner_tries = 1;
   uint64_t max_request_body_bytes = 0;
   uint64_t max_request_header_bytes = 0;
   Duration header_timeout{};  ///< For the head of a request to come.
