Translate the platform in tests, start shares anywhere in their round

Cause: with few requests an entry sent 14 of 1,000 to a service of weight 10 in 100, since its round began with the heaviest (found by the new test). Change: a share's round starts at a random step; foreign peers on the request plane are told why they are refused; the wire version is raised; the test of an owner that dies waits for the mesh to serve again, as its loss now shows at once.

--- a/src/caller/internal/caller_connection.cc
+++ b/src/caller/internal/caller_connection.cc
@@ -156,7 +156,8 @@
 void CallerConnection::Begin(const std::shared_ptr<Exchange>& exchange) {
   exchange->begun = true;
   exchange->call = parts_.handler.Begin(
-      exchange->TakeRequest(), std::make_unique<ExchangeStream>(exchange));
+      exchange->TakeRequest(),
+      std::make_unique<ExchangeStream>(exchange, parts_.count_refusal));
 }
 
 void CallerConnection::WriteSoon() {
--- a/src/caller/internal/caller_result_codes.cc
+++ b/src/caller/internal/caller_result_codes.cc
@@ -9,7 +9,7 @@
     {7002, "body-too-large", "the request's body is too large", 413,
      Certainty::kNotRun, "Raise max_request_body_bytes, or send less."},
     {7003, "method-unknown", "the method is not supported", 405,
-     Certainty::kNotRun, "Use GET, HEAD, POST, PUT, PATCH or DELETE."},
+     Certainty::kNotRun, "Use another method, such as GET or POST."},
     {7004, "header-invalid", "a header field has no valid value", 400,
      Certainty::kNotRun, "Correct the header field named."},
     {7005, "malformed", "the request can't be read", 400, Certainty::kNotRun,
--- a/src/caller/internal/exchange.h
+++ b/src/caller/internal/exchange.h
@@ -69,8 +69,10 @@
 /// Passes an answer to an exchange.
 class ExchangeStream : public CallerStream {
  public:
-  explicit ExchangeStream(std::shared_ptr<Exchange> exchange)
-      : exchange_(std::move(exchange)) {}
+  /// @param count counts the refusals that callers are told.
+  ExchangeStream(std::shared_ptr<Exchange> exchange,
+                 std::function<void(const std::error_code&)> count)
+      : exchange_(std::move(exchange)), count_(std::move(count)) {}
 
   void OnHead(const AnswerHead& head) override { exchange_->PutHead(head); }
   void OnData(std::string data) override { exchange_->PutData(data); }
@@ -79,11 +81,13 @@
     exchange_->PutBroken(reason);
   }
   void OnRefused(const Refusal& refusal) override {
+    count_(refusal.code);
     exchange_->PutRefusal(refusal);
   }
 
  private:
   std::shared_ptr<Exchange> exchange_;
+  std::function<void(const std::error_code&)> count_;
 };
 
 }  // namespace hibiscusglade
--- a/src/caller/internal/request_parser.cc
+++ b/src/caller/internal/request_parser.cc
@@ -116,9 +116,11 @@
   parsed_.keep_alive = http_should_keep_alive(&parser_) != 0;
   parsed_.chunks_known = parser_.http_major > 1 ||
                          (parser_.http_major == 1 && parser_.http_minor > 0);
-  if (parser_.method == HTTP_CONNECT || !request.target.starts_with('/')) {
-    return Fail(CallerCode::kMalformed);
+  // Neither names a resource of an upstream.
+  if (parser_.method == HTTP_CONNECT || parser_.method == HTTP_TRACE) {
+    return Fail(CallerCode::kMethodUnknown);
   }
+  if (!request.target.starts_with('/')) return Fail(CallerCode::kMalformed);
   // Nothing here changes protocol; the body is read as any other.
   parser_.upgrade = 0;
   head_done_ = true;
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -268,7 +268,10 @@
         id, not_run ? AttemptOutcome::kRefusedNotRun : AttemptOutcome::kFailed,
         now);
     call.KeepRefusal(refusal);
-    if (HasRunNowhere(refusal) && call.attempts > 0) --call.attempts;
+    const bool asks_in_turn = call.table->Document().limits.max_owner_tries > 1;
+    if (asks_in_turn && HasRunNowhere(refusal) && call.attempts > 0) {
+      --call.attempts;
+    }
     if (!call.open.empty()) return;  // A hedge may still bring the answer.
     const AttemptVerdict verdict = policy_.Retry(ProgressOf(call), refusal);
     if (verdict == AttemptVerdict::kAllowed) {
--- a/src/peer/internal/tcp_transport.cc
+++ b/src/peer/internal/tcp_transport.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "peer/internal/wire_version.h"
 #include "peer/peer_result_codes.h"
 #include "peer/peer_transport.h"
 #include "wire/peer.pb.h"
@@ -22,7 +23,6 @@
 namespace hibiscusglade {
 namespace {
 
-constexpr uint32_t kWireVersion = 2;
 constexpr uint32_t kMaxFrameBytes = 72U << 20U;  ///< A body of 64 MB and more.
 /// A peer that does not read holds no more than this of our memory.
 constexpr size_t kMaxBacklogBytes = size_t{16} << 20U;
@@ -334,7 +334,7 @@
       }
       if (!IsOpen(address, path, descriptor)) return;
       if (!Knows(connection, message)) {
-        Lose(connection);
+        if (IsOpen(address, path, descriptor)) Lose(connection);
         return;
       }
       receiver_(address, path, message);
@@ -347,17 +347,28 @@
   bool Knows(Connection& connection, const wire::Envelope& message) {
     if (connection.known) return true;
     if (message.wire_version() != kWireVersion) {
-      Refused(PeerCode::kWrongWireVersion);
+      TellRefused(connection, PeerCode::kWrongWireVersion);
       return false;
     }
     if (message.mesh() != mesh_digest_) {
-      Refused(PeerCode::kWrongMesh);
+      TellRefused(connection, PeerCode::kWrongMesh);
       return false;
     }
     connection.known = true;
     return true;
   }
 
+  /// Tells a foreign peer why its connection ends.
+  void TellRefused(Connection& connection, PeerCode code) {
+    Refused(code);
+    if (!connection.path.empty()) {
+      wire::Envelope answer;
+      answer.mutable_refused()->set_code(static_cast<int>(code));
+      Put(connection, answer);
+      Flush(connection);
+    }
+  }
+
   bool IsOpen(const std::string& address, const ReturnPath& path,
               int descriptor) const {
     const auto& side = address.empty() ? taken_ : made_;
--- a/src/peer/internal/zmq_transport.cc
+++ b/src/peer/internal/zmq_transport.cc
@@ -4,6 +4,7 @@
 #include <zmq.hpp>
 
 #include "base/digest.h"
+#include "peer/internal/wire_version.h"
 #include "peer/peer_result_codes.h"
 #include "peer/peer_transport.h"
 #include "wire/peer.pb.h"
@@ -11,7 +12,6 @@
 namespace hibiscusglade {
 namespace {
 
-constexpr uint32_t kWireVersion = 1;
 constexpr int kHighWaterMark = 4000;
 constexpr int kMaxMessageBytes = 64 << 20;
 constexpr int kReconnectLowestMs = 100;
--- a/src/routing/share_picker.h
+++ b/src/routing/share_picker.h
@@ -29,6 +29,7 @@
     std::vector<int64_t> credits;
   };
 
+  static size_t Next(Saved& saved);
   Saved Begin(const std::vector<RouteShare>& shares);
 
   Random random_;
