--- a/src/base/internal/log.cc
+++ b/src/base/internal/log.cc
@@ -26,6 +26,16 @@
   return trivial::error;
 }
 
+/// Bytes from outside may stand in a value; they must not look like a line.
+std::string TextOf(const LogFields& fields) {
+  std::string text;
+  for (const auto& [key, value] : fields) {
+    text.append(" ").append(key).append("=");
+    for (char c : value) text += c > ' ' && c <= '~' ? c : '_';
+  }
+  return text;
+}
+
 std::string& InstanceTag() {
   static std::string tag;
   return tag;
@@ -38,16 +48,31 @@
   InstanceTag() = std::string(instance) + "@" + std::string(failure_domain);
   boost::log::add_common_attributes();
   boost::log::add_console_log(
-      std::cerr, boost::log::keywords::auto_flush = true,
+      std::cout, boost::log::keywords::auto_flush = true,
       boost::log::keywords::format = "%TimeStamp% %Severity% %Message%");
   boost::log::core::get()->set_filter(trivial::severity >= SeverityOf(level));
 }
 
-void Log(LogLevel level, std::string_view part, const std::string& sentence) {
+bool LogBudget::Take(Instant now) {
+  if (now - second_ >= std::chrono::seconds(1)) {
+    second_ = now;
+    taken_ = 0;
+  }
+  if (taken_ >= lines_per_second_) {
+    ++left_out_;
+    return false;
+  }
+  ++taken_;
+  return true;
+}
+
+void Log(LogLevel level, std::string_view part, const std::string& sentence,
+         const LogFields& fields) {
   static boost::log::sources::severity_logger_mt<trivial::severity_level>
       logger;
   BOOST_LOG_SEV(logger, SeverityOf(level))
-      << "[" << part << "] " << InstanceTag() << ": " << sentence;
+      << "[" << part << "] " << InstanceTag() << ": " << sentence
+      << TextOf(fields);
 }
 
 }  // namespace hibiscusglade
--- /dev/null
+++ b/src/base/tests/compression_test.cc
@@ -0,0 +1,35 @@
+#include "base/compression.h"
+
+#include <gtest/gtest.h>
+
+namespace hibiscusglade {
+namespace {
+
+constexpr size_t kMost = 1 << 20;
+
+TEST(CompressedBytes, ComeBackAsTheyWere) {
+  for (const std::string& bytes :
+       {std::string(), std::string("a"), std::string(300'000, 'x'),
+        std::string("\0\xff\0", 3)}) {
+    EXPECT_EQ(Decompressed(Compressed(bytes), kMost), bytes);
+  }
+}
+
+TEST(CompressedBytes, AreFewerForADocument) {
+  std::string document;
+  for (int i = 0; i < 1000; ++i) {
+    document += "{\"path_prefix\":\"/p" + std::to_string(i) + "/\"},";
+  }
+  EXPECT_LT(Compressed(document).size() * 4, document.size());
+}
+
+TEST(CompressedBytes, AreRefusedWhenDamagedOrTooLarge) {
+  std::string bytes = Compressed(std::string(5000, 'y'));
+  EXPECT_EQ(Decompressed(bytes, 4999), std::nullopt);
+  EXPECT_EQ(Decompressed(bytes.substr(0, bytes.size() / 2), kMost),
+            std::nullopt);
+  EXPECT_EQ(Decompressed("no zlib", kMost), std::nullopt);
+}
+
+}  // namespace
+}  // namespace hibiscusglade
--- a/src/consensus/internal/replica.cc
+++ b/src/consensus/internal/replica.cc
@@ -18,7 +18,9 @@
 constexpr char kIdentityFile[] = "identity";
 constexpr Duration kJoinInterval = std::chrono::milliseconds(500);
 constexpr Duration kProposalTimeout = std::chrono::seconds(5);
-constexpr uint64_t kCompactionBytes = 4U << 20U;
+/// Applying a log of this size again after a restart takes about a second on
+/// the smallest machines.
+constexpr uint64_t kCompactionBytes = 1U << 20U;
 /// A change of a document of 350 routes takes some 20 ms on the smallest
 /// machines; heartbeats leave each 100 ms.
 constexpr size_t kMaxAppliedPerTurn = 2;
--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -1,8 +1,13 @@
 #include "control/internal/control_codec.h"
 
+#include "base/compression.h"
+
 namespace hibiscusglade {
 namespace {
 
+/// The ledger takes no larger documents.
+constexpr size_t kMaxWholeBytes = size_t{4} << 20U;
+
 struct DistributionFiller {
   wire::Envelope& out;
 
@@ -25,7 +30,7 @@
       out_step->set_number(step.number);
       out_step->set_patch(step.patch);
     }
-    to->set_whole(m.whole);
+    if (!m.whole.empty()) to->set_whole(Compressed(m.whole));
     to->set_number(m.number);
     to->set_digest(m.digest);
     to->set_busy(m.busy);
@@ -107,7 +112,10 @@
   for (const wire::VersionStep& step : in.steps()) {
     answer.steps.push_back({step.number(), step.patch()});
   }
-  answer.whole = in.whole();
+  if (!in.whole().empty()) {
+    // A damaged one gives no text, and the answer is passed over.
+    answer.whole = Decompressed(in.whole(), kMaxWholeBytes).value_or("");
+  }
   answer.number = in.number();
   answer.digest = in.digest();
   answer.busy = in.busy();
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <utility>
 
+#include "base/compression.h"
 #include "base/log.h"
 #include "consensus/consensus_codec.h"
 #include "consensus/consensus_result_codes.h"
@@ -173,8 +174,8 @@
     command.set_patch_id(proposal.proposal_id);
     command.set_base(proposal.base);
     command.set_number(proposal.number);
-    command.set_document(proposal.document);
-    command.set_source(proposal.source);
+    command.set_document(Compressed(proposal.document));
+    command.set_source(Compressed(proposal.source));
     command.set_author(proposal.author);
     command.set_proposed_at(static_cast<uint64_t>(clock_.UnixMicros()));
     ReplicaResult result = SubmitAndWait(command.SerializeAsString(), false);
@@ -360,6 +361,16 @@
   }
 
   void TakeAnnouncement(const UpstreamAnnouncement& upstream) {
+    const auto before = membership_->LocalUpstream();
+    if (!before.has_value() || before->id != upstream.id ||
+        before->state != upstream.state) {
+      Log(LogLevel::kInfo, "control", "The local upstream announced itself.",
+          {{"upstream", upstream.id},
+           {"service", upstream.service},
+           {"state", std::to_string(static_cast<int>(upstream.state))},
+           {"born", std::to_string(upstream.born_ms)},
+           {"sequence", std::to_string(upstream.sequence)}});
+    }
     Follow(membership_->OnAnnounce(upstream, clock_.Now()));
   }
 
--- a/src/control/internal/control_views.cc
+++ b/src/control/internal/control_views.cc
@@ -3,10 +3,17 @@
 #include <map>
 #include <utility>
 
+#include "base/compression.h"
 #include "consensus/consensus_result_codes.h"
 #include "versions/versions_result_codes.h"
 
 namespace hibiscusglade {
+namespace {
+
+/// The ledger takes no larger ones.
+constexpr size_t kMaxSourceBytes = size_t{4} << 20U;
+
+}  // namespace
 
 std::error_code ErrorFromNumber(int number) {
   if (number == 0) return {};
@@ -17,8 +24,12 @@
 }
 
 VersionRow RowOf(const wire::StoredVersion& in) {
+  std::string source;
+  if (!in.source().empty()) {
+    source = Decompressed(in.source(), kMaxSourceBytes).value_or("");
+  }
   return {in.number(), in.parent(),      in.digest(), in.patch_id(),
-          in.author(), in.accepted_at(), in.whole(),  in.source()};
+          in.author(), in.accepted_at(), in.whole(),  std::move(source)};
 }
 
 ProposalVerdict VerdictOfWire(const wire::PatchVerdict& in) {
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "base/digest.h"
+#include "base/log.h"
 #include "entry/internal/attempt_policy.h"
 #include "entry/internal/call_table.h"
 #include "routing/routing_result_codes.h"
@@ -15,6 +16,8 @@
 constexpr uint64_t kInitialCreditBytes = 256 * 1024;
 constexpr Duration kLeastRetryPause = std::chrono::milliseconds(10);
 constexpr uint64_t kPauseSteps = 8;
+/// A line takes some 10 us, so that these stay below a thousandth of a core.
+constexpr uint32_t kLogLinesPerSecond = 20;
 
 Refusal RefusalOf(RoutingCode code, Certainty certainty) {
   const std::error_code error = code;
@@ -36,7 +39,7 @@
     call.table = parts_.routes.Current();
     call.began = now;
     if (auto refused = FindRoute(call)) {
-      Refuse(call, RefusalOf(*refused, Certainty::kNotRun));
+      Refuse(call, RefusalOf(*refused, Certainty::kNotRun), now);
       return;
     }
     Duration timeout = call.route->timeout;
@@ -104,6 +107,9 @@
       return;
     }
     EndAttempt(id, AttemptOutcome::kAnswered, now);
+    if (call->tried.size() > 1) {
+      LogOutcome(*call, "answered after another try", 0, "run", now);
+    }
     call->stream->OnEnd();
     parts_.metrics.HistogramOf("call_seconds", "").Record(now - call->began);
     calls_.Remove(handle);
@@ -236,7 +242,7 @@
         return;
       }
     }
-    Refuse(call, *call.last_refusal);
+    Refuse(call, *call.last_refusal, now);
     calls_.Remove(handle);
   }
 
@@ -280,7 +286,7 @@
       return;
     }
     Count("retries_denied_total", AttemptVerdictName(verdict));
-    Refuse(call, *call.last_refusal);
+    Refuse(call, *call.last_refusal, now);
     calls_.Remove(handle);
   }
 
@@ -316,7 +322,7 @@
     const bool head_passed = call.HeadPassed();
     call.answering.clear();
     CancelOpen(call, now);
-    Tell(call, refusal, head_passed);
+    Tell(call, refusal, head_passed, now);
     calls_.Remove(handle);
   }
 
@@ -335,11 +341,14 @@
     parts_.chooser.OnEnded(attempt.instance, outcome, now - attempt.sent, now);
   }
 
-  void Refuse(OpenCall& call, const Refusal& refusal) {
-    Tell(call, refusal, call.HeadPassed());
+  void Refuse(OpenCall& call, const Refusal& refusal, Instant now) {
+    Tell(call, refusal, call.HeadPassed(), now);
   }
 
-  void Tell(OpenCall& call, const Refusal& refusal, bool head_passed) {
+  void Tell(OpenCall& call, const Refusal& refusal, bool head_passed,
+            Instant now) {
+    LogOutcome(call, refusal.code.message(), refusal.code.value(),
+               CertaintyName(refusal.certainty), now);
     Count("call_refusals_total", refusal.code);
     if (head_passed) {
       call.stream->OnBroken(refusal);
@@ -348,6 +357,30 @@
     }
   }
 
+  /// One line for each call that is refused, fails or needs more than one
+  /// owner: from its id to what decided.
+  void LogOutcome(const OpenCall& call, const std::string& outcome, int code,
+                  std::string_view certainty, Instant now) {
+    if (!log_budget_.Take(now)) return;
+    std::string owners;
+    for (const std::string& instance : call.tried) {
+      owners += (owners.empty() ? "" : ",") + instance;
+    }
+    const uint64_t version =
+        call.table == nullptr ? 0 : call.table->VersionNumber();
+    Log(LogLevel::kInfo, "entry", "A call ended: " + outcome + ".",
+        {{"request", call.request.request_id},
+         {"route", call.route == nullptr ? "-" : call.route->name},
+         {"service", call.service.empty() ? "-" : call.service},
+         {"version", std::to_string(version)},
+         {"owners", owners.empty() ? "-" : owners},
+         {"attempts", std::to_string(call.attempts)},
+         {"code", std::to_string(code)},
+         {"outcome", std::string(certainty)},
+         {"ms", std::to_string((now - call.began).count() / 1000)},
+         {"lines_left_out", std::to_string(log_budget_.TakeLeftOut())}});
+  }
+
   void TellEjections() {
     const ChooserCounts counts = parts_.chooser.Counts();
     if (counts == told_) return;
@@ -383,6 +416,7 @@
   SharePicker shares_;
   CallTable calls_;
   uint64_t last_attempt_ = 0;
+  LogBudget log_budget_{kLogLinesPerSecond};
   ChooserCounts told_;
   bool stopping_ = false;
 };
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -29,6 +29,9 @@
 constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
 /// Longest answer of known length that is held until it is whole: one chunk.
 constexpr int64_t kMaxHeldAnswerBytes = int64_t{64} * 1024;
+/// Refusals for want of room are counted, not written: the entry's line has
+/// their code.
+constexpr uint32_t kLogLinesPerSecond = 10;
 /// Room for an answer's head in the kept answer.
 constexpr size_t kKeptHeadBytes = size_t{8} * 1024;
 
@@ -168,6 +171,15 @@
       GiveUp(run, AdmissionCode::kNotServing);
       return;
     }
+    if (log_budget_.Take(now)) {
+      Log(LogLevel::kInfo, "owner", "A run failed: " + failure.reason + ".",
+          {{"request", job->attempt.request.request_id},
+           {"upstream", job->attempt.upstream_id},
+           {"progress", std::to_string(static_cast<int>(failure.progress))},
+           {"version", std::to_string(job->attempt.version)},
+           {"ms", std::to_string((now - job->run_began).count() / 1000)},
+           {"lines_left_out", std::to_string(log_budget_.TakeLeftOut())}});
+    }
     if (failure.progress == RunProgress::kRejected) {
       EndRun(run, now);
       GiveUp(run, failure.other_upstream ? AdmissionCode::kNotServing
@@ -492,6 +504,7 @@
   std::map<Ticket, Job> jobs_;
   std::map<AttemptId, Ticket> by_attempt_;
   Ticket last_ticket_ = 0;
+  LogBudget log_budget_{kLogLinesPerSecond};
   bool draining_ = false;
   bool down_ = false;  ///< The upstream takes no connection.
   bool told_down_ = false;
--- a/src/versions/internal/version_ledger.cc
+++ b/src/versions/internal/version_ledger.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/compression.h"
 #include "versions/config_reader.h"
 #include "versions/versions_result_codes.h"
 #include "wire/storage.pb.h"
@@ -15,9 +16,9 @@
 constexpr size_t kVersionsPerCheckpoint = 100;
 /// Patches and texts that are kept. A document of 350 routes has 60 KB, so
 /// that a storm of changes to it would fill a replica's memory.
-constexpr size_t kKeptVersionBytes = size_t{4} << 20U;
+constexpr size_t kKeptVersionBytes = size_t{1} << 20U;
 /// Patches between two whole texts, so that old ones can be dropped in parts.
-constexpr size_t kBytesPerCheckpoint = size_t{512} << 10U;
+constexpr size_t kBytesPerCheckpoint = size_t{256} << 10U;
 constexpr size_t kKeptVerdicts = 10000;
 constexpr size_t kKeptVerdictBytes = 4U << 20U;
 constexpr size_t kMaxPatchIdBytes = 128;
@@ -32,9 +33,11 @@
   if (command.document().empty()) {
     return DigestOf(command.patch(), DigestOf(place));
   }
-  const Digest whole =
-      DigestOf(command.document(), DigestOf(std::to_string(command.number())));
-  return DigestOf(command.source(), DigestOf(place, whole));
+  // Compressed bytes may differ between releases of the library.
+  const std::string source =
+      Decompressed(command.source(), kMaxDocumentBytes).value_or("");
+  const std::string number = std::to_string(command.number());
+  return DigestOf(source, DigestOf(number, DigestOf(place)));
 }
 
 std::string TooLong(const char* what, size_t bytes, size_t most) {
@@ -228,14 +231,15 @@
                               std::to_string(latest.number)});
     return nullptr;
   }
-  const size_t bytes = command.document().size() + command.source().size();
-  if (bytes > kMaxDocumentBytes) {
-    faults.push_back({"", TooLong("the document", bytes, kMaxDocumentBytes)});
+  const auto document = Decompressed(command.document(), kMaxDocumentBytes);
+  if (!document.has_value() ||
+      !Decompressed(command.source(), kMaxDocumentBytes).has_value()) {
+    faults.push_back({"", "the document is damaged or longer than " +
+                              std::to_string(kMaxDocumentBytes) + " bytes"});
     return nullptr;
   }
   // Its proposer has read the text strictly and written it anew.
-  nlohmann::json value =
-      nlohmann::json::parse(command.document(), nullptr, false);
+  nlohmann::json value = nlohmann::json::parse(*document, nullptr, false);
   if (value.is_discarded()) {
     faults.push_back({"", "the document is no JSON"});
     return nullptr;
