Ask another peer within 400 ms when a pull gets no answer

Change: pulls time out after 400 ms, notices leave each 500 ms, connections of the control plane come back within 500 ms and silent ones go after 2.5 s. The test of a peer that has ended failed before.

--- a/src/distribution/tests/version_follower_test.cc
+++ b/src/distribution/tests/version_follower_test.cc
@@ -85,6 +85,21 @@
   EXPECT_EQ(follower_->OnMessage("y", answer, now_).activate, nullptr);
 }
 
+TEST_F(AFollowerWithAFloor, AsksAnotherPeerSoonWhenOneHasEnded) {
+  follower_->SetPeers({{"y", "a", "y", false}, {"z", "a", "z", false}});
+  const VersionNotice notice{1, 7};
+  ASSERT_EQ(follower_->OnMessage("y", notice, now_).send.size(), 1u);
+  // Nothing comes back. The users want a change in force within two seconds.
+  int pulls = 0;
+  for (int i = 0; i < 20; ++i) {
+    now_ += std::chrono::milliseconds(50);
+    for (const DistributionSend& sent : follower_->OnTick(now_).send) {
+      if (std::holds_alternative<VersionPull>(sent.message)) ++pulls;
+    }
+  }
+  EXPECT_GE(pulls, 2);
+}
+
 class AHerdOfFollowers : public AFollower {};
 
 TEST_F(AHerdOfFollowers, IsToldToAskElsewhere) {
--- a/src/distribution/version_follower.h
+++ b/src/distribution/version_follower.h
@@ -17,8 +17,10 @@
   std::string instance;
   std::string failure_domain;
   bool replica = false;  ///< A control replica runs here.
-  Duration notice_interval = std::chrono::seconds(1);
-  Duration pull_timeout = std::chrono::seconds(2);
+  /// Notices at a change may be lost; users want it in force within 2 s.
+  Duration notice_interval = std::chrono::milliseconds(500);
+  /// A peer that has ended answers nothing; another is asked soon after.
+  Duration pull_timeout = std::chrono::milliseconds(400);
   Duration busy_pause = std::chrono::milliseconds(100);
   Duration floor_interval = std::chrono::milliseconds(500);
 };
--- a/src/peer/internal/zmq_transport.cc
+++ b/src/peer/internal/zmq_transport.cc
@@ -15,10 +15,12 @@
 constexpr int kHighWaterMark = 4000;
 constexpr int kMaxMessageBytes = 64 << 20;
 constexpr int kReconnectLowestMs = 100;
-constexpr int kReconnectHighestMs = 2000;
-constexpr int kHeartbeatMs = 2000;
-constexpr int kHeartbeatTimeoutMs = 5000;
-constexpr int kHandshakeTimeoutMs = 2000;
+// A peer that starts again, or a link that comes back, must be found well
+// within the 2 s in which a change is to be in force.
+constexpr int kReconnectHighestMs = 500;
+constexpr int kHeartbeatMs = 1000;
+constexpr int kHeartbeatTimeoutMs = 2500;
+constexpr int kHandshakeTimeoutMs = 1000;
 constexpr int kMaxMessagesPerTurn = 256;
 constexpr Duration kIdleConnectionLife = std::chrono::seconds(60);
 
