--- a/src/consensus/internal/replica.cc
+++ b/src/consensus/internal/replica.cc
@@ -180,7 +180,7 @@
   void TellChanges() {
     const ReplicaRole role = node_->Role();
     const std::string leader = LeaderAddress();
-    const size_t members = node_->Members().size();
+    const std::string members = MembersText();
     if (role == told_role_ && leader == told_leader_ &&
         members == told_members_) {
       return;
@@ -193,7 +193,7 @@
             std::to_string(node_->CurrentTerm()) + ", committed through " +
             std::to_string(node_->CommitIndex()) + ", leader " +
             (leader.empty() ? "unknown" : leader) + ", members " +
-            MembersText() + ".");
+            members + ".");
   }
 
   std::string MembersText() const {
@@ -361,7 +361,7 @@
   std::error_code failure_;
   std::optional<ReplicaRole> told_role_;
   std::string told_leader_;
-  size_t told_members_ = 0;
+  std::string told_members_;
 };
 
 std::error_code SaveIdentity(DataFolder& folder, const std::string& name,
