--- /dev/null
+++ b/src/caller/tests/caller_connection_test.cc
@@ -0,0 +1,208 @@
+#include "caller/internal/caller_connection.h"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <map>
+
+#include "base/clock.h"
+
+namespace hibiscusglade {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Takes requests and lets the test answer them.
+class HeldCalls : public CallHandler {
+ public:
+  CallHandle Begin(CallRequest request,
+                   std::unique_ptr<CallerStream> stream) override {
+    begun.push_back(request.target);
+    streams[request.target] = std::move(stream);
+    handles[++last_] = request.target;
+    return last_;
+  }
+  void Consumed(CallHandle, uint64_t) override {}
+  void Cancel(CallHandle call) override { left.push_back(handles[call]); }
+
+  void Answer(const std::string& target, const std::string& body) {
+    streams[target]->OnHead({200, {}, static_cast<int64_t>(body.size())});
+    streams[target]->OnData(body);
+    streams[target]->OnEnd();
+  }
+
+  std::vector<std::string> begun;
+  std::vector<std::string> left;
+  std::map<std::string, std::unique_ptr<CallerStream>> streams;
+  std::map<CallHandle, std::string> handles;
+
+ private:
+  CallHandle last_ = 0;
+};
+
+class ACallersConnection : public testing::Test {
+ protected:
+  ACallersConnection() {
+    int ends[2];
+    EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
+    caller_ = ends[0];
+    connection_ = std::make_unique<CallerConnection>(
+        ends[1], "10.0.0.9",
+        CallerConnection::Parts{
+            loop_, clock_, calls_, OwnCallerDialect(), origin_,
+            [this] { return limits_; }, [] { return std::string("r1"); },
+            [this](int) { over_ = true; }, [](const std::error_code&) {}});
+    limits_.request = {1000, 1000};
+    limits_.head_timeout = std::chrono::seconds(3);
+    limits_.idle_timeout = std::chrono::seconds(15);
+    connection_->Start();
+  }
+  ~ACallersConnection() override {
+    connection_.reset();
+    if (caller_ >= 0) close(caller_);
+  }
+
+  void Send(const std::string& bytes) {
+    send(caller_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    Turn();
+  }
+  void Turn() {
+    for (int i = 0; i < 5; ++i) loop_.Turn(milliseconds(1));
+  }
+  std::string Received() {
+    Turn();
+    std::string bytes;
+    char buffer[4096];
+    for (ssize_t taken = recv(caller_, buffer, sizeof(buffer), 0); taken > 0;
+         taken = recv(caller_, buffer, sizeof(buffer), 0)) {
+      bytes.append(buffer, static_cast<size_t>(taken));
+    }
+    return bytes;
+  }
+  static std::string Get(const std::string& target) {
+    return "GET " + target + " HTTP/1.1\r\nHost: a.example\r\n\r\n";
+  }
+
+  SteadyClock clock_;
+  EventLoop loop_{clock_};
+  HeldCalls calls_;
+  std::string origin_ = "orders";
+  ConnectionLimits limits_;
+  bool over_ = false;
+  int caller_ = -1;
+  std::unique_ptr<CallerConnection> connection_;
+};
+
+class PipelinedRequests : public ACallersConnection {};
+
+TEST_F(PipelinedRequests, BeginAtOnceAndAreAnsweredInOrder) {
+  Send(Get("/1") + Get("/2") + Get("/3"));
+  EXPECT_EQ(calls_.begun, (std::vector<std::string>{"/1", "/2", "/3"}));
+  calls_.Answer("/3", "third");
+  calls_.Answer("/2", "second");
+  EXPECT_EQ(Received(), "");
+  calls_.Answer("/1", "first");
+  const std::string all = Received();
+  EXPECT_LT(all.find("first"), all.find("second"));
+  EXPECT_LT(all.find("second"), all.find("third"));
+  EXPECT_NE(all.find("third"), std::string::npos);
+}
+
+TEST_F(PipelinedRequests, ThatMayChangeSomethingWaitForTheirTurn) {
+  Send(Get("/1") + "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx" +
+       Get("/3"));
+  EXPECT_EQ(calls_.begun, std::vector<std::string>{"/1"});
+  calls_.Answer("/1", "first");
+  Turn();
+  EXPECT_EQ(calls_.begun, (std::vector<std::string>{"/1", "/2"}));
+}
+
+class ACallerThatLeaves : public ACallersConnection {};
+
+TEST_F(ACallerThatLeaves, IsNoticedWhileItsRequestsRun) {
+  Send(Get("/1") + Get("/2"));
+  close(caller_);
+  caller_ = -1;
+  Turn();
+  EXPECT_EQ(calls_.left, (std::vector<std::string>{"/1", "/2"}));
+  EXPECT_TRUE(over_);
+}
+
+class AnAnswer : public ACallersConnection {};
+
+TEST_F(AnAnswer, ThatBreaksOffNeverLooksWhole) {
+  Send(Get("/1"));
+  calls_.streams["/1"]->OnHead({200, {}, 100});
+  calls_.streams["/1"]->OnData("part");
+  EXPECT_NE(Received().find("Content-Length: 100"), std::string::npos);
+  calls_.streams["/1"]->OnBroken({});
+  Turn();
+  EXPECT_TRUE(over_);
+}
+
+TEST_F(AnAnswer, ThatBreaksOffBeforeAnyByteLeftBecomesARefusal) {
+  Send(Get("/1") + Get("/2"));
+  calls_.streams["/2"]->OnHead({200, {}, 100});
+  calls_.streams["/2"]->OnBroken({});
+  calls_.Answer("/1", "first");
+  EXPECT_NE(Received().find("HTTP/1.1 502"), std::string::npos);
+  EXPECT_FALSE(over_);
+}
+
+TEST_F(AnAnswer, OfUnknownLengthComesInChunks) {
+  Send(Get("/1"));
+  calls_.streams["/1"]->OnHead({200, {}, -1});
+  calls_.streams["/1"]->OnData("abc");
+  calls_.streams["/1"]->OnEnd();
+  EXPECT_NE(Received().find("\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+            std::string::npos);
+}
+
+class AConnectionOfAStoppingDaemon : public ACallersConnection {};
+
+TEST_F(AConnectionOfAStoppingDaemon, AnswersAllThatWasReadBefore) {
+  Send(Get("/1") + Get("/2"));
+  connection_->CloseAfterAnswer();
+  calls_.Answer("/1", "first");
+  calls_.Answer("/2", "second");
+  const std::string both = Received();
+  EXPECT_NE(both.find("second"), std::string::npos);
+  EXPECT_EQ(both.find("Connection: close"), std::string::npos);
+  Send(Get("/3"));
+  calls_.Answer("/3", "third");
+  EXPECT_NE(Received().find("Connection: close"), std::string::npos);
+}
+
+class InputThatIsNoRequest : public ACallersConnection {};
+
+TEST_F(InputThatIsNoRequest, IsRefusedWithItsFault) {
+  const std::string head = "GET /1 HTTP/1.1\r\nHost: a\r\n";
+  for (const auto& [input, status] : std::map<std::string, std::string>{
+           {"nonsense\r\n\r\n", "405"},
+           {head + "X-Long: " + std::string(2000, 'x') + "\r\n\r\n", "431"},
+           {head + "Content-Length: 2000\r\n\r\n", "413"},
+           {head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "400"},
+           {head + "X-Request-Timeout-Ms: soon\r\n\r\n", "400"}}) {
+    int ends[2];
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
+    CallerConnection connection(
+        ends[1], "c",
+        {loop_, clock_, calls_, OwnCallerDialect(), origin_,
+         [this] { return limits_; }, [] { return std::string("r"); },
+         [](int) {}, [](const std::error_code&) {}});
+    connection.Start();
+    send(ends[0], input.data(), input.size(), MSG_NOSIGNAL);
+    Turn();
+    char buffer[4096] = "";
+    const ssize_t taken = recv(ends[0], buffer, sizeof(buffer) - 1, 0);
+    ASSERT_GT(taken, 12) << input;
+    EXPECT_EQ(std::string(buffer + 9, 3), status) << input;
+    close(ends[0]);
+  }
+  EXPECT_TRUE(calls_.begun.empty());
+}
+
+}  // namespace
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/membership/tests/announcement_test.cc
@@ -0,0 +1,101 @@
+#include <gtest/gtest.h>
+
+#include "membership/membership.h"
+
+namespace hibiscusglade {
+namespace {
+
+using std::chrono::seconds;
+
+class AnUpstreamBesideADaemon : public testing::Test {
+ protected:
+  AnUpstreamBesideADaemon() {
+    MembershipConfig config;
+    config.self.instance = "x";
+    config.expected_service = "orders";
+    config.expected_address = "10.0.0.1:80";
+    membership_ = MakeMembership(config, 1, now_);
+  }
+
+  void Announce(const std::string& id, int64_t born_ms, uint64_t sequence,
+                UpstreamState state = UpstreamState::kServing) {
+    UpstreamAnnouncement upstream;
+    upstream.service = "orders";
+    upstream.address = "10.0.0.1:80";
+    upstream.slots = 4;
+    upstream.id = id;
+    upstream.born_ms = born_ms;
+    upstream.sequence = sequence;
+    upstream.state = state;
+    membership_->OnAnnounce(upstream, now_);
+  }
+
+  std::string Id() {
+    const auto upstream = membership_->LocalUpstream();
+    return upstream.has_value() ? upstream->id : "";
+  }
+  UpstreamState State() { return membership_->LocalUpstream()->state; }
+
+  Instant now_ = Instant(seconds(1000));
+  std::unique_ptr<Membership> membership_;
+};
+
+class ALateAnnouncement : public AnUpstreamBesideADaemon {};
+
+TEST_F(ALateAnnouncement, OfAnEarlierStartIsPassedOver) {
+  Announce("i-2", 2000, 1);
+  Announce("i-1", 1000, 99);
+  EXPECT_EQ(Id(), "i-2");
+}
+
+TEST_F(ALateAnnouncement, DoesNotUndoADrain) {
+  Announce("i-1", 1000, 5, UpstreamState::kDraining);
+  Announce("i-1", 1000, 4);
+  EXPECT_EQ(State(), UpstreamState::kDraining);
+  Announce("i-1", 1000, 6);
+  EXPECT_EQ(State(), UpstreamState::kServing);
+}
+
+TEST_F(ALateAnnouncement, DoesNotBringBackWhoHasLeft) {
+  Announce("i-1", 1000, 5);
+  membership_->OnUpstreamGone("i-1", 0, now_);
+  Announce("i-1", 1000, 6);
+  EXPECT_EQ(Id(), "");
+}
+
+class ANewStart : public AnUpstreamBesideADaemon {};
+
+TEST_F(ANewStart, UnderTheSameIdCountsItsAnnouncementsAnew) {
+  Announce("i-1", 1000, 50);
+  Announce("i-1", 3000, 1);
+  EXPECT_EQ(membership_->LocalUpstream()->born_ms, 3000);
+}
+
+TEST_F(ANewStart, IsNotTakenAwayByTheLastWordsOfTheOldOne) {
+  Announce("i-1", 1000, 50);
+  Announce("i-1", 3000, 1);
+  membership_->OnUpstreamGone("i-1", 1000, now_);
+  EXPECT_EQ(Id(), "i-1");
+  Announce("i-2", 4000, 1);
+  membership_->OnUpstreamGone("i-1", 0, now_);
+  EXPECT_EQ(Id(), "i-2");
+}
+
+class AnotherWritersAnnouncement : public AnUpstreamBesideADaemon {};
+
+TEST_F(AnotherWritersAnnouncement, OfAnotherServiceOrAddressIsPassedOver) {
+  Announce("i-1", 1000, 1);
+  UpstreamAnnouncement forged;
+  forged.id = "forged";
+  forged.born_ms = 9000;
+  forged.service = "catalog";
+  forged.address = "10.0.0.1:80";
+  membership_->OnAnnounce(forged, now_);
+  forged.service = "orders";
+  forged.address = "10.0.0.2:80";
+  membership_->OnAnnounce(forged, now_);
+  EXPECT_EQ(Id(), "i-1");
+}
+
+}  // namespace
+}  // namespace hibiscusglade
