--- a/src/peer/internal/tcp_transport.cc
+++ b/src/peer/internal/tcp_transport.cc
@@ -389,10 +389,9 @@
       return;
     }
     made_.erase(address);
-    if (loss_listener_) {
-      loop_.Defer(
-          [this, address, reached] { loss_listener_(address, reached); });
-    }
+    // At once: what is sent later goes over a new connection, and this word
+    // must not be taken for one on that.
+    if (loss_listener_) loss_listener_(address, reached);
   }
 
   void CloseSocket(Connection& connection) {
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -42,6 +42,7 @@
                          const wire::Envelope& message)>;
 
   /// Called when a connection of this process's own was lost.
+  /// It is told before anything is sent on the next one.
   /// @param reached false: it was never there, so that nothing sent on it has
   /// arrived.
   using LossListener =
--- a/src/peer/tests/loop_transport_test.cc
+++ b/src/peer/tests/loop_transport_test.cc
@@ -1,4 +1,7 @@
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/metrics.h"
 #include "peer/peer_transport.h"
@@ -96,5 +99,87 @@
   EXPECT_EQ(lost_[0], std::pair(std::string(kNobody), false));
 }
 
+/// A listener whose queue is full: connections to it hang, as across a cut.
+class CutOffPeer {
+ public:
+  explicit CutOffPeer(uint16_t port) {
+    address_.sin_family = AF_INET;
+    address_.sin_port = htons(port);
+    address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    const int yes = 1;
+    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    const auto* plain = reinterpret_cast<const sockaddr*>(&address_);
+    EXPECT_EQ(bind(listener_, plain, sizeof(address_)), 0);
+    EXPECT_EQ(listen(listener_, 0), 0);
+    for (int& filler : fillers_) {
+      filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(filler, plain, sizeof(address_));
+    }
+  }
+  ~CutOffPeer() {
+    for (int one : open_) close(one);
+    for (int filler : fillers_) close(filler);
+    close(listener_);
+  }
+
+  /// The cut heals: there is room for connections again.
+  void Heal() {
+    for (int filler : fillers_) shutdown(filler, SHUT_RDWR);
+    Accept();
+  }
+
+  /// @return bytes that have arrived on all connections.
+  size_t Received() {
+    Accept();
+    size_t bytes = 0;
+    for (int one : open_) {
+      char buffer[512];
+      const ssize_t got = recv(one, buffer, sizeof(buffer), 0);
+      if (got > 0) bytes += static_cast<size_t>(got);
+    }
+    return bytes;
+  }
+
+ private:
+  void Accept() {
+    for (int taken = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
+         taken >= 0;
+         taken = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK)) {
+      open_.push_back(taken);
+    }
+  }
+
+  sockaddr_in address_{};
+  int listener_ = -1;
+  int fillers_[3] = {-1, -1, -1};
+  std::vector<int> open_;
+};
+
+class TwoPeersCutOffAtOnce : public TwoDaemonsOnOneLoop {};
+
+TEST_F(TwoPeersCutOffAtOnce, GetNothingThatIsToldAsNeverSent) {
+  CutOffPeer one(17743);
+  CutOffPeer two(17744);
+  const std::string first = "127.0.0.1:17743";
+  const std::string second = "127.0.0.1:17744";
+  // What was for the first goes to the second, as an entry does.
+  x_->SetLossListener([&](const std::string& address, bool reached) {
+    lost_.emplace_back(address, reached);
+    if (address != first) return;
+    two.Heal();
+    Send(second, "again");
+  });
+  Send(first, "1");
+  Send(second, "2");
+  for (int i = 0; i < 200 && lost_.size() < 2; ++i) Turn(10);
+  ASSERT_EQ(lost_.size(), 2u);
+  EXPECT_EQ(lost_[1], std::pair(second, false));
+  for (int i = 0; i < 20; ++i) {
+    Turn(5);
+    EXPECT_EQ(two.Received(), 0u);
+  }
+}
+
 }  // namespace
 }  // namespace hibiscusglade
