--- a/src/peer/tests/loop_transport_test.cc
+++ b/src/peer/tests/loop_transport_test.cc
@@ -15,7 +15,7 @@
 class TwoDaemonsOnOneLoop : public testing::Test {
  protected:
   TwoDaemonsOnOneLoop() {
-    EXPECT_FALSE(y_->Listen(kAddressOfY));
+    EXPECT_FALSE(y_->Listen(address_of_y_));
     y_->SetReceiver([this](const std::string&, const ReturnPath& path,
                            const wire::Envelope& message) {
       at_y_.push_back(message.call_cancel().attempt());
@@ -41,7 +41,9 @@
     for (int i = 0; i < turns; ++i) x_->Poll(-1, milliseconds(2));
   }
 
-  static constexpr char kAddressOfY[] = "127.0.0.1:17741";
+  // Tests run beside each other, each in a process of its own.
+  const std::string address_of_y_ =
+      "127.0.0.1:" + std::to_string(20000 + getpid() % 10000);
   static constexpr char kNobody[] = "127.0.0.1:17742";
 
   SteadyClock clock_;
@@ -57,25 +59,25 @@
 };
 
 TEST_F(TwoDaemonsOnOneLoop, ExchangeMessagesInOrder) {
-  Send(kAddressOfY, "1");
-  Send(kAddressOfY, std::string(300'000, 'x'));
-  Send(kAddressOfY, "3");
+  Send(address_of_y_, "1");
+  Send(address_of_y_, std::string(300'000, 'x'));
+  Send(address_of_y_, "3");
   Turn();
   ASSERT_EQ(at_y_.size(), 3u);
   EXPECT_EQ(at_y_[0], "1");
   EXPECT_EQ(at_y_[1].size(), 300'000u);
   EXPECT_EQ(at_y_[2], "3");
-  EXPECT_EQ(at_x_[0], std::string(kAddressOfY) + " answer");
+  EXPECT_EQ(at_x_[0], address_of_y_ + " answer");
 }
 
 TEST_F(TwoDaemonsOnOneLoop, SendNothingOnAConnectionThatIsNotThereYet) {
-  Send(kAddressOfY, "1");
+  Send(address_of_y_, "1");
   Turn();
   // The next connection gets the descriptor of the one that is dropped with a
   // message still to leave.
-  Send(kAddressOfY, "2");
-  x_->Reset(kAddressOfY);
-  Send(kAddressOfY, "3");
+  Send(address_of_y_, "2");
+  x_->Reset(address_of_y_);
+  Send(address_of_y_, "3");
   Turn();
   EXPECT_EQ(at_y_, (std::vector<std::string>{"1", "3"}));
   EXPECT_TRUE(lost_.empty());
@@ -84,12 +86,12 @@
 class ALostConnection : public TwoDaemonsOnOneLoop {};
 
 TEST_F(ALostConnection, IsToldAtOnceWhenItsPeerEnds) {
-  Send(kAddressOfY, "1");
+  Send(address_of_y_, "1");
   Turn();
   y_.reset();
   Turn();
   ASSERT_EQ(lost_.size(), 1u);
-  EXPECT_EQ(lost_[0], std::pair(std::string(kAddressOfY), true));
+  EXPECT_EQ(lost_[0], std::pair(address_of_y_, true));
 }
 
 TEST_F(ALostConnection, ThatNeverWasIsToldAsSuch) {
