Let one piece of code serve what the change had written twice

Cause: read again as a whole, the change repeated what stood elsewhere or did work twice. Found and mended: - open connections were told apart by descriptor in one place and by number in another; a number now does it everywhere (descriptors are used again, and a handler may drop and remake the connection whose frames are being taken); - "ip:port" was parsed three times and listeners opened twice: base/ socket_address; faults became JSON in four places: base/settings_faults; - the name of a replica's role, a caller's timeout, the submission of a proposal and the end of waiting exchanges stood twice each; - a turn of the control loop copied all records once for each change and twice for the route table: one copy a turn serves replicas and routes; - a replica wrote its members out as text in each turn to see whether they had changed, the entry each outcome although its line was left out, the gateway asked for its limits once for each connection: compared, built and asked once; - ways round through another thread, a listener call nobody makes and settings read for nothing are gone. Behaviour: one log word, "non-voter" for "without a vote". No test changed.

--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -57,39 +57,30 @@
     if (settings_.callers.port != 0) error = gateway_->Start();
     if (!error) error = requests_->Start(*claims_, *control_);
     if (!error) error = control_->Start();
-    if (!error) {
-      operators_ = Serve(
-          settings_.operators,
-          [this](const HttpRequest& request) {
-            return outside_.AnswerOperator(*control_, request);
-          },
-          HttpThreads::kOneEach, error);
-    }
-    if (!error) {
-      announcements_ = Serve(
-          settings_.announcements,
-          [this](const HttpRequest& request) {
-            return outside_.AnswerAnnouncement(*control_, request);
-          },
-          HttpThreads::kOne, error);
-    }
-    if (!error) {
-      readiness_ = Serve(
-          settings_.readiness,
-          [this](const HttpRequest& request) {
-            return outside_.AnswerReadiness(control_->Ready(), request);
-          },
-          HttpThreads::kOne, error);
-    }
-    if (!error) {
-      metrics_server_ = Serve(
-          settings_.metrics,
-          [this](const HttpRequest& request) {
-            return hibiscusglade::AnswerOperator(*control_,
-                                                 {"GET", "/metrics", {}, {}});
-          },
-          HttpThreads::kOneEach, error);
-    }
+    operators_ = Serve(
+        settings_.operators,
+        [this](const HttpRequest& request) {
+          return outside_.AnswerOperator(*control_, request);
+        },
+        HttpThreads::kOneEach, error);
+    announcements_ = Serve(
+        settings_.announcements,
+        [this](const HttpRequest& request) {
+          return outside_.AnswerAnnouncement(*control_, request);
+        },
+        HttpThreads::kOne, error);
+    readiness_ = Serve(
+        settings_.readiness,
+        [this](const HttpRequest& request) {
+          return outside_.AnswerReadiness(control_->Ready(), request);
+        },
+        HttpThreads::kOne, error);
+    metrics_server_ = Serve(
+        settings_.metrics,
+        [this](const HttpRequest&) {
+          return AnswerOperator(*control_, {"GET", "/metrics", {}, {}});
+        },
+        HttpThreads::kOneEach, error);
     return error;
   }
 
@@ -125,10 +116,11 @@
   }
 
  private:
+  /// Starts a server where the settings name one and nothing failed before.
   static std::unique_ptr<SimpleHttpServer> Serve(
       const ListenerSettings& listener, SimpleHttpServer::Handler handler,
       HttpThreads threads, std::error_code& error) {
-    if (listener.port == 0) return nullptr;
+    if (error || listener.port == 0) return nullptr;
     return StartSimpleHttpServer(listener.address, listener.port,
                                  std::move(handler), threads, error);
   }
--- a/src/caller/caller_gateway.h
+++ b/src/caller/caller_gateway.h
@@ -36,9 +36,6 @@
 
   /// From now on each answer ends its connection.
   virtual void CloseAfterAnswers() = 0;
-
-  /// Takes no new connections; open ones go on.
-  virtual void Quiesce() = 0;
 };
 
 /// @param handler takes the requests; it must outlive the gateway.
--- a/src/caller/internal/caller_connection.cc
+++ b/src/caller/internal/caller_connection.cc
@@ -40,10 +40,8 @@
 CallerConnection::~CallerConnection() {
   *alive_ = false;
   for (const auto& exchange : exchanges_) exchange->changed = nullptr;
-  if (descriptor_ >= 0) {
-    parts_.loop.Forget(descriptor_);
-    close(descriptor_);
-  }
+  parts_.loop.Forget(descriptor_);
+  close(descriptor_);
 }
 
 void CallerConnection::Start() {
@@ -52,13 +50,12 @@
                     [this](uint32_t events) { OnEvents(events); });
 }
 
-void CallerConnection::CheckTime(Instant now) {
+void CallerConnection::CheckTime(const ConnectionLimits& limits, Instant now) {
   if (lingering_) {
     if (now - since_ > kLingerTime) End();
     return;
   }
   if (!exchanges_.empty()) return;
-  const ConnectionLimits limits = parts_.limits();
   if (parser_.State() == ParseState::kInHead) {
     if (now - since_ > limits.head_timeout) {
       RefuseInput(CallerCode::kHeadTooSlow);
@@ -234,9 +231,16 @@
   lingering_ = true;
   input_ended_ = true;
   since_ = parts_.clock.Now();
+  Abandon();
+}
+
+/// Nobody waits any more for what is still to be answered.
+void CallerConnection::Abandon() {
   for (const auto& exchange : exchanges_) {
     exchange->changed = nullptr;
-    if (exchange->call != 0) parts_.handler.Cancel(exchange->call);
+    if (exchange->call != 0 && !exchange->Done()) {
+      parts_.handler.Cancel(exchange->call);
+    }
   }
   exchanges_.clear();
 }
@@ -244,12 +248,7 @@
 void CallerConnection::End() {
   if (over_) return;
   over_ = true;
-  for (const auto& exchange : exchanges_) {
-    exchange->changed = nullptr;
-    if (exchange->call != 0 && !exchange->Done()) {
-      parts_.handler.Cancel(exchange->call);
-    }
-  }
+  Abandon();
   parts_.loop.Forget(descriptor_);
   // The connection may be in the midst of a callback.
   parts_.loop.Defer(
--- a/src/caller/internal/caller_connection.h
+++ b/src/caller/internal/caller_connection.h
@@ -54,7 +54,7 @@
   void CloseAfterAnswer() { closing_ = true; }
 
   /// Ends the connection when its time is over.
-  void CheckTime(Instant now);
+  void CheckTime(const ConnectionLimits& limits, Instant now);
 
  private:
   void OnEvents(uint32_t events);
@@ -70,6 +70,7 @@
   void EndFront();
   void WatchFor(bool room);
   void Linger();
+  void Abandon();
   void End();
 
   int descriptor_;
--- a/src/caller/internal/caller_gateway.cc
+++ b/src/caller/internal/caller_gateway.cc
@@ -11,6 +11,7 @@
 #include <memory>
 #include <utility>
 
+#include "base/socket_address.h"
 #include "caller/caller_result_codes.h"
 #include "caller/internal/caller_connection.h"
 
@@ -34,25 +35,17 @@
         metrics_(metrics) {}
 
   ~Gateway() override {
-    Quiesce();
+    if (listener_ >= 0) {
+      loop_.Forget(listener_);
+      close(listener_);
+    }
     if (check_ != 0) loop_.ClearTimer(check_);
   }
 
   std::error_code Start() override {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(config_.port);
-    if (inet_pton(AF_INET, config_.address.c_str(), &address.sin_addr) != 1) {
-      return CallerCode::kListenFailed;
-    }
-    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int yes = 1;
-    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-    if (bind(listener_, reinterpret_cast<sockaddr*>(&address),
-             sizeof(address)) != 0 ||
-        listen(listener_, kListenBacklog) != 0) {
-      return CallerCode::kListenFailed;
-    }
+    const auto address = SocketAddressOf(config_.address, config_.port);
+    if (address.has_value()) listener_ = ListenAt(*address, kListenBacklog);
+    if (listener_ < 0) return CallerCode::kListenFailed;
     loop_.Watch(listener_, EPOLLIN, [this](uint32_t) { Accept(); });
     CheckLater();
     return {};
@@ -65,13 +58,6 @@
     }
   }
 
-  void Quiesce() override {
-    if (listener_ < 0) return;
-    loop_.Forget(listener_);
-    close(listener_);
-    listener_ = -1;
-  }
-
  private:
   void Accept() {
     while (connections_.size() < config_.max_connections) {
@@ -110,7 +96,7 @@
 
   void Remove(int descriptor) {
     connections_.erase(descriptor);
-    if (listener_ >= 0) loop_.Change(listener_, EPOLLIN);
+    loop_.Change(listener_, EPOLLIN);
   }
 
   /// @return the limits of the version in use.
@@ -131,8 +117,9 @@
   void CheckLater() {
     check_ = loop_.SetTimer(clock_.Now() + kCheckInterval, [this] {
       const Instant now = clock_.Now();
+      const ConnectionLimits limits = Limits();
       for (auto& [descriptor, connection] : connections_) {
-        connection->CheckTime(now);
+        connection->CheckTime(limits, now);
       }
       CheckLater();
     });
--- a/src/caller/internal/own_caller_dialect.cc
+++ b/src/caller/internal/own_caller_dialect.cc
@@ -4,7 +4,6 @@
 namespace hibiscusglade {
 namespace {
 
-constexpr uint32_t kMaxTimeoutMs = 24U * 3600 * 1000;
 constexpr uint32_t kMaxDepth = 1000;
 constexpr int kStatusBadGateway = 502;
 
@@ -15,9 +14,7 @@
     if (SameField(field.name, "X-Request-Id")) {
       request.request_id = field.value;
     } else if (SameField(field.name, "X-Request-Timeout-Ms")) {
-      const auto millis = ParseFieldNumber(field.value, kMaxTimeoutMs);
-      request.timeout = std::chrono::milliseconds(millis.value_or(0));
-      return millis.has_value();
+      return TakeTimeout(field.value, request);
     } else if (SameField(field.name, "X-Request-Depth")) {
       const auto depth = ParseFieldNumber(field.value, kMaxDepth);
       request.depth = depth.value_or(0);
--- a/src/calls/field_values.h
+++ b/src/calls/field_values.h
@@ -40,6 +40,16 @@
   return number;
 }
 
+/// Reads how long a caller waits into its request.
+/// @param millis decimal number of milliseconds, up to a day.
+/// @return false, with no time set, when it is none.
+inline bool TakeTimeout(std::string_view millis, CallRequest& request) {
+  constexpr uint32_t kMaxTimeoutMs = 24U * 3600 * 1000;
+  const auto parsed = ParseFieldNumber(millis, kMaxTimeoutMs);
+  request.timeout = std::chrono::milliseconds(parsed.value_or(0));
+  return parsed.has_value();
+}
+
 }  // namespace hibiscusglade
 
 #endif  // HIBISCUSGLADE_CALLS_FIELD_VALUES_H_
--- a/src/consensus/internal/replica.cc
+++ b/src/consensus/internal/replica.cc
@@ -180,20 +180,19 @@
   void TellChanges() {
     const ReplicaRole role = node_->Role();
     const std::string leader = LeaderAddress();
-    const std::string members = MembersText();
     if (role == told_role_ && leader == told_leader_ &&
-        members == told_members_) {
+        node_->Members() == told_members_) {
       return;
     }
     told_role_ = role;
     told_leader_ = leader;
-    told_members_ = members;
+    told_members_ = node_->Members();
     Log(LogLevel::kInfo, "consensus",
-        std::string("The replica is ") + RoleName(role) + " in term " +
+        "The replica is " + NameOf(role) + " in term " +
             std::to_string(node_->CurrentTerm()) + ", committed through " +
             std::to_string(node_->CommitIndex()) + ", leader " +
-            (leader.empty() ? "unknown" : leader) + ", members " + members +
-            ".");
+            (leader.empty() ? "unknown" : leader) + ", members " +
+            MembersText() + ".");
   }
 
   std::string MembersText() const {
@@ -205,20 +204,6 @@
     return text;
   }
 
-  static const char* RoleName(ReplicaRole role) {
-    switch (role) {
-      case ReplicaRole::kLeader:
-        return "leader";
-      case ReplicaRole::kFollower:
-        return "follower";
-      case ReplicaRole::kCandidate:
-        return "candidate";
-      case ReplicaRole::kNonVoter:
-        break;
-    }
-    return "without a vote";
-  }
-
   bool HasPending() const { return pending_ != ConsensusEffects{}; }
 
   void Absorb(ConsensusEffects effects) {
@@ -361,7 +346,7 @@
   std::error_code failure_;
   std::optional<ReplicaRole> told_role_;
   std::string told_leader_;
-  std::string told_members_;
+  std::vector<Member> told_members_;
 };
 
 std::error_code SaveIdentity(DataFolder& folder, const std::string& name,
--- a/src/consensus/types/consensus_types.h
+++ b/src/consensus/types/consensus_types.h
@@ -124,6 +124,9 @@
 
 enum class ReplicaRole { kNonVoter, kFollower, kCandidate, kLeader };
 
+/// @return "leader", "follower", "candidate" or "non-voter".
+std::string NameOf(ReplicaRole role);
+
 }  // namespace hibiscusglade
 
 #endif  // HIBISCUSGLADE_CONSENSUS_TYPES_CONSENSUS_TYPES_H_
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -100,7 +100,7 @@
       config_.seeds = seeds;
       config_.replicas = replicas;
       membership_->SetSeeds(SeedAddresses());
-      LearnReplicas();
+      view_changed_ = true;
       Log(LogLevel::kInfo, "control",
           "There are " + std::to_string(seeds.size()) + " new seeds.");
     });
@@ -161,12 +161,7 @@
     command.set_patch(proposal.patch);
     command.set_author(proposal.author);
     command.set_restore_content_of(proposal.restore_content_of);
-    command.set_proposed_at(static_cast<uint64_t>(clock_.UnixMicros()));
-    ReplicaResult result = SubmitAndWait(command.SerializeAsString(), false);
-    if (result.error) return {result.error, 0, 0, {}};
-    wire::PatchVerdict verdict;
-    verdict.ParseFromString(result.result);
-    return VerdictOfWire(verdict);
+    return SubmitProposal(command);
   }
 
   ProposalVerdict ProposeDocument(const DocumentProposal& proposal) override {
@@ -177,12 +172,7 @@
     command.set_document(Compressed(proposal.document));
     command.set_source(Compressed(proposal.source));
     command.set_author(proposal.author);
-    command.set_proposed_at(static_cast<uint64_t>(clock_.UnixMicros()));
-    ReplicaResult result = SubmitAndWait(command.SerializeAsString(), false);
-    if (result.error) return {result.error, 0, 0, {}};
-    wire::PatchVerdict verdict;
-    verdict.ParseFromString(result.result);
-    return VerdictOfWire(verdict);
+    return SubmitProposal(command);
   }
 
   ProposalVerdict VerdictOf(const std::string& patch_id) override {
@@ -284,9 +274,9 @@
 
   /// Replicas come and go: those that live are known from the membership, the
   /// settings name some to start from.
-  void LearnReplicas() {
+  void LearnReplicas(const std::vector<InstanceRecord>& records) {
     std::vector<Member> known;
-    for (const InstanceRecord& record : membership_->Records()) {
+    for (const InstanceRecord& record : records) {
       if (!record.replica || record.state > InstanceState::kSuspected) continue;
       known.push_back({{record.instance, 0},
                        true,
@@ -317,7 +307,7 @@
       if (IsReplica()) replicas_.Flush(now);
       TakeAccepted(now);
       RunLocal();
-      if (std::exchange(routes_changed_, false)) PublishRoutes();
+      if (std::exchange(view_changed_, false)) TakeView();
     }
   }
 
@@ -387,8 +377,7 @@
                        record.control_address, record.replica});
     }
     follower_->SetPeers(std::move(peers));
-    LearnReplicas();
-    routes_changed_ = true;
+    view_changed_ = true;
   }
 
   void Follow(const FollowerEffects& effects) {
@@ -405,16 +394,18 @@
                                  effects.activate->digest, activated_at_);
     Log(LogLevel::kInfo, "distribution",
         "Version " + std::to_string(effects.activate->number) + " is in use.");
-    routes_changed_ = true;
+    view_changed_ = true;
   }
 
-  void PublishRoutes() {
+  /// Takes in what this turn has changed of instances, upstreams or versions.
+  void TakeView() {
+    const std::vector<InstanceRecord> records = membership_->Records();
+    LearnReplicas(records);
     const ConfigVersionPtr& version = follower_->InUse();
     if (version == nullptr) return;
-    routes_.Publish(
-        std::make_shared<const RouteTable>(version, membership_->Records()));
-    listener_.OnLocalUpstream(membership_->LocalUpstream(),
-                              LimitsOf(*version, membership_->LocalUpstream()));
+    routes_.Publish(std::make_shared<const RouteTable>(version, records));
+    const auto upstream = membership_->LocalUpstream();
+    listener_.OnLocalUpstream(upstream, LimitsOf(*version, upstream));
   }
 
   /// Sends a message; one to this daemon itself is handled after the current
@@ -566,6 +557,17 @@
     return future.get();
   }
 
+  /// Stamps a proposal, submits it and waits for the verdict.
+  ProposalVerdict SubmitProposal(wire::PatchCommand& command) {
+    command.set_proposed_at(static_cast<uint64_t>(clock_.UnixMicros()));
+    const ReplicaResult result =
+        SubmitAndWait(command.SerializeAsString(), false);
+    if (result.error) return {result.error, 0, 0, {}};
+    wire::PatchVerdict verdict;
+    verdict.ParseFromString(result.result);
+    return VerdictOfWire(verdict);
+  }
+
   wire::VersionQueryAnswer Query(const wire::VersionQuery& query,
                                  std::error_code& error) {
     wire::VersionQueryAnswer answer;
@@ -606,7 +608,7 @@
   Instant next_tick_;
   Instant activated_at_;
   bool reading_floor_ = false;
-  bool routes_changed_ = false;  ///< Published once at the end of a turn.
+  bool view_changed_ = false;  ///< Taken in once at the end of a turn.
   bool stopping_ = false;
   bool draining_ = false;
   bool ended_ = false;
--- a/src/control/internal/control_views.cc
+++ b/src/control/internal/control_views.cc
@@ -80,18 +80,4 @@
   return limits;
 }
 
-std::string NameOf(ReplicaRole role) {
-  switch (role) {
-    case ReplicaRole::kLeader:
-      return "leader";
-    case ReplicaRole::kFollower:
-      return "follower";
-    case ReplicaRole::kCandidate:
-      return "candidate";
-    case ReplicaRole::kNonVoter:
-      break;
-  }
-  return "non-voter";
-}
-
 }  // namespace hibiscusglade
--- a/src/control/internal/control_views.h
+++ b/src/control/internal/control_views.h
@@ -29,8 +29,6 @@
 AdmissionConfig LimitsOf(const ConfigVersion& version,
                          const std::optional<UpstreamAnnouncement>& upstream);
 
-std::string NameOf(ReplicaRole role);
-
 }  // namespace hibiscusglade
 
 #endif  // HIBISCUSGLADE_CONTROL_INTERNAL_CONTROL_VIEWS_H_
--- a/src/ctl/internal/commands.cc
+++ b/src/ctl/internal/commands.cc
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "base/data_folder.h"
+#include "base/settings_faults.h"
 #include "base/strict_json.h"
 #include "consensus/consensus_result_codes.h"
 #include "consensus/replica.h"
@@ -117,9 +118,8 @@
 /// Prints the faults of a file.
 void PrintFileFaults(const Context& context, const std::string& path,
                      const std::vector<SettingsFault>& faults) {
-  json rows = json::array();
+  const json rows = FaultsJson(faults);
   for (const SettingsFault& fault : faults) {
-    rows.push_back({{"pointer", fault.pointer}, {"message", fault.message}});
     context.err << path << ": ";
     PrintFault(context.err, fault.pointer, fault.message);
   }
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -108,7 +108,7 @@
     }
     EndAttempt(id, AttemptOutcome::kAnswered, now);
     if (call->tried.size() > 1) {
-      LogOutcome(*call, "answered after another try", 0, "run", now);
+      LogOutcome(*call, {}, "run", now);
     }
     call->stream->OnEnd();
     parts_.metrics.HistogramOf("call_seconds", "").Record(now - call->began);
@@ -347,8 +347,7 @@
 
   void Tell(OpenCall& call, const Refusal& refusal, bool head_passed,
             Instant now) {
-    LogOutcome(call, refusal.code.message(), refusal.code.value(),
-               CertaintyName(refusal.certainty), now);
+    LogOutcome(call, refusal.code, CertaintyName(refusal.certainty), now);
     Count("call_refusals_total", refusal.code);
     if (head_passed) {
       call.stream->OnBroken(refusal);
@@ -359,7 +358,8 @@
 
   /// One line for each call that is refused, fails or needs more than one
   /// owner: from its id to what decided.
-  void LogOutcome(const OpenCall& call, const std::string& outcome, int code,
+  /// @param code why there was no answer; no error: there was one.
+  void LogOutcome(const OpenCall& call, const std::error_code& code,
                   std::string_view certainty, Instant now) {
     if (!log_budget_.Take(now)) return;
     std::string owners;
@@ -368,6 +368,8 @@
     }
     const uint64_t version =
         call.table == nullptr ? 0 : call.table->VersionNumber();
+    const std::string outcome =
+        code ? code.message() : "answered after another try";
     Log(LogLevel::kInfo, "entry", "A call ended: " + outcome + ".",
         {{"request", call.request.request_id},
          {"route", call.route == nullptr ? "-" : call.route->name},
@@ -375,7 +377,7 @@
          {"version", std::to_string(version)},
          {"owners", owners.empty() ? "-" : owners},
          {"attempts", std::to_string(call.attempts)},
-         {"code", std::to_string(code)},
+         {"code", std::to_string(code.value())},
          {"outcome", std::string(certainty)},
          {"ms", std::to_string((now - call.began).count() / 1000)},
          {"lines_left_out", std::to_string(log_budget_.TakeLeftOut())}});
--- a/src/http/internal/simple_http_server.cc
+++ b/src/http/internal/simple_http_server.cc
@@ -1,12 +1,12 @@
 #include "http/simple_http_server.h"
 
-#include <arpa/inet.h>
 #include <microhttpd.h>
 
 #include <exception>
 #include <utility>
 
 #include "base/log.h"
+#include "base/socket_address.h"
 #include "http/http_result_codes.h"
 
 namespace hibiscusglade {
@@ -38,10 +38,8 @@
   }
 
   bool Start(const std::string& ip, uint16_t port, HttpThreads threads) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    if (inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) return false;
+    const auto address = SocketAddressOf(ip, port);
+    if (!address.has_value()) return false;
     const unsigned mode = threads == HttpThreads::kOne
                               ? MHD_USE_EPOLL_INTERNAL_THREAD
                               : MHD_USE_THREAD_PER_CONNECTION |
@@ -49,7 +47,7 @@
                                     MHD_USE_POLL;
     daemon_ = MHD_start_daemon(
         mode, port, nullptr, nullptr, &Server::OnRequest, this,
-        MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
+        MHD_OPTION_SOCK_ADDR, &*address, MHD_OPTION_NOTIFY_COMPLETED,
         &Server::OnCompleted, nullptr, MHD_OPTION_CONNECTION_LIMIT,
         kMaxConnections, MHD_OPTION_CONNECTION_TIMEOUT, kIdleTimeoutSeconds,
         MHD_OPTION_END);
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "base/metrics.h"
+#include "base/settings_faults.h"
 #include "operator/operator_result_codes.h"
 
 namespace hibiscusglade {
@@ -46,14 +47,6 @@
   return JsonResponse(StatusOf(error), body);
 }
 
-json FaultsJson(const std::vector<SettingsFault>& faults) {
-  json rows = json::array();
-  for (const SettingsFault& fault : faults) {
-    rows.push_back({{"pointer", fault.pointer}, {"message", fault.message}});
-  }
-  return rows;
-}
-
 HttpResponse VerdictResponse(const ProposalVerdict& verdict) {
   if (!verdict.error) {
     return JsonResponse(
--- a/src/peer/internal/tcp_transport.cc
+++ b/src/peer/internal/tcp_transport.cc
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -7,14 +6,14 @@
 
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <map>
 #include <memory>
-#include <optional>
 #include <utility>
+#include <vector>
 
 #include "base/digest.h"
+#include "base/socket_address.h"
 #include "peer/internal/wire_version.h"
 #include "peer/peer_result_codes.h"
 #include "peer/peer_transport.h"
@@ -35,24 +34,6 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kIdleConnectionLife = std::chrono::seconds(60);
 
-std::optional<sockaddr_in> ParseAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const auto [stop, error] =
-      std::from_chars(text.data() + colon + 1, end, port);
-  if (error != std::errc() || stop != end) return std::nullopt;
-  address.sin_port = htons(port);
-  if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) !=
-      1) {
-    return std::nullopt;
-  }
-  return address;
-}
-
 /// One connection, made by either side. Frames are a length of four bytes and
 /// an envelope; the first envelope each way names the sender, the others leave
 /// that out.
@@ -95,16 +76,9 @@
   }
 
   std::error_code Listen(const std::string& address) override {
-    const auto parsed = ParseAddress(address);
-    if (!parsed.has_value()) return PeerCode::kListenFailed;
-    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int yes = 1;
-    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-    const auto* plain = reinterpret_cast<const sockaddr*>(&*parsed);
-    if (bind(listener_, plain, sizeof(*parsed)) != 0 ||
-        listen(listener_, kListenBacklog) != 0) {
-      return PeerCode::kListenFailed;
-    }
+    const auto parsed = ParseSocketAddress(address);
+    if (parsed.has_value()) listener_ = ListenAt(*parsed, kListenBacklog);
+    if (listener_ < 0) return PeerCode::kListenFailed;
     loop_.Watch(listener_, EPOLLIN, [this](uint32_t) { Accept(); });
     return {};
   }
@@ -149,7 +123,7 @@
   Connection* ConnectionTo(const std::string& address) {
     auto found = made_.find(address);
     if (found != made_.end()) return found->second.get();
-    const auto parsed = ParseAddress(address);
+    const auto parsed = ParseSocketAddress(address);
     if (!parsed.has_value()) return nullptr;
     const int descriptor =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -172,19 +146,16 @@
   }
 
   void BindSource(int descriptor) {
-    if (identity_.source_address.empty()) return;
-    sockaddr_in source{};
-    source.sin_family = AF_INET;
-    if (inet_pton(AF_INET, identity_.source_address.c_str(),
-                  &source.sin_addr) == 1) {
-      const int late = 1;
-      setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &late,
-                 sizeof(late));
-      const auto* plain = reinterpret_cast<const sockaddr*>(&source);
-      if (bind(descriptor, plain, sizeof(source)) != 0) {
-        // The system's own choice of a source serves as well.
-        Refused(PeerCode::kListenFailed);
-      }
+    constexpr uint16_t kAnyPort = 0;
+    const auto source = SocketAddressOf(identity_.source_address, kAnyPort);
+    if (!source.has_value()) return;
+    const int late = 1;
+    setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &late,
+               sizeof(late));
+    const auto* plain = reinterpret_cast<const sockaddr*>(&*source);
+    if (bind(descriptor, plain, sizeof(*source)) != 0) {
+      // The system's own choice of a source serves as well.
+      Refused(PeerCode::kListenFailed);
     }
   }
 
@@ -193,6 +164,7 @@
     setsockopt(connection.descriptor, IPPROTO_TCP, TCP_NODELAY, &yes,
                sizeof(yes));
     connection.number = ++last_number_;
+    open_[connection.number] = &connection;
     connection.last_used = clock_.Now();
     loop_.Watch(connection.descriptor, events,
                 [this, &connection](uint32_t happened) {
@@ -260,13 +232,8 @@
   }
 
   void FlushLater(uint64_t number) {
-    for (auto* side : {&made_, &taken_}) {
-      for (auto& [name, connection] : *side) {
-        if (connection->number != number) continue;
-        Flush(*connection);
-        return;
-      }
-    }
+    auto found = open_.find(number);
+    if (found != open_.end()) Flush(*found->second);
   }
 
   /// @return false when the connection was lost.
@@ -319,7 +286,7 @@
     connection.in.clear();
     const std::string address = connection.address;
     const ReturnPath path = connection.path;
-    const int descriptor = connection.descriptor;
+    const uint64_t number = connection.number;
     connection.last_used = clock_.Now();
     size_t at = 0;
     while (in.size() - at >= sizeof(uint32_t)) {
@@ -327,7 +294,7 @@
       std::memcpy(&length, in.data() + at, sizeof(length));
       if (length > kMaxFrameBytes) {
         Refused(PeerCode::kDamagedMessage);
-        if (IsOpen(address, path, descriptor)) Lose(connection);
+        if (open_.contains(number)) Lose(connection);
         return;
       }
       if (in.size() - at - sizeof(length) < length) break;
@@ -339,14 +306,14 @@
         Refused(PeerCode::kDamagedMessage);
         continue;
       }
-      if (!IsOpen(address, path, descriptor)) return;
+      if (!open_.contains(number)) return;
       if (!Knows(connection, message)) {
-        if (IsOpen(address, path, descriptor)) Lose(connection);
+        if (open_.contains(number)) Lose(connection);
         return;
       }
       receiver_(address, path, message);
     }
-    if (!IsOpen(address, path, descriptor)) return;
+    if (!open_.contains(number)) return;
     connection.in.assign(in, at, std::string::npos);
   }
 
@@ -376,13 +343,6 @@
     }
   }
 
-  bool IsOpen(const std::string& address, const ReturnPath& path,
-              int descriptor) const {
-    const auto& side = address.empty() ? taken_ : made_;
-    const auto found = side.find(address.empty() ? path : address);
-    return found != side.end() && found->second->descriptor == descriptor;
-  }
-
   /// Ends a connection that the peer closed, refused or broke.
   void Lose(Connection& connection) {
     const std::string address = connection.address;
@@ -400,6 +360,7 @@
 
   void CloseSocket(Connection& connection) {
     if (connection.descriptor < 0) return;
+    open_.erase(connection.number);
     loop_.Forget(connection.descriptor);
     close(connection.descriptor);
     connection.descriptor = -1;
@@ -410,14 +371,18 @@
     const Instant now = clock_.Now();
     if (now < next_check_) return;
     next_check_ = now + kConnectTimeout / 4;
-    std::vector<Connection*> stale;
+    std::vector<uint64_t> stale;
     for (auto& [address, connection] : made_) {
       const bool silent =
           !connection->connected && now - connection->opened > kConnectTimeout;
       const bool idle = now - connection->last_used > kIdleConnectionLife;
-      if (silent || idle) stale.push_back(connection.get());
+      if (silent || idle) stale.push_back(connection->number);
+    }
+    // What follows from one loss may end others.
+    for (uint64_t number : stale) {
+      auto found = open_.find(number);
+      if (found != open_.end()) Lose(*found->second);
     }
-    for (Connection* connection : stale) Lose(*connection);
   }
 
   std::error_code Refused(PeerCode code) {
@@ -441,6 +406,7 @@
   std::map<std::string, std::unique_ptr<Connection>> made_;
   std::map<ReturnPath, std::unique_ptr<Connection>> taken_;
   uint64_t last_path_ = 0;
+  std::map<uint64_t, Connection*> open_;  ///< All, by their numbers.
   uint64_t last_number_ = 0;
   Instant next_check_;
   std::array<char, kReadBytes> buffer_{};
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -1,14 +1,12 @@
 #include "settings/daemon_settings.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <charconv>
 #include <fstream>
 #include <sstream>
 #include <utility>
 
 #include "base/base_result_codes.h"
+#include "base/socket_address.h"
 
 namespace hibiscusglade {
 namespace {
@@ -24,23 +22,6 @@
   return LogLevel::kInfo;
 }
 
-/// Takes "ip:port" apart.
-/// @return nullopt when it is no IP address in figures with a port.
-std::optional<ListenerSettings> ParseHostPort(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  ListenerSettings parsed{text.substr(0, colon), 0};
-  const char* end = text.data() + text.size();
-  const auto [stop, error] =
-      std::from_chars(text.data() + colon + 1, end, parsed.port);
-  in_addr address{};
-  if (error != std::errc() || stop != end || parsed.port == 0 ||
-      inet_pton(AF_INET, parsed.address.c_str(), &address) != 1) {
-    return std::nullopt;
-  }
-  return parsed;
-}
-
 /// Reads `address` and `port`, or both in one as `host_port`.
 ListenerSettings ReadListener(SettingsReader& reader) {
   ListenerSettings listener;
@@ -55,22 +36,19 @@
   if (!listener.address.empty() || listener.port != 0) {
     reader.Fault("host_port", "stands beside address or port; give one form");
   }
-  auto parsed = ParseHostPort(text);
-  if (!parsed.has_value()) {
+  const auto parsed = ParseSocketAddress(text);
+  if (!parsed.has_value() || parsed->sin_port == 0) {
     reader.Fault("host_port", "expected ip:port, found \"" + text + "\"");
     return listener;
   }
-  return *parsed;
+  return {text.substr(0, text.rfind(':')), ntohs(parsed->sin_port)};
 }
 
 /// Reads a listener that may be left out.
 ListenerSettings ReadOptionalListener(SettingsReader& parent,
                                       std::string_view name,
                                       std::string_view text) {
-  if (!parent.Has(name)) {
-    parent.Object(name, text);
-    return {};
-  }
+  if (!parent.Has(name)) return {};
   SettingsReader reader = parent.Object(name, text);
   return ReadListener(reader);
 }
@@ -210,9 +188,6 @@
     settings.upstream_connections = static_cast<uint32_t>(upstream.Number(
         "max_connections",
         {1, 129, 100, "connections", "Connections to the upstream."}));
-  } else {
-    // Its fields are optional as a whole, so that reading ends here.
-    reader.Object("upstream", "Local upstream.");
   }
   {
     SettingsReader replica = reader.Object("replica", "Replica role.");
--- a/src/upstream/internal/announcement_api.cc
+++ b/src/upstream/internal/announcement_api.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/settings_faults.h"
 #include "base/settings_reader.h"
 #include "upstream/upstream_result_codes.h"
 
@@ -72,11 +73,8 @@
     sink.Announce(upstream);
     return {200, "application/json", "{}\n"};
   }
-  json faults = json::array();
-  for (const SettingsFault& fault : reader.Faults()) {
-    faults.push_back({{"pointer", fault.pointer}, {"message", fault.message}});
-  }
-  return ErrorResponse(UpstreamCode::kMalformedAnnouncement, faults);
+  return ErrorResponse(UpstreamCode::kMalformedAnnouncement,
+                       FaultsJson(reader.Faults()));
 }
 
 }  // namespace hibiscusglade
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -60,9 +60,17 @@
     if (timer_ != 0) loop_.ClearTimer(timer_);
   }
 
-  void Start(RunId run, const std::string& address,
+  void Start(RunId id, const std::string& address,
              const CallAttempt& attempt) override {
-    StartHere(run, address, attempt);
+    auto run = std::make_unique<Run>();
+    run->id = id;
+    run->client = this;
+    run->attempt = attempt;
+    run->allowance = static_cast<int64_t>(attempt.credit_bytes);
+    run->easy = TakeHandle();
+    SetOptions(*run, address);
+    curl_multi_add_handle(multi_, run->easy);
+    runs_[id] = std::move(run);
   }
 
   void Allow(RunId run, uint64_t bytes) override {
@@ -74,7 +82,24 @@
     curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
   }
 
-  void Probe(const std::string& address) override { ProbeHere(address); }
+  void Probe(const std::string& address) override {
+    auto run = std::make_unique<Run>();
+    run->id = --last_probe_;
+    run->client = this;
+    run->is_probe = true;
+    run->easy = TakeHandle();
+    const std::string url = "http://" + address + "/";
+    curl_easy_setopt(run->easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(run->easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(run->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(run->easy, CURLOPT_CONNECT_ONLY, 1L);
+    curl_easy_setopt(run->easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(run->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(config_.connect_timeout.count() / 1000));
+    curl_easy_setopt(run->easy, CURLOPT_PRIVATE, run.get());
+    curl_multi_add_handle(multi_, run->easy);
+    runs_[run->id] = std::move(run);
+  }
 
   void Cancel(RunId run) override {
     auto found = runs_.find(run);
@@ -137,38 +162,6 @@
     return easy;
   }
 
-  void StartHere(RunId id, const std::string& address,
-                 const CallAttempt& attempt) {
-    auto run = std::make_unique<Run>();
-    run->id = id;
-    run->client = this;
-    run->attempt = attempt;
-    run->allowance = static_cast<int64_t>(attempt.credit_bytes);
-    run->easy = TakeHandle();
-    SetOptions(*run, address);
-    curl_multi_add_handle(multi_, run->easy);
-    runs_[id] = std::move(run);
-  }
-
-  void ProbeHere(const std::string& address) {
-    auto run = std::make_unique<Run>();
-    run->id = --last_probe_;
-    run->client = this;
-    run->is_probe = true;
-    run->easy = TakeHandle();
-    const std::string url = "http://" + address + "/";
-    curl_easy_setopt(run->easy, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(run->easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(run->easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(run->easy, CURLOPT_CONNECT_ONLY, 1L);
-    curl_easy_setopt(run->easy, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(run->easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     static_cast<long>(config_.connect_timeout.count() / 1000));
-    curl_easy_setopt(run->easy, CURLOPT_PRIVATE, run.get());
-    curl_multi_add_handle(multi_, run->easy);
-    runs_[run->id] = std::move(run);
-  }
-
   void SetOptions(Run& run, const std::string& address) {
     const CallAttempt& attempt = run.attempt;
     const CallRequest& request = attempt.request;
