Leave full owners alone for up to 40 ms, and queue nothing that is late already

Change: an entry does not ask an owner that refused a class twice running for 5 to 40 ms, refuses by itself when all are full, with the time to come back; a request that can't be in time any more runs only from a free slot. The test of the retry budget lets time pass between its calls, longer than a full owner is left alone; its bounds are unchanged.

--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -188,6 +188,8 @@
     const Duration longest = MaxWait(request);
     const Instant latest = std::min(request.deadline, now + longest);
     if (request.objective == Instant{}) return latest;
+    // What is late already takes no slot that others wait for.
+    if (now + Expected(request) > request.objective) return now;
     const Instant in_time = request.objective - HighOf(request);
     return std::min(latest, std::max(in_time, now + longest / kShortWaitPart));
   }
--- a/src/entry/internal/attempt_policy.cc
+++ b/src/entry/internal/attempt_policy.cc
@@ -22,13 +22,6 @@
          code == RoutingCode::kOwnerUnreachable;
 }
 
-/// The owner had no room; another one may have.
-bool IsForWantOfRoom(const std::error_code& code) {
-  return code == AdmissionCode::kQueueFull || code == AdmissionCode::kShed ||
-         code == AdmissionCode::kWaitedTooLong ||
-         code == AdmissionCode::kDeadlineTooNear;
-}
-
 /// Another place would refuse it as well.
 bool IsHopeless(const std::error_code& code) {
   return code == AdmissionCode::kQuarantined;
@@ -36,6 +29,12 @@
 
 }  // namespace
 
+bool IsForWantOfRoom(const std::error_code& code) {
+  return code == AdmissionCode::kQueueFull || code == AdmissionCode::kShed ||
+         code == AdmissionCode::kWaitedTooLong ||
+         code == AdmissionCode::kDeadlineTooNear;
+}
+
 bool HasRunNowhere(const Refusal& refusal) {
   return refusal.certainty == Certainty::kNotRun &&
          (IsMisplaced(refusal.code) || IsForWantOfRoom(refusal.code) ||
--- a/src/entry/internal/attempt_policy.h
+++ b/src/entry/internal/attempt_policy.h
@@ -34,6 +34,10 @@
   kBudget,         ///< The service's budget is spent.
 };
 
+/// @return whether an owner refused since it had no room; another one may
+/// have.
+bool IsForWantOfRoom(const std::error_code& code);
+
 /// @return whether a refused attempt certainly ran at no upstream, so that it
 /// does not count for the route's attempts.
 bool HasRunNowhere(const Refusal& refusal);
--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -37,7 +37,8 @@
   Instant objective;  ///< Until its answer is worth less.
   std::set<AttemptId> open;
   AttemptId answering;  ///< Attempt whose answer is passed on.
-  uint32_t attempts = 0;
+  uint32_t attempts = 0;       ///< That count for the route's.
+  uint32_t attempts_sent = 0;  ///< To any owner.
   std::set<std::string> tried;
   std::optional<Refusal> last_refusal;
   std::optional<Instant> retry_at;
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/admission_result_codes.h"
 #include "base/digest.h"
 #include "base/log.h"
 #include "entry/internal/attempt_policy.h"
@@ -87,6 +88,7 @@
     policy_.OnFirstByte(call->route->name, now - attempt.sent);
     if (attempt.is_hedge) Count("hedges_total", "won");
     call->answering = id;
+    parts_.chooser.OnTaken(attempt.instance, call->route->request_class);
     CancelOpen(*call, now);
     call->stream->OnHead(head);
   }
@@ -199,12 +201,16 @@
   void SendAttempt(CallHandle handle, OpenCall& call, bool is_hedge,
                    Instant now) {
     const auto& candidates = call.table->UpstreamsOf(call.service);
-    auto choice = parts_.chooser.Choose(
-        {candidates, call.service, call.route->request_class, call.tried,
-         call.table->Document().limits.max_ejected_percent},
-        now);
+    const ChoiceRequest request{
+        candidates, call.service, call.route->request_class, call.tried,
+        call.table->Document().limits.max_ejected_percent};
+    auto choice = parts_.chooser.Choose(request, now);
     if (!choice.has_value()) {
-      if (!is_hedge) WaitOrRefuse(handle, call, now);
+      if (is_hedge) return;
+      if (!call.last_refusal.has_value()) {
+        call.last_refusal = NoChoiceRefusal(request, now);
+      }
+      WaitOrRefuse(handle, call, now);
       return;
     }
     CountChoice(choice->reason);
@@ -212,6 +218,7 @@
     const UpstreamTarget& target = candidates[choice->index];
     const AttemptId id = prefix_ + std::to_string(++last_attempt_);
     ++call.attempts;
+    ++call.attempts_sent;
     call.tried.insert(target.instance);
     calls_.AddAttempt(
         id, {handle, target.instance, target.owner_address, now, is_hedge});
@@ -236,13 +243,21 @@
     return attempt;
   }
 
+  /// @return why no upstream can be asked for a call.
+  Refusal NoChoiceRefusal(const ChoiceRequest& request, Instant now) {
+    const auto until_room = parts_.chooser.UntilRoom(request, now);
+    if (!until_room.has_value() || *until_room == Duration{}) {
+      return RefusalOf(RoutingCode::kNoUpstream, Certainty::kNotRun);
+    }
+    const std::error_code code = AdmissionCode::kQueueFull;
+    return {code, Certainty::kNotRun, code.message(),
+            std::max(kLeastRetryPause, *until_room)};
+  }
+
   /// Every upstream was tried: begins again after the pause that was asked
   /// for, if the deadline allows it.
   void WaitOrRefuse(CallHandle handle, OpenCall& call, Instant now) {
-    if (!call.last_refusal.has_value()) {
-      call.last_refusal =
-          RefusalOf(RoutingCode::kNoUpstream, Certainty::kNotRun);
-    } else {
+    if (call.attempts_sent > 0) {
       // Spread by the handle, so that callers do not come back in step.
       const Duration pause =
           std::max(kLeastRetryPause, call.last_refusal->retry_after) *
@@ -277,9 +292,11 @@
     const CallHandle handle = attempt->call;
     OpenCall& call = *calls_.Find(handle);
     const bool not_run = refusal.certainty == Certainty::kNotRun;
-    if (not_run) {
-      parts_.chooser.OnRefused(attempt->instance, call.route->request_class,
-                               now);
+    const std::string& request_class = call.route->request_class;
+    if (not_run && IsForWantOfRoom(refusal.code)) {
+      parts_.chooser.OnFull(attempt->instance, request_class, now);
+    } else if (not_run) {
+      parts_.chooser.OnRefused(attempt->instance, request_class, now);
     }
     EndAttempt(
         id, not_run ? AttemptOutcome::kRefusedNotRun : AttemptOutcome::kFailed,
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -168,6 +168,7 @@
 TEST_F(AnEntry, StopsRetryingWhenTheBudgetIsSpent) {
   int retried = 0;
   for (int i = 0; i < 200; ++i) {
+    now_ += milliseconds(50);  // Longer than a full owner is left alone.
     Begin("/tags/1");
     Refuse(Attempt(0), AdmissionCode::kQueueFull, Certainty::kNotRun);
     if (owners_.started.size() < 2) continue;
@@ -236,6 +237,23 @@
   EXPECT_EQ(owners_.objective, milliseconds(300));
 }
 
+/// The crest of a quoting site: catalogue reads at three times what the
+/// upstreams can run, so that seven of eight are refused.
+TEST_F(AnEntry, RefusesByItselfWhileAllOwnersAreFull) {
+  for (int i = 0; i < 6; ++i) {
+    Begin("/reads/1");
+    for (size_t n = 0; n < owners_.started.size(); ++n) {
+      Refuse(Attempt(n), AdmissionCode::kQueueFull, Certainty::kNotRun);
+    }
+  }
+  Begin("/reads/1");
+  EXPECT_TRUE(owners_.started.empty());
+  EXPECT_EQ(seen_, "refused 5003 not-run");
+  now_ += milliseconds(40);
+  Begin("/reads/1");
+  EXPECT_EQ(owners_.started.size(), 1u);
+}
+
 TEST_F(AnEntry, BreaksOffAnAnswerWithAGap) {
   Begin("/reads/1");
   entry_->OnAnswerHead(Attempt(0), {200, {}, -1}, kLoad, now_);
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -9,6 +9,7 @@
 #include "base/digest.h"
 #include "base/random.h"
 #include "routing/internal/ejection_judge.h"
+#include "routing/internal/refusal_memory.h"
 
 namespace hibiscusglade {
 namespace {
@@ -21,10 +22,8 @@
 constexpr size_t kOtherDomainsSubset = 8;
 constexpr Duration kReportLifetime = milliseconds(500);
 constexpr Duration kStaleReportInterval = seconds(1);
-constexpr Duration kRefusalLifetime = milliseconds(250);
 /// Wait in the own domain that is worth the way to another one and back.
 constexpr Duration kSpillWait = milliseconds(10);
-/// Counts against an owner that refused a moment ago.
 /// As if all slots of an owner that refused a moment ago were taken twice.
 constexpr double kRefusedPressure = 2;
 constexpr Duration kRefusedTime = seconds(1);
@@ -52,7 +51,7 @@
   Instant reported;
   LoadReport stale_report;
   Instant stale_reported;
-  std::map<std::string, Instant> refused;  ///< Last refusal by class.
+  RefusalMemory refusals;
 };
 
 class Chooser : public UpstreamChooser {
@@ -99,7 +98,30 @@
 
   void OnRefused(const std::string& instance, const std::string& request_class,
                  Instant now) override {
-    LoadOf(instance).refused[request_class] = now;
+    LoadOf(instance).refusals.OnRefused(request_class, now);
+  }
+
+  void OnFull(const std::string& instance, const std::string& request_class,
+              Instant now) override {
+    LoadOf(instance).refusals.OnFull(request_class, now);
+  }
+
+  void OnTaken(const std::string& instance,
+               const std::string& request_class) override {
+    LoadOf(instance).refusals.OnTaken(request_class);
+  }
+
+  std::optional<Duration> UntilRoom(const ChoiceRequest& request,
+                                    Instant now) override {
+    std::optional<Duration> soonest;
+    for (const UpstreamTarget& target : request.candidates) {
+      if (request.tried.contains(target.instance)) continue;
+      const Instant again = LoadOf(target.instance)
+                                .refusals.AskAgainAt(request.request_class);
+      const Duration wait = std::max(Duration{}, again - now);
+      soonest = std::min(soonest.value_or(wait), wait);
+    }
+    return soonest;
   }
 
   void OnLoad(const std::string& instance, const std::string& request_class,
@@ -129,6 +151,7 @@
     for (size_t i = 0; i < request.candidates.size(); ++i) {
       const UpstreamTarget& target = request.candidates[i];
       if (request.tried.contains(target.instance)) continue;
+      if (PausedAfterRefusals(request, target.instance, now)) continue;
       const bool is_own = target.failure_domain == config_.failure_domain;
       const bool ejected = judge_.Ejected(target.instance);
       if (!ejected && !SaysItLeaves(target.instance, now)) {
@@ -151,6 +174,11 @@
     return probe;
   }
 
+  bool PausedAfterRefusals(const ChoiceRequest& request,
+                           const std::string& instance, Instant now) {
+    return LoadOf(instance).refusals.AskAgainAt(request.request_class) > now;
+  }
+
   bool SaysItLeaves(const std::string& instance, Instant now) {
     const UpstreamLoad& load = LoadOf(instance);
     return now < load.reported + kReportLifetime && !load.report.serving;
@@ -175,7 +203,7 @@
     return std::all_of(among.begin(), among.end(), [&](size_t i) {
       const UpstreamTarget& target = request.candidates[i];
       const UpstreamLoad& load = LoadOf(target.instance);
-      if (RefusedLately(load, request.request_class, now)) return true;
+      if (load.refusals.RefusedLately(request.request_class, now)) return true;
       if (now >= load.reported + kReportLifetime) return false;
       const uint32_t slots = std::max<uint32_t>(1, load.report.slots);
       const uint32_t total =
@@ -241,17 +269,12 @@
     const double rounds = 1 + std::max(0.0, unfinished + 1 - slots) / slots;
     Duration time(static_cast<int64_t>(
         static_cast<double>(service_time.count()) * rounds));
-    if (RefusedLately(load, request.request_class, now)) time += kRefusedTime;
+    if (load.refusals.RefusedLately(request.request_class, now)) {
+      time += kRefusedTime;
+    }
     return time;
   }
 
-  static bool RefusedLately(const UpstreamLoad& load,
-                            const std::string& request_class, Instant now) {
-    auto refused = load.refused.find(request_class);
-    return refused != load.refused.end() &&
-           now < refused->second + kRefusalLifetime;
-  }
-
   static double SlotsOf(const UpstreamTarget& target,
                         const UpstreamLoad& load) {
     if (load.reported != Instant{}) {
@@ -305,7 +328,9 @@
              std::max<uint32_t>(1, target.slots);
     }
     const double refused =
-        RefusedLately(load, request.request_class, now) ? kRefusedPressure : 0;
+        load.refusals.RefusedLately(request.request_class, now)
+            ? kRefusedPressure
+            : 0;
     return refused +
            (Unfinished(load, now) + 1) /
                (SlotsOf(target, load) * judge_.ShareOf(target.instance, now));
--- a/src/routing/tests/upstream_chooser_test.cc
+++ b/src/routing/tests/upstream_chooser_test.cc
@@ -27,6 +27,11 @@
     return chooser_->Choose({targets_, "plots", "short", tried, 34}, now_);
   }
 
+  std::optional<Duration> UntilRoom() {
+    const std::set<std::string> tried;
+    return chooser_->UntilRoom({targets_, "plots", "short", tried, 34}, now_);
+  }
+
   void Report(const std::string& instance, uint32_t running, uint32_t queued,
               Duration service_time, bool serving = true) {
     chooser_->OnLoad(instance, "short",
@@ -73,6 +78,28 @@
   EXPECT_EQ(Choose()->reason, ChoiceReason::kUsual);
 }
 
+TEST_F(AnEntryInDomainA, LeavesFullOwnersAloneForLongerEachTime) {
+  Build(1, 0);
+  chooser_->OnFull("a0", "short", now_);
+  EXPECT_TRUE(Choose().has_value());
+  chooser_->OnFull("a0", "short", now_);
+  EXPECT_FALSE(Choose().has_value());
+  EXPECT_EQ(UntilRoom(), milliseconds(5));
+  for (int i = 0; i < 10; ++i) chooser_->OnFull("a0", "short", now_);
+  EXPECT_EQ(UntilRoom(), milliseconds(40));
+  now_ += milliseconds(40);
+  EXPECT_TRUE(Choose().has_value());
+  chooser_->OnTaken("a0", "short");
+  chooser_->OnFull("a0", "short", now_);
+  EXPECT_TRUE(Choose().has_value());
+}
+
+TEST_F(AnEntryInDomainA, GoesOnAskingForOtherClasses) {
+  Build(1, 0);
+  for (int i = 0; i < 10; ++i) chooser_->OnFull("a0", "long", now_);
+  EXPECT_TRUE(Choose().has_value());
+}
+
 TEST_F(AnEntryInDomainA, StaysWhenTheOtherDomainIsSaturatedToo) {
   Build(1, 1);
   chooser_->OnRefused("a0", "short", now_);
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -53,7 +53,8 @@
  public:
   virtual ~UpstreamChooser() = default;
 
-  /// @return the choice; nullopt when none may be chosen.
+  /// @return the choice; nullopt when none may be chosen, also because all
+  /// refused lately for want of room.
   virtual std::optional<Choice> Choose(const ChoiceRequest& request,
                                        Instant now) = 0;
 
@@ -65,10 +66,23 @@
   virtual void OnEnded(const std::string& instance, AttemptOutcome outcome,
                        Duration latency, Instant now) = 0;
 
-  /// An upstream's owner refused a request as not run.
+  /// An upstream or its owner refused a request as not run.
   virtual void OnRefused(const std::string& instance,
                          const std::string& request_class, Instant now) = 0;
 
+  /// An upstream's owner refused a request since it had no room.
+  virtual void OnFull(const std::string& instance,
+                      const std::string& request_class, Instant now) = 0;
+
+  /// An upstream's owner took a request, as the head of its answer tells.
+  virtual void OnTaken(const std::string& instance,
+                       const std::string& request_class) = 0;
+
+  /// @return time until a candidate may be asked again after refusals for want
+  /// of room; nullopt when there is no candidate.
+  virtual std::optional<Duration> UntilRoom(const ChoiceRequest& request,
+                                            Instant now) = 0;
+
   /// A load report came with an answer of an instance.
   /// @param request_class of the answer; the report's service time is its.
   virtual void OnLoad(const std::string& instance,
