Tick control threads each 50 ms and request threads each 10 ms

Cause: idle daemons turned their control thread 50 times a second, each turn a poll for every connection; the request thread walked all open calls 200 times a second and all links with them. Change: control threads of daemons without a replica tick each 50 ms, request threads each 10 ms, links are checked each 50 ms.

--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -26,7 +26,11 @@
 namespace hibiscusglade {
 namespace {
 
-constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+/// Replicas send heartbeats each 100 ms.
+constexpr Duration kReplicaTickInterval = std::chrono::milliseconds(20);
+/// The shortest time that other daemons keep is the 200 ms between rounds of
+/// gossip; messages wake the thread by themselves.
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 constexpr std::chrono::seconds kOperatorWait{6};
 
 std::vector<std::string> AddressesOf(const std::vector<Member>& members) {
@@ -294,14 +298,16 @@
   }
 
   void Run() {
+    const Duration tick_interval =
+        IsReplica() ? kReplicaTickInterval : kTickInterval;
     while (!ended_) {
       const bool busy = IsReplica() && replicas_.Busy();
       transport_->Poll(executor_.WakeDescriptor(),
-                       busy ? Duration{} : kTickInterval);
+                       busy ? Duration{} : tick_interval);
       executor_.RunPending();
       const Instant now = clock_.Now();
       if (now >= next_tick_) {
-        next_tick_ = now + kTickInterval;
+        next_tick_ = now + tick_interval;
         Tick(now);
       }
       if (IsReplica()) replicas_.Flush(now);
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -20,7 +20,8 @@
 namespace hibiscusglade {
 namespace {
 
-constexpr Duration kTickInterval = std::chrono::milliseconds(5);
+constexpr Duration kTickInterval = std::chrono::milliseconds(10);
+constexpr Duration kLinkCheckInterval = std::chrono::milliseconds(50);
 /// Nothing is open then that could be late.
 constexpr Duration kIdleTickInterval = std::chrono::milliseconds(100);
 constexpr Duration kPingInterval = std::chrono::milliseconds(500);
@@ -287,6 +288,8 @@
       next_tick_ = now + kTickInterval;
       entry_->OnTick(now);
       owner_->OnTick(now);
+      if (now < next_link_check_) continue;
+      next_link_check_ = now + kLinkCheckInterval;
       CheckLinks(now);
     }
   }
@@ -447,6 +450,7 @@
   std::map<std::string, LinkState> links_;
   CallHandle last_call_ = 0;
   Instant next_tick_;
+  Instant next_link_check_;
   bool ended_ = false;
   std::thread thread_;
 };
