Send entries again only when a member has answered them, and ever more rarely

Ruled out: answers to callers (61 MB of bodies crossed domains), gossip, pulls. Change: an answer counts for the entries only from their round on; entries that are not answered are sent again after 300 ms, then twice as late each time, up to 2.4 s; an answer to a later heartbeat sends them at once.

--- a/src/consensus/consensus_node.h
+++ b/src/consensus/consensus_node.h
@@ -16,6 +16,9 @@
   Duration heartbeat = std::chrono::milliseconds(100);
   Duration election_lowest = std::chrono::milliseconds(600);
   Duration election_highest = std::chrono::milliseconds(1200);
+  /// Entries that are not answered are sent again, each time after twice the
+  /// time up to this one: a slow member must be able to finish what it has.
+  Duration longest_resend = std::chrono::milliseconds(2400);
   /// A started replica hears of a living leader within a few heartbeats; if it
   /// does not, it stands for election between these times after its start.
   Duration start_lowest = std::chrono::milliseconds(250);
--- a/src/consensus/internal/node.cc
+++ b/src/consensus/internal/node.cc
@@ -297,12 +297,15 @@
   }
   Progress& progress = found->second;
   progress.last_reply = now;
-  progress.waiting = false;
+  // A member that was away answers what waited for it, one by one; none of
+  // those but the last tells whether the entries have arrived.
+  if (body.round >= progress.entries_round) progress.waiting = false;
   progress.confirmed_round = std::max(progress.confirmed_round, body.round);
   if (body.matched) {
     if (body.match_index > progress.match) {
       progress.match = body.match_index;
       progress.match_round = round_;
+      progress.resend_after = {};
     }
     progress.next = std::max(progress.next, progress.match + 1);
     AdvanceCommit(now);
@@ -354,8 +357,8 @@
   auto previous_term = log_.TermAt(progress.next - 1);
   progress.needs_snapshot = !previous_term.has_value();
   if (progress.needs_snapshot) {
-    progress.waiting = true;
     Send(to, vote_.term, InstallSnapshot{log_.Snapshot(), ++round_});
+    ExpectAnswer(progress);
     return;
   }
   AppendRequest request{
@@ -369,16 +372,29 @@
     bytes += log_.At(index).command.size();
     request.entries.push_back(log_.At(index));
   }
-  progress.waiting = !request.entries.empty();
+  if (request.entries.empty()) {
+    progress.waiting = false;
+  } else {
+    ExpectAnswer(progress);
+  }
   Send(to, vote_.term, std::move(request));
 }
 
+/// Entries or a snapshot have just been sent, in the latest round.
+void Node::ExpectAnswer(Progress& progress) {
+  progress.waiting = true;
+  progress.entries_round = round_;
+  progress.resend_after =
+      std::clamp(progress.resend_after * 2, times_.election_lowest / 2,
+                 times_.longest_resend);
+}
+
 void Node::BroadcastAppend(Instant now) {
   heartbeat_deadline_ = now + times_.heartbeat;
   for (auto& [id, progress] : progress_) {
     // A snapshot or many entries take longer than a heartbeat to arrive.
-    const bool under_way = progress.waiting && now - progress.last_sent <
-                                                   times_.election_lowest / 2;
+    const bool under_way =
+        progress.waiting && now - progress.last_sent < progress.resend_after;
     if (!under_way) {
       SendAppend(id, now);
     } else if (!progress.needs_snapshot) {
--- a/src/consensus/internal/node.h
+++ b/src/consensus/internal/node.h
@@ -59,6 +59,8 @@
     LogIndex sent_commit = 0;
     bool needs_snapshot = false;
     bool waiting = false;  ///< Entries are under way and not yet answered.
+    uint64_t entries_round = 0;  ///< Of the last message that held entries.
+    Duration resend_after{};     ///< Grows while nothing is answered.
   };
 
   struct PendingRead {
@@ -87,6 +89,7 @@
   void OnJoinRequest(const JoinRequest& body, Instant now);
   void AcceptEntries(const std::vector<LogEntry>& entries);
   void SendAppend(const MemberId& to, Instant now);
+  void ExpectAnswer(Progress& progress);
   void SendHeartbeat(const MemberId& to, const Progress& progress);
   void BroadcastAppend(Instant now);
   /// Sends new entries and commit index to whom nothing is under way.
--- a/src/consensus/tests/node_test.cc
+++ b/src/consensus/tests/node_test.cc
@@ -189,6 +189,61 @@
   EXPECT_EQ(node_->Members(), founders_);
 }
 
+/// A member stands still for seconds while changes of a large document go on,
+/// and then answers all that waited for it.
+class ALeaderOfAMemberThatStoodStill : public ALeader {
+ protected:
+  ALeaderOfAMemberThatStoodStill() {
+    Receive(kC, 1, AppendReply{true, 1, HeartbeatTo(kC)});
+    ConsensusEffects effects;
+    node_->Propose(EntryKind::kCommand, "x", now_, effects);
+    node_->OnSynced(now_);
+  }
+
+  /// Lets time pass and writes down what goes to c.
+  void Pass(Duration time) {
+    for (const Instant end = now_ + time; now_ < end;) {
+      now_ += milliseconds(100);
+      Count(node_->OnTick(now_));
+      Receive(kB, 1, AppendReply{true, 2, 1000});
+    }
+  }
+
+  void Count(const ConsensusEffects& effects) {
+    for (const ConsensusMessage& message : effects.send) {
+      const auto* append = std::get_if<AppendRequest>(&message.body);
+      if (message.to != kC || append == nullptr) continue;
+      rounds_.push_back(append->round);
+      if (append->entries.empty()) continue;
+      ++with_entries_;
+      last_with_entries_ = append->round;
+    }
+  }
+
+  std::vector<uint64_t> rounds_;
+  int with_entries_ = 0;
+  uint64_t last_with_entries_ = 0;
+};
+
+TEST_F(ALeaderOfAMemberThatStoodStill, SendsEntriesAgainMoreAndMoreRarely) {
+  Pass(seconds(8));
+  EXPECT_LE(with_entries_, 5);
+  EXPECT_GE(with_entries_, 3);
+}
+
+TEST_F(ALeaderOfAMemberThatStoodStill, SendsNoneForAnswersToEarlierRounds) {
+  Pass(seconds(3));
+  const std::vector<uint64_t> waiting = rounds_;
+  with_entries_ = 0;
+  for (uint64_t round : waiting) {
+    if (round >= last_with_entries_) break;
+    Count(Receive(kC, 1, AppendReply{true, 1, round}));
+  }
+  EXPECT_EQ(with_entries_, 0);
+  Count(Receive(kC, 1, AppendReply{true, 1, last_with_entries_ + 1}));
+  EXPECT_EQ(with_entries_, 1) << "an answer to a later round: they are lost";
+}
+
 class ALeaderWithARepairedReplica : public ALeader {
  protected:
   ALeaderWithARepairedReplica() {
