Tell the version in use every two seconds at most

Change: a daemon's version in use becomes news every 2 s at most, the first one at once. Test: a storm of 50 versions in 5 s was told 22 times before, 3 times now.

--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -36,7 +36,7 @@
   Instant deadline;
   Instant objective;  ///< Until its answer is worth less.
   std::set<AttemptId> open;
-  AttemptId answering;  ///< Attempt whose answer is passed on.
+  AttemptId answering;         ///< Attempt whose answer is passed on.
   uint32_t attempts = 0;       ///< That count for the route's.
   uint32_t attempts_sent = 0;  ///< To any owner.
   std::set<std::string> tried;
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -120,6 +120,8 @@
       return;
     }
     EndAttempt(id, AttemptOutcome::kAnswered, now);
+    parts_.chooser.OnAnswerSize(call->service, call->route->request_class,
+                                call->bytes);
     if (call->tried.size() > 1) {
       LogOutcome(*call, {}, "run", now);
     }
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -52,6 +52,7 @@
     WatchDomains(now, effects);
     if (now >= next_expiry_) ExpireCutOffDomains(now, effects);
     if (now >= next_probe_) SendProbes(now, effects);
+    TellVersion(now);
     if (now >= next_gossip_) SendNews(now, effects);
     if (now >= next_compare_) SendComparison(now, effects);
     return effects;
@@ -112,8 +113,8 @@
   void SetVersionInUse(uint64_t number, Digest digest, Instant now) override {
     self_.version_in_use = number;
     self_.version_digest = digest;
-    MembershipEffects effects;
-    OwnChange(now, effects);
+    version_untold_ = true;
+    TellVersion(now);
   }
 
   void SetSeeds(std::vector<std::string> seeds) override {
@@ -176,6 +177,16 @@
   }
 
  private:
+  /// Makes the version in use news, but not each of many in quick succession:
+  /// every daemon's record would cross every link once for each version.
+  void TellVersion(Instant now) {
+    if (!version_untold_ || now < next_version_news_) return;
+    version_untold_ = false;
+    next_version_news_ = now + config_.version_news_interval;
+    MembershipEffects effects;
+    OwnChange(now, effects);
+  }
+
   /// @return whether an announcement is of an earlier start of the upstream,
   /// or older than the last one of this start.
   bool IsLate(const UpstreamAnnouncement& upstream) const {
@@ -490,6 +501,8 @@
   std::string last_id_;
   uint64_t last_sequence_ = 0;
   Instant last_heard_;
+  bool version_untold_ = false;
+  Instant next_version_news_;
   Instant next_gossip_;
   Instant next_compare_;
   Instant next_probe_;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -20,6 +20,9 @@
   std::string expected_service;
   std::string expected_address;
   Duration gossip_interval = std::chrono::milliseconds(200);
+  /// Between news of this daemon's version in use; versions are to be in force
+  /// within 12 s, so that this shows in time who lags.
+  Duration version_news_interval = std::chrono::seconds(2);
   Duration compare_interval = std::chrono::seconds(5);
   Duration probe_interval = std::chrono::seconds(1);
   Duration probe_timeout = std::chrono::milliseconds(400);
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -140,6 +140,29 @@
   }
 }
 
+/// A storm of configuration changes, one each 100 ms for five seconds.
+TEST_F(TwelveInstancesInThreeDomains, TellTheirVersionRarelyDuringAStorm) {
+  Run(seconds(10));
+  const auto version_at = [this](const std::string& name) {
+    for (const InstanceRecord& record : nodes_[name]->Records()) {
+      if (record.instance == "a1") return record.version_in_use;
+    }
+    return uint64_t{0};
+  };
+  int told = 0;
+  uint64_t before = 0;
+  for (uint64_t version = 1; version <= 50; ++version) {
+    nodes_["a1"]->SetVersionInUse(version, 0, now_);
+    Run(milliseconds(100));
+    if (version_at("b1") != before) ++told;
+    before = version_at("b1");
+  }
+  EXPECT_GE(told, 2);
+  EXPECT_LE(told, 3);
+  Run(seconds(4));
+  EXPECT_EQ(version_at("c4"), 50u);
+}
+
 TEST_F(TwelveInstancesInThreeDomains, ReportNoChangeForAVersionInUse) {
   InstanceRecord record = nodes_["a1"]->Records().back();
   ++record.sequence;
--- a/src/routing/internal/refusal_memory.h
+++ b/src/routing/internal/refusal_memory.h
@@ -10,9 +10,10 @@
 
 namespace hibiscusglade {
 
-/// Remembers, for one owner, which classes it refused, and decides how long it is not asked again. At the crest of a demand swing most
-/// requests are refused; asking each owner anew for each of them costs more
-/// processor time at both ends than the requests that run. Single-threaded.
+/// Remembers, for one owner, which classes it refused, and decides how long it
+/// is not asked again. At the crest of a demand swing most requests are
+/// refused; asking each owner anew for each of them costs more processor time
+/// at both ends than the requests that run. Single-threaded.
 class RefusalMemory {
  public:
   /// The owner, or its upstream, refused a request as not run.
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -24,6 +24,11 @@
 constexpr Duration kStaleReportInterval = seconds(1);
 /// Wait in the own domain that is worth the way to another one and back.
 constexpr Duration kSpillWait = milliseconds(10);
+/// Links between failure domains are costly: an archive of 90 KB is worth a
+/// longer wait in the own domain, up to a part of the usual objectives.
+constexpr int64_t kBytesPerWaitedMilli = 1000;
+constexpr Duration kLongestSpillWait = milliseconds(100);
+constexpr double kSizeSmoothing = 0.05;
 /// As if all slots of an owner that refused a moment ago were taken twice.
 constexpr double kRefusedPressure = 2;
 constexpr Duration kRefusedTime = seconds(1);
@@ -106,6 +111,15 @@
     LoadOf(instance).refusals.OnFull(request_class, now);
   }
 
+  void OnAnswerSize(const std::string& service,
+                    const std::string& request_class, uint64_t bytes) override {
+    auto [size, is_new] =
+        answer_bytes_.try_emplace({service, request_class}, bytes);
+    if (is_new) return;
+    size->second +=
+        kSizeSmoothing * (static_cast<double>(bytes) - size->second);
+  }
+
   void OnTaken(const std::string& instance,
                const std::string& request_class) override {
     LoadOf(instance).refusals.OnTaken(request_class);
@@ -116,8 +130,8 @@
     std::optional<Duration> soonest;
     for (const UpstreamTarget& target : request.candidates) {
       if (request.tried.contains(target.instance)) continue;
-      const Instant again = LoadOf(target.instance)
-                                .refusals.AskAgainAt(request.request_class);
+      const Instant again =
+          LoadOf(target.instance).refusals.AskAgainAt(request.request_class);
       const Duration wait = std::max(Duration{}, again - now);
       soonest = std::min(soonest.value_or(wait), wait);
     }
@@ -200,19 +214,34 @@
 
   bool Saturated(const ChoiceRequest& request, const std::vector<size_t>& among,
                  Instant now) {
+    const Duration spill_wait = SpillWait(request);
+    // Asking the own domain first costs little beside a large answer's way.
+    const bool is_large = spill_wait >= 2 * kSpillWait;
     return std::all_of(among.begin(), among.end(), [&](size_t i) {
       const UpstreamTarget& target = request.candidates[i];
       const UpstreamLoad& load = LoadOf(target.instance);
-      if (load.refusals.RefusedLately(request.request_class, now)) return true;
+      const bool refused =
+          load.refusals.RefusedLately(request.request_class, now);
+      if (refused && !is_large) return true;
       if (now >= load.reported + kReportLifetime) return false;
       const uint32_t slots = std::max<uint32_t>(1, load.report.slots);
       const uint32_t total =
           load.report.running + load.report.queued + load.sent_since_report;
       const uint32_t queued = total > slots ? total - slots : 0;
-      return load.report.service_time * queued / slots > kSpillWait;
+      return load.report.service_time * queued / slots > spill_wait;
     });
   }
 
+  /// @return wait in the own domain that is worth the way to another one.
+  Duration SpillWait(const ChoiceRequest& request) const {
+    const auto size =
+        answer_bytes_.find({request.service, request.request_class});
+    if (size == answer_bytes_.end()) return kSpillWait;
+    const auto millis =
+        static_cast<int64_t>(size->second) / kBytesPerWaitedMilli;
+    return std::min(kLongestSpillWait, kSpillWait + milliseconds(millis));
+  }
+
   size_t Pick(const ChoiceRequest& request, const std::vector<size_t>& among,
               Instant now) {
     switch (config_.policy) {
@@ -350,6 +379,8 @@
   size_t turn_ = 0;
   std::string last_chosen_;
   std::map<std::string, UpstreamLoad> loads_;
+  /// Mean by service and class.
+  std::map<std::pair<std::string, std::string>, double> answer_bytes_;
 };
 
 }  // namespace
--- a/src/routing/tests/upstream_chooser_test.cc
+++ b/src/routing/tests/upstream_chooser_test.cc
@@ -100,6 +100,22 @@
   EXPECT_TRUE(Choose().has_value());
 }
 
+/// Archives of 90 KB beside lookups of 400 bytes, while the own domain's
+/// upstream has a queue of 60 ms or has just refused one of them.
+TEST_F(AnEntryInDomainA, KeepsLargeAnswersInItsDomainForLonger) {
+  Build(1, 1);
+  Report("a0", 6, 6, milliseconds(60));
+  Report("b1", 0, 0, milliseconds(60));
+  chooser_->OnAnswerSize("plots", "short", 400);
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kSpillOver);
+  for (int i = 0; i < 100; ++i) chooser_->OnAnswerSize("plots", "short", 90000);
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kUsual);
+  chooser_->OnFull("a0", "short", now_);
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kUsual);
+  Report("a0", 6, 12, milliseconds(60));
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kSpillOver);
+}
+
 TEST_F(AnEntryInDomainA, StaysWhenTheOtherDomainIsSaturatedToo) {
   Build(1, 1);
   chooser_->OnRefused("a0", "short", now_);
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSGLADE_ROUTING_UPSTREAM_CHOOSER_H_
 #define HIBISCUSGLADE_ROUTING_UPSTREAM_CHOOSER_H_
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -74,6 +75,11 @@
   virtual void OnFull(const std::string& instance,
                       const std::string& request_class, Instant now) = 0;
 
+  /// A whole answer came.
+  virtual void OnAnswerSize(const std::string& service,
+                            const std::string& request_class,
+                            uint64_t bytes) = 0;
+
   /// An upstream's owner took a request, as the head of its answer tells.
   virtual void OnTaken(const std::string& instance,
                        const std::string& request_class) = 0;
