Let no caller without haste make others count as late

Cause: found by reading. An entry took the longest time that any caller of a route allows for what all allow at first; one caller that allows ten minutes made every other one count as having waited, so that it ran from free slots only. Change: what a caller allows beyond its route's timeout does not count. Test: failed before. Open: callers of one route that allow different times below its timeout; the shorter ones count as having waited.

--- a/src/entry/internal/caller_patience.h
+++ b/src/entry/internal/caller_patience.h
@@ -14,7 +14,9 @@
 /// that was refused comes back with less time than callers of the same route
 /// have at first; its objective counts from its first try. Without this, one
 /// that returns late would be queued as if it were new, and those that can
-/// still be answered in time would be behind it. Single-threaded.
+/// still be answered in time would be behind it. Callers of one route are taken
+/// to allow the same time at first, as those of the users' sites do; one that
+/// allows less counts as having waited. Single-threaded.
 class CallerPatience {
  public:
   /// @param timeout what the caller allows from now; zero when it does not say.
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -56,8 +56,11 @@
       timeout = std::min(timeout, call.request.timeout);
     }
     call.deadline = now + timeout;
+    // What a caller allows beyond its route's timeout it will not be given.
+    const Duration allowed =
+        std::min(call.request.timeout, call.route->timeout);
     const Duration waited =
-        patience_.WaitedBefore(call.route->name, call.request.timeout, now);
+        patience_.WaitedBefore(call.route->name, allowed, now);
     call.objective = now + call.route->objective - waited;
     policy_.OnCall(call.service, call.table->Document().limits);
     SendAttempt(handle, calls_.Add(handle, std::move(call)), false, now);
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -228,6 +228,12 @@
   EXPECT_EQ(owners_.objective, milliseconds(180));
 }
 
+TEST_F(AnEntry, TakesNobodyForLateBesideACallerWithoutHaste) {
+  Begin("/reads/1", 0, seconds(600));
+  Begin("/reads/1", 0, milliseconds(1000));
+  EXPECT_EQ(owners_.objective, milliseconds(300));
+}
+
 TEST_F(AnEntry, LearnsAnewHowLongCallersWaitAtFirst) {
   Begin("/reads/1", 0, milliseconds(1000));
   for (int i = 0; i < 3; ++i) {
