--- a/tests/processes/admission_crest_test.cc
+++ b/tests/processes/admission_crest_test.cc
@@ -108,6 +108,16 @@
   }
 }
 
+/// @return how often each code refused a call, and how many answers broke.
+std::string RefusalsOf(const LoadResult& result) {
+  std::string text = "wrong " + std::to_string(result.wrong) + ", broken " +
+                     std::to_string(result.broken);
+  for (const auto& [code, count] : result.refusals) {
+    text += ", " + std::to_string(code) + ": " + std::to_string(count);
+  }
+  return text;
+}
+
 TEST_F(ACrestOfThreeTimesTheCapacity, KeepsShortWorkAheadOfArchives) {
   LoadSpec spec;
   spec.length = seconds(3);
@@ -122,7 +132,7 @@
   };
   std::map<std::string, LoadResult> results = RunLoad(spec);
   LoadResult& quick = results["short"];
-  EXPECT_EQ(quick.good, quick.sent);
+  EXPECT_EQ(quick.good, quick.sent) << RefusalsOf(quick);
   EXPECT_LT(quick.Quantile(0.99), 400'000);
   EXPECT_FALSE(results["archive"].refusals.empty());
   EXPECT_GT(results["archive"].good, 0u);
