Look up what was learned in one place, and drop a counter that followed from another

Cause: read again as a whole, the change looked up a class's learned times in two functions that differed in one word, and counted the attempts sent to owners only to tell whether a call holds a refusal of one, which the refusal itself shows. Change: Admission::EstimateOf serves Expected, HighOf and Load; an entry without a choice refuses at once where no owner has refused yet, and OpenCall loses attempts_sent. Behaviour and tests are unchanged.

--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -102,10 +102,9 @@
   }
 
   LoadReport Load(const std::string& request_class) const override {
-    auto learned = estimates_.find(request_class);
     return {static_cast<uint32_t>(running_.size()),
             static_cast<uint32_t>(waiting_.size()), shares_.Slots(),
-            learned == estimates_.end() ? Duration{} : learned->second.Median(),
+            EstimateOf(request_class).Median(),
             !Draining() && config_.slots > 0};
   }
 
@@ -132,16 +131,21 @@
     estimates_[request_class].Add(service_time);
   }
 
+  /// @return what was learned of a class; zeros when nothing was.
+  const ServiceEstimate& EstimateOf(const std::string& request_class) const {
+    static const ServiceEstimate nothing_learned;
+    auto found = estimates_.find(request_class);
+    return found == estimates_.end() ? nothing_learned : found->second;
+  }
+
   Duration Expected(const SlotRequest& request) const {
     if (request.expected > Duration{}) return request.expected;
-    auto found = estimates_.find(request.request_class);
-    return found == estimates_.end() ? Duration{} : found->second.Median();
+    return EstimateOf(request.request_class).Median();
   }
 
   Duration HighOf(const SlotRequest& request) const {
     if (request.expected > Duration{}) return request.expected;
-    auto found = estimates_.find(request.request_class);
-    return found == estimates_.end() ? Duration{} : found->second.High();
+    return EstimateOf(request.request_class).High();
   }
 
   /// @return how long a new request of the class will wait for a slot.
--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -36,9 +36,8 @@
   Instant deadline;
   Instant objective;  ///< Until its answer is worth less.
   std::set<AttemptId> open;
-  AttemptId answering;         ///< Attempt whose answer is passed on.
-  uint32_t attempts = 0;       ///< That count for the route's.
-  uint32_t attempts_sent = 0;  ///< To any owner.
+  AttemptId answering;    ///< Attempt whose answer is passed on.
+  uint32_t attempts = 0;  ///< That count for the route's.
   std::set<std::string> tried;
   std::optional<Refusal> last_refusal;
   std::optional<Instant> retry_at;
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -212,10 +212,12 @@
     auto choice = parts_.chooser.Choose(request, now);
     if (!choice.has_value()) {
       if (is_hedge) return;
-      if (!call.last_refusal.has_value()) {
-        call.last_refusal = NoChoiceRefusal(request, now);
+      if (call.last_refusal.has_value()) {
+        WaitOrRefuse(handle, call, now);
+      } else {
+        Refuse(call, NoChoiceRefusal(request, now), now);
+        calls_.Remove(handle);
       }
-      WaitOrRefuse(handle, call, now);
       return;
     }
     CountChoice(choice->reason);
@@ -223,7 +225,6 @@
     const UpstreamTarget& target = candidates[choice->index];
     const AttemptId id = prefix_ + std::to_string(++last_attempt_);
     ++call.attempts;
-    ++call.attempts_sent;
     call.tried.insert(target.instance);
     calls_.AddAttempt(
         id, {handle, target.instance, target.owner_address, now, is_hedge});
@@ -262,16 +263,14 @@
   /// Every upstream was tried: begins again after the pause that was asked
   /// for, if the deadline allows it.
   void WaitOrRefuse(CallHandle handle, OpenCall& call, Instant now) {
-    if (call.attempts_sent > 0) {
-      // Spread by the handle, so that callers do not come back in step.
-      const Duration pause =
-          std::max(kLeastRetryPause, call.last_refusal->retry_after) *
-          (kPauseSteps + handle % kPauseSteps) / kPauseSteps;
-      const bool may_hold = pause <= call.table->Document().limits.max_hold;
-      if (may_hold && now + pause < call.deadline) {
-        call.retry_at = now + pause;
-        return;
-      }
+    // Spread by the handle, so that callers do not come back in step.
+    const Duration pause =
+        std::max(kLeastRetryPause, call.last_refusal->retry_after) *
+        (kPauseSteps + handle % kPauseSteps) / kPauseSteps;
+    const bool may_hold = pause <= call.table->Document().limits.max_hold;
+    if (may_hold && now + pause < call.deadline) {
+      call.retry_at = now + pause;
+      return;
     }
     Refuse(call, *call.last_refusal, now);
     calls_.Remove(handle);
