Log what a version in use waited for and how long the control thread was busy

Cause of the late changes not known yet: the log said when a version was put in use, not why so late. Now the line carries the time since the daemon learned of a newer version, its pulls (sent, refused as busy, unanswered, unusable), the wait for the last answer and the time spent on applying it. The line of an announcement says how long it was queued for the control thread; turns of that thread are in control_turn_seconds, long ones in the log, one line a second.

--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -32,6 +32,13 @@
 /// 200 ms. Messages wake the thread independently of ticks.
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 constexpr std::chrono::seconds kOperatorTimeout{6};
+/// A turn of the control thread that takes longer is logged: drains and new
+/// versions wait for its end.
+constexpr Duration kLongTurn = std::chrono::milliseconds(250);
+
+std::string MillisText(Duration duration) {
+  return std::to_string(duration.count() / 1000);
+}
 
 std::vector<std::string> AddressesOf(const std::vector<Member>& members) {
   std::vector<std::string> addresses;
@@ -49,6 +56,7 @@
         metrics_(metrics),
         routes_(routes),
         listener_(listener),
+        turn_seconds_(metrics.HistogramOf("control_turn_seconds", "")),
         transport_(
             MakeZmqTransport(config.identity, "control", clock, metrics)),
         group_client_(
@@ -118,7 +126,7 @@
       auto upstream = membership_->LocalUpstream();
       if (!upstream.has_value()) return;
       upstream->state = UpstreamState::kDraining;
-      HandleAnnouncement(*upstream);
+      HandleAnnouncement(*upstream, clock_.Now());
     });
   }
 
@@ -145,10 +153,10 @@
 
   // AnnouncementSink.
   void Announce(const UpstreamAnnouncement& upstream) override {
-    executor_.Post([this, upstream] {
+    executor_.Post([this, upstream, posted_at = clock_.Now()] {
       UpstreamAnnouncement announcement = upstream;
       if (stopping_ || draining_) announcement.state = UpstreamState::kDraining;
-      HandleAnnouncement(announcement);
+      HandleAnnouncement(announcement, posted_at);
     });
   }
 
@@ -245,7 +253,7 @@
       auto upstream = membership_->LocalUpstream();
       if (!upstream.has_value()) return;
       upstream->state = UpstreamState::kDraining;
-      HandleAnnouncement(*upstream);
+      HandleAnnouncement(*upstream, clock_.Now());
     });
   }
 
@@ -305,8 +313,9 @@
         IsReplica() ? kReplicaTickInterval : kTickInterval;
     while (!exit_requested_) {
       const bool busy = IsReplica() && replica_host_.HasUnappliedEntries();
-      transport_->Poll(executor_.WakeDescriptor(),
-                       busy ? Duration{} : tick_interval);
+      const Duration wait = busy ? Duration{} : tick_interval;
+      const Instant turn_begin = clock_.Now();
+      transport_->Poll(executor_.WakeDescriptor(), wait);
       executor_.RunPending();
       const Instant now = clock_.Now();
       if (now >= next_tick_) {
@@ -317,9 +326,20 @@
       HandleAcceptedVersions(now);
       HandleOwnMessages();
       if (std::exchange(view_changed_, false)) PublishView();
+      ReportTurn(clock_.Now() - turn_begin - wait);
     }
   }
 
+  /// @param busy time that the turn took beyond its wait for messages.
+  void ReportTurn(Duration busy) {
+    turn_seconds_.Record(std::max(busy, Duration{}));
+    if (busy < kLongTurn || !long_turns_.AllowLine(clock_.Now())) return;
+    Log(LogLevel::kWarning, "control",
+        "The control thread was busy for " + MillisText(busy) + " ms.",
+        {{"lines_left_out",
+          std::to_string(long_turns_.TakeSuppressedCount())}});
+  }
+
   void Tick(Instant now) {
     ApplyEffects(membership_->OnTick(now));
     ApplyEffects(follower_->OnTick(now));
@@ -344,14 +364,17 @@
           if (result.error || !answer.ParseFromString(result.result)) {
             return;
           }
+          apply_time_ = {};
           ApplyEffects(follower_->OnFloor(
-              answer.versions().empty() ? 0 : answer.versions(0).number()));
+              answer.versions().empty() ? 0 : answer.versions(0).number(),
+              clock_.Now()));
         });
   }
 
   void HandleAcceptedVersions(Instant now) {
     for (const ConfigVersionPtr& version :
          std::exchange(accepted_versions_, {})) {
+      apply_time_ = {};
       ApplyEffects(follower_->OnCommitted(version, now));
     }
   }
@@ -361,7 +384,9 @@
     for (Executor::Task& task : std::exchange(own_messages_, {})) task();
   }
 
-  void HandleAnnouncement(const UpstreamAnnouncement& upstream) {
+  /// @param posted_at when the announcement was queued for this thread.
+  void HandleAnnouncement(const UpstreamAnnouncement& upstream,
+                          Instant posted_at) {
     const auto previous = membership_->LocalUpstream();
     if (!previous.has_value() || previous->id != upstream.id ||
         previous->state != upstream.state) {
@@ -371,7 +396,8 @@
            {"service", upstream.service},
            {"state", std::to_string(static_cast<int>(upstream.state))},
            {"born", std::to_string(upstream.started_at_ms)},
-           {"sequence", std::to_string(upstream.sequence)}});
+           {"sequence", std::to_string(upstream.sequence)},
+           {"queued_ms", MillisText(clock_.Now() - posted_at)}});
     }
     ApplyEffects(membership_->OnAnnounce(upstream, clock_.Now()));
   }
@@ -404,11 +430,24 @@
     ready_ = !stopping_;
     membership_->SetVersionInUse(effects.activate->number,
                                  effects.activate->digest, activated_at_);
-    Log(LogLevel::kInfo, "distribution",
-        "Version " + std::to_string(effects.activate->number) + " is in use.");
+    LogActivation(effects);
     view_changed_ = true;
   }
 
+  void LogActivation(const FollowerEffects& effects) const {
+    const CatchUp& catch_up = effects.catch_up;
+    Log(LogLevel::kInfo, "distribution",
+        "Version " + std::to_string(effects.activate->number) + " is in use.",
+        {{"behind_ms", MillisText(catch_up.behind)},
+         {"pulls", std::to_string(catch_up.pulls)},
+         {"busy", std::to_string(catch_up.busy)},
+         {"unanswered", std::to_string(catch_up.unanswered)},
+         {"unusable", std::to_string(catch_up.unusable)},
+         {"answer_ms", MillisText(catch_up.answer_wait)},
+         {"apply_ms", MillisText(apply_time_)},
+         {"bytes", std::to_string(effects.activate->text.size())}});
+  }
+
   /// Publishes the route table and the local upstream's limits after instances,
   /// upstreams or the version in use have changed.
   void PublishView() {
@@ -486,8 +525,10 @@
       return;
     }
     if (auto distribution = DistributionFromWire(message)) {
-      ApplyAndReply(from, path,
-                    follower_->OnMessage(kSenderAddress, *distribution, now));
+      FollowerEffects effects =
+          follower_->OnMessage(kSenderAddress, *distribution, now);
+      apply_time_ = clock_.Now() - now;
+      ApplyAndReply(from, path, std::move(effects));
       return;
     }
     if (auto membership = MembershipFromWire(message)) {
@@ -615,6 +656,7 @@
   Metrics& metrics_;
   RouteTableHolder& routes_;
   LocalUpstreamListener& listener_;
+  LatencyHistogram& turn_seconds_;
   Executor executor_;
   std::unique_ptr<PeerTransport> transport_;
   GroupClient group_client_;
@@ -626,6 +668,8 @@
 
   Instant next_tick_;
   Instant activated_at_;
+  Duration apply_time_{};  ///< Spent on the last answer of a peer.
+  LogRateLimiter long_turns_{1};
   bool floor_read_pending_ = false;
   bool view_changed_ = false;  ///< Handled at the end of a loop iteration.
   bool stopping_ = false;
--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -1,6 +1,7 @@
 #include "distribution/version_follower.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "base/random.h"
@@ -40,16 +41,16 @@
                               Instant now) override {
     FollowerEffects effects;
     if (history_.Add(version)) next_notice_ = now;
-    Activate(effects);
+    Activate(now, effects);
     return effects;
   }
 
-  FollowerEffects OnFloor(uint64_t number) override {
+  FollowerEffects OnFloor(uint64_t number, Instant now) override {
     FollowerEffects effects;
     if (floor_known_) return effects;
     floor_known_ = true;
     floor_ = number;
-    Activate(effects);
+    Activate(now, effects);
     return effects;
   }
 
@@ -82,6 +83,9 @@
   void OnNotice(const std::string& from, const VersionNotice& notice,
                 Instant now, FollowerEffects& effects) {
     newest_notified_ = std::max(newest_notified_, notice.number);
+    if (notice.number > history_.Latest()->number && !behind_since_) {
+      behind_since_ = now;
+    }
     if (notice.number <= history_.Latest()->number || now < next_pull_) return;
     Pull(from, now, effects);
   }
@@ -97,6 +101,9 @@
   }
 
   void Pull(const std::string& address, Instant now, FollowerEffects& effects) {
+    if (pulled_at_) ++catch_up_.unanswered;
+    pulled_at_ = now;
+    ++catch_up_.pulls;
     next_pull_ = now + config_.pull_timeout;
     effects.send.push_back({address, VersionPull{history_.Latest()->number,
                                                  history_.Latest()->digest}});
@@ -118,11 +125,14 @@
 
   void OnPullAnswer(const VersionPullAnswer& answer, Instant now,
                     FollowerEffects& effects) {
+    if (pulled_at_) catch_up_.answer_wait = now - *pulled_at_;
+    pulled_at_.reset();
     if (history_.ApplyAnswer(answer) != nullptr) {
       next_pull_ = now;
-      Activate(effects);
+      Activate(now, effects);
       return;
     }
+    ++(answer.busy ? catch_up_.busy : catch_up_.unusable);
     next_pull_ = now + Jittered(config_.pull_retry_pause);
   }
 
@@ -144,12 +154,16 @@
     return Duration(static_cast<int64_t>(length / 2 + random_.Below(length)));
   }
 
-  void Activate(FollowerEffects& effects) {
+  void Activate(Instant now, FollowerEffects& effects) {
     const ConfigVersionPtr& latest = history_.Latest();
     if (!floor_known_ || latest->number < floor_) return;
     if (in_use_ != nullptr && in_use_->number >= latest->number) return;
     in_use_ = latest;
     effects.activate = latest;
+    if (behind_since_) catch_up_.behind = now - *behind_since_;
+    effects.catch_up = std::exchange(catch_up_, {});
+    behind_since_.reset();
+    if (newest_notified_ > latest->number) behind_since_ = now;
     for (const DistributionPeer& peer : peers_) Notify(peer, effects);
   }
 
@@ -166,6 +180,9 @@
   Instant next_notice_;
   uint64_t newest_notified_ = 0;
   Instant next_pull_;
+  std::optional<Instant> pulled_at_;  ///< Of the pull that has no answer yet.
+  std::optional<Instant> behind_since_;
+  CatchUp catch_up_;
   size_t pulls_answered_ = 0;
   Instant pulls_counted_until_;
 };
--- a/src/distribution/tests/version_follower_property_test.cc
+++ b/src/distribution/tests/version_follower_property_test.cc
@@ -60,7 +60,7 @@
         effects = follower->OnCommitted(versions[to], now);
         break;
       case 1:
-        effects = follower->OnFloor(floor);
+        effects = follower->OnFloor(floor, now);
         break;
       default:
         effects = follower->OnMessage(
--- a/src/distribution/tests/version_follower_test.cc
+++ b/src/distribution/tests/version_follower_test.cc
@@ -35,14 +35,14 @@
   EXPECT_FALSE(follower_->OnTick(now_).read_floor);
   EXPECT_TRUE(follower_->OnTick(now_ + std::chrono::seconds(1)).read_floor);
   EXPECT_FALSE(follower_->WaitingFor().empty());
-  follower_->OnFloor(0);
+  follower_->OnFloor(0, now_);
   EXPECT_FALSE(follower_->OnTick(now_ + std::chrono::seconds(9)).read_floor);
 }
 
 TEST_F(ARestartedFollower, UsesNothingBelowTheFloor) {
   EXPECT_EQ(follower_->OnCommitted(VersionWith(1, "a"), now_).activate,
             nullptr);
-  EXPECT_EQ(follower_->OnFloor(2).activate, nullptr);
+  EXPECT_EQ(follower_->OnFloor(2, now_).activate, nullptr);
   EXPECT_EQ(follower_->InUse(), nullptr);
   EXPECT_EQ(follower_->WaitingFor(), "version 2");
   auto effects = follower_->OnCommitted(VersionWith(2, "b"), now_);
@@ -52,7 +52,7 @@
 
 class AFollowerWithAFloor : public AFollower {
  protected:
-  AFollowerWithAFloor() { follower_->OnFloor(0); }
+  AFollowerWithAFloor() { follower_->OnFloor(0, now_); }
 };
 
 TEST_F(AFollowerWithAFloor, PullsFromThePeerThatIsAhead) {
@@ -100,10 +100,33 @@
   EXPECT_GE(pulls, 2);
 }
 
+TEST_F(AFollowerWithAFloor, ReportsWhatAVersionWaitedFor) {
+  const ConfigVersionPtr version = VersionWith(1, "plots");
+  follower_->SetPeers({{"y", "a", "y", false}});
+  follower_->OnMessage("y", VersionNotice{1, version->digest}, now_);
+  now_ += std::chrono::milliseconds(500);  // The pull is not answered.
+  follower_->OnTick(now_);
+  VersionPullAnswer busy;
+  busy.busy = true;
+  follower_->OnMessage("y", busy, now_ + std::chrono::milliseconds(10));
+  now_ += std::chrono::milliseconds(200);
+  follower_->OnTick(now_);
+  now_ += std::chrono::milliseconds(40);
+  VersionPullAnswer answer;
+  answer.whole = version->text;
+  answer.number = 1;
+  answer.digest = version->digest;
+  const FollowerEffects effects = follower_->OnMessage("y", answer, now_);
+  ASSERT_NE(effects.activate, nullptr);
+  const CatchUp expected{std::chrono::milliseconds(740), 3, 1, 1, 0,
+                         std::chrono::milliseconds(40)};
+  EXPECT_EQ(effects.catch_up, expected);
+}
+
 class ManyFollowersAtOnce : public AFollower {};
 
 TEST_F(ManyFollowersAtOnce, AreAnsweredBusyAboveThePullLimit) {
-  follower_->OnFloor(0);
+  follower_->OnFloor(0, now_);
   follower_->OnCommitted(VersionWith(1, "a"), now_);
   const VersionPull pull{0, EmptyConfigVersion()->digest};
   int busy = 0;
@@ -117,7 +140,7 @@
 }
 
 TEST_F(ManyFollowersAtOnce, AskAgainAfterABusyAnswer) {
-  follower_->OnFloor(3);
+  follower_->OnFloor(3, now_);
   follower_->SetPeers({{"p", "a", "p-address", false}});
   EXPECT_FALSE(follower_->OnTick(now_).send.empty());
   VersionPullAnswer busy;
--- a/src/distribution/types/distribution_types.h
+++ b/src/distribution/types/distribution_types.h
@@ -63,6 +63,19 @@
                          const DistributionPeer&) = default;
 };
 
+/// What a daemon did to obtain newer versions, from when it learned that one
+/// exists until it put one in use.
+struct CatchUp {
+  Duration behind{};        ///< Since it learned of a newer version.
+  uint32_t pulls = 0;       ///< Pulls sent.
+  uint32_t busy = 0;        ///< Pulls refused because of the peer's limit.
+  uint32_t unanswered = 0;  ///< Pulls without an answer within the timeout.
+  uint32_t unusable = 0;    ///< Answers that did not lead to a newer version.
+  Duration answer_wait{};   ///< From the last pull to its answer.
+
+  friend bool operator==(const CatchUp&, const CatchUp&) = default;
+};
+
 struct DistributionSend {
   std::string address;
   DistributionMessage message;
--- a/src/distribution/version_follower.h
+++ b/src/distribution/version_follower.h
@@ -32,6 +32,7 @@
   /// The version to put in use; nullptr when it does not change. Its number is
   /// always above that of the version in use.
   ConfigVersionPtr activate;
+  CatchUp catch_up;  ///< What led to `activate`.
   /// Whether to read the latest number from the leader of the versions group,
   /// confirmed by a majority, and to pass it to OnFloor().
   bool read_floor = false;
@@ -60,7 +61,7 @@
   /// Sets the floor to the number read for `read_floor`. The read must have
   /// begun after this follower was created, so that no version above `number`
   /// was in use here before.
-  virtual FollowerEffects OnFloor(uint64_t number) = 0;
+  virtual FollowerEffects OnFloor(uint64_t number, Instant now) = 0;
 
   /// Replaces the list of live peers.
   virtual void SetPeers(std::vector<DistributionPeer> peers) = 0;
