Acknowledge an announcement only once requests are admitted by it

Cause: an announcement was acknowledged as soon as it was queued for the control thread. The owner went on admitting requests until that thread, busy with versions of many routes, and then the request thread had handled it. Upstreams count the 2 s until the last request from the acknowledgement. The class of fault: an acknowledgement that precedes its effect.

Now the answer waits until the owner has applied the announcement, at most 800 ms, then it is 503 (8003 not-in-effect) and the upstream sends it again. Leaves and the operators' drain had the same cause and wait too. The listener of announcements has a thread per connection now, as its handler blocks. A report of an upstream that is down comes from the request thread and must not wait for it: it has a method of its own.

Elsewhere: an accepted version is acknowledged after it is synced on a majority, a stop drains before it waits: neither precedes its effect.

--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -68,7 +68,7 @@
         [this](const HttpRequest& request) {
           return external_.AnswerAnnouncement(*control_, request);
         },
-        HttpThreads::kSingleThread, error);
+        HttpThreads::kThreadPerConnection, error);
     readiness_ = StartServer(
         settings_.readiness,
         [this](const HttpRequest& request) {
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -39,6 +39,9 @@
   bool serves_claims = true;  ///< Whether the replica also serves claims.
   std::string data_folder;    ///< Set when this instance is a replica.
   uint64_t seed = 0;          ///< Of all random choices.
+  /// Longest wait for an announcement to be in effect. Upstreams wait a second
+  /// for its acknowledgement.
+  Duration in_effect_timeout = std::chrono::milliseconds(800);
 };
 
 /// Notified of the local upstream and its limits, on the control thread.
@@ -49,6 +52,9 @@
   virtual void OnLocalUpstream(
       const std::optional<UpstreamAnnouncement>& upstream,
       const AdmissionConfig& limits) = 0;
+
+  /// Calls `done` on any thread once all earlier updates are in effect.
+  virtual void AfterUpdates(std::function<void()> done) = 0;
 };
 
 /// The daemon's control thread. Runs the replicated groups, the distribution of
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -152,21 +152,29 @@
   }
 
   // AnnouncementSink.
-  void Announce(const UpstreamAnnouncement& upstream) override {
-    executor_.Post([this, upstream, posted_at = clock_.Now()] {
+  bool Announce(const UpstreamAnnouncement& upstream) override {
+    return RunUntilInEffect([this, upstream, posted_at = clock_.Now()] {
       UpstreamAnnouncement announcement = upstream;
       if (stopping_ || draining_) announcement.state = UpstreamState::kDraining;
       HandleAnnouncement(announcement, posted_at);
     });
   }
 
-  void Deregister(const std::string& id, int64_t started_at_ms) override {
-    executor_.Post([this, id, started_at_ms] {
+  bool Deregister(const std::string& id, int64_t started_at_ms) override {
+    return RunUntilInEffect([this, id, started_at_ms] {
       ApplyEffects(
           membership_->OnUpstreamLeft(id, started_at_ms, clock_.Now()));
     });
   }
 
+  void ReportDown(const UpstreamAnnouncement& upstream) override {
+    UpstreamAnnouncement draining = upstream;
+    draining.state = UpstreamState::kDraining;
+    executor_.Post([this, draining, posted_at = clock_.Now()] {
+      HandleAnnouncement(draining, posted_at);
+    });
+  }
+
   // OperatorBackend.
   ProposalVerdict Propose(const PatchProposal& proposal) override {
     wire::PatchCommand command;
@@ -247,8 +255,8 @@
 
   std::string MetricsText() override { return metrics_.Exposition(); }
 
-  void DrainUpstream() override {
-    executor_.Post([this] {
+  bool DrainUpstream() override {
+    return RunUntilInEffect([this] {
       draining_ = true;
       auto upstream = membership_->LocalUpstream();
       if (!upstream.has_value()) return;
@@ -326,6 +334,9 @@
       HandleAcceptedVersions(now);
       HandleOwnMessages();
       if (std::exchange(view_changed_, false)) PublishView();
+      for (std::function<void()>& done : std::exchange(awaiting_effect_, {})) {
+        listener_.AfterUpdates(std::move(done));
+      }
       ReportTurn(clock_.Now() - turn_begin - wait);
     }
   }
@@ -589,6 +600,20 @@
     replica_host_.Submit(request, now, answer);
   }
 
+  /// Runs a function on the control thread and waits until what it changed is
+  /// in effect for requests.
+  /// @return whether it was in effect before the configured timeout.
+  bool RunUntilInEffect(std::function<void()> work) {
+    auto promise = std::make_shared<std::promise<void>>();
+    auto future = promise->get_future();
+    executor_.Post([this, promise, work = std::move(work)] {
+      work();
+      awaiting_effect_.emplace_back([promise] { promise->set_value(); });
+    });
+    return future.wait_for(config_.in_effect_timeout) ==
+           std::future_status::ready;
+  }
+
   /// Runs a function on the control thread and waits for its result.
   /// @return an empty result after kOperatorTimeout.
   template <typename Result>
@@ -665,6 +690,8 @@
   std::unique_ptr<Membership> membership_;
   std::unique_ptr<VersionFollower> follower_;
   std::vector<Executor::Task> own_messages_;
+  /// Called when the view that is published next is in effect.
+  std::vector<std::function<void()>> awaiting_effect_;
 
   Instant next_tick_;
   Instant activated_at_;
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -282,8 +282,8 @@
                                        const HttpRequest& request) {
   if (request.path == "/v1/patches") return Propose(backend, request.body);
   if (request.path == "/v1/drain") {
-    backend.DrainUpstream();
-    return JsonResponse(200, json::object());
+    if (backend.DrainUpstream()) return JsonResponse(200, json::object());
+    return ErrorResponse(OperatorCode::kInternalTimeout);
   }
   return std::nullopt;
 }
--- a/src/operator/operator_backend.h
+++ b/src/operator/operator_backend.h
@@ -117,8 +117,10 @@
   virtual DaemonStatus Status() = 0;
   virtual std::string MetricsText() = 0;
 
-  /// Drains the local upstream, as if it had announced that itself.
-  virtual void DrainUpstream() = 0;
+  /// Drains the local upstream, as if it had announced that itself, and waits
+  /// until that is in effect.
+  /// @return whether it was in effect within a time limit.
+  virtual bool DrainUpstream() = 0;
 };
 
 }  // namespace hibiscusglade
--- a/src/operator/tests/operator_api_test.cc
+++ b/src/operator/tests/operator_api_test.cc
@@ -24,10 +24,11 @@
     return {};
   }
   std::string MetricsText() override { return ""; }
-  void DrainUpstream() override {}
+  bool DrainUpstream() override { return drains_in_time; }
 
   std::vector<PatchProposal> proposals;
   uint32_t requested_rows = 0;
+  bool drains_in_time = true;
 };
 
 class TheOperatorsApi : public testing::Test {
@@ -76,6 +77,13 @@
   EXPECT_TRUE(backend_.proposals.empty());
 }
 
+TEST_F(TheOperatorsApi, ReportsADrainThatIsNotInEffectInTime) {
+  const HttpRequest drain{"POST", "/v1/drain", {}, ""};
+  EXPECT_EQ(AnswerOperator(backend_, drain).status, 200);
+  backend_.drains_in_time = false;
+  EXPECT_EQ(AnswerOperator(backend_, drain).status, 503);
+}
+
 TEST_F(TheOperatorsApi, RefusesMalformedOrTooLargeNumbers) {
   EXPECT_EQ(StatusOf("/v1/versions/18446744073709551616"), 400);
   EXPECT_EQ(StatusOf("/v1/versions/-1"), 400);
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -131,6 +131,10 @@
     });
   }
 
+  void AfterUpdates(std::function<void()> done) override {
+    executor_.Post(std::move(done));
+  }
+
   // OwnerLink.
   void Start(const std::string& owner, const CallAttempt& attempt) override {
     if (IsSelf(owner)) {
@@ -232,10 +236,7 @@
   }
 
   void OnUpstreamDown(const UpstreamAnnouncement& upstream) override {
-    UpstreamAnnouncement draining = upstream;
-    // Draining until its next announcement, so that it gets no new requests.
-    draining.state = UpstreamState::kDraining;
-    announcements_->Announce(draining);
+    announcements_->ReportDown(upstream);
   }
 
  private:
--- a/src/upstream/announcement_api.h
+++ b/src/upstream/announcement_api.h
@@ -12,13 +12,22 @@
   virtual ~AnnouncementSink() = default;
 
   /// The upstream registers, renews its announcement, or changes its state.
-  virtual void Announce(const UpstreamAnnouncement& upstream) = 0;
+  /// Waits until the announcement is in effect: from then on requests are
+  /// admitted according to it, none to an upstream that drains.
+  /// @return whether it was in effect within a time limit; otherwise it must
+  /// not be acknowledged.
+  virtual bool Announce(const UpstreamAnnouncement& upstream) = 0;
 
   /// The upstream has deregistered.
   /// @param id of the upstream incarnation that left; empty: the registered
   /// one, whatever its id.
   /// @param started_at_ms wall-clock time at which it started; 0: not given.
-  virtual void Deregister(const std::string& id, int64_t started_at_ms) = 0;
+  /// @return as Announce().
+  virtual bool Deregister(const std::string& id, int64_t started_at_ms) = 0;
+
+  /// The upstream does not respond; it gets no new requests until it announces
+  /// itself again. Does not wait.
+  virtual void ReportDown(const UpstreamAnnouncement& upstream) = 0;
 };
 
 /// Answers one request to the HTTP API for announcements.
--- a/src/upstream/internal/announcement_api.cc
+++ b/src/upstream/internal/announcement_api.cc
@@ -53,6 +53,11 @@
   return upstream;
 }
 
+HttpResponse Acknowledgement(bool in_effect) {
+  if (in_effect) return {200, "application/json", "{}\n"};
+  return ErrorResponse(UpstreamCode::kNotInEffect, json::array());
+}
+
 }  // namespace
 
 HttpResponse AnswerAnnouncement(AnnouncementSink& sink,
@@ -61,8 +66,7 @@
     return ErrorResponse(UpstreamCode::kUnknownResource, json::array());
   }
   if (request.method == "DELETE") {
-    sink.Deregister("", 0);
-    return {200, "application/json", "{}\n"};
+    return Acknowledgement(sink.Deregister("", 0));
   }
   if (request.method != "PUT") {
     return ErrorResponse(UpstreamCode::kUnknownResource, json::array());
@@ -70,8 +74,7 @@
   SettingsReader reader(request.body);
   const UpstreamAnnouncement upstream = ReadAnnouncement(reader);
   if (reader.Faults().empty()) {
-    sink.Announce(upstream);
-    return {200, "application/json", "{}\n"};
+    return Acknowledgement(sink.Announce(upstream));
   }
   return ErrorResponse(UpstreamCode::kMalformedAnnouncement,
                        FaultsJson(reader.Faults()));
--- a/src/upstream/upstream_result_codes.h
+++ b/src/upstream/upstream_result_codes.h
@@ -9,6 +9,7 @@
 enum class UpstreamCode {
   kUnknownResource = 8001,
   kMalformedAnnouncement = 8002,
+  kNotInEffect = 8003,
 };
 
 const ResultCodeCategory& UpstreamCategory();
