Send the steps of a version compressed

Cause: steps travelled as they are, 212 KB for these routes, 220 ms of a link of 7.7 Mbit/s for each answer. A daemon answers up to ten pulls at once, which takes 2 s, while a pull waits 400 ms: 60 of 84 daemons pulled again elsewhere, and the answers that nobody waited for filled the links further (answer_ms, unanswered and unusable of version 19 in the logs). Ruled out by the same lines: pulls refused as busy (0). Applying it, 148 to 235 ms, is the next largest part.

A pull says that its sender reads compressed steps, and only then are they sent so: earlier releases get and send them as before. Whole documents were compressed already.

Test: control_test AnAnswerThatAddsManyRoutes: 183,820 bytes before against 38,500, which ten answers may have in 400 ms of such a link; now below. Elsewhere: entries of the log carry documents compressed; records of instances are small.

--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -8,6 +8,42 @@
 /// The version ledger rejects larger documents.
 constexpr size_t kMaxWholeBytes = size_t{4} << 20U;
 
+/// @param out a message with repeated steps.
+template <typename Message>
+void FillSteps(const std::vector<VersionStep>& steps, Message& out) {
+  for (const VersionStep& step : steps) {
+    wire::VersionStep* out_step = out.add_steps();
+    out_step->set_number(step.number);
+    out_step->set_patch(step.patch);
+  }
+}
+
+template <typename Message>
+std::vector<VersionStep> StepsFrom(const Message& in) {
+  std::vector<VersionStep> steps;
+  for (const wire::VersionStep& step : in.steps()) {
+    steps.push_back({step.number(), step.patch()});
+  }
+  return steps;
+}
+
+std::string CompressSteps(const std::vector<VersionStep>& steps) {
+  wire::VersionSteps message;
+  FillSteps(steps, message);
+  return Compress(message.SerializeAsString());
+}
+
+/// @return no steps when the bytes are damaged; the follower then ignores the
+/// answer.
+std::vector<VersionStep> DecompressSteps(const std::string& bytes) {
+  wire::VersionSteps message;
+  const auto serialized = Decompress(bytes, kMaxWholeBytes);
+  if (!serialized.has_value() || !message.ParseFromString(*serialized)) {
+    return {};
+  }
+  return StepsFrom(message);
+}
+
 struct DistributionFiller {
   wire::Envelope& out;
 
@@ -20,15 +56,16 @@
     auto* to = out.mutable_version_pull();
     to->set_have_number(m.have_number);
     to->set_have_digest(m.have_digest);
+    to->set_reads_compressed_steps(m.reads_compressed_steps);
   }
   void operator()(const VersionPullAnswer& m) const {
     auto* to = out.mutable_version_pull_answer();
     to->set_base_number(m.base_number);
     to->set_base_digest(m.base_digest);
-    for (const VersionStep& step : m.steps) {
-      wire::VersionStep* out_step = to->add_steps();
-      out_step->set_number(step.number);
-      out_step->set_patch(step.patch);
+    if (m.compress_steps && !m.steps.empty()) {
+      to->set_compressed_steps(CompressSteps(m.steps));
+    } else {
+      FillSteps(m.steps, *to);
     }
     if (!m.whole.empty()) to->set_whole(Compress(m.whole));
     to->set_number(m.number);
@@ -109,9 +146,9 @@
   VersionPullAnswer answer;
   answer.base_number = in.base_number();
   answer.base_digest = in.base_digest();
-  for (const wire::VersionStep& step : in.steps()) {
-    answer.steps.push_back({step.number(), step.patch()});
-  }
+  answer.steps = in.compressed_steps().empty()
+                     ? StepsFrom(in)
+                     : DecompressSteps(in.compressed_steps());
   if (!in.whole().empty()) {
     // Damaged data gives an empty text; the follower then ignores the answer.
     answer.whole = Decompress(in.whole(), kMaxWholeBytes).value_or("");
@@ -140,7 +177,8 @@
                            in.version_notice().digest()};
     case wire::Envelope::kVersionPull:
       return VersionPull{in.version_pull().have_number(),
-                         in.version_pull().have_digest()};
+                         in.version_pull().have_digest(),
+                         in.version_pull().reads_compressed_steps()};
     case wire::Envelope::kVersionPullAnswer:
       return From(in.version_pull_answer());
     default:
--- /dev/null
+++ b/src/control/tests/control_codec_test.cc
@@ -0,0 +1,76 @@
+#include "control/internal/control_codec.h"
+
+#include <gtest/gtest.h>
+
+#include "base/random.h"
+
+namespace hibiscusglade {
+namespace {
+
+constexpr int kAddedRoutes = 840;
+/// A daemon answers ten pulls at once before their timeout of 400 ms, over a
+/// link of 7.7 Mbit/s.
+constexpr size_t kMaxAnswerBytes = 7'700'000 / 8 * 400 / 1000 / 10;
+
+std::string PatchThatAddsRoutes() {
+  Random random(1);
+  std::string patch;
+  for (int i = 0; i < kAddedRoutes; ++i) {
+    const std::string prefix = std::to_string(random.Below(1'000'000'000));
+    patch += patch.empty() ? "[" : ",";
+    patch += R"({"op":"add","path":"/routes/r)" + std::to_string(i);
+    patch += R"(","value":{"class":"short","host":"plots.example",)";
+    patch += R"("path_prefix":"/p)" + prefix;
+    patch += R"(/","repeatable":true,"claimed":false,"objective_ms":300,)";
+    patch += R"("timeout_ms":1000,"max_attempts":2,"service":"plots"}})";
+  }
+  return patch + "]";
+}
+
+class AnAnswerThatAddsManyRoutes : public testing::Test {
+ protected:
+  AnAnswerThatAddsManyRoutes() {
+    answer_.base_number = 6;
+    answer_.base_digest = 60;
+    answer_.steps = {{7, PatchThatAddsRoutes()}, {9, "[]"}};
+    answer_.number = 9;
+    answer_.digest = 90;
+  }
+
+  /// @return the answer as its receiver reads it.
+  static VersionPullAnswer Receive(const wire::Envelope& message) {
+    return std::get<VersionPullAnswer>(*DistributionFromWire(message));
+  }
+
+  VersionPullAnswer answer_;
+  wire::Envelope message_;
+};
+
+TEST_F(AnAnswerThatAddsManyRoutes, IsShortEnoughForAFullLink) {
+  answer_.compress_steps = VersionPull{}.reads_compressed_steps;
+  ToWire(answer_, message_);
+  EXPECT_LT(message_.ByteSizeLong(), kMaxAnswerBytes);
+  EXPECT_EQ(Receive(message_).steps, answer_.steps);
+}
+
+TEST_F(AnAnswerThatAddsManyRoutes, IsNotCompressedForAnEarlierRelease) {
+  wire::Envelope pull;
+  pull.mutable_version_pull()->set_have_number(6);
+  const auto read = std::get<VersionPull>(*DistributionFromWire(pull));
+  EXPECT_FALSE(read.reads_compressed_steps);
+  answer_.compress_steps = read.reads_compressed_steps;
+  ToWire(answer_, message_);
+  EXPECT_EQ(message_.version_pull_answer().steps_size(), 2);
+  EXPECT_EQ(Receive(message_).steps, answer_.steps);
+}
+
+TEST_F(AnAnswerThatAddsManyRoutes, HasNoStepsWhenItIsDamaged) {
+  answer_.compress_steps = true;
+  ToWire(answer_, message_);
+  message_.mutable_version_pull_answer()->mutable_compressed_steps()->resize(
+      100);
+  EXPECT_TRUE(Receive(message_).steps.empty());
+}
+
+}  // namespace
+}  // namespace hibiscusglade
--- a/src/distribution/internal/version_history.cc
+++ b/src/distribution/internal/version_history.cc
@@ -97,6 +97,7 @@
   VersionPullAnswer answer;
   answer.number = latest_->number;
   answer.digest = latest_->digest;
+  answer.compress_steps = pull.reads_compressed_steps;
   auto first =
       std::find_if(steps_.begin(), steps_.end(), [&pull](const Step& step) {
         return step.base_number == pull.have_number;
--- a/src/distribution/tests/version_cost_test.cc
+++ b/src/distribution/tests/version_cost_test.cc
@@ -22,10 +22,12 @@
       R"("routes":{)";
   for (int i = 0; i < kRoutes; ++i) {
     const std::string number = std::to_string(i);
-    text += (i == 0 ? "\"r" : ",\"r") + number +
-            R"(":{"class":"short","host":"plots.example","path_prefix":"/p)" +
-            number + R"(/list/","repeatable":true,"claimed":false,)" +
-            R"("objective_ms":300,"timeout_ms":1000,"service":"plots"})";
+    text += i == 0 ? "\"r" : ",\"r";
+    text += number;
+    text += R"(":{"class":"short","host":"plots.example","path_prefix":"/p)";
+    text += number;
+    text += R"(/list/","repeatable":true,"claimed":false,)";
+    text += R"("objective_ms":300,"timeout_ms":1000,"service":"plots"})";
   }
   auto canonical = [](const std::string& document) {
     std::vector<SettingsFault> faults;
--- a/src/distribution/types/distribution_types.h
+++ b/src/distribution/types/distribution_types.h
@@ -23,6 +23,7 @@
 struct VersionPull {
   uint64_t have_number = 0;
   Digest have_digest = 0;
+  bool reads_compressed_steps = true;  ///< False for releases that can't.
 
   friend bool operator==(const VersionPull&, const VersionPull&) = default;
 };
@@ -40,6 +41,7 @@
   uint64_t base_number = 0;
   Digest base_digest = 0;
   std::vector<VersionStep> steps;  ///< In order, starting from the base.
+  bool compress_steps = false;     ///< Whether to send them compressed.
   std::string whole;               ///< When not empty, replaces `steps`.
   uint64_t number = 0;             ///< Of the resulting version.
   Digest digest = 0;
