Read each element that a patch sets once

Cause: an added element was put into a document of its own, patched, written, and parsed again when the version was built. Now the value of the operation is written and read once, when it is applied. Only parts of elements still go through the JSON library's patch.

Elsewhere: a whole document is parsed once and read once already.

--- a/src/versions/document_editor.h
+++ b/src/versions/document_editor.h
@@ -59,14 +59,15 @@
   void Split(const nlohmann::json& document);
   std::optional<std::vector<Operation>> ElementOperations(
       std::string_view patch) const;
-  void ApplyToElement(const Operation& operation);
-  std::optional<ConfigDocument> ReadChanges() const;
-  bool ReadElement(const ElementKey& key, ConfigDocument& document) const;
+  void ApplyToElement(Operation& operation);
+  bool ReadElement(const ElementKey& key, const nlohmann::json& value);
+  std::optional<ConfigDocument> DocumentWithChanges();
 
   ConfigVersionPtr base_;
   std::map<std::string, Field> fields_;
   std::string not_an_object_;  ///< Text of a document without fields.
   std::set<ElementKey> changed_;
+  ConfigDocument changed_elements_;  ///< Those of `changed_` that still exist.
   /// Whether the whole document must be read again to build a version.
   bool changed_as_whole_ = false;
 };
--- a/src/versions/internal/document_editor.cc
+++ b/src/versions/internal/document_editor.cc
@@ -59,11 +59,24 @@
   return true;
 }
 
+/// Moves an element to another collection, or erases it there.
+template <typename Element>
+void MoveElement(const std::string& key, bool exists,
+                 std::map<std::string, Element>& from,
+                 std::map<std::string, Element>& to) {
+  if (exists) {
+    to.insert_or_assign(key, std::move(from.at(key)));
+  } else {
+    to.erase(key);
+  }
+}
+
 }  // namespace
 
 /// A patch operation on one element or a part of it.
 struct DocumentEditor::Operation {
   ElementKey key;
+  bool sets_whole_element = false;
   json change;
 };
 
@@ -99,8 +112,8 @@
 bool DocumentEditor::Apply(std::string_view patch,
                            std::vector<SettingsFault>& faults) {
   try {
-    if (const auto operations = ElementOperations(patch)) {
-      for (const Operation& operation : *operations) ApplyToElement(operation);
+    if (auto operations = ElementOperations(patch)) {
+      for (Operation& operation : *operations) ApplyToElement(operation);
       return true;
     }
   } catch (const json::exception& error) {
@@ -136,32 +149,53 @@
     if (field == fields_.end() || !field->second.is_collection) {
       return std::nullopt;
     }
-    operations.push_back({{tokens[0], tokens[1]}, std::move(change)});
+    const bool sets_whole_element =
+        kind == "add" && tokens.size() == 2 && change.contains("value");
+    operations.push_back(
+        {{tokens[0], tokens[1]}, sets_whole_element, std::move(change)});
   }
   return operations;
 }
 
-/// Applies an operation to a document that holds nothing but its element, in
-/// which it has the same effect. Throws the JSON library's exception when the
-/// operation does not apply.
-void DocumentEditor::ApplyToElement(const Operation& operation) {
+/// Throws the JSON library's exception when the operation does not apply.
+void DocumentEditor::ApplyToElement(Operation& operation) {
   const auto& [field_name, key] = operation.key;
   std::map<std::string, std::string>& elements =
       fields_.at(field_name).elements;
-  json document = {{field_name, json::object()}};
-  const auto before = elements.find(key);
-  if (before != elements.end()) {
-    document[field_name][key] = ValueOf(*before);
+  json value;
+  if (operation.sets_whole_element) {
+    value = std::move(operation.change["value"]);
+  } else {
+    // A document that holds nothing but the element, in which the operation has
+    // the same effect.
+    json document = {{field_name, json::object()}};
+    const auto before = elements.find(key);
+    if (before != elements.end()) document[field_name][key] = ValueOf(*before);
+    document.patch_inplace(json::array({std::move(operation.change)}));
+    json& collection = document.at(field_name);
+    const auto after = collection.find(key);
+    if (after == collection.end()) {
+      changed_.insert(operation.key);
+      elements.erase(key);
+      return;
+    }
+    value = std::move(*after);
   }
-  document.patch_inplace(json::array({operation.change}));
   changed_.insert(operation.key);
-  const json& collection = document.at(field_name);
-  const auto after = collection.find(key);
-  if (after == collection.end()) {
-    elements.erase(key);
-  } else {
-    elements[key] = KeyText(key) + after->dump();
+  elements[key] = KeyText(key) + value.dump();
+  if (!ReadElement(operation.key, value)) changed_as_whole_ = true;
+}
+
+/// @return whether the element is valid.
+bool DocumentEditor::ReadElement(const ElementKey& key, const json& value) {
+  const auto& [field, name] = key;
+  if (field == kServices) {
+    return Replace(name, value, ReadService, changed_elements_.services);
   }
+  if (field == kClasses) {
+    return Replace(name, value, ReadClass, changed_elements_.classes);
+  }
+  return Replace(name, value, ReadRoute, changed_elements_.routes);
 }
 
 std::string DocumentEditor::Text() const {
@@ -192,7 +226,7 @@
                                        std::vector<SettingsFault>& faults) {
   std::string text = Text();
   std::optional<ConfigDocument> document;
-  if (!changed_as_whole_) document = ReadChanges();
+  if (!changed_as_whole_) document = DocumentWithChanges();
   ConfigVersionPtr version;
   if (document.has_value()) {
     const Digest digest = DigestOf(text);
@@ -206,16 +240,24 @@
   if (version == nullptr) return nullptr;
   base_ = version;
   changed_.clear();
+  changed_elements_ = {};
   changed_as_whole_ = false;
   return version;
 }
 
-/// @return the base's document with the changed elements read anew; nullopt
-/// when one of them is not valid.
-std::optional<ConfigDocument> DocumentEditor::ReadChanges() const {
+/// @return the base's document with the changed elements; nullopt when they do
+/// not fit together.
+std::optional<ConfigDocument> DocumentEditor::DocumentWithChanges() {
   ConfigDocument document = base_->document;
-  for (const ElementKey& key : changed_) {
-    if (!ReadElement(key, document)) return std::nullopt;
+  for (const auto& [field, name] : changed_) {
+    const bool exists = fields_.at(field).elements.contains(name);
+    if (field == kServices) {
+      MoveElement(name, exists, changed_elements_.services, document.services);
+    } else if (field == kClasses) {
+      MoveElement(name, exists, changed_elements_.classes, document.classes);
+    } else {
+      MoveElement(name, exists, changed_elements_.routes, document.routes);
+    }
   }
   SettingsReader references = SettingsReader::FromValue(json::object());
   CheckReferences(document, references);
@@ -223,25 +265,4 @@
   return document;
 }
 
-bool DocumentEditor::ReadElement(const ElementKey& key,
-                                 ConfigDocument& document) const {
-  const auto& [field, name] = key;
-  const auto& elements = fields_.at(field).elements;
-  const auto text = elements.find(name);
-  if (text == elements.end()) {
-    if (field == kServices) document.services.erase(name);
-    if (field == kClasses) document.classes.erase(name);
-    if (field == kRoutes) document.routes.erase(name);
-    return true;
-  }
-  const json value = ValueOf(*text);
-  if (field == kServices) {
-    return Replace(name, value, ReadService, document.services);
-  }
-  if (field == kClasses) {
-    return Replace(name, value, ReadClass, document.classes);
-  }
-  return Replace(name, value, ReadRoute, document.routes);
-}
-
 }  // namespace hibiscusglade
