Refuse requests that wait behind a suspect when their upstream leaves

Upstreams could get a request long after they had said that they leave (DRAIN).

Cause: a request suspected to crash upstreams runs alone. When the upstream had left by then, they started through an empty optional, which is undefined behaviour.

Now they are refused as not run at once, all taken out of the gate first, so that none starts while the one before it is refused.

--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -108,6 +108,8 @@
     limits.slots = upstream.has_value() ? upstream->slots : 0;
     limits.draining = UpstreamDrains();
     Apply(admission_->Configure(limits, now), now);
+    if (UpstreamDrains()) RefuseHeld(AdmissionCode::kDraining, now);
+    if (!upstream_.has_value()) RefuseHeld(AdmissionCode::kNotServing, now);
   }
 
   void Drain(Instant now) override {
@@ -460,6 +462,17 @@
     }
   }
 
+  /// Refuses attempts that have a slot but wait behind a suspect.
+  void RefuseHeld(AdmissionCode code, Instant now) {
+    const std::vector<SlotRequestId> held = IdsAt(JobStage::kAdmitted);
+    // All at once, so that none starts when one before it is removed.
+    for (SlotRequestId id : held) gate_.Remove(id);
+    for (SlotRequestId id : held) {
+      RefuseNotRun(id, code);
+      ReleaseSlot(id, now);
+    }
+  }
+
   void Apply(const AdmissionEffects& effects, Instant now) {
     for (SlotRequestId id : effects.admitted) {
       Job* job = Find(id);
--- /dev/null
+++ b/src/owner/tests/owner_drain_test.cc
@@ -0,0 +1,66 @@
+#include <gtest/gtest.h>
+
+#include "owner/internal/job.h"
+#include "owner/tests/owner_fixture.h"
+
+namespace hibiscusglade {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// An owner at which one request runs. Behind it, one that is suspected to
+/// crash upstreams waits until nothing else runs, and another one behind that.
+class AnOwnerThatHoldsASuspect : public testing::Test {
+ protected:
+  AnOwnerThatHoldsASuspect() {
+    harness_.Start("running", "", true, "harmless");
+    const Digest suspect =
+        FingerprintOf(harness_.recorder.started.at(1).request);
+    harness_.quarantine->OnUpstreamDeath({suspect, 0}, harness_.clock.now);
+    harness_.Start("suspect", "", true, "harmless");
+    harness_.Start("next", "", true, "another");
+  }
+
+  /// Announces an upstream in a state, or that there is none.
+  void SetUpstream(std::optional<UpstreamState> state) {
+    std::optional<UpstreamAnnouncement> upstream;
+    if (state.has_value()) {
+      upstream.emplace();
+      upstream->service = "orders";
+      upstream->slots = 4;
+      upstream->state = *state;
+    }
+    harness_.owner->SetUpstream(upstream, {}, harness_.clock.now);
+  }
+
+  ClaimLedger ledger_;
+  OwnerHarness harness_{"o1", ledger_, 4};
+};
+
+TEST_F(AnOwnerThatHoldsASuspect, StartsItWhenTheOtherHasEnded) {
+  ASSERT_EQ(harness_.recorder.started.size(), 1U);
+  harness_.Answer(1);
+  EXPECT_TRUE(harness_.recorder.started.contains(2));
+}
+
+TEST_F(AnOwnerThatHoldsASuspect, SendsNothingToAnUpstreamThatDrains) {
+  SetUpstream(UpstreamState::kDraining);
+  EXPECT_EQ(harness_.recorder.refused.at("suspect"), Certainty::kNotRun);
+  EXPECT_EQ(harness_.recorder.refused.at("next"), Certainty::kNotRun);
+  harness_.Answer(1);
+  harness_.Wait(milliseconds(100));
+  EXPECT_TRUE(harness_.recorder.started.empty());
+  EXPECT_TRUE(harness_.owner->Idle());
+}
+
+TEST_F(AnOwnerThatHoldsASuspect, SendsNothingToAnUpstreamThatHasLeft) {
+  SetUpstream(std::nullopt);
+  harness_.Answer(1);
+  harness_.Wait(milliseconds(100));
+  EXPECT_TRUE(harness_.recorder.started.empty());
+  EXPECT_EQ(harness_.recorder.refused.at("suspect"), Certainty::kNotRun);
+  EXPECT_TRUE(harness_.owner->Idle());
+}
+
+}  // namespace
+}  // namespace hibiscusglade
