End a run whose rejection has a body without end

An upstream in trouble may send bytes without end until its caller closes, in a head or in a body. A request that it had rejected was reported as not run only at its deadline, as the body of a rejection was read to its end.

Now at most 16 KB of it are read, which lets the connection be reused after a usual rejection; then the run ends as rejected and the connection is closed.

--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -19,6 +19,8 @@
 /// keep-alive timeout.
 constexpr long kDefaultKeepAliveSeconds = 4;
 constexpr uint32_t kMaxKeepAliveSeconds = 118;  // libcurl's own limit.
+/// Read of the body of a rejection, so that its connection can be reused.
+constexpr size_t kMaxRejectionBytes = size_t{16} << 10U;
 
 /// One run or probe; used on the client's thread only.
 struct Run {
@@ -32,6 +34,7 @@
   bool sent = false;             ///< Sending the request has begun.
   int64_t remaining_credit = 0;  ///< Bytes of the body that may still be read.
   bool paused = false;           ///< Reading is paused for lack of credit.
+  size_t rejection_bytes = 0;    ///< Of a body that is not passed on.
   bool is_probe = false;
   class Client* client = nullptr;
 };
@@ -301,7 +304,10 @@
     // Not the answer to this request, so that its body is not needed:
     // returning 0 aborts the transfer.
     if (run->head_kind == AnswerHeadKind::kMismatched) return 0;
-    if (run->head_kind != AnswerHeadKind::kAnswer) return size * count;
+    if (run->head_kind != AnswerHeadKind::kAnswer) {
+      run->rejection_bytes += size * count;
+      return run->rejection_bytes <= kMaxRejectionBytes ? size * count : 0;
+    }
     if (run->remaining_credit <= 0) {
       run->paused = true;
       return CURL_WRITEFUNC_PAUSE;
