Stay unready when a version is put in use while a stop begins

Cause: a stop set ready to false and queued the flag that it is stopping; a version put in use by the control thread before it reached that flag set ready again, and nothing reset it. With versions that took 300 ms to apply the window was as long.

Readiness holds both facts, each set by its own thread at once, and neither overwrites the other.

--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -1,7 +1,6 @@
 #include "control/control_loop.h"
 
 #include <algorithm>
-#include <atomic>
 #include <future>
 #include <set>
 #include <thread>
@@ -15,6 +14,7 @@
 #include "control/internal/control_views.h"
 #include "control/internal/group_client.h"
 #include "control/internal/ledger_claim_store.h"
+#include "control/internal/readiness.h"
 #include "control/internal/replica_host.h"
 #include "distribution/version_follower.h"
 #include "membership/membership.h"
@@ -104,7 +104,7 @@
     return {};
   }
 
-  bool Ready() const override { return ready_; }
+  bool Ready() const override { return readiness_.Ready(); }
 
   void SetSeeds(const std::vector<std::string>& seeds,
                 const std::vector<Member>& replicas) override {
@@ -120,9 +120,8 @@
   }
 
   void BeginStop() override {
-    ready_ = false;
+    readiness_.BeginStop();
     executor_.Post([this] {
-      stopping_ = true;
       auto upstream = membership_->LocalUpstream();
       if (!upstream.has_value()) return;
       upstream->state = UpstreamState::kDraining;
@@ -155,7 +154,9 @@
   bool Announce(const UpstreamAnnouncement& upstream) override {
     return RunUntilInEffect([this, upstream, posted_at = clock_.Now()] {
       UpstreamAnnouncement announcement = upstream;
-      if (stopping_ || draining_) announcement.state = UpstreamState::kDraining;
+      if (readiness_.Stopping() || draining_) {
+        announcement.state = UpstreamState::kDraining;
+      }
       HandleAnnouncement(announcement, posted_at);
     });
   }
@@ -239,7 +240,7 @@
       status.instance = config_.identity.instance;
       status.failure_domain = config_.identity.failure_domain;
       status.waiting_for = follower_->WaitingFor();
-      status.stopping = stopping_;
+      status.stopping = readiness_.Stopping();
       if (follower_->InUse() != nullptr) {
         status.version_in_use = follower_->InUse()->number;
         status.version_age_ms = static_cast<uint64_t>(
@@ -438,7 +439,7 @@
     if (effects.read_floor) ReadFloor();
     if (effects.activate == nullptr) return;
     activated_at_ = clock_.Now();
-    ready_ = !stopping_;
+    readiness_.OnVersionInUse();
     membership_->SetVersionInUse(effects.activate->number,
                                  effects.activate->digest, activated_at_);
     LogActivation(effects);
@@ -699,10 +700,9 @@
   LogRateLimiter long_turns_{1};
   bool floor_read_pending_ = false;
   bool view_changed_ = false;  ///< Handled at the end of a loop iteration.
-  bool stopping_ = false;
   bool draining_ = false;
   bool exit_requested_ = false;
-  std::atomic<bool> ready_{false};
+  Readiness readiness_;
   std::thread thread_;
 };
 
