Measure the editor that each daemon keeps of its version

Cause: docs/CAPACITY.md must stay true, and a daemon holds more since changes are applied at their own cost.

--- a/bench/state_size_bench.cc
+++ b/bench/state_size_bench.cc
@@ -15,6 +15,7 @@
 #include "routing/types/route_table.h"
 #include "settings/daemon_settings.h"
 #include "versions/config_reader.h"
+#include "versions/document_editor.h"
 
 namespace {
 
@@ -151,6 +152,31 @@
 }
 BENCHMARK(PatchApply)->Arg(3)->Arg(kServices);
 
+void EditorHeld(benchmark::State& state) {
+  const auto version = Version(static_cast<int>(state.range(0)));
+  for (auto _ : state) {
+    const size_t before = AllocatedBytes();
+    const DocumentEditor editor(version);
+    ReportBytes(state, before, AllocatedBytes());
+  }
+}
+BENCHMARK(EditorHeld)->Arg(3)->Arg(kServices);
+
+void EditorApply(benchmark::State& state) {
+  DocumentEditor editor(Version(static_cast<int>(state.range(0))));
+  uint64_t number = 1;
+  for (auto _ : state) {
+    std::vector<SettingsFault> faults;
+    const std::string patch =
+        R"([{"op":"replace","path":"/services/service-1/max_queue","value":)" +
+        std::to_string(number % 100) + "}]";
+    editor.Apply(patch, faults);
+    benchmark::DoNotOptimize(editor.Build(number + 1, number, patch, faults));
+    ++number;
+  }
+}
+BENCHMARK(EditorApply)->Arg(3)->Arg(kServices);
+
 void CounterByName(benchmark::State& state) {
   const auto metrics = MakeMetrics();
   for (auto _ : state)
