--- a/src/upstream/tests/endless_answer_test.cc
+++ b/src/upstream/tests/endless_answer_test.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <optional>
 #include <thread>
+#include <utility>
 
 #include "upstream/http_upstream_client.h"
 
@@ -21,7 +22,8 @@
  public:
   /// @param begin sent once.
   /// @param repeated sent again and again.
-  AnEndlessUpstream(std::string begin, std::string repeated) {
+  AnEndlessUpstream(std::string begin, std::string repeated)
+      : begin_(std::move(begin)), repeated_(std::move(repeated)) {
     listener_ = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -32,7 +34,7 @@
     EXPECT_EQ(listen(listener_, 1), 0);
     EXPECT_EQ(getsockname(listener_, generic, &length), 0);
     address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-    thread_ = std::thread([this, begin, repeated] { Serve(begin, repeated); });
+    thread_ = std::thread([this] { Serve(); });
   }
   ~AnEndlessUpstream() {
     shutdown(listener_, SHUT_RDWR);
@@ -48,12 +50,12 @@
   bool Closed() const { return closed_; }
 
  private:
-  void Serve(const std::string& begin, const std::string& repeated) {
+  void Serve() {
     connection_ = accept(listener_, nullptr, nullptr);
     std::string request(4096, ' ');
     recv(connection_, request.data(), request.size(), 0);
-    bool open = Send(begin);
-    while (open) open = Send(repeated);
+    bool open = Send(begin_);
+    while (open) open = Send(repeated_);
     closed_ = true;
   }
 
@@ -62,6 +64,8 @@
            bytes.empty();
   }
 
+  const std::string begin_;
+  const std::string repeated_;
   int listener_ = -1;
   std::atomic<int> connection_{-1};
   std::atomic<bool> closed_{false};
