Read an element again when a patch has made it valid

A change of a route from a service to a split, two operations, took every daemon 190 to 230 ms on a tenth of a core, as before changes were applied at their own cost.

Now the editor remembers which elements are not valid, and a later operation may make them valid again.

--- a/src/distribution/tests/version_cost_test.cc
+++ b/src/distribution/tests/version_cost_test.cc
@@ -16,11 +16,11 @@
 /// daemons it passes up to 5 of them, each with a tenth of a core.
 constexpr Duration kMaxCostPerDaemon = milliseconds(2000) / 5 / 10;
 
-std::string DocumentText() {
+std::string DocumentText(int routes) {
   std::string text =
       R"({"classes":{"short":{}},"limits":{},"services":{"plots":{}},)"
       R"("routes":{)";
-  for (int i = 0; i < kRoutes; ++i) {
+  for (int i = 0; i < routes; ++i) {
     const std::string number = std::to_string(i);
     text += i == 0 ? "\"r" : ",\"r";
     text += number;
@@ -36,11 +36,19 @@
   return canonical(text + "}}");
 }
 
-std::string PatchOf(uint64_t number) {
+std::string TimeoutPatch(uint64_t number) {
   return R"([{"op":"replace","path":"/routes/r7/timeout_ms","value":)" +
          std::to_string(number) + "}]";
 }
 
+/// Splits a route in two operations; the route is not valid between them.
+std::string SplitPatch(uint64_t number) {
+  const std::string route = "/routes/r" + std::to_string(number);
+  return R"([{"op":"remove","path":")" + route +
+         R"(/service"},{"op":"add","path":")" + route +
+         R"(/shares","value":[{"service":"plots","weight":1}]}])";
+}
+
 Duration ThreadCpuTime() {
   timespec time{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
@@ -51,9 +59,9 @@
 
 class ADaemonWithManyRoutes : public testing::Test {
  protected:
-  ADaemonWithManyRoutes() {
+  explicit ADaemonWithManyRoutes(int routes = kRoutes) {
     follower_->OnFloor(0, now_);
-    latest_ = MakeConfigVersion(1, 0, DocumentText(), "", faults_);
+    latest_ = MakeConfigVersion(1, 0, DocumentText(routes), "", faults_);
     VersionPullAnswer whole;
     whole.whole = latest_->text;
     whole.number = 1;
@@ -61,14 +69,16 @@
     follower_->OnMessage("peer", whole, now_);
   }
 
+  using PatchOf = std::string (*)(uint64_t number);
+
   /// @return the answer of a peer that has `count` more versions.
-  VersionPullAnswer NextSteps(uint64_t count) {
+  VersionPullAnswer NextSteps(uint64_t count, PatchOf patch_of) {
     VersionPullAnswer answer;
     answer.base_number = latest_->number;
     answer.base_digest = latest_->digest;
     for (uint64_t i = 0; i < count; ++i) {
       const uint64_t number = latest_->number + 1;
-      const std::string patch = PatchOf(number);
+      const std::string patch = patch_of(number);
       answer.steps.push_back({number, patch});
       latest_ = MakeConfigVersion(number, number - 1,
                                   *ApplyPatch(latest_->text, patch, faults_),
@@ -80,10 +90,10 @@
   }
 
   /// @return the least processor time of several tries.
-  Duration CostOf(uint64_t count) {
+  Duration CostOf(uint64_t count, PatchOf patch_of = TimeoutPatch) {
     Duration least = Duration::max();
     for (int i = 0; i < 5; ++i) {
-      const VersionPullAnswer answer = NextSteps(count);
+      const VersionPullAnswer answer = NextSteps(count, patch_of);
       const Duration begin = ThreadCpuTime();
       const FollowerEffects effects =
           follower_->OnMessage("peer", answer, now_);
@@ -109,5 +119,14 @@
   EXPECT_LT(CostOf(8).count(), kMaxCostPerDaemon.count());
 }
 
+class ADaemonWithFiveThousandRoutes : public ADaemonWithManyRoutes {
+ protected:
+  ADaemonWithFiveThousandRoutes() : ADaemonWithManyRoutes(5000) {}
+};
+
+TEST_F(ADaemonWithFiveThousandRoutes, PassesAChangeOfTwoOperationsOnInTime) {
+  EXPECT_LT(CostOf(1, SplitPatch).count(), kMaxCostPerDaemon.count());
+}
+
 }  // namespace
 }  // namespace hibiscusglade
--- a/src/versions/document_editor.h
+++ b/src/versions/document_editor.h
@@ -60,14 +60,15 @@
   std::optional<std::vector<Operation>> ElementOperations(
       std::string_view patch) const;
   void ApplyToElement(Operation& operation);
-  bool ReadElement(const ElementKey& key, const nlohmann::json& value);
+  void ReadElement(const ElementKey& key, const nlohmann::json& value);
   std::optional<ConfigDocument> DocumentWithChanges();
 
   ConfigVersionPtr base_;
   std::map<std::string, Field> fields_;
   std::string not_an_object_;  ///< Text of a document without fields.
   std::set<ElementKey> changed_;
-  ConfigDocument changed_elements_;  ///< Those of `changed_` that still exist.
+  ConfigDocument changed_elements_;  ///< Those of `changed_` that are valid.
+  std::set<ElementKey> invalid_;     ///< Those of `changed_` that are not.
   /// Whether the whole document must be read again to build a version.
   bool changed_as_whole_ = false;
 };
--- a/src/versions/internal/document_editor.cc
+++ b/src/versions/internal/document_editor.cc
@@ -176,6 +176,7 @@
     const auto after = collection.find(key);
     if (after == collection.end()) {
       changed_.insert(operation.key);
+      invalid_.erase(operation.key);
       elements.erase(key);
       return;
     }
@@ -183,19 +184,26 @@
   }
   changed_.insert(operation.key);
   elements[key] = KeyText(key) + value.dump();
-  if (!ReadElement(operation.key, value)) changed_as_whole_ = true;
+  ReadElement(operation.key, value);
 }
 
-/// @return whether the element is valid.
-bool DocumentEditor::ReadElement(const ElementKey& key, const json& value) {
+/// Reads an element. It may be invalid until later operations have changed it,
+/// too.
+void DocumentEditor::ReadElement(const ElementKey& key, const json& value) {
   const auto& [field, name] = key;
+  bool valid = false;
   if (field == kServices) {
-    return Replace(name, value, ReadService, changed_elements_.services);
+    valid = Replace(name, value, ReadService, changed_elements_.services);
+  } else if (field == kClasses) {
+    valid = Replace(name, value, ReadClass, changed_elements_.classes);
+  } else {
+    valid = Replace(name, value, ReadRoute, changed_elements_.routes);
   }
-  if (field == kClasses) {
-    return Replace(name, value, ReadClass, changed_elements_.classes);
+  if (valid) {
+    invalid_.erase(key);
+  } else {
+    invalid_.insert(key);
   }
-  return Replace(name, value, ReadRoute, changed_elements_.routes);
 }
 
 std::string DocumentEditor::Text() const {
@@ -226,7 +234,7 @@
                                        std::vector<SettingsFault>& faults) {
   std::string text = Text();
   std::optional<ConfigDocument> document;
-  if (!changed_as_whole_) document = DocumentWithChanges();
+  if (!changed_as_whole_ && invalid_.empty()) document = DocumentWithChanges();
   ConfigVersionPtr version;
   if (document.has_value()) {
     const Digest digest = DigestOf(text);
@@ -241,6 +249,7 @@
   base_ = version;
   changed_.clear();
   changed_elements_ = {};
+  invalid_.clear();
   changed_as_whole_ = false;
   return version;
 }
