Remember that an upstream has left that a restarted daemon did not know

Cause: a daemon that had just been restarted acknowledged the leave of an upstream that it did not know yet, and kept nothing of it. An announcement from before, which may arrive seconds late, then registered the upstream. The class of fault: an acknowledgement without an effect.

Now leaves are remembered by id and start time, the last 16, whether the upstream is known or not. A later start under the same id is not affected. The log says that an upstream deregistered and which one was registered; it said nothing before.

Test: membership_test ARestartedDaemon, two of three cases fail before. A daemon restarted after it has acknowledged a leave or drain still forgets it; open.

--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -163,6 +163,11 @@
 
   bool Deregister(const std::string& id, int64_t started_at_ms) override {
     return RunUntilInEffect([this, id, started_at_ms] {
+      const auto upstream = membership_->LocalUpstream();
+      Log(LogLevel::kInfo, "control", "An upstream deregistered.",
+          {{"upstream", id},
+           {"born", std::to_string(started_at_ms)},
+           {"registered", upstream.has_value() ? upstream->id : ""}});
       ApplyEffects(
           membership_->OnUpstreamLeft(id, started_at_ms, clock_.Now()));
     });
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -1,6 +1,7 @@
 #include "membership/membership.h"
 
 #include <algorithm>
+#include <deque>
 #include <limits>
 #include <set>
 #include <utility>
@@ -16,6 +17,9 @@
 constexpr size_t kGossipFanout = 3;
 constexpr size_t kGossipRoundsPerUpdate = 3;
 constexpr size_t kMaxRecordsPerMessage = 100;
+/// Upstreams that have deregistered and are remembered, as their earlier
+/// announcements may arrive seconds later.
+constexpr size_t kMaxDeparted = 16;
 /// One comparison in four goes to a seed.
 constexpr uint64_t kComparisonsPerSeedComparison = 4;
 
@@ -101,6 +105,8 @@
   MembershipEffects OnUpstreamLeft(const std::string& id, int64_t started_at_ms,
                                    Instant now) override {
     MembershipEffects effects;
+    // Also one that is not known here: the daemon may have been restarted.
+    if (!id.empty() && started_at_ms != 0) Remember({id, started_at_ms});
     if (!upstream_.has_value()) return effects;
     if (!id.empty() && id != upstream_->id) return effects;
     if (started_at_ms != 0 && started_at_ms != upstream_->started_at_ms)
@@ -190,9 +196,29 @@
     PublishOwnRecord(now, effects);
   }
 
-  /// @return whether an announcement is of an earlier upstream incarnation, or
-  /// older than the last one of the same incarnation.
+  struct Departed {
+    std::string id;
+    int64_t started_at_ms = 0;
+  };
+
+  void Remember(Departed departed) {
+    departed_.push_back(std::move(departed));
+    if (departed_.size() > kMaxDeparted) departed_.pop_front();
+  }
+
+  bool HasLeft(const UpstreamAnnouncement& upstream) const {
+    return std::any_of(departed_.begin(), departed_.end(),
+                       [&upstream](const Departed& departed) {
+                         return departed.id == upstream.id &&
+                                upstream.started_at_ms <=
+                                    departed.started_at_ms;
+                       });
+  }
+
+  /// @return whether an announcement is of an earlier upstream incarnation, of
+  /// one that has left, or older than the last one of the same incarnation.
   bool IsStale(const UpstreamAnnouncement& upstream) const {
+    if (HasLeft(upstream)) return true;
     if (upstream.started_at_ms != last_upstream_start_ms_) {
       return upstream.started_at_ms < last_upstream_start_ms_;
     }
@@ -516,6 +542,7 @@
   int64_t last_upstream_start_ms_ = 0;
   std::string last_upstream_id_;
   uint64_t last_sequence_ = 0;
+  std::deque<Departed> departed_;  ///< Oldest first.
   Instant last_message_at_;
   bool version_pending_ = false;
   Instant next_version_gossip_;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -111,7 +111,8 @@
                                        Instant now) = 0;
 
   /// Removes the local upstream, which has deregistered or whose lease has
-  /// expired. Ignored when another upstream incarnation has replaced it.
+  /// expired. Does not remove another upstream incarnation that has replaced
+  /// it. Announcements of the one that left are ignored from then on.
   /// @param id of the upstream incarnation; empty matches any.
   /// @param started_at_ms start time of that incarnation; 0 matches any.
   virtual MembershipEffects OnUpstreamLeft(const std::string& id,
--- a/src/membership/tests/announcement_test.cc
+++ b/src/membership/tests/announcement_test.cc
@@ -63,6 +63,31 @@
   EXPECT_EQ(Id(), "");
 }
 
+/// The daemon has been restarted, so that it does not know its upstream yet.
+class ARestartedDaemon : public AnUpstreamBesideADaemon {};
+
+TEST_F(ARestartedDaemon, RemembersTheLeaveOfAnUpstreamThatItDidNotKnow) {
+  membership_->OnUpstreamLeft("i-1", 1000, now_);
+  Announce("i-1", 1000, 5);
+  EXPECT_EQ(Id(), "");
+  Announce("i-1", 3000, 1);
+  EXPECT_EQ(Id(), "i-1");
+}
+
+TEST_F(ARestartedDaemon, TakesAnotherUpstreamAfterALeave) {
+  membership_->OnUpstreamLeft("i-1", 9000, now_);
+  Announce("i-2", 2000, 1);
+  EXPECT_EQ(Id(), "i-2");
+}
+
+TEST_F(ARestartedDaemon, RemembersSeveralLeaves) {
+  membership_->OnUpstreamLeft("i-1", 1000, now_);
+  membership_->OnUpstreamLeft("i-2", 2000, now_);
+  Announce("i-1", 1000, 5);
+  Announce("i-2", 2000, 5);
+  EXPECT_EQ(Id(), "");
+}
+
 class ANewStart : public AnUpstreamBesideADaemon {};
 
 TEST_F(ANewStart, UnderTheSameIdRestartsTheSequence) {
