Keep an upstream leaving when its daemon is restarted

What callers would see: requests sent to an upstream whose drain or leave was acknowledged, after its daemon was killed or restarted. A late announcement from before the drain registers the upstream as serving with the new process, until its next one, or until its lease ends when it has left.

Cause: the state of the upstream lived in the daemon's process alone. The class of fault is that of, an acknowledgement that does not last.

Four of the five cases of membership_test ADaemonRestartedWhileItsUpstreamLeaves fail with the former membership.cc. Ruled out: asking the upstream's health address, which may answer falsely; waiting for a second announcement, which keeps each restarted upstream away for one heartbeat interval.

Now the daemon's record tells the start time and sequence of an upstream that drains or has left. A peer that meets a later process of an instance sends back the earlier record, and the process continues from it and publishes it as its own, so that a second restart keeps it too.

Open: the time to the first answer of a peer, about a round trip; a daemon killed before its record was sent, up to one tick of 50 ms.

--- a/src/control/tests/control_codec_test.cc
+++ b/src/control/tests/control_codec_test.cc
@@ -72,5 +72,30 @@
   EXPECT_TRUE(Receive(message_).steps.empty());
 }
 
+TEST(AnInstanceRecord, IsReadAsItWasWritten) {
+  InstanceRecord record;
+  record.instance = "x";
+  record.region = "north";
+  record.failure_domain = "a";
+  record.incarnation = 2;
+  record.sequence = 3;
+  record.state = InstanceState::kSuspected;
+  record.control_address = "10.0.0.1:1";
+  record.request_address = "10.0.0.1:2";
+  record.service = "plots";
+  record.slots = 4;
+  record.upstream_state = UpstreamState::kDraining;
+  record.upstream_started_at_ms = 5000;
+  record.upstream_sequence = 6;
+  record.version_in_use = 7;
+  record.version_digest = 8;
+  record.replica = true;
+  record.unreachable_domains = {"b", "c"};
+  wire::Envelope message;
+  ToWire(GossipMessage{{record}, {}}, message);
+  const auto read = std::get<GossipMessage>(*MembershipFromWire(message));
+  EXPECT_EQ(read.records, std::vector<InstanceRecord>{record});
+}
+
 }  // namespace
 }  // namespace hibiscusglade
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -98,7 +98,7 @@
     self_.service = upstream.service;
     self_.slots = upstream.slots;
     self_.upstream_state = upstream.state;
-    PublishOwnRecord(now, effects);
+    PublishUpstreamState(now, effects);
     return effects;
   }
 
@@ -115,7 +115,7 @@
     if (!id.empty()) last_sequence_ = std::numeric_limits<uint64_t>::max();
     upstream_.reset();
     self_.upstream_state = UpstreamState::kNone;
-    PublishOwnRecord(now, effects);
+    PublishUpstreamState(now, effects);
     return effects;
   }
 
@@ -222,7 +222,7 @@
     if (upstream.started_at_ms != last_upstream_start_ms_) {
       return upstream.started_at_ms < last_upstream_start_ms_;
     }
-    return upstream.id == last_upstream_id_ &&
+    return (last_upstream_id_.empty() || upstream.id == last_upstream_id_) &&
            upstream.sequence < last_sequence_;
   }
 
@@ -241,6 +241,34 @@
     return a == b;
   }
 
+  void PublishUpstreamState(Instant now, MembershipEffects& effects) {
+    const bool leaving = self_.upstream_state == UpstreamState::kNone ||
+                         self_.upstream_state == UpstreamState::kDraining;
+    self_.upstream_started_at_ms = leaving ? last_upstream_start_ms_ : 0;
+    self_.upstream_sequence = leaving ? last_sequence_ : 0;
+    PublishOwnRecord(now, effects);
+  }
+
+  /// Continues from a record of this daemon's earlier process, which has
+  /// acknowledged announcements that this one does not know.
+  void OnEarlierRecord(const InstanceRecord& record, Instant now,
+                       MembershipEffects& effects) {
+    const int64_t started_at_ms = record.upstream_started_at_ms;
+    if (started_at_ms < last_upstream_start_ms_) return;
+    if (started_at_ms == last_upstream_start_ms_) {
+      if (record.upstream_sequence <= last_sequence_) return;
+    } else {
+      last_upstream_id_.clear();
+    }
+    last_upstream_start_ms_ = started_at_ms;
+    last_sequence_ = record.upstream_sequence;
+    if (upstream_.has_value() && IsStale(*upstream_)) {
+      upstream_.reset();
+      self_.upstream_state = UpstreamState::kNone;
+    }
+    PublishUpstreamState(now, effects);
+  }
+
   void PublishOwnRecord(Instant now, MembershipEffects& effects) {
     ++self_.sequence;
     StoreRecord(self_, now, effects);
@@ -295,15 +323,24 @@
   }
 
   /// @param answer receives the stored record when it is newer than the
-  /// sender's and its instance is not alive.
+  /// sender's and its instance is not alive, or when the instance has been
+  /// restarted and may have forgotten that its upstream leaves.
   void Merge(const InstanceRecord& record, Instant now, GossipMessage& answer,
              MembershipEffects& effects) {
     if (record.instance == self_.instance) {
-      RefuteIfSuperseded(record, now, effects);
+      if (record.incarnation < self_.incarnation) {
+        OnEarlierRecord(record, now, effects);
+      } else {
+        RefuteIfSuperseded(record, now, effects);
+      }
       return;
     }
     const auto* stored = table_.Find(record.instance);
     if (stored == nullptr || Supersedes(record, stored->record)) {
+      if (stored != nullptr && stored->record.upstream_started_at_ms != 0 &&
+          record.incarnation > stored->record.incarnation) {
+        answer.records.push_back(stored->record);
+      }
       StoreRecord(record, now, effects);
     } else if (Supersedes(stored->record, record) &&
                stored->record.state != InstanceState::kAlive) {
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -212,6 +212,84 @@
   }
 }
 
+/// The daemon has acknowledged that its upstream leaves and is then killed. An
+/// announcement that the upstream sent before arrives late, at its next
+/// process.
+class ADaemonRestartedWhileItsUpstreamLeaves
+    : public TwelveInstancesInThreeDomains {
+ protected:
+  ADaemonRestartedWhileItsUpstreamLeaves() {
+    Announce(5, UpstreamState::kServing);
+    Run(seconds(2));
+  }
+
+  void Announce(uint64_t sequence, UpstreamState state,
+                int64_t started_at_ms = 1000) {
+    UpstreamAnnouncement upstream{"plots", "127.0.0.1:80", 6, 130, state};
+    upstream.id = "i-1";
+    upstream.started_at_ms = started_at_ms;
+    upstream.sequence = sequence;
+    nodes_["c3"]->OnAnnounce(upstream, now_);
+  }
+
+  void Restart() {
+    Run(milliseconds(500));
+    Start("c3", 2);
+  }
+
+  std::optional<UpstreamAnnouncement> Upstream() {
+    return nodes_["c3"]->LocalUpstream();
+  }
+};
+
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves, KeepsItLeft) {
+  nodes_["c3"]->OnUpstreamLeft("i-1", 1000, now_);
+  Restart();
+  Run(milliseconds(500));
+  Announce(4, UpstreamState::kServing);
+  EXPECT_FALSE(Upstream().has_value());
+  Announce(1, UpstreamState::kServing, 2000);
+  EXPECT_TRUE(Upstream().has_value());
+}
+
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves, KeepsItDraining) {
+  Announce(6, UpstreamState::kDraining);
+  Restart();
+  Run(milliseconds(500));
+  Announce(5, UpstreamState::kServing);
+  EXPECT_FALSE(Upstream().has_value());
+  Announce(6, UpstreamState::kDraining);
+  ASSERT_TRUE(Upstream().has_value());
+  EXPECT_EQ(Upstream()->state, UpstreamState::kDraining);
+}
+
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves,
+       RemovesItWhenTheLateAnnouncementCameFirst) {
+  nodes_["c3"]->OnUpstreamLeft("i-1", 1000, now_);
+  Restart();
+  Announce(4, UpstreamState::kServing);
+  Run(milliseconds(500));
+  EXPECT_FALSE(Upstream().has_value());
+}
+
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves, KeepsItLeftAfterTwoRestarts) {
+  nodes_["c3"]->OnUpstreamLeft("i-1", 1000, now_);
+  Restart();
+  Run(seconds(1));
+  Start("c3", 3);
+  Run(milliseconds(500));
+  Announce(4, UpstreamState::kServing);
+  EXPECT_FALSE(Upstream().has_value());
+}
+
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves, ServesAgainWhenItDidNotLeave) {
+  Restart();
+  Run(milliseconds(500));
+  Announce(6, UpstreamState::kServing);
+  ASSERT_TRUE(Upstream().has_value());
+  EXPECT_EQ(Upstream()->state, UpstreamState::kServing);
+}
+
 class AnUpstreamsLease : public SomeInstances {};
 
 TEST_F(AnUpstreamsLease, EndsWhenItIsNotRenewed) {
--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -42,6 +42,11 @@
   std::string service;  ///< Empty while no upstream has announced itself.
   uint32_t slots = 0;
   UpstreamState upstream_state = UpstreamState::kNone;
+  /// Start time of an upstream incarnation that drains or has left, as Unix
+  /// time; 0: there is none.
+  int64_t upstream_started_at_ms = 0;
+  /// Announcements of that incarnation with a lower sequence are out of date.
+  uint64_t upstream_sequence = 0;
   uint64_t version_in_use = 0;
   Digest version_digest = 0;
   bool replica = false;
