Pass large changes on before applying them

Callers at the last daemons are routed by an older version for longer than the two seconds allowed, after a change that adds many routes.

Cause: store and forward. A large change was pulled from a peer that had put it in use, and applying 1,400 routes takes a daemon of a tenth of a core 0.17 to 0.31 s. Five or six daemons in a row did so one after the other, and did not answer pulls meanwhile, so that pulls timed out after 400 ms and were sent elsewhere.

Now a replica that has committed a large change sends it along the ring of its failure domain, the peer at distance 2^i for the daemons up to 2^(i+1); each passes it on as it was received and then applies it. Relays do so with what they have pulled. Notices and pulls stay for daemons that were missed, and for peers of earlier releases, which ignore what they can't read and pull on the notice.

Tests: distribution_test AFailureDomain; before, a follower had to apply a large change before any other could get it from there, so the tests do not compile with the former code.

--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -62,7 +62,9 @@
     auto* to = out.mutable_version_pull_answer();
     to->set_base_number(m.base_number);
     to->set_base_digest(m.base_digest);
-    if (m.compress_steps && !m.steps.empty()) {
+    if (!m.compressed_steps.empty()) {
+      to->set_compressed_steps(m.compressed_steps);
+    } else if (m.compress_steps && !m.steps.empty()) {
       to->set_compressed_steps(CompressSteps(m.steps));
     } else {
       FillSteps(m.steps, *to);
@@ -72,6 +74,7 @@
     to->set_digest(m.digest);
     to->set_busy(m.busy);
     to->set_unsolicited(m.unsolicited);
+    to->set_forward_to(m.forward_to);
   }
 };
 
@@ -154,6 +157,7 @@
   answer.steps = in.compressed_steps().empty()
                      ? StepsFrom(in)
                      : DecompressSteps(in.compressed_steps());
+  answer.compressed_steps = in.compressed_steps();
   if (!in.whole().empty()) {
     // Damaged data gives an empty text; the follower then ignores the answer.
     answer.whole = Decompress(in.whole(), kMaxWholeBytes).value_or("");
@@ -162,6 +166,7 @@
   answer.digest = in.digest();
   answer.busy = in.busy();
   answer.unsolicited = in.unsolicited();
+  answer.forward_to = in.forward_to();
   return answer;
 }
 
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -542,10 +542,10 @@
       return;
     }
     if (auto distribution = DistributionFromWire(message)) {
-      FollowerEffects effects =
-          follower_->OnMessage(kSenderAddress, *distribution, now);
-      apply_time_ = clock_.Now() - now;
-      ApplyAndReply(from, path, std::move(effects));
+      DriveFollower(from, path, [&] {
+        return follower_->OnMessage(kSenderAddress, *distribution, now);
+      });
+      DriveFollower(from, path, [&] { return follower_->ApplyReceived(now); });
       return;
     }
     if (auto membership = MembershipFromWire(message)) {
@@ -561,10 +561,13 @@
     }
   }
 
-  /// Applies effects of a message, and sends those addressed to its sender as
-  /// replies.
-  void ApplyAndReply(const std::string& from, const ReturnPath& path,
-                     FollowerEffects effects) {
+  /// Runs a step of the follower that a message caused, and carries out its
+  /// effects. Messages to the sender are sent as replies.
+  void DriveFollower(const std::string& from, const ReturnPath& path,
+                     const std::function<FollowerEffects()>& step) {
+    const Instant begin = clock_.Now();
+    FollowerEffects effects = step();
+    apply_time_ = clock_.Now() - begin;
     for (const DistributionSend& sent : effects.send) {
       wire::Envelope answer;
       ToWire(sent.message, answer);
--- a/src/control/tests/control_codec_test.cc
+++ b/src/control/tests/control_codec_test.cc
@@ -64,6 +64,18 @@
   EXPECT_EQ(Receive(message_).steps, answer_.steps);
 }
 
+TEST_F(AnAnswerThatAddsManyRoutes, IsPassedOnAsItWasReceived) {
+  answer_.compress_steps = true;
+  answer_.unsolicited = true;
+  answer_.forward_to = 3;
+  ToWire(answer_, message_);
+  VersionPullAnswer received = Receive(message_);
+  EXPECT_EQ(received.forward_to, 3u);
+  wire::Envelope passed_on;
+  ToWire(received, passed_on);
+  EXPECT_EQ(passed_on.SerializeAsString(), message_.SerializeAsString());
+}
+
 TEST_F(AnAnswerThatAddsManyRoutes, HasNoStepsWhenItIsDamaged) {
   answer_.compress_steps = true;
   ToWire(answer_, message_);
--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -35,17 +35,29 @@
       if (answer->unsolicited) {
         OnUnsolicited(from, *answer, now, effects);
       } else {
-        OnPullAnswer(*answer, now, effects);
+        OnPullAnswer(from, *answer, now, effects);
       }
     }
     return effects;
   }
 
+  FollowerEffects ApplyReceived(Instant now) override {
+    FollowerEffects effects;
+    if (!received_.has_value()) return effects;
+    const Received received = *std::exchange(received_, std::nullopt);
+    if (received.answer.unsolicited) {
+      ApplyUnsolicited(received.from, received.answer, now, effects);
+    } else {
+      ApplyPulled(received.answer, now, effects);
+    }
+    return effects;
+  }
+
   FollowerEffects OnCommitted(const ConfigVersionPtr& version,
                               Instant now) override {
     FollowerEffects effects;
     if (history_.Add(version)) next_notice_ = now;
-    Activate(now, effects);
+    Activate(now, effects, Origin::kOwnReplica);
     return effects;
   }
 
@@ -75,6 +87,9 @@
   }
 
  private:
+  /// Where a version came from.
+  enum class Origin { kOwnReplica, kPeer };
+
   static constexpr size_t kMaxPullsPerWindow = 10;
   /// Versions with longer patches are not sent to peers that may have them.
   static constexpr size_t kMaxUnsolicitedBytes = 1024;
@@ -129,10 +144,22 @@
     return history_.AnswerTo(pull);
   }
 
-  void OnPullAnswer(const VersionPullAnswer& answer, Instant now,
-                    FollowerEffects& effects) {
+  void OnPullAnswer(const std::string& from, const VersionPullAnswer& answer,
+                    Instant now, FollowerEffects& effects) {
     if (pulled_at_) catch_up_.answer_wait = now - *pulled_at_;
     pulled_at_.reset();
+    // A relay may be the first of its failure domain to get the changes, but
+    // not when it has just been started.
+    if (IsRelay() && in_use_ != nullptr && IsNewer(answer) &&
+        !IsSmall(answer) && PassOn(answer, peers_.size(), effects)) {
+      received_ = {from, answer};
+      return;
+    }
+    ApplyPulled(answer, now, effects);
+  }
+
+  void ApplyPulled(const VersionPullAnswer& answer, Instant now,
+                   FollowerEffects& effects) {
     if (history_.ApplyAnswer(answer) != nullptr) {
       next_pull_ = now;
       Activate(now, effects);
@@ -144,6 +171,40 @@
 
   void OnUnsolicited(const std::string& from, const VersionPullAnswer& answer,
                      Instant now, FollowerEffects& effects) {
+    if (IsNewer(answer) && PassOn(answer, answer.forward_to, effects)) {
+      received_ = {from, answer};
+      return;
+    }
+    ApplyUnsolicited(from, answer, now, effects);
+  }
+
+  /// Sends changes to the nearest peers of the own failure domain. The peer at
+  /// distance 2^i serves those at distances from 2^i to 2^(i+1), so that each
+  /// daemon gets one copy, two when the size of the ring is no power of two.
+  /// The peer that serves most is sent its copy first.
+  /// @return whether they were sent to any peer.
+  bool PassOn(const VersionPullAnswer& changes, size_t most_peers,
+              FollowerEffects& effects) const {
+    const auto first_of_other_domain = std::find_if(
+        peers_.begin(), peers_.end(), [this](const DistributionPeer& peer) {
+          return peer.failure_domain != config_.failure_domain;
+        });
+    const auto own_domain_peers =
+        static_cast<size_t>(first_of_other_domain - peers_.begin());
+    const size_t receivers = std::min(most_peers, own_domain_peers);
+    VersionPullAnswer passed_on = changes;
+    passed_on.unsolicited = true;
+    if (!changes.compressed_steps.empty()) passed_on.steps.clear();
+    for (size_t distance_log = receivers; distance_log-- > 0;) {
+      passed_on.forward_to = static_cast<uint32_t>(distance_log);
+      effects.send.push_back({peers_[distance_log].address, passed_on});
+    }
+    return receivers > 0;
+  }
+
+  void ApplyUnsolicited(const std::string& from,
+                        const VersionPullAnswer& answer, Instant now,
+                        FollowerEffects& effects) {
     if (history_.ApplyAnswer(answer) == nullptr) {
       OnNotice(from, {answer.number, answer.digest}, now, effects);
       return;
@@ -170,7 +231,8 @@
     return Duration(static_cast<int64_t>(length / 2 + random_.Below(length)));
   }
 
-  void Activate(Instant now, FollowerEffects& effects) {
+  void Activate(Instant now, FollowerEffects& effects,
+                Origin origin = Origin::kPeer) {
     const ConfigVersionPtr& latest = history_.Latest();
     if (!floor_known_ || latest->number < floor_) return;
     if (in_use_ != nullptr && in_use_->number >= latest->number) return;
@@ -180,20 +242,46 @@
     effects.catch_up = std::exchange(catch_up_, {});
     behind_since_.reset();
     if (newest_notified_ > latest->number) behind_since_ = now;
-    SendToPeers(previous, effects);
+    if (origin == Origin::kOwnReplica) SendLargeChanges(previous, effects);
+    SendSmallChanges(previous, effects);
   }
 
-  /// Sends peers what has changed since `previous`, without waiting for their
-  /// pulls, which may be slow on a full link. Large changes are only notified.
-  void SendToPeers(const ConfigVersionPtr& previous, FollowerEffects& effects) {
+  /// @return what has changed since `previous`; without steps when this
+  /// follower can't tell.
+  VersionPullAnswer ChangesSince(const ConfigVersionPtr& previous,
+                                 bool compressed) const {
     VersionPullAnswer changes;
-    if (previous != nullptr) {
-      changes = history_.AnswerTo({previous->number, previous->digest, false});
-      changes.unsolicited = true;
-    }
+    if (previous == nullptr) return changes;
+    changes =
+        history_.AnswerTo({previous->number, previous->digest, compressed});
+    changes.unsolicited = true;
+    return changes;
+  }
+
+  bool IsNewer(const VersionPullAnswer& answer) const {
+    return answer.number > history_.Latest()->number;
+  }
+
+  /// @return whether this daemon has peers in other failure domains.
+  bool IsRelay() const {
+    return std::any_of(peers_.begin(), peers_.end(),
+                       [this](const DistributionPeer& peer) {
+                         return peer.failure_domain != config_.failure_domain;
+                       });
+  }
+
+  static bool IsSmall(const VersionPullAnswer& changes) {
     size_t bytes = 0;
     for (const VersionStep& step : changes.steps) bytes += step.patch.size();
-    const bool small = !changes.steps.empty() && bytes <= kMaxUnsolicitedBytes;
+    return bytes <= kMaxUnsolicitedBytes;
+  }
+
+  /// Sends peers what has changed since `previous`, without waiting for their
+  /// pulls, which may be slow on a full link. Large changes are only notified.
+  void SendSmallChanges(const ConfigVersionPtr& previous,
+                        FollowerEffects& effects) const {
+    const VersionPullAnswer changes = ChangesSince(previous, false);
+    const bool small = !changes.steps.empty() && IsSmall(changes);
     for (const DistributionPeer& peer : peers_) {
       if (small) {
         effects.send.push_back({peer.address, changes});
@@ -203,10 +291,27 @@
     }
   }
 
+  /// Sends large changes through the failure domain, each daemon passing them
+  /// on before it applies them. Peers of earlier releases, which can't read
+  /// them, pull on the notice.
+  void SendLargeChanges(const ConfigVersionPtr& previous,
+                        FollowerEffects& effects) const {
+    const VersionPullAnswer changes = ChangesSince(previous, true);
+    if (changes.steps.empty() || IsSmall(changes)) return;
+    PassOn(changes, peers_.size(), effects);
+  }
+
+  /// Changes that have been passed on but not applied yet.
+  struct Received {
+    std::string from;
+    VersionPullAnswer answer;
+  };
+
   FollowerConfig config_;
   Random random_;
   VersionHistory history_;
   ConfigVersionPtr in_use_;
+  std::optional<Received> received_;
   std::vector<DistributionPeer> peers_;
 
   bool floor_known_ = false;
--- a/src/distribution/tests/version_follower_property_test.cc
+++ b/src/distribution/tests/version_follower_property_test.cc
@@ -48,6 +48,7 @@
   const auto versions = History();
   Instant now(std::chrono::seconds(1000));
   auto follower = MakeVersionFollower({"x", "a"}, 1, now);
+  follower->SetPeers({{"z", "a", "z", false}});
   const auto floor = *rc::gen::inRange<uint64_t>(0, kVersions);
   std::optional<uint64_t> in_use;  // Version 0 can be in use, too.
   const int steps = *rc::gen::inRange(1, 40);
@@ -66,7 +67,11 @@
         VersionPullAnswer answer =
             AnswerOf(versions, base, to, *rc::gen::arbitrary<bool>());
         answer.unsolicited = *rc::gen::arbitrary<bool>();
+        answer.forward_to = *rc::gen::inRange(0U, 2U);
         effects = follower->OnMessage("y", answer, now);
+        if (effects.activate == nullptr) {
+          effects = follower->ApplyReceived(now);
+        }
       }
     }
     if (effects.activate == nullptr) continue;
--- a/src/distribution/tests/version_follower_test.cc
+++ b/src/distribution/tests/version_follower_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "versions/config_reader.h"
 
 namespace hibiscusglade {
@@ -178,6 +180,128 @@
   EXPECT_EQ(std::get<VersionPull>(sent_[0].message), pull);
 }
 
+/// The followers of one failure domain, each with its peers at distances 1, 2,
+/// 4, ... on a ring. The first one is a relay with a replica.
+class AFailureDomain : public AFollower {
+ protected:
+  static constexpr size_t kFollowers = 28;
+
+  AFailureDomain() {
+    for (size_t i = 0; i < kFollowers; ++i) {
+      FollowerConfig config = ConfigOf(std::to_string(i));
+      config.failure_domain = "a";
+      followers_.push_back(MakeVersionFollower(config, i, now_));
+      followers_.back()->OnFloor(0, now_);
+      std::vector<DistributionPeer> peers;
+      for (size_t distance = 1; distance < kFollowers; distance *= 2) {
+        const std::string peer = std::to_string((i + distance) % kFollowers);
+        peers.push_back({peer, "a", peer, false});
+      }
+      if (i == 0) peers.push_back({"r", "b", "r", false});
+      followers_.back()->SetPeers(peers);
+    }
+  }
+
+  /// Delivers changes, but neither notices nor pulls. No follower applies what
+  /// it is to pass on.
+  /// @return the number of copies sent.
+  size_t DeliverChanges(std::vector<DistributionSend> queue) {
+    size_t copies = 0;
+    for (size_t next = 0; next < queue.size(); ++next) {
+      const DistributionSend sent = queue[next];
+      if (!std::holds_alternative<VersionPullAnswer>(sent.message)) continue;
+      ++copies;
+      if (sent.address == "r") continue;
+      const auto effects = followers_[std::stoul(sent.address)]->OnMessage(
+          "sender", sent.message, now_);
+      queue.insert(queue.end(), effects.send.begin(), effects.send.end());
+    }
+    return copies;
+  }
+
+  std::vector<std::unique_ptr<VersionFollower>> followers_;
+};
+
+TEST_F(AFailureDomain, GetsALargeChangeBeforeAnyPasserOnHasAppliedIt) {
+  const ConfigVersionPtr version = VersionWith(1, std::string(2000, 'a'));
+  const size_t copies =
+      DeliverChanges(followers_[0]->OnCommitted(version, now_).send);
+  EXPECT_LT(copies, 2 * kFollowers);
+  for (const auto& follower : followers_) follower->ApplyReceived(now_);
+  for (size_t i = 0; i < kFollowers; ++i) {
+    EXPECT_EQ(followers_[i]->InUse()->number, 1u) << i;
+  }
+}
+
+TEST_F(AFailureDomain, GetsALargeChangeThatItsRelayPulled) {
+  const ConfigVersionPtr version = VersionWith(1, std::string(2000, 'a'));
+  VersionPullAnswer answer;
+  answer.base_digest = EmptyConfigVersion()->digest;
+  answer.steps = {{1, version->patch}};
+  answer.number = 1;
+  answer.digest = version->digest;
+  DeliverChanges(followers_[0]->OnMessage("r", answer, now_).send);
+  for (const auto& follower : followers_) follower->ApplyReceived(now_);
+  for (size_t i = 0; i < kFollowers; ++i) {
+    EXPECT_EQ(followers_[i]->InUse()->number, 1u) << i;
+  }
+}
+
+TEST_F(AFailureDomain, IsSentALargeChangeBeforeItsNotice) {
+  const auto sent =
+      followers_[0]
+          ->OnCommitted(VersionWith(1, std::string(2000, 'a')), now_)
+          .send;
+  const auto kind_to = [&sent](const std::string& address) {
+    std::vector<size_t> kinds;
+    for (const DistributionSend& one : sent) {
+      if (one.address == address) kinds.push_back(one.message.index());
+    }
+    return kinds;
+  };
+  const size_t notice = DistributionMessage(VersionNotice{}).index();
+  const size_t changes = DistributionMessage(VersionPullAnswer{}).index();
+  EXPECT_EQ(kind_to("1"), (std::vector<size_t>{changes, notice}));
+  EXPECT_EQ(kind_to("r"), (std::vector<size_t>{notice}));
+}
+
+TEST_F(AFailureDomain, PassesALargeChangeOnOnlyOnce) {
+  const ConfigVersionPtr version = VersionWith(1, std::string(2000, 'a'));
+  const auto sent = followers_[0]->OnCommitted(version, now_).send;
+  const auto to_last = std::find_if(
+      sent.begin(), sent.end(),
+      [](const DistributionSend& one) { return one.address == "16"; });
+  ASSERT_NE(to_last, sent.end());
+  EXPECT_EQ(followers_[16]->OnMessage("0", to_last->message, now_).send.size(),
+            4u);
+  EXPECT_EQ(followers_[16]->ApplyReceived(now_).activate->number, 1u);
+  EXPECT_TRUE(
+      followers_[16]->OnMessage("0", to_last->message, now_).send.empty());
+}
+
+TEST_F(AFailureDomain, PullsALargeChangeThatDoesNotFit) {
+  followers_[0]->OnCommitted(VersionWith(1, "plots"), now_);
+  std::vector<SettingsFault> faults;
+  const std::string patch = R"([{"op":"add","path":"/services/)" +
+                            std::string(2000, 'a') + R"(","value":{}}])";
+  const auto sent =
+      followers_[0]
+          ->OnCommitted(
+              MakeConfigVersion(
+                  2, 1,
+                  *ApplyPatch(VersionWith(1, "plots")->text, patch, faults),
+                  patch, faults),
+              now_)
+          .send;
+  ASSERT_EQ(sent[3].address, "2");
+  EXPECT_EQ(followers_[2]->OnMessage("0", sent[3].message, now_).send.size(),
+            1u);
+  const auto pull = followers_[2]->ApplyReceived(now_).send;
+  ASSERT_EQ(pull.size(), 1u);
+  EXPECT_EQ(pull[0].address, "0");
+  EXPECT_TRUE(std::holds_alternative<VersionPull>(pull[0].message));
+}
+
 class ManyFollowersAtOnce : public AFollower {};
 
 TEST_F(ManyFollowersAtOnce, AreAnsweredBusyAboveThePullLimit) {
--- a/src/distribution/types/distribution_types.h
+++ b/src/distribution/types/distribution_types.h
@@ -37,17 +37,22 @@
 };
 
 /// Answer to a pull: patches on a base version, or a whole document. Also sent
-/// without a pull when small versions are put in use.
+/// without a pull when a version is put in use.
 struct VersionPullAnswer {
   uint64_t base_number = 0;
   Digest base_digest = 0;
   std::vector<VersionStep> steps;  ///< In order, starting from the base.
   bool compress_steps = false;     ///< Whether to send them compressed.
-  std::string whole;               ///< When not empty, replaces `steps`.
-  uint64_t number = 0;             ///< Of the resulting version.
+  /// `steps` as they were received compressed, for passing them on.
+  std::string compressed_steps;
+  std::string whole;    ///< When not empty, replaces `steps`.
+  uint64_t number = 0;  ///< Of the resulting version.
   Digest digest = 0;
   bool busy = false;  ///< Pull limit of the peer reached; ask another peer.
   bool unsolicited = false;  ///< Not sent in answer to a pull.
+  /// How many of the receiver's nearest peers to pass an unsolicited answer on
+  /// to.
+  uint32_t forward_to = 0;
 
   friend bool operator==(const VersionPullAnswer&,
                          const VersionPullAnswer&) = default;
--- a/src/distribution/version_follower.h
+++ b/src/distribution/version_follower.h
@@ -54,6 +54,11 @@
                                     const DistributionMessage& message,
                                     Instant now) = 0;
 
+  /// Applies changes that the last message brought, when they were to be passed
+  /// on first. Called once the effects of that message have been carried out,
+  /// as applying many changes takes much longer than passing them on.
+  virtual FollowerEffects ApplyReceived(Instant now) = 0;
+
   /// Handles a version that the local replica has committed and applied.
   virtual FollowerEffects OnCommitted(const ConfigVersionPtr& version,
                                       Instant now) = 0;
@@ -63,7 +68,8 @@
   /// was in use here before.
   virtual FollowerEffects OnFloor(uint64_t number, Instant now) = 0;
 
-  /// Replaces the list of live peers.
+  /// Replaces the list of live peers. Those of the own failure domain come
+  /// first, in order of their distance on its ring: 1, 2, 4, ...
   virtual void SetPeers(std::vector<DistributionPeer> peers) = 0;
 
   /// @return the version in use; nullptr until the floor is known and reached.
