Name the follower's notification of its peers for what it does

SendSmallChanges() also notified peers of large changes. Only names and comments change; the instructions of the program are the same, disassembled with both builds.

--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -242,8 +242,8 @@
     effects.catch_up = std::exchange(catch_up_, {});
     behind_since_.reset();
     if (newest_notified_ > latest->number) behind_since_ = now;
-    if (origin == Origin::kOwnReplica) SendLargeChanges(previous, effects);
-    SendSmallChanges(previous, effects);
+    if (origin == Origin::kOwnReplica) PassOnOwnChanges(previous, effects);
+    NotifyPeers(previous, effects);
   }
 
   /// @return what has changed since `previous`; without steps when this
@@ -276,10 +276,11 @@
     return bytes <= kMaxUnsolicitedBytes;
   }
 
-  /// Sends peers what has changed since `previous`, without waiting for their
-  /// pulls, which may be slow on a full link. Large changes are only notified.
-  void SendSmallChanges(const ConfigVersionPtr& previous,
-                        FollowerEffects& effects) const {
+  /// Notifies peers of the version in use. When little has changed since
+  /// `previous`, the changes are sent instead, without waiting for pulls, which
+  /// may be slow on a full link.
+  void NotifyPeers(const ConfigVersionPtr& previous,
+                   FollowerEffects& effects) const {
     const VersionPullAnswer changes = ChangesSince(previous, false);
     const bool small = !changes.steps.empty() && IsSmall(changes);
     for (const DistributionPeer& peer : peers_) {
@@ -293,8 +294,8 @@
 
   /// Sends large changes through the failure domain, each daemon passing them
   /// on before it applies them. Peers of earlier releases, which can't read
-  /// them, pull on the notice.
-  void SendLargeChanges(const ConfigVersionPtr& previous,
+  /// them, pull when they are notified.
+  void PassOnOwnChanges(const ConfigVersionPtr& previous,
                         FollowerEffects& effects) const {
     const VersionPullAnswer changes = ChangesSince(previous, true);
     if (changes.steps.empty() || IsSmall(changes)) return;
