Let open calls keep no replaced version in memory

Cause: each open call kept the route table that it began with, and so the whole version: text and document of about 2 MB each, with 2,200 routes. Calls that are answered with drawings last up to 4 s. Since changes are in force within 0.25 s, a daemon puts nearly each version of a storm in use, one each 0.2 s, where it used to skip most; so some twenty versions were in memory at a time. Class of fault: a reference to a part that keeps the whole. The cost was there before, the faster distribution raised it.

Now a call copies its route and the limits and shares the list of its service's upstreams, and nothing else outlives the table.

Test: entry_test KeepsNoReplacedVersionInMemoryForItsOpenCalls; before, the replaced table was still there.

--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -29,9 +29,13 @@
 struct OpenCall {
   CallRequest request;
   std::unique_ptr<CallerStream> stream;
-  RouteTablePtr table;
-  const RouteConfig* route = nullptr;
+  // Copies of what the call needs of the route table that it began with. The
+  // table itself would keep the whole version in memory until the call ends.
+  uint64_t version = 0;
+  std::optional<RouteConfig> route;
+  LimitsConfig limits;
   std::string service;  ///< Of the route, or picked from its shares.
+  UpstreamListPtr upstreams;
   Instant began;
   Instant deadline;
   Instant objective;  ///< A later answer misses the latency objective.
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -43,7 +43,6 @@
     OpenCall call;
     call.request = std::move(request);
     call.stream = std::move(stream);
-    call.table = parts_.routes.Current();
     call.began = now;
     if (auto refused = FindRoute(call)) {
       Refusal refusal = RefusalOf(*refused, Certainty::kNotRun);
@@ -64,7 +63,7 @@
     const Duration prior_wait =
         wait_estimator_.EstimatePriorWait(call.route->name, allowed, now);
     call.objective = now + call.route->objective - prior_wait;
-    policy_.OnCall(call.service, call.table->Document().limits);
+    policy_.OnCall(call.service, call.limits);
     SendAttempt(handle, calls_.Add(handle, std::move(call)), false, now);
   }
 
@@ -185,12 +184,17 @@
 
  private:
   std::optional<RoutingCode> FindRoute(OpenCall& call) {
+    const RouteTablePtr table = parts_.routes.Current();
+    if (table != nullptr) call.version = table->VersionNumber();
     if (stopping_) return RoutingCode::kStopping;
-    if (call.table == nullptr) return RoutingCode::kNoVersion;
-    call.route = call.table->Match(call.request.host, call.request.method,
-                                   call.request.target);
-    if (call.route == nullptr) return RoutingCode::kNoRoute;
-    call.service = share_picker_.PickService(*call.route);
+    if (table == nullptr) return RoutingCode::kNoVersion;
+    const RouteConfig* route = table->Match(
+        call.request.host, call.request.method, call.request.target);
+    if (route == nullptr) return RoutingCode::kNoRoute;
+    call.route = *route;
+    call.limits = table->Document().limits;
+    call.service = share_picker_.PickService(*route);
+    call.upstreams = table->UpstreamsOf(call.service);
     return std::nullopt;
   }
 
@@ -208,10 +212,10 @@
 
   void SendAttempt(CallHandle handle, OpenCall& call, bool is_hedge,
                    Instant now) {
-    const auto& candidates = call.table->UpstreamsOf(call.service);
-    const ChoiceRequest request{
-        candidates, call.service, call.route->request_class, call.tried,
-        call.table->Document().limits.max_ejected_percent};
+    const std::vector<UpstreamTarget>& candidates = *call.upstreams;
+    const ChoiceRequest request{candidates, call.service,
+                                call.route->request_class, call.tried,
+                                call.limits.max_ejected_percent};
     auto choice = parts_.chooser.Choose(request, now);
     if (!choice.has_value()) {
       if (is_hedge) return;
@@ -248,7 +252,7 @@
     attempt.objective = call.objective - now;
     attempt.remaining = call.deadline - now;
     attempt.credit_bytes = kInitialCreditBytes;
-    attempt.version = call.table->VersionNumber();
+    attempt.version = call.version;
     return attempt;
   }
 
@@ -271,7 +275,7 @@
     const Duration pause =
         std::max(kMinRetryPause, call.last_refusal->retry_after) *
         (kJitterSteps + handle % kJitterSteps) / kJitterSteps;
-    const bool may_hold = pause <= call.table->Document().limits.max_hold;
+    const bool may_hold = pause <= call.limits.max_hold;
     if (may_hold && now + pause < call.deadline) {
       call.retry_at = now + pause;
       return;
@@ -311,8 +315,7 @@
         id, not_run ? AttemptOutcome::kRefusedNotRun : AttemptOutcome::kFailed,
         now);
     call.RecordRefusal(refusal);
-    const bool tries_several_owners =
-        call.table->Document().limits.max_owner_tries > 1;
+    const bool tries_several_owners = call.limits.max_owner_tries > 1;
     if (tries_several_owners && IsExemptFromAttemptLimit(refusal) &&
         call.attempts > 0) {
       --call.attempts;
@@ -337,7 +340,7 @@
             call.request.depth,
             call.attempts,
             static_cast<uint32_t>(call.tried.size()),
-            call.table->Document().limits.max_owner_tries,
+            call.limits.max_owner_tries,
             call.HeadForwarded()};
   }
 
@@ -408,15 +411,13 @@
     for (const std::string& instance : call.tried) {
       owners += (owners.empty() ? "" : ",") + instance;
     }
-    const uint64_t version =
-        call.table == nullptr ? 0 : call.table->VersionNumber();
     const std::string outcome =
         code ? code.message() : "answered after a retry or hedge";
     Log(LogLevel::kInfo, "entry", "A call ended: " + outcome + ".",
         {{"request", call.request.request_id},
-         {"route", call.route == nullptr ? "-" : call.route->name},
+         {"route", call.route.has_value() ? call.route->name : "-"},
          {"service", call.service.empty() ? "-" : call.service},
-         {"version", std::to_string(version)},
+         {"version", std::to_string(call.version)},
          {"owners", owners.empty() ? "-" : owners},
          {"attempts", std::to_string(call.attempts)},
          {"code", std::to_string(code.value())},
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -134,6 +134,22 @@
       MakeEntry("e", 1, {owners_, routes_, *chooser_, *metrics_});
 };
 
+/// Calls last seconds, in which many versions may be put in use.
+TEST_F(AnEntry, KeepsNoReplacedVersionInMemoryForItsOpenCalls) {
+  Begin("/reads/1");
+  const std::weak_ptr<const RouteTable> replaced = routes_.Current();
+  std::vector<SettingsFault> faults;
+  routes_.Publish(std::make_shared<const RouteTable>(
+      MakeConfigVersion(2, 1, "{}", "", faults),
+      std::vector<InstanceRecord>()));
+  EXPECT_TRUE(replaced.expired());
+  // The call goes on by the version that it began with.
+  Refuse(Attempt(0), AdmissionCode::kQueueFull, Certainty::kNotRun);
+  ASSERT_EQ(owners_.started.size(), 2u);
+  Answer(Attempt(1), "body");
+  EXPECT_EQ(received_, "head 200 body end");
+}
+
 TEST_F(AnEntry, RetriesElsewhereWhatDidNotRun) {
   Begin("/tags/1");
   Refuse(Attempt(0), AdmissionCode::kQueueFull, Certainty::kNotRun);
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -225,7 +225,8 @@
     const RouteTablePtr table = routes_.Current();
     if (table == nullptr) return;
     // Entries send requests for this service only to its owners.
-    for (const UpstreamTarget& target : table->UpstreamsOf(service)) {
+    const UpstreamListPtr upstreams = table->UpstreamsOf(service);
+    for (const UpstreamTarget& target : *upstreams) {
       if (IsSelf(target.owner_address)) continue;
       for (const QuarantineNotice& notice : notices) {
         wire::Envelope message;
--- a/src/routing/internal/route_table.cc
+++ b/src/routing/internal/route_table.cc
@@ -18,8 +18,9 @@
 RouteTable::RouteTable(ConfigVersionPtr version,
                        const std::vector<InstanceRecord>& records)
     : version_(std::move(version)) {
+  std::map<std::string, std::vector<UpstreamTarget>> upstreams;
   for (const auto& [name, service] : version_->document.services) {
-    upstreams_[name];
+    upstreams[name];
   }
   for (const auto& [name, route] : version_->document.routes) {
     routes_by_prefix_length_.push_back(&route);
@@ -30,21 +31,23 @@
                      return a->path_prefix.size() > b->path_prefix.size();
                    });
   for (const InstanceRecord& record : records) {
-    auto service = upstreams_.find(record.service);
+    auto service = upstreams.find(record.service);
     const bool accepts_requests =
         record.state == InstanceState::kAlive &&
         (record.upstream_state == UpstreamState::kServing ||
          record.upstream_state == UpstreamState::kStarting);
-    if (service == upstreams_.end() || !accepts_requests) continue;
+    if (service == upstreams.end() || !accepts_requests) continue;
     service->second.push_back({record.instance, record.failure_domain,
                                record.request_address, record.slots,
                                record.incarnation});
   }
-  for (auto& [name, targets] : upstreams_) {
+  for (auto& [name, targets] : upstreams) {
     std::sort(targets.begin(), targets.end(),
               [](const UpstreamTarget& a, const UpstreamTarget& b) {
                 return a.instance < b.instance;
               });
+    upstreams_[name] =
+        std::make_shared<const std::vector<UpstreamTarget>>(std::move(targets));
   }
 }
 
@@ -65,9 +68,9 @@
   return nullptr;
 }
 
-const std::vector<UpstreamTarget>& RouteTable::UpstreamsOf(
-    const std::string& service) const {
-  static const std::vector<UpstreamTarget> none;
+UpstreamListPtr RouteTable::UpstreamsOf(const std::string& service) const {
+  static const UpstreamListPtr none =
+      std::make_shared<const std::vector<UpstreamTarget>>();
   auto found = upstreams_.find(service);
   return found == upstreams_.end() ? none : found->second;
 }
--- a/src/routing/tests/route_table_test.cc
+++ b/src/routing/tests/route_table_test.cc
@@ -49,9 +49,9 @@
   dead.state = InstanceState::kDead;
   RouteTable table = TableOf(
       {RecordOf("a", "plots"), draining, dead, RecordOf("d", "unknown")});
-  ASSERT_EQ(table.UpstreamsOf("plots").size(), 1u);
-  EXPECT_EQ(table.UpstreamsOf("plots")[0].instance, "a");
-  EXPECT_TRUE(table.UpstreamsOf("unknown").empty());
+  ASSERT_EQ(table.UpstreamsOf("plots")->size(), 1u);
+  EXPECT_EQ(table.UpstreamsOf("plots")->at(0).instance, "a");
+  EXPECT_TRUE(table.UpstreamsOf("unknown")->empty());
 }
 
 TEST_F(ARouteTable, StaysWithARequestThatBeganWithIt) {
@@ -61,8 +61,8 @@
   RouteTablePtr kept = holder.Current();
   holder.Publish(
       std::make_shared<const RouteTable>(TableOf({RecordOf("a", "plots")})));
-  EXPECT_TRUE(kept->UpstreamsOf("plots").empty());
-  EXPECT_EQ(holder.Current()->UpstreamsOf("plots").size(), 1u);
+  EXPECT_TRUE(kept->UpstreamsOf("plots")->empty());
+  EXPECT_EQ(holder.Current()->UpstreamsOf("plots")->size(), 1u);
 }
 
 }  // namespace
--- a/src/routing/types/route_table.h
+++ b/src/routing/types/route_table.h
@@ -24,6 +24,10 @@
                          const UpstreamTarget&) = default;
 };
 
+/// Upstreams of one service, sorted by instance. May be used for longer than
+/// the table that it is from.
+using UpstreamListPtr = std::shared_ptr<const std::vector<UpstreamTarget>>;
+
 /// Immutable combination of one configuration version and one set of upstreams,
 /// built together so that no route refers to a service or an upstream that the
 /// daemon does not know.
@@ -42,9 +46,8 @@
   const RouteConfig* Match(std::string_view host, std::string_view method,
                            std::string_view target) const;
 
-  /// @return upstreams of a service, sorted by instance; may be empty.
-  const std::vector<UpstreamTarget>& UpstreamsOf(
-      const std::string& service) const;
+  /// @return upstreams of a service; may be empty, never nullptr.
+  UpstreamListPtr UpstreamsOf(const std::string& service) const;
 
   const ConfigDocument& Document() const { return version_->document; }
   uint64_t VersionNumber() const { return version_->number; }
@@ -53,7 +56,7 @@
   ConfigVersionPtr version_;
   /// Longest prefix first.
   std::vector<const RouteConfig*> routes_by_prefix_length_;
-  std::map<std::string, std::vector<UpstreamTarget>> upstreams_;
+  std::map<std::string, UpstreamListPtr> upstreams_;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
