Answer the notice of an older version with the latest one

Cause: daemons are notified by their peers only, and a daemon that the others have declared dead is nobody's peer until its refutation has spread. It sent notices of its own version meanwhile, which told the others that it is behind; they dropped them. Class of fault: an exchange that only one side can use.

That its peers had declared it dead is inferred: nothing logs it.

Now who receives the notice of an older version answers with its latest.

Test: distribution_test AFollowerThatNoPeerKnows, failed before.

--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -103,6 +103,12 @@
 
   void OnNotice(const std::string& from, const VersionNotice& notice,
                 Instant now, FollowerEffects& effects) {
+    // The sender may be missing from its peers' views, so that none of them
+    // notifies it of newer versions.
+    if (notice.number < history_.Latest()->number) {
+      effects.send.push_back({from, LatestNotice()});
+      return;
+    }
     newest_notified_ = std::max(newest_notified_, notice.number);
     if (notice.number > history_.Latest()->number && !behind_since_) {
       behind_since_ = now;
@@ -220,9 +226,11 @@
   }
 
   void Notify(const DistributionPeer& peer, FollowerEffects& effects) const {
-    effects.send.push_back(
-        {peer.address,
-         VersionNotice{history_.Latest()->number, history_.Latest()->digest}});
+    effects.send.push_back({peer.address, LatestNotice()});
+  }
+
+  VersionNotice LatestNotice() const {
+    return {history_.Latest()->number, history_.Latest()->digest};
   }
 
   /// @return a random duration of 0.5 to 1.5 intervals.
--- a/src/distribution/tests/version_follower_test.cc
+++ b/src/distribution/tests/version_follower_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "versions/config_reader.h"
 
@@ -302,6 +303,31 @@
   EXPECT_TRUE(std::holds_alternative<VersionPull>(pull[0].message));
 }
 
+/// Its peers have declared it dead, so that they send it nothing by themselves.
+class AFollowerThatNoPeerKnows : public AFollowerWithAFloor {};
+
+TEST_F(AFollowerThatNoPeerKnows, LearnsOfANewVersionByItsOwnNotice) {
+  auto peer = MakeVersionFollower(ConfigOf("y"), 2, now_);
+  peer->OnFloor(0, now_);
+  peer->OnCommitted(VersionWith(1, "plots"), now_);
+  follower_->SetPeers({{"y", "a", "y", false}});
+  // A change must be in force within two seconds.
+  std::vector<DistributionSend> to_peer;
+  for (const Instant end = now_ + std::chrono::seconds(1); now_ < end;
+       now_ += std::chrono::milliseconds(50)) {
+    const auto sent = follower_->OnTick(now_).send;
+    to_peer.insert(to_peer.end(), sent.begin(), sent.end());
+    for (const DistributionSend& one : std::exchange(to_peer, {})) {
+      for (const auto& answer : peer->OnMessage("x", one.message, now_).send) {
+        const auto next = follower_->OnMessage("y", answer.message, now_).send;
+        to_peer.insert(to_peer.end(), next.begin(), next.end());
+      }
+    }
+  }
+  EXPECT_EQ(follower_->InUse()->number, 1u);
+  EXPECT_TRUE(to_peer.empty());
+}
+
 class ManyFollowersAtOnce : public AFollower {};
 
 TEST_F(ManyFollowersAtOnce, AreAnsweredBusyAboveThePullLimit) {
