--- a/src/upstream/tests/endless_answer_test.cc
+++ b/src/upstream/tests/endless_answer_test.cc
@@ -118,6 +118,14 @@
     return upstream.Closed();
   }
 
+  /// Expects a run to fail, and its connection to be closed.
+  void ExpectFailure(const AnEndlessUpstream& upstream, RunProgress progress) {
+    const auto failure = RunAt(upstream);
+    ASSERT_TRUE(failure.has_value());
+    EXPECT_EQ(failure->progress, progress);
+    EXPECT_TRUE(IsClosed(upstream));
+  }
+
   void OnRunHead(RunId, const AnswerHead&, Instant) override {}
   void OnRunData(RunId, std::string data, Instant) override {
     body_bytes_ += data.size();
@@ -139,45 +147,30 @@
 
 TEST_F(ARun, FailsWhenAHeadHasFieldsWithoutEnd) {
   AnEndlessUpstream upstream("HTTP/1.1 200 OK\r\n", "X-Field: value\r\n");
-  const auto failure = RunAt(upstream);
-  ASSERT_TRUE(failure.has_value());
-  EXPECT_EQ(failure->progress, RunProgress::kSent);
-  EXPECT_TRUE(IsClosed(upstream));
+  ExpectFailure(upstream, RunProgress::kSent);
 }
 
 TEST_F(ARun, FailsWhenAFieldHasNoEnd) {
   AnEndlessUpstream upstream("HTTP/1.1 200 OK\r\nX-Field: ",
                              std::string(1000, 'a'));
-  const auto failure = RunAt(upstream);
-  ASSERT_TRUE(failure.has_value());
-  EXPECT_EQ(failure->progress, RunProgress::kSent);
-  EXPECT_TRUE(IsClosed(upstream));
+  ExpectFailure(upstream, RunProgress::kSent);
 }
 
 TEST_F(ARun, FailsWhenPreliminaryHeadsHaveNoEnd) {
   AnEndlessUpstream upstream("", "HTTP/1.1 103 Early Hints\r\n\r\n");
-  const auto failure = RunAt(upstream);
-  ASSERT_TRUE(failure.has_value());
-  EXPECT_EQ(failure->progress, RunProgress::kSent);
-  EXPECT_TRUE(IsClosed(upstream));
+  ExpectFailure(upstream, RunProgress::kSent);
 }
 
 TEST_F(ARun, FailsWhenTheBytesAreNoAnswer) {
   AnEndlessUpstream upstream("", std::string(1000, '#'));
-  const auto failure = RunAt(upstream);
-  ASSERT_TRUE(failure.has_value());
-  EXPECT_EQ(failure->progress, RunProgress::kSent);
-  EXPECT_TRUE(IsClosed(upstream));
+  ExpectFailure(upstream, RunProgress::kSent);
 }
 
 TEST_F(ARun, IsNotRunAtOnceWhenARejectionHasNoEnd) {
   AnEndlessUpstream upstream(
       std::string("HTTP/1.1 503 Busy\r\n") + kNotRun + ": 1\r\n\r\n",
       std::string(1000, 'b'));
-  const auto failure = RunAt(upstream);
-  ASSERT_TRUE(failure.has_value());
-  EXPECT_EQ(failure->progress, RunProgress::kRejected);
-  EXPECT_TRUE(IsClosed(upstream));
+  ExpectFailure(upstream, RunProgress::kRejected);
 }
 
 TEST_F(ARun, ReadsNoMoreOfABodyWithoutEndThanItsCallerReads) {
