Compute the changes of a version once before they are sent

No change of behaviour. At activation a follower gathered the changes since the last version twice, each a copy of up to 512 KB of patches or of the whole document; and applying steps built and hashed the document's text once more than the version that is built from it does. The peers of the own failure domain were counted in two ways. Checked by the tests of distribution and control.

--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -110,11 +110,9 @@
       return;
     }
     newest_notified_ = std::max(newest_notified_, notice.number);
-    if (notice.number > history_.Latest()->number && !behind_since_) {
-      behind_since_ = now;
-    }
-    if (notice.number <= history_.Latest()->number || now < next_pull_) return;
-    Pull(from, now, effects);
+    if (notice.number == history_.Latest()->number) return;
+    if (!behind_since_) behind_since_ = now;
+    if (now >= next_pull_) Pull(from, now, effects);
   }
 
   /// Pulls from a random peer while a newer version is known to exist.
@@ -191,13 +189,7 @@
   /// @return whether they were sent to any peer.
   bool PassOn(const VersionPullAnswer& changes, size_t most_peers,
               FollowerEffects& effects) const {
-    const auto first_of_other_domain = std::find_if(
-        peers_.begin(), peers_.end(), [this](const DistributionPeer& peer) {
-          return peer.failure_domain != config_.failure_domain;
-        });
-    const auto own_domain_peers =
-        static_cast<size_t>(first_of_other_domain - peers_.begin());
-    const size_t receivers = std::min(most_peers, own_domain_peers);
+    const size_t receivers = std::min(most_peers, OwnDomainPeers());
     VersionPullAnswer passed_on = changes;
     passed_on.unsolicited = true;
     if (!changes.compressed_steps.empty()) passed_on.steps.clear();
@@ -250,18 +242,15 @@
     effects.catch_up = std::exchange(catch_up_, {});
     behind_since_.reset();
     if (newest_notified_ > latest->number) behind_since_ = now;
-    if (origin == Origin::kOwnReplica) PassOnOwnChanges(previous, effects);
-    NotifyPeers(previous, effects);
+    SendToPeers(ChangesSince(previous), origin, effects);
   }
 
   /// @return what has changed since `previous`; without steps when this
   /// follower can't tell.
-  VersionPullAnswer ChangesSince(const ConfigVersionPtr& previous,
-                                 bool compressed) const {
+  VersionPullAnswer ChangesSince(const ConfigVersionPtr& previous) const {
     VersionPullAnswer changes;
     if (previous == nullptr) return changes;
-    changes =
-        history_.AnswerTo({previous->number, previous->digest, compressed});
+    changes = history_.AnswerTo({previous->number, previous->digest, false});
     changes.unsolicited = true;
     return changes;
   }
@@ -271,11 +260,14 @@
   }
 
   /// @return whether this daemon has peers in other failure domains.
-  bool IsRelay() const {
-    return std::any_of(peers_.begin(), peers_.end(),
-                       [this](const DistributionPeer& peer) {
-                         return peer.failure_domain != config_.failure_domain;
-                       });
+  bool IsRelay() const { return OwnDomainPeers() < peers_.size(); }
+
+  size_t OwnDomainPeers() const {
+    const auto first_of_other_domain = std::find_if(
+        peers_.begin(), peers_.end(), [this](const DistributionPeer& peer) {
+          return peer.failure_domain != config_.failure_domain;
+        });
+    return static_cast<size_t>(first_of_other_domain - peers_.begin());
   }
 
   static bool IsSmall(const VersionPullAnswer& changes) {
@@ -284,13 +276,19 @@
     return bytes <= kMaxUnsolicitedBytes;
   }
 
-  /// Notifies peers of the version in use. When little has changed since
-  /// `previous`, the changes are sent instead, without waiting for pulls, which
-  /// may be slow on a full link.
-  void NotifyPeers(const ConfigVersionPtr& previous,
+  /// Notifies peers of the version in use. Small changes are sent instead,
+  /// without waiting for pulls, which may be slow on a full link. Large ones
+  /// that the own replica has committed are sent through the failure domain
+  /// first; peers of earlier releases, which can't read them, pull when
+  /// notified.
+  void SendToPeers(VersionPullAnswer changes, Origin origin,
                    FollowerEffects& effects) const {
-    const VersionPullAnswer changes = ChangesSince(previous, false);
-    const bool small = !changes.steps.empty() && IsSmall(changes);
+    const bool has_changes = !changes.steps.empty();
+    const bool small = has_changes && IsSmall(changes);
+    if (origin == Origin::kOwnReplica && has_changes && !small) {
+      changes.compress_steps = true;
+      PassOn(changes, peers_.size(), effects);
+    }
     for (const DistributionPeer& peer : peers_) {
       if (small) {
         effects.send.push_back({peer.address, changes});
@@ -300,16 +298,6 @@
     }
   }
 
-  /// Sends large changes through the failure domain, each daemon passing them
-  /// on before it applies them. Peers of earlier releases, which can't read
-  /// them, pull when they are notified.
-  void PassOnOwnChanges(const ConfigVersionPtr& previous,
-                        FollowerEffects& effects) const {
-    const VersionPullAnswer changes = ChangesSince(previous, true);
-    if (changes.steps.empty() || IsSmall(changes)) return;
-    PassOn(changes, peers_.size(), effects);
-  }
-
   /// Changes that have been passed on but not applied yet.
   struct Received {
     std::string from;
--- a/src/distribution/internal/version_history.cc
+++ b/src/distribution/internal/version_history.cc
@@ -69,15 +69,14 @@
   Digest digest = answer.base_digest;
   for (const VersionStep& step : answer.steps) {
     if (step.number <= number) return nullptr;
+    if (!steps.empty()) digest = DigestOf(editor->Text());
     steps.push_back({number, digest, step});
     if (!editor->Apply(step.patch, faults)) return nullptr;
     number = step.number;
-    digest = DigestOf(editor->Text());
   }
-  if (digest != answer.digest) return nullptr;
   ConfigVersionPtr version = editor->Build(
       answer.number, steps.back().base_number, steps.back().next.patch, faults);
-  if (version == nullptr) return nullptr;
+  if (version == nullptr || version->digest != answer.digest) return nullptr;
   for (Step& step : steps) steps_.push_back(std::move(step));
   editor_ = std::move(editor);
   return version;
