Tell why a caller's connection ended and how many requests it cut

Users saw requests on kept connections that were passed on and got no answer.

Now a connection that ends and leaves requests unanswered is reported with the reason, the first request's id and how many were partly sent, complete, running and not begun; the log is bounded to ten lines a second, the counter caller_requests_cut_total counts all.

--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -15,6 +15,10 @@
      "When the 0.99 quantile grows: look for slow upstreams and full queues."},
     {"caller_refusals_total", "counter", "code", "Refusals sent to callers.",
      "Look the code up in RESULT_CODES."},
+    {"caller_requests_cut_total", "counter", "reason",
+     "Begun requests left unanswered when their connection ended, by why it "
+     "ended.",
+     "When answer_broken grows: look for lost links and dying upstreams."},
     {"choices_total", "counter", "reason",
      "Choices of an upstream outside the own domain, or to probe one.",
      "When spill_over grows: add upstreams in this failure domain."},
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -12,7 +12,7 @@
 
 // The modules that log; .ci/check-logs compares this list with the calls of
 // Log().
-// Prefixes: app, consensus, control, distribution, entry, http, owner,
+// Prefixes: app, caller, consensus, control, distribution, entry, http, owner,
 // requests.
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
--- a/src/caller/internal/caller_connection.cc
+++ b/src/caller/internal/caller_connection.cc
@@ -31,6 +31,22 @@
 
 }  // namespace
 
+std::string_view ConnectionEndName(ConnectionEnd reason) {
+  switch (reason) {
+    case ConnectionEnd::kCallerClosed:
+      return "caller_closed";
+    case ConnectionEnd::kIdleTimeout:
+      return "idle_timeout";
+    case ConnectionEnd::kTransferFailed:
+      return "transfer_failed";
+    case ConnectionEnd::kAnswerBroken:
+      return "answer_broken";
+    case ConnectionEnd::kClosedAfterAnswer:
+      return "closed_after_answer";
+  }
+  return "unknown";
+}
+
 CallerConnection::CallerConnection(int descriptor, std::string caller,
                                    const Parts& parts)
     : descriptor_(descriptor),
@@ -55,7 +71,9 @@
 void CallerConnection::CheckTimeouts(const ConnectionLimits& limits,
                                      Instant now) {
   if (lingering_) {
-    if (now - wait_start_ > kLingerTimeout) End();
+    if (now - wait_start_ > kLingerTimeout) {
+      End(ConnectionEnd::kClosedAfterAnswer);
+    }
     return;
   }
   if (!exchanges_.empty()) return;
@@ -64,7 +82,7 @@
       RefuseInput(CallerCode::kHeadTooSlow);
     }
   } else if (now - wait_start_ > limits.idle_timeout) {
-    End();
+    End(ConnectionEnd::kIdleTimeout);
   }
 }
 
@@ -72,7 +90,7 @@
   if ((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
     // A caller that closes the connection, or its side of it, does not wait
     // for answers.
-    End();
+    End(ConnectionEnd::kCallerClosed);
     return;
   }
   if ((events & EPOLLOUT) != 0) Write();
@@ -84,7 +102,8 @@
   const ssize_t received = recv(descriptor_, buffer.data(), buffer.size(), 0);
   if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
   if (received <= 0) {
-    End();
+    End(received == 0 ? ConnectionEnd::kCallerClosed
+                      : ConnectionEnd::kTransferFailed);
     return;
   }
   if (input_ended_) return;
@@ -199,7 +218,7 @@
       return false;
     }
     if (sent <= 0) {
-      End();
+      End(ConnectionEnd::kTransferFailed);
       return false;
     }
     front.MarkSent(static_cast<size_t>(sent));
@@ -212,13 +231,15 @@
 }
 
 void CallerConnection::FinishFront() {
-  const std::shared_ptr<Exchange> front = std::move(exchanges_.front());
+  const std::shared_ptr<Exchange> front = exchanges_.front();
+  if (front->Broken()) {
+    End(ConnectionEnd::kAnswerBroken);
+    return;
+  }
   exchanges_.pop_front();
   front->on_output = nullptr;
   wait_start_ = parts_.clock.Now();
-  if (front->Broken()) {
-    End();
-  } else if (!front->KeepsAlive()) {
+  if (!front->KeepsAlive()) {
     Linger();
   } else {
     BeginEligible();
@@ -238,11 +259,28 @@
   lingering_ = true;
   input_ended_ = true;
   wait_start_ = parts_.clock.Now();
-  CancelExchanges();
+  CancelExchanges(ConnectionEnd::kClosedAfterAnswer);
+}
+
+void CallerConnection::ReportCut(ConnectionEnd reason) const {
+  if (exchanges_.empty()) return;
+  CutRequests cut{reason, exchanges_.front()->RequestId()};
+  for (const auto& exchange : exchanges_) {
+    if (exchange->PartlySent()) ++cut.partly_sent;
+    if (!exchange->begun) {
+      ++cut.not_begun;
+    } else if (exchange->Complete()) {
+      ++cut.complete;
+    } else {
+      ++cut.running;
+    }
+  }
+  parts_.on_cut(cut);
 }
 
 /// Cancels all calls that are not answered.
-void CallerConnection::CancelExchanges() {
+void CallerConnection::CancelExchanges(ConnectionEnd reason) {
+  ReportCut(reason);
   for (const auto& exchange : exchanges_) {
     exchange->on_output = nullptr;
     if (exchange->call != 0 && !exchange->Done()) {
@@ -252,10 +290,10 @@
   exchanges_.clear();
 }
 
-void CallerConnection::End() {
+void CallerConnection::End(ConnectionEnd reason) {
   if (ended_) return;
   ended_ = true;
-  CancelExchanges();
+  CancelExchanges(reason);
   parts_.loop.Unwatch(descriptor_);
   // Deferred, as on_end may destroy the connection while one of its methods
   // runs.
--- a/src/caller/internal/caller_connection.h
+++ b/src/caller/internal/caller_connection.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/event_loop.h"
 #include "caller/caller_gateway.h"
@@ -23,6 +24,30 @@
                          const ConnectionLimits&) = default;
 };
 
+/// Why a connection ended.
+enum class ConnectionEnd {
+  kCallerClosed,       ///< The caller closed it, or its side of it.
+  kIdleTimeout,        ///< No request for longer than the idle timeout.
+  kTransferFailed,     ///< Receiving or sending failed.
+  kAnswerBroken,       ///< The rest of a partly sent answer was lost.
+  kClosedAfterAnswer,  ///< The last answer said that it closes.
+};
+
+/// @return a name for logs and metrics, such as "answer_broken".
+std::string_view ConnectionEndName(ConnectionEnd reason);
+
+/// Requests that a connection left unanswered when it ended.
+struct CutRequests {
+  ConnectionEnd reason{};
+  std::string first_request_id;
+  size_t partly_sent = 0;  ///< At most one: the oldest.
+  size_t complete = 0;     ///< Answers that were complete but not sent.
+  size_t running = 0;      ///< Begun, and not completely answered.
+  size_t not_begun = 0;
+
+  friend bool operator==(const CutRequests&, const CutRequests&) = default;
+};
+
 /// One connection of a caller, with pipelining: requests whose methods allow it
 /// are begun before earlier ones are answered. Answers are sent in the order of
 /// the requests.
@@ -39,6 +64,8 @@
     /// Called once the connection has ended; may destroy it.
     std::function<void(int descriptor)> on_end;
     std::function<void(const std::error_code&)> count_refusal;
+    /// Called when the connection ends and leaves requests unanswered.
+    std::function<void(const CutRequests&)> on_cut;
   };
 
   /// @param caller IP address of the peer, for fairness between callers; used
@@ -71,8 +98,9 @@
   void FinishFront();
   void WatchSocket(bool for_output);
   void Linger();
-  void CancelExchanges();
-  void End();
+  void CancelExchanges(ConnectionEnd reason);
+  void ReportCut(ConnectionEnd reason) const;
+  void End(ConnectionEnd reason);
 
   int descriptor_;
   std::string caller_;
--- a/src/caller/internal/caller_gateway.cc
+++ b/src/caller/internal/caller_gateway.cc
@@ -11,6 +11,7 @@
 #include <memory>
 #include <utility>
 
+#include "base/log.h"
 #include "base/socket_address.h"
 #include "caller/caller_result_codes.h"
 #include "caller/internal/caller_connection.h"
@@ -19,6 +20,7 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
+constexpr uint32_t kLogLinesPerSecond = 10;
 constexpr Duration kTimeoutCheckInterval = std::chrono::milliseconds(250);
 
 class Gateway : public CallerGateway {
@@ -90,7 +92,8 @@
             [this] { return Limits(); },
             [this] { return "r" + std::to_string(++last_request_number_); },
             [this](int descriptor) { Remove(descriptor); },
-            [this](const std::error_code& code) { CountRefusal(code); }};
+            [this](const std::error_code& code) { CountRefusal(code); },
+            [this](const CutRequests& cut) { RecordCut(cut); }};
   }
 
   void Remove(int descriptor) {
@@ -131,6 +134,25 @@
         .Add();
   }
 
+  void RecordCut(const CutRequests& cut) {
+    const std::string reason(ConnectionEndName(cut.reason));
+    metrics_.CounterOf("caller_requests_cut_total", "reason=\"" + reason + "\"")
+        .Add(cut.running + cut.complete);
+    // Callers that leave are counted only: at peak load there are many.
+    if (cut.reason == ConnectionEnd::kCallerClosed) return;
+    if (!log_rate_limiter_.AllowLine(clock_.Now())) return;
+    Log(LogLevel::kInfo, "caller",
+        "A connection ended with requests unanswered.",
+        {{"reason", reason},
+         {"first_request", cut.first_request_id},
+         {"partly_sent", std::to_string(cut.partly_sent)},
+         {"complete", std::to_string(cut.complete)},
+         {"running", std::to_string(cut.running)},
+         {"not_begun", std::to_string(cut.not_begun)},
+         {"lines_left_out",
+          std::to_string(log_rate_limiter_.TakeSuppressedCount())}});
+  }
+
   CallerGatewayConfig config_;
   EventLoop& loop_;
   const Clock& clock_;
@@ -141,6 +163,7 @@
   EventLoop::TimerId check_timer_ = 0;
   std::map<int, std::unique_ptr<CallerConnection>> connections_;
   uint64_t last_request_number_ = 0;
+  LogRateLimiter log_rate_limiter_{kLogLinesPerSecond};
   bool closing_ = false;
 };
 
--- a/src/caller/internal/exchange.h
+++ b/src/caller/internal/exchange.h
@@ -37,6 +37,10 @@
   /// Moves the request out; the exchange keeps only its id and method.
   CallRequest TakeRequest();
   const std::string& Method() const { return request_.method; }
+  const std::string& RequestId() const { return request_.request_id; }
+  /// @return whether the answer is here to its end, or was broken off.
+  bool Complete() const { return done_ && !broken_; }
+  bool PartlySent() const { return sent_ > 0; }
   bool Done() const { return done_ && Unsent().empty(); }
   bool Broken() const { return broken_; }
   bool KeepsAlive() const { return keep_alive_; }
--- a/src/caller/tests/caller_connection_test.cc
+++ b/src/caller/tests/caller_connection_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <map>
+#include <optional>
 
 #include "base/clock.h"
 
@@ -52,7 +53,8 @@
         CallerConnection::Parts{
             loop_, clock_, calls_, DefaultCallerDialect(), origin_,
             [this] { return limits_; }, [] { return std::string("r1"); },
-            [this](int) { ended_ = true; }, [](const std::error_code&) {}});
+            [this](int) { ended_ = true; }, [](const std::error_code&) {},
+            [this](const CutRequests& cut) { cut_ = cut; }});
     limits_.request = {1000, 1000};
     limits_.head_timeout = std::chrono::seconds(3);
     limits_.idle_timeout = std::chrono::seconds(15);
@@ -90,6 +92,7 @@
   std::string origin_ = "orders";
   ConnectionLimits limits_;
   bool ended_ = false;
+  std::optional<CutRequests> cut_;
   int caller_ = -1;
   std::unique_ptr<CallerConnection> connection_;
 };
@@ -191,7 +194,7 @@
         ends[1], "c",
         {loop_, clock_, calls_, DefaultCallerDialect(), origin_,
          [this] { return limits_; }, [] { return std::string("r"); },
-         [](int) {}, [](const std::error_code&) {}});
+         [](int) {}, [](const std::error_code&) {}, [](const CutRequests&) {}});
     connection.Start();
     send(ends[0], input.data(), input.size(), MSG_NOSIGNAL);
     RunLoop();
