Answer pipelined requests though an answer before them breaks off

Callers saw requests on kept connections that were passed on and got no answer. Cause, of one kind of them: an answer that breaks off after its first bytes were sent must end its connection; with pipelining, requests behind it were already at upstreams, or answered, and were cut with it (class of fault: one request's failure ends what other requests share).

Now an incomplete answer is held back, up to 64 KiB, while requests behind it run: a break becomes a 502 and the others are answered. Once an answer is partly sent, none is begun behind it, so that nothing which was passed on can be cut. Larger answers are still sent as they come.

Evidence: AreAnsweredThoughAnAnswerBeforeThemBreaksOff and AreNotBegunBehindAnAnswerThatIsPartlySent failed before (caller_connection_test.cc:129 to 135: the part was sent and the connection ended; :144: the second request was begun). Ruled out by reading: a request that closes its connection (nothing behind it is read), idle timeouts (only without open requests), a stop (what was read before is answered). caller_test passes, 11 of 11.

--- a/src/caller/internal/caller_connection.cc
+++ b/src/caller/internal/caller_connection.cc
@@ -17,6 +17,8 @@
 /// Maximum unanswered requests of a connection; beyond it the socket is not
 /// read, so that further input stays in its buffer.
 constexpr size_t kMaxExchanges = 32;
+/// Bytes of an answer that are held back while requests behind it run.
+constexpr size_t kMaxHeldBytes = size_t{64} << 10U;
 /// Longest wait for a caller to close after the last answer. Closing while a
 /// refused caller is still sending would reset the connection, and the caller
 /// could lose the answer.
@@ -164,9 +166,11 @@
 }
 
 /// Begins the oldest request, and those that follow it while all may run in
-/// parallel.
+/// parallel. None is begun behind an answer that is partly sent: if that one
+/// breaks off, the connection ends.
 void CallerConnection::BeginEligible() {
-  bool all_in_parallel = true;
+  bool all_in_parallel =
+      exchanges_.empty() || !exchanges_.front()->PartlySent();
   for (size_t i = 0; i < exchanges_.size() && !ended_; ++i) {
     const std::shared_ptr<Exchange> exchange = exchanges_[i];
     all_in_parallel = all_in_parallel && MayRunInParallel(exchange->Method());
@@ -205,10 +209,19 @@
   }
 }
 
+/// An incomplete answer with begun requests behind it is held back: if it
+/// breaks off, it can be replaced by an error and they are still answered.
+bool CallerConnection::HoldsFront() const {
+  const Exchange& front = *exchanges_.front();
+  return !front.Ended() && !front.PartlySent() && exchanges_.size() > 1 &&
+         exchanges_[1]->begun && front.Unsent().size() < kMaxHeldBytes;
+}
+
 /// Sends the output of the oldest exchange.
 /// @return false when the socket's buffer is full, or the connection ended.
 bool CallerConnection::SendFront() {
   Exchange& front = *exchanges_.front();
+  if (HoldsFront()) return true;
   while (!front.Unsent().empty()) {
     const std::string_view bytes = front.Unsent();
     const ssize_t sent =
--- a/src/caller/internal/caller_connection.h
+++ b/src/caller/internal/caller_connection.h
@@ -94,6 +94,7 @@
   void Begin(const std::shared_ptr<Exchange>& exchange);
   void ScheduleWrite();
   void Write();
+  bool HoldsFront() const;
   bool SendFront();
   void FinishFront();
   void WatchSocket(bool for_output);
--- a/src/caller/internal/exchange.h
+++ b/src/caller/internal/exchange.h
@@ -40,6 +40,8 @@
   const std::string& RequestId() const { return request_.request_id; }
   /// @return whether the answer is here to its end, or was broken off.
   bool Complete() const { return done_ && !broken_; }
+  /// @return whether nothing more is appended to the answer.
+  bool Ended() const { return done_; }
   bool PartlySent() const { return sent_ > 0; }
   bool Done() const { return done_ && Unsent().empty(); }
   bool Broken() const { return broken_; }
--- a/src/caller/tests/caller_connection_test.cc
+++ b/src/caller/tests/caller_connection_test.cc
@@ -121,6 +121,41 @@
   EXPECT_EQ(calls_.begun, (std::vector<std::string>{"/1", "/2"}));
 }
 
+/// Requests behind an answer that broke off got no answer.
+TEST_F(PipelinedRequests, AreAnsweredThoughAnAnswerBeforeThemBreaksOff) {
+  Send(Get("/1") + Get("/2"));
+  calls_.streams["/1"]->OnHead({200, {}, 100});
+  calls_.streams["/1"]->OnData("part");
+  EXPECT_EQ(Received(), "");
+  calls_.streams["/1"]->OnBroken({});
+  calls_.Answer("/2", "second");
+  const std::string answers = Received();
+  EXPECT_NE(answers.find("HTTP/1.1 502"), std::string::npos);
+  EXPECT_NE(answers.find("second"), std::string::npos);
+  EXPECT_FALSE(ended_);
+}
+
+TEST_F(PipelinedRequests, AreNotBegunBehindAnAnswerThatIsPartlySent) {
+  Send(Get("/1"));
+  calls_.streams["/1"]->OnHead({200, {}, 8});
+  calls_.streams["/1"]->OnData("part");
+  EXPECT_NE(Received().find("part"), std::string::npos);
+  Send(Get("/2"));
+  EXPECT_EQ(calls_.begun, std::vector<std::string>{"/1"});
+  calls_.streams["/1"]->OnData("rest");
+  calls_.streams["/1"]->OnEnd();
+  RunLoop();
+  EXPECT_EQ(calls_.begun, (std::vector<std::string>{"/1", "/2"}));
+}
+
+TEST_F(PipelinedRequests, DoNotHoldBackALargeAnswerBeforeThem) {
+  Send(Get("/1") + Get("/2"));
+  const std::string part(size_t{80} << 10U, 'x');
+  calls_.streams["/1"]->OnHead({200, {}, 1'000'000});
+  calls_.streams["/1"]->OnData(part);
+  EXPECT_NE(Received().find(std::string(1000, 'x')), std::string::npos);
+}
+
 class ACallerThatDisconnects : public CallerConnectionTest {};
 
 TEST_F(ACallerThatDisconnects, HasItsRunningRequestsCancelled) {
@@ -142,6 +177,8 @@
   calls_.streams["/1"]->OnBroken({});
   RunLoop();
   EXPECT_TRUE(ended_);
+  EXPECT_EQ(cut_,
+            (CutRequests{ConnectionEnd::kAnswerBroken, "r1", 1, 0, 1, 0}));
 }
 
 TEST_F(AnAnswer, ThatBreaksOffBeforeAnyByteWasSentBecomesAnErrorAnswer) {
