Forward a short answer only once it is complete

Callers lost their connection when the link to an owner broke off between the head and the end of a short answer, although nothing of it had been needed: the head was forwarded at once, so that neither another attempt nor an error could replace the answer. The owner holds short answers until they are complete; a lost link at the entry undid that.

Now the entry holds answers of a known length of up to 64 KiB. When one breaks off, a request that may be repeated is tried elsewhere within its budget, any other gets an error on an open connection.

--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -24,6 +24,14 @@
   bool is_hedge = false;
 };
 
+/// The part of an answer that was received, while none was forwarded.
+struct HeldAnswer {
+  AnswerHead head;
+  std::string body;
+
+  friend bool operator==(const HeldAnswer&, const HeldAnswer&) = default;
+};
+
 /// A call that has not ended. Its answer comes from one attempt only, the first
 /// one whose head arrives.
 struct OpenCall {
@@ -40,7 +48,9 @@
   Instant deadline;
   Instant objective;  ///< A later answer misses the latency objective.
   std::set<AttemptId> open_attempts;
-  AttemptId answering;    ///< Attempt whose answer is forwarded, if any.
+  AttemptId answering;  ///< Attempt whose answer is received, if any.
+  /// Answer that is forwarded once it is complete.
+  std::optional<HeldAnswer> held;
   uint32_t attempts = 0;  ///< Counted towards the route's limit.
   std::set<std::string> tried;
   std::optional<Refusal> last_refusal;
@@ -50,7 +60,16 @@
   uint64_t bytes = 0;
   Digest digest = 0;
 
-  bool HeadForwarded() const { return !answering.empty(); }
+  bool HeadForwarded() const { return !answering.empty() && !held; }
+
+  /// Forgets what was received of an answer that was not forwarded.
+  void DropHeldAnswer() {
+    answering.clear();
+    held.reset();
+    next_chunk = 0;
+    bytes = 0;
+    digest = 0;
+  }
 
   /// Records the refusal to report to the caller. One with an unknown outcome
   /// is never replaced by one that states that the request was not run.
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr uint64_t kInitialCreditBytes = 256 * 1024;
+constexpr int64_t kMaxHeldAnswerBytes = int64_t{64} * 1024;
 /// A daemon that has just started receives the version within some hundred
 /// milliseconds.
 constexpr Duration kNoVersionRetryAfter = std::chrono::milliseconds(300);
@@ -87,14 +88,18 @@
   void OnAnswerHead(const AttemptId& id, const AnswerHead& head,
                     const LoadReport& load, Instant now) override {
     OpenCall* call = RecordLoadAndFindCall(id, load, now);
-    if (call == nullptr || call->HeadForwarded()) return;
+    if (call == nullptr || !call->answering.empty()) return;
     const OpenAttempt& attempt = *calls_.FindAttempt(id);
     policy_.OnFirstByte(call->route->name, now - attempt.sent);
     if (attempt.is_hedge) Count("hedges_total", "won");
     call->answering = id;
     parts_.chooser.OnAdmitted(attempt.instance, call->route->request_class);
     CancelOpen(*call, now);
-    call->stream->OnHead(head);
+    if (IsHeld(head)) {
+      call->held = HeldAnswer{head, {}};
+    } else {
+      call->stream->OnHead(head);
+    }
   }
 
   void OnAnswerChunk(const AttemptId& id, uint64_t sequence, std::string data,
@@ -110,7 +115,11 @@
     ++call.next_chunk;
     call.bytes += data.size();
     call.digest = DigestOf(data, call.digest);
-    call.stream->OnData(std::move(data));
+    if (call.held.has_value()) {
+      call.held->body += data;
+    } else {
+      call.stream->OnData(std::move(data));
+    }
   }
 
   void OnAnswerEnd(const AttemptId& id, const AnswerEnd& end,
@@ -129,6 +138,10 @@
     if (call->tried.size() > 1) {
       LogOutcome(*call, {}, "run", now);
     }
+    if (call->held.has_value()) {
+      call->stream->OnHead(call->held->head);
+      call->stream->OnData(std::move(call->held->body));
+    }
     call->stream->OnEnd();
     parts_.metrics.HistogramOf("call_seconds", "").Record(now - call->began);
     calls_.Remove(handle);
@@ -183,6 +196,14 @@
   bool Idle() const override { return calls_.Empty(); }
 
  private:
+  /// @return whether an answer is forwarded only once it is complete. Short
+  /// answers are, so that another attempt or an error can replace one that
+  /// breaks off; a partly forwarded one ends the caller's connection.
+  static bool IsHeld(const AnswerHead& head) {
+    return head.content_length >= 0 &&
+           head.content_length <= kMaxHeldAnswerBytes;
+  }
+
   std::optional<RoutingCode> FindRoute(OpenCall& call) {
     const RouteTablePtr table = parts_.routes.Current();
     if (table != nullptr) call.version = table->VersionNumber();
@@ -285,7 +306,7 @@
   }
 
   void ConsiderHedge(CallHandle handle, OpenCall& call, Instant now) {
-    if (!call.route->hedge || call.hedged || call.HeadForwarded()) return;
+    if (!call.route->hedge || call.hedged || !call.answering.empty()) return;
     if (call.open_attempts.size() != 1 || call.attempts != 1) return;
     const Duration delay = policy_.HedgeDelay(call.route->name);
     if (now - call.began < delay) return;
@@ -314,6 +335,7 @@
     EndAttempt(
         id, not_run ? AttemptOutcome::kRefusedNotRun : AttemptOutcome::kFailed,
         now);
+    if (call.answering == id && call.held.has_value()) call.DropHeldAnswer();
     call.RecordRefusal(refusal);
     const bool tries_several_owners = call.limits.max_owner_tries > 1;
     if (tries_several_owners && IsExemptFromAttemptLimit(refusal) &&
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -282,6 +282,26 @@
   EXPECT_EQ(owners_.started.size(), 1u);
 }
 
+/// Callers lost their connection although nothing of the answer was needed yet.
+TEST_F(AnEntry, TriesElsewhereWhenAShortAnswerBreaksOff) {
+  Begin("/reads/1");
+  entry_->OnAnswerHead(Attempt(0), {200, {}, 8}, kLoad, now_);
+  entry_->OnAnswerChunk(Attempt(0), 0, "part", now_);
+  EXPECT_EQ(received_, "");
+  entry_->OnOwnerLost(owners_.started.at(0).first, true, now_);
+  ASSERT_EQ(owners_.started.size(), 2u);
+  Answer(Attempt(1), "body");
+  EXPECT_EQ(received_, "head 200 body end");
+}
+
+TEST_F(AnEntry, SaysUnknownWhenAShortAnswerThatMayNotBeRepeatedBreaksOff) {
+  Begin("/tags/1");
+  entry_->OnAnswerHead(Attempt(0), {200, {}, 8}, kLoad, now_);
+  entry_->OnOwnerLost(owners_.started.at(0).first, true, now_);
+  EXPECT_EQ(owners_.started.size(), 1u);
+  EXPECT_EQ(received_, "refused 4006 unknown");
+}
+
 TEST_F(AnEntry, BreaksOffAnAnswerWithAGap) {
   Begin("/reads/1");
   entry_->OnAnswerHead(Attempt(0), {200, {}, -1}, kLoad, now_);
