Deliver a begun answer past its route's timeout

Cause: the timeout bounds how long a caller waits, and was applied to an answer that had begun to arrive as well. Now such an answer has 200 ms more, but not beyond its caller's own deadline.

Evidence: DeliversAnAnswerThatArrivesWhileTheRouteTimeoutPasses and WaitsNoLongerForTheRestOfAnAnswerThanItsCaller failed before ("refused 4005 unknown" at the timeout). entry_test passes, 19 of 19.

--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -46,7 +46,8 @@
   UpstreamListPtr upstreams;
   Instant began;
   Instant deadline;
-  Instant objective;  ///< A later answer misses the latency objective.
+  Instant answer_deadline;  ///< In force once an answer has begun to arrive.
+  Instant objective;        ///< A later answer misses the latency objective.
   std::set<AttemptId> open_attempts;
   AttemptId answering;  ///< Attempt whose answer is received, if any.
   /// Answer that is forwarded once it is complete.
@@ -60,6 +61,10 @@
   uint64_t bytes = 0;
   Digest digest = 0;
 
+  Instant CurrentDeadline() const {
+    return answering.empty() ? deadline : answer_deadline;
+  }
+
   bool HeadForwarded() const { return !answering.empty() && !held; }
 
   /// Forgets what was received of an answer that was not forwarded.
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr uint64_t kInitialCreditBytes = 256 * 1024;
+/// Time past the timeout of its route in which an answer that has begun to
+/// arrive may end.
+constexpr Duration kAnswerGrace = std::chrono::milliseconds(200);
 constexpr int64_t kMaxHeldAnswerBytes = int64_t{64} * 1024;
 /// A daemon that has just started receives the version within some hundred
 /// milliseconds.
@@ -58,6 +61,11 @@
       timeout = std::min(timeout, call.request.timeout);
     }
     call.deadline = now + timeout;
+    call.answer_deadline = call.deadline + kAnswerGrace;
+    if (call.request.timeout > Duration{}) {
+      call.answer_deadline =
+          std::min(call.answer_deadline, now + call.request.timeout);
+    }
     // A caller's timeout has no effect beyond the timeout of its route.
     const Duration allowed =
         std::min(call.request.timeout, call.route->timeout);
@@ -174,7 +182,7 @@
   void OnTick(Instant now) override {
     for (CallHandle handle : calls_.Handles()) {
       OpenCall& call = *calls_.Find(handle);
-      if (now >= call.deadline) {
+      if (now >= call.CurrentDeadline()) {
         FinishAtDeadline(handle, call, now);
       } else if (call.retry_at.has_value() && now >= *call.retry_at) {
         call.retry_at.reset();
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -302,6 +302,29 @@
   EXPECT_EQ(received_, "refused 4006 unknown");
 }
 
+/// Answers that had begun to arrive were cut off with their connection.
+TEST_F(AnEntry, DeliversAnAnswerThatArrivesWhileTheRouteTimeoutPasses) {
+  Begin("/reads/1", 0, seconds(3));
+  now_ += milliseconds(999);
+  entry_->OnAnswerHead(Attempt(0), {200, {}, 4}, kLoad, now_);
+  now_ += milliseconds(100);
+  entry_->OnTick(now_);
+  entry_->OnAnswerChunk(Attempt(0), 0, "body", now_);
+  entry_->OnAnswerEnd(Attempt(0), {1, 4, DigestOf("body", 0)}, kLoad, now_);
+  EXPECT_EQ(received_, "head 200 body end");
+}
+
+TEST_F(AnEntry, WaitsNoLongerForTheRestOfAnAnswerThanItsCaller) {
+  Begin("/reads/1", 0, milliseconds(1050));
+  entry_->OnAnswerHead(Attempt(0), {200, {}, 4}, kLoad, now_);
+  now_ += milliseconds(1049);
+  entry_->OnTick(now_);
+  EXPECT_EQ(received_, "");
+  now_ += milliseconds(1);
+  entry_->OnTick(now_);
+  EXPECT_EQ(received_, "refused 4005 unknown");
+}
+
 TEST_F(AnEntry, BreaksOffAnAnswerWithAGap) {
   Begin("/reads/1");
   entry_->OnAnswerHead(Attempt(0), {200, {}, -1}, kLoad, now_);
