Refuse to send to an address that can't be read

A daemon ended as soon as it sent a control message to an address that ZeroMQ refuses: a port out of range, an IPv6 address, an empty address. Such an address comes from a seed in the settings or from the record of one daemon, which all others receive and probe. Gossip keeps the record, so the daemons ended again after each restart.

Cause: zmq::socket_t::connect() throws, and nothing on the control thread catches it. A host name did not throw, but ZeroMQ looked it up on the thread that carries all its connections.

Evidence: ADaemonWithOddAddresses.SendsControlMessagesToTheOthers failed before with C++ exception with description "Invalid argument" thrown in the test body.

Now the address is parsed first, an exception while a connection is opened (such as too many sockets) is a refusal, and both transports count it in peer_refusals_total. The TCP transport, which did not throw, did not count it.

The same cause elsewhere: bind() and Reply() of the ZeroMQ transport catch already; the TCP transport and the HTTP servers use ParseSocketAddress() and system calls, which do not throw.

--- a/src/peer/internal/tcp_transport.cc
+++ b/src/peer/internal/tcp_transport.cc
@@ -98,7 +98,7 @@
   std::error_code Send(const std::string& address,
                        wire::Envelope& message) override {
     Connection* connection = GetOrConnect(address);
-    if (connection == nullptr) return PeerCode::kBacklog;
+    if (connection == nullptr) return CountRefusal(PeerCode::kBacklog);
     return Enqueue(*connection, message);
   }
 
@@ -128,7 +128,7 @@
     auto found = outgoing_.find(address);
     if (found != outgoing_.end()) return found->second.get();
     const auto parsed = ParseSocketAddress(address);
-    if (!parsed.has_value()) return nullptr;
+    if (!parsed.has_value() || parsed->sin_port == 0) return nullptr;
     const int descriptor =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) return nullptr;
--- a/src/peer/internal/zmq_transport.cc
+++ b/src/peer/internal/zmq_transport.cc
@@ -4,6 +4,7 @@
 #include <zmq.hpp>
 
 #include "base/digest.h"
+#include "base/socket_address.h"
 #include "peer/internal/wire_version.h"
 #include "peer/peer_result_codes.h"
 #include "peer/peer_transport.h"
@@ -57,11 +58,12 @@
 
   std::error_code Send(const std::string& address,
                        wire::Envelope& message) override {
-    Connection& connection = GetOrConnect(address);
-    connection.last_used = clock_.Now();
+    Connection* connection = GetOrConnect(address);
+    if (connection == nullptr) return CheckSent(std::nullopt, 0);
+    connection->last_used = clock_.Now();
     const std::string frame = FillAndSerialize(message);
     return CheckSent(
-        connection.socket.send(zmq::buffer(frame), zmq::send_flags::dontwait),
+        connection->socket.send(zmq::buffer(frame), zmq::send_flags::dontwait),
         frame.size());
   }
 
@@ -133,18 +135,26 @@
     socket.set(zmq::sockopt::tcp_keepalive, 1);
   }
 
-  Connection& GetOrConnect(const std::string& address) {
+  /// @return nullptr when no connection can be opened.
+  Connection* GetOrConnect(const std::string& address) {
     auto found = connections_.find(address);
-    if (found != connections_.end()) return found->second;
-    zmq::socket_t socket(context_, zmq::socket_type::dealer);
-    Configure(socket);
+    if (found != connections_.end()) return &found->second;
+    // ZeroMQ would look up a host name, which delays all other connections.
+    const auto parsed = ParseSocketAddress(address);
+    if (!parsed.has_value() || parsed->sin_port == 0) return nullptr;
     const std::string source = identity_.source_address.empty()
                                    ? ""
                                    : identity_.source_address + ":0;";
-    socket.connect("tcp://" + source + address);
-    return connections_
-        .emplace(address, Connection{std::move(socket), clock_.Now()})
-        .first->second;
+    try {
+      zmq::socket_t socket(context_, zmq::socket_type::dealer);
+      Configure(socket);
+      socket.connect("tcp://" + source + address);
+      return &connections_
+                  .emplace(address, Connection{std::move(socket), clock_.Now()})
+                  .first->second;
+    } catch (const zmq::error_t&) {
+      return nullptr;  // For example because of too many open sockets.
+    }
   }
 
   void CloseIdle() {
