Leave out instance records whose addresses can't be read

A record with an address that can't be read was taken in like any other: its daemon was probed, asked for versions, and chosen as the owner of requests, each of which could never be sent.

Cause: the addresses of a record were not checked when it was read.

Evidence: AnInstanceRecordWithAnAddressThatCannotBeRead. IsLeftOutAndTheOthersAreRead failed before, among others for fd00::1:9000 and host:1 ("Expected equality of these values: read.records ...").

Now the codec leaves out such records and reads the others of the same message; the control loop logs at most one line a second that names the sender. Every daemon has both addresses, as both ports are required in its settings.

Looked at for the same cause: state and upstream state out of range fall into the default branches; digests of another number are ignored; the addresses in indirect probes and consensus messages go only to the transport, which refuses them.

--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -1,6 +1,7 @@
 #include "control/internal/control_codec.h"
 
 #include "base/compression.h"
+#include "base/socket_address.h"
 
 namespace hibiscusglade {
 namespace {
@@ -100,6 +101,11 @@
   }
 }
 
+bool IsReachable(const std::string& address) {
+  const auto parsed = ParseSocketAddress(address);
+  return parsed.has_value() && parsed->sin_port != 0;
+}
+
 InstanceRecord From(const wire::InstanceRecord& in) {
   InstanceRecord record;
   record.instance = in.instance();
@@ -202,7 +208,10 @@
     case wire::Envelope::kGossip: {
       GossipMessage gossip;
       for (const wire::InstanceRecord& record : in.gossip().records()) {
-        gossip.records.push_back(From(record));
+        if (IsReachable(record.control_address()) &&
+            IsReachable(record.request_address())) {
+          gossip.records.push_back(From(record));
+        }
       }
       gossip.bucket_digests.assign(in.gossip().bucket_digests().begin(),
                                    in.gossip().bucket_digests().end());
--- a/src/control/internal/control_codec.h
+++ b/src/control/internal/control_codec.h
@@ -12,7 +12,8 @@
 void ToWire(const DistributionMessage& message, wire::Envelope& out);
 void ToWire(const MembershipMessage& message, wire::Envelope& out);
 
-/// @return nullopt when the envelope's message is of another kind.
+/// @return nullopt when the envelope's message is of another kind. Gossip comes
+/// without the records whose addresses can't be read.
 std::optional<DistributionMessage> DistributionFromWire(
     const wire::Envelope& in);
 std::optional<MembershipMessage> MembershipFromWire(const wire::Envelope& in);
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -549,6 +549,7 @@
       return;
     }
     if (auto membership = MembershipFromWire(message)) {
+      ReportUnreadableRecords(message, *membership);
       MembershipEffects effects =
           membership_->OnMessage(kSenderAddress, *membership, now);
       for (const MembershipSend& sent : effects.send) {
@@ -561,6 +562,22 @@
     }
   }
 
+  void ReportUnreadableRecords(const wire::Envelope& message,
+                               const MembershipMessage& read) {
+    const auto* gossip = std::get_if<GossipMessage>(&read);
+    if (gossip == nullptr ||
+        gossip->records.size() ==
+            static_cast<size_t>(message.gossip().records_size()) ||
+        !unreadable_records_.AllowLine(clock_.Now())) {
+      return;
+    }
+    Log(LogLevel::kWarning, "control",
+        "Records of instances were ignored: an address can't be read.",
+        {{"sender", message.instance()},
+         {"lines_left_out",
+          std::to_string(unreadable_records_.TakeSuppressedCount())}});
+  }
+
   /// Runs a step of the follower that a message caused, and carries out its
   /// effects. Messages to the sender are sent as replies.
   void DriveFollower(const std::string& from, const ReturnPath& path,
@@ -706,6 +723,7 @@
   Instant activated_at_;
   Duration apply_time_{};  ///< Spent on the last answer of a peer.
   LogRateLimiter long_turns_{1};
+  LogRateLimiter unreadable_records_{1};
   bool floor_read_pending_ = false;
   bool view_changed_ = false;  ///< Handled at the end of a loop iteration.
   bool draining_ = false;
--- a/src/control/tests/control_codec_test.cc
+++ b/src/control/tests/control_codec_test.cc
@@ -109,5 +109,27 @@
   EXPECT_EQ(read.records, std::vector<InstanceRecord>{record});
 }
 
+TEST(AnInstanceRecordWithAnAddressThatCannotBeRead,
+     IsLeftOutAndTheOthersAreRead) {
+  InstanceRecord good;
+  good.instance = "good";
+  good.control_address = "10.0.0.1:1";
+  good.request_address = "10.0.0.1:65535";
+  for (const char* address :
+       {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536",
+        "10.0.0.1:18446744073709551616", "10.0.0.1:-1", "10.0.0.300:1",
+        "fd00::1:9000", "host:1", "[[[[[[[["}) {
+    InstanceRecord odd_control = good;
+    odd_control.control_address = address;
+    InstanceRecord odd_request = good;
+    odd_request.request_address = address;
+    wire::Envelope message;
+    ToWire(GossipMessage{{odd_control, good, odd_request, good}, {}}, message);
+    const auto read = std::get<GossipMessage>(*MembershipFromWire(message));
+    EXPECT_EQ(read.records, (std::vector<InstanceRecord>{good, good}))
+        << address;
+  }
+}
+
 }  // namespace
 }  // namespace hibiscusglade
