Refuse a patch that nests the document in itself

A proposed patch of 17 operations ended all replicas: each copy of the document into itself doubles its depth, and writing it as text recurses. The command is in the log by then, so the replicas ended again whenever they applied it after a restart.

Cause: copies were bounded by the length of the document, measured on its text. 65,536 levels stay below that length, but not within the stack. The strict parser bounds the depth of the patch only.

Evidence: APatchThatNestsADocumentInItself, both tests, ended before with "Segmentation fault" (exit 139).

Now each copy is also checked against kMaxJsonDepth, before the document is written; the check itself recurses no deeper than that. As a copy at most doubles the depth, the document never has more than 64 levels plus what the patch's other operations add, which is limited by its size. A document deeper than 32 levels was refused before, too, when read.

Looked at for the same cause: every text from outside is parsed by ParseStrictJson(); the other calls of json::parse() read what the ledger has written itself, or a patch or document of a proposer that has parsed it strictly.

--- a/src/versions/internal/config_reader.cc
+++ b/src/versions/internal/config_reader.cc
@@ -1,8 +1,10 @@
 #include "versions/config_reader.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/strict_json.h"
 #include "versions/internal/config_elements.h"
 
 namespace hibiscusglade {
@@ -195,9 +197,19 @@
   return operation.is_object() && operation.value("op", "") == "copy";
 }
 
+/// @return whether a value has more than `levels` levels of nesting.
+bool NestedBeyond(const json& value, int levels) {
+  if (!value.is_structured()) return false;
+  if (levels == 0) return true;
+  return std::any_of(value.begin(), value.end(), [levels](const json& element) {
+    return NestedBeyond(element, levels - 1);
+  });
+}
+
 /// Applies the operations of a patch; fails when a copy makes the document
-/// longer than kMaxPatchedBytes. Only copies can make a document much longer
-/// than the patch, so the operations between copies are applied in one batch.
+/// longer than kMaxPatchedBytes or nested deeper than kMaxJsonDepth. Only
+/// copies can make a document much longer or deeper than the patch, so the
+/// operations between copies are applied in one batch.
 std::optional<json> ApplyBounded(json document, const json& operations,
                                  std::vector<SettingsFault>& faults) {
   json batch = json::array();
@@ -207,6 +219,12 @@
     if (!last && !IsCopy(operations[i])) continue;
     document = document.patch(std::exchange(batch, json::array()));
     if (!IsCopy(operations[i])) continue;
+    if (NestedBeyond(document, kMaxJsonDepth)) {
+      faults.push_back({"/" + std::to_string(i),
+                        "the copy nests the document deeper than " +
+                            std::to_string(kMaxJsonDepth) + " levels"});
+      return std::nullopt;
+    }
     if (document.dump().size() <= kMaxPatchedBytes) continue;
     faults.push_back({"/" + std::to_string(i),
                       "the copy makes the document longer than " +
--- a/src/versions/tests/version_ledger_test.cc
+++ b/src/versions/tests/version_ledger_test.cc
@@ -210,5 +210,42 @@
   EXPECT_EQ(faults[0].pointer, "/17");
 }
 
+class APatchThatNestsADocumentInItself : public testing::Test {
+ protected:
+  /// @return a patch whose copies double the depth of the document each time.
+  static std::string PatchOf(int copies) {
+    std::string patch = R"([{"op":"replace","path":"","value":{"a":0}})";
+    std::string path = "/a";
+    for (int i = 0; i < copies; ++i) {
+      patch += R"(,{"op":"copy","from":"","path":")" + path + R"("})";
+      path += path;
+    }
+    return patch + "]";
+  }
+};
+
+TEST_F(APatchThatNestsADocumentInItself, IsRefusedAtTheCopyThatIsTooDeep) {
+  std::vector<SettingsFault> faults;
+  EXPECT_FALSE(
+      ApplyPatch(EmptyConfigVersion()->text, PatchOf(16), faults).has_value());
+  ASSERT_EQ(faults.size(), 1u);
+  EXPECT_EQ(faults[0].pointer, "/6");
+  EXPECT_NE(faults[0].message.find("32 levels"), std::string::npos)
+      << faults[0].message;
+}
+
+TEST_F(APatchThatNestsADocumentInItself, LeavesTheLedgerAtWork) {
+  VersionLedger ledger([](const ConfigVersionPtr&) {});
+  wire::PatchCommand command;
+  command.set_patch_id("deep");
+  command.set_patch(PatchOf(16));
+  ledger.Apply(command.SerializeAsString());
+  EXPECT_EQ(ledger.Latest()->number, 0u);
+  command.set_patch_id("good");
+  command.set_patch(R"([{"op":"add","path":"/services/s","value":{}}])");
+  ledger.Apply(command.SerializeAsString());
+  EXPECT_EQ(ledger.Latest()->number, 1u);
+}
+
 }  // namespace
 }  // namespace hibiscusglade
