Refuse seeds that can't be contacted

A seed host with a port out of range, a host name or an empty text was taken without a word, at the start and on a reload: the daemon got a seed that it could not contact, and ended when it tried to. IPv6 addresses were accepted anywhere in the settings and in announcements, though every connection and listener of a daemon is IPv4. An address with a null character was read up to that character.

Cause: seed_hosts was cut at the colon and not checked; IpAddress() had a check of its own, looser than the function that is used to connect.

Now a faulty seed is a fault at its place: the start ends with it, a reload logs it once and keeps the settings in use. A port in seed_hosts must be one that exists; this daemon's control port is used instead of it, as before, and the settings page says so. The page no longer describes addresses of seeds and replicas as listening addresses.

--- a/src/base/internal/settings_reader.cc
+++ b/src/base/internal/settings_reader.cc
@@ -1,11 +1,10 @@
 #include "base/settings_reader.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/socket_address.h"
 #include "base/strict_json.h"
 
 namespace hibiscusglade {
@@ -62,12 +61,6 @@
              spec.allowed.end();
 }
 
-bool IsIpAddress(const std::string& text) {
-  unsigned char buffer[sizeof(in6_addr)];
-  return inet_pton(AF_INET, text.c_str(), buffer) == 1 ||
-         inet_pton(AF_INET6, text.c_str(), buffer) == 1;
-}
-
 }  // namespace
 
 SettingsReader::SettingsReader(std::string_view text)
@@ -180,8 +173,8 @@
 std::string SettingsReader::IpAddress(std::string_view name,
                                       const TextSpec& spec) {
   std::string text = Text(name, spec);
-  if (!text.empty() && !IsIpAddress(text)) {
-    Fault(name, "expected an IP address in figures, found \"" + text + "\"");
+  if (!text.empty() && !SocketAddressOf(text, 0).has_value()) {
+    Fault(name, "expected an IPv4 address in figures, found \"" + text + "\"");
   }
   return text;
 }
--- a/src/base/internal/socket_address.cc
+++ b/src/base/internal/socket_address.cc
@@ -13,7 +13,9 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
-  if (inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) {
+  // inet_pton() would not see what stands after a null character.
+  if (ip.find('\0') != std::string::npos ||
+      inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) {
     return std::nullopt;
   }
   return address;
--- a/src/base/settings_reader.h
+++ b/src/base/settings_reader.h
@@ -78,7 +78,7 @@
   std::string Text(std::string_view name, const TextSpec& spec);
   bool Flag(std::string_view name, bool default_value, std::string_view text);
 
-  /// Reads a numeric IPv4 or IPv6 address; a host name is a fault.
+  /// Reads a numeric IPv4 address; a host name is a fault.
   std::string IpAddress(std::string_view name, const TextSpec& spec);
 
   /// @return the field as JSON text; empty when it is absent.
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -22,14 +22,17 @@
   return LogLevel::kInfo;
 }
 
+constexpr std::string_view kListenAddress = "Numeric IP address to listen on.";
+
 /// Reads either `address` and `port` or the combined `host_port`.
-ListenerSettings ReadListener(SettingsReader& reader) {
+/// @param address_text describes `address`.
+ListenerSettings ReadListener(SettingsReader& reader,
+                              std::string_view address_text = kListenAddress) {
   ListenerSettings listener;
   const std::string text = reader.Text(
       "host_port", {"", "\"ip:port\", instead of address and port."});
   const bool separate = text.empty();
-  listener.address = reader.IpAddress(
-      "address", {"", "Numeric IP address to listen on.", separate});
+  listener.address = reader.IpAddress("address", {"", address_text, separate});
   listener.port = static_cast<uint16_t>(
       reader.Number("port", {1, 65535, 0, "port", "Port.", separate}));
   if (separate) return listener;
@@ -70,6 +73,33 @@
                        "Port; by default that of the peer listener."}));
 }
 
+/// @return the IP address in "ip" or "ip:port"; nullopt for any other text.
+std::optional<std::string> SeedIpOf(const std::string& text) {
+  const size_t colon = text.find(':');
+  const auto parsed =
+      ParseSocketAddress(colon == std::string::npos ? text + ":1" : text);
+  if (!parsed.has_value() || parsed->sin_port == 0) return std::nullopt;
+  return text.substr(0, colon);
+}
+
+/// A mesh that is set up with seed_hosts has the same control port everywhere.
+void ReadSeedHosts(SettingsReader& reader, DaemonSettings& settings) {
+  const std::vector<std::string> hosts = reader.Texts(
+      "seed_hosts", {"",
+                     "Instances to contact first, as ip or ip:port; this "
+                     "daemon's control port is used instead of that port."});
+  for (size_t i = 0; i < hosts.size(); ++i) {
+    const auto ip = SeedIpOf(hosts[i]);
+    if (!ip.has_value()) {
+      reader.FaultAt("/peer/seed_hosts/" + std::to_string(i),
+                     "expected ip or ip:port, found \"" + hosts[i] + "\"");
+      continue;
+    }
+    settings.seed_hosts.push_back(*ip);
+    settings.seeds.push_back(*ip + ":" + std::to_string(settings.control_port));
+  }
+}
+
 void ReadPeer(SettingsReader reader, DaemonSettings& settings) {
   settings.peer_address = reader.IpAddress(
       "address",
@@ -84,19 +114,11 @@
   }
   ReadAdvertised(reader, settings);
   reader.Array("seeds", "Daemons to contact first.", [&](SettingsReader& seed) {
-    const ListenerSettings address = ReadListener(seed);
+    const ListenerSettings address =
+        ReadListener(seed, "Numeric IP address of the daemon.");
     settings.seeds.push_back(address.HostPort());
   });
-  // A mesh that is set up with seed_hosts has the same control port everywhere.
-  const TextSpec hosts{
-      "",
-      "Instances to contact first, as ip or ip:port; a port is "
-      "ignored, as they all use this daemon's control port."};
-  for (const std::string& host : reader.Texts("seed_hosts", hosts)) {
-    const std::string ip = host.substr(0, host.find(':'));
-    settings.seed_hosts.push_back(ip);
-    settings.seeds.push_back(ip + ":" + std::to_string(settings.control_port));
-  }
+  ReadSeedHosts(reader, settings);
 }
 
 void ReadReplicas(SettingsReader& reader, DaemonSettings& settings) {
@@ -108,7 +130,8 @@
             "instance", {"", "Name of the replica's instance.", true});
         member.failure_domain =
             item.Text("failure_domain", {"", "Its failure domain.", true});
-        member.address = ReadListener(item).HostPort();
+        member.address =
+            ReadListener(item, "Numeric IP address of the replica.").HostPort();
         settings.replicas.push_back(std::move(member));
       });
 }
--- /dev/null
+++ b/src/settings/tests/odd_settings_test.cc
@@ -0,0 +1,64 @@
+#include <gtest/gtest.h>
+
+#include "settings/daemon_settings.h"
+
+namespace hibiscusglade {
+namespace {
+
+/// @param peer fields of `peer` besides those that are required.
+std::string SettingsWith(const std::string& peer) {
+  return R"({"mesh":"m","instance":"x","failure_domain":"a",
+    "replicas":[{"instance":"y","failure_domain":"a","host_port":"10.0.0.9:1"}],
+    "peer":{"address":"10.0.0.1","control_port":7000,"request_port":7001,)" +
+         peer + "}}";
+}
+
+std::vector<SettingsFault> FaultsOf(const std::string& peer) {
+  SettingsReader reader(SettingsWith(peer));
+  if (reader.Faults().empty()) ReadDaemonSettings(reader);
+  reader.Finish();
+  return reader.Faults();
+}
+
+TEST(ASeedHost, IsAnIpAddressWithOrWithoutAPort) {
+  SettingsReader reader(
+      SettingsWith(R"("seed_hosts":["10.0.0.2","10.0.0.3:7100"])"));
+  const DaemonSettings settings = ReadDaemonSettings(reader);
+  EXPECT_TRUE(reader.Faults().empty());
+  EXPECT_EQ(settings.seeds,
+            (std::vector<std::string>{"10.0.0.2:7000", "10.0.0.3:7000"}));
+}
+
+TEST(AnOddSeedHost, IsAFaultAtItsPlace) {
+  for (const char* host :
+       {R"("")", R"("10.0.0.3:")", R"("10.0.0.3:0")", R"("10.0.0.3:65536")",
+        R"("10.0.0.3:18446744073709551616")", R"("10.0.0.3:-1")",
+        R"("10.0.0.3:7000x")", R"("10.0.0.300")", R"("host")", R"("fd00::1")",
+        R"("10.0.0.3\u0000:7000")", "7", "null", "18446744073709551616",
+        "1e300", "[[[[[[[[[[\"10.0.0.3\"]]]]]]]]]]", "{}"}) {
+    const auto faults =
+        FaultsOf(R"("seed_hosts":["10.0.0.2",)" + std::string(host) + "]");
+    ASSERT_EQ(faults.size(), 1u) << host;
+    EXPECT_EQ(faults[0].pointer, "/peer/seed_hosts/1") << host;
+  }
+}
+
+TEST(AnOddSeed, IsAFaultAtItsPlace) {
+  for (const char* seed :
+       {R"({"address":"10.0.0.3","port":65536})",
+        R"({"address":"10.0.0.3","port":0})",
+        R"({"address":"10.0.0.3","port":18446744073709551615})",
+        R"({"address":"10.0.0.3","port":1e300})",
+        R"({"address":"fd00::1","port":7000})",
+        R"({"address":"10.0.0.3\u0000","port":7000})",
+        R"({"host_port":"10.0.0.3:65536"})", R"({"host_port":"host:7000"})",
+        R"({"host_port":"10.0.0.3\u0000:7000"})", "7", "[[[[[[[[7]]]]]]]]"}) {
+    const auto faults = FaultsOf(R"("seeds":[{"host_port":"10.0.0.2:7000"},)" +
+                                 std::string(seed) + "]");
+    ASSERT_EQ(faults.size(), 1u) << seed;
+    EXPECT_TRUE(faults[0].pointer.starts_with("/peer/seeds/1")) << seed;
+  }
+}
+
+}  // namespace
+}  // namespace hibiscusglade
--- a/src/upstream/tests/announcement_api_test.cc
+++ b/src/upstream/tests/announcement_api_test.cc
@@ -36,5 +36,19 @@
   EXPECT_EQ(Send("DELETE", "").status, 503);
 }
 
+TEST_F(AnUpstream, IsRefusedWithAnAddressThatCannotBeUsed) {
+  for (const char* address :
+       {R"("fd00::1","port":80)", R"("10.0.0.300","port":80)",
+        R"("10.0.0.1\u0000","port":80)", R"("10.0.0.1","port":65536)",
+        R"("10.0.0.1","port":18446744073709551615)",
+        R"("10.0.0.1","port":1e300)", R"([[[["10.0.0.1"]]]],"port":80)"}) {
+    EXPECT_EQ(Send("PUT", R"({"service":"plots","slots":4,"address":)" +
+                              std::string(address) + "}")
+                  .status,
+              400)
+        << address;
+  }
+}
+
 }  // namespace
 }  // namespace hibiscusglade
