Take an answer for whole only once its head is complete

Callers saw a 200 with an empty or short body, framed as whole, when their upstream stopped within the head of its answer and closed the connection.

Cause: libcurl 7.88 ends such a transfer with CURLE_OK; it reports an error only when the connection ends before the first bytes. The client took CURLE_OK for a whole answer without asking whether a head had been received.

The end of the connection within the head now fails the run as sent, with its connection lost, as in the body.

The same cause elsewhere: the parser of callers' requests acts on the end of a request only, never on that of a connection; libmicrohttpd calls the handler of src/http only with a whole request.

--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -338,7 +338,8 @@
       DeferEvent([this, reachable = result == CURLE_OK] {
         events_.OnProbed(reachable, clock_.Now());
       });
-    } else if (result == CURLE_OK && run.head_kind == AnswerHeadKind::kAnswer) {
+    } else if (result == CURLE_OK && run.head_received &&
+               run.head_kind == AnswerHeadKind::kAnswer) {
       DeferEvent([this, id] { events_.OnRunEnd(id, clock_.Now()); });
     } else {
       DeferEvent([this, id, failure = FailureOf(run, result)] {
@@ -360,6 +361,10 @@
     RunProgress progress = RunProgress::kNotSent;
     if (run.sent) progress = RunProgress::kSent;
     if (run.head_received) progress = RunProgress::kAnswering;
+    // libcurl reports success when the connection is closed within the head.
+    if (result == CURLE_OK) {
+      return {progress, true, "the head of its answer broke off"};
+    }
     // OnBeforeSend() aborts when a reused connection was lost.
     const bool lost =
         result == CURLE_COULDNT_CONNECT || result == CURLE_SEND_ERROR ||
