Refuse heads of answers that can be read in two ways

Callers could get an answer whose length was read differently here and by libcurl ("12abc", two lengths, a length beside chunks, a length beyond 64 bits), so that its framing did not fit its body. A line without a colon ended the head early: the fields behind it were not seen. And where a head broke off and another followed on the same connection, the status of the first was joined with the fields of the second: a 421 that belonged to nobody, with the id of the answer behind it, counts as not run.

Cause: the client took any line without a colon for the end of the head, any status line for a new head, and what strtoll made of a length.

Two new tests. After: 7 lines that are no field and 11 unclear lengths all fail the run as sent.

Only an empty line ends a head now. Every other line after the status line must be a field with a valid name and no control characters; a folded line is refused, as libcurl does not unfold the fields that it reads itself. Lengths are decimal, equal if repeated, and not beside Transfer-Encoding.

Ruled out: trailers; they do not reach the head (test of whole chunked answers with a trailer). Looked at elsewhere: callers' requests are read by http_parser, which rejects such lines itself.

--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -4,9 +4,12 @@
 #include <sys/epoll.h>
 
 #include <algorithm>
-#include <cstdlib>
+#include <cctype>
+#include <charconv>
 #include <functional>
 #include <map>
+#include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,6 +25,58 @@
 /// Read of the body of a rejection, so that its connection can be reused.
 constexpr size_t kMaxRejectionBytes = size_t{16} << 10U;
 
+bool IsFieldNameCharacter(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool IsFieldValueCharacter(char c) {
+  return c == '\t' || (static_cast<unsigned char>(c) >= ' ' && c != '\x7f');
+}
+
+/// @param line of a head, without its end.
+/// @return nullopt when it is not a field. Folded fields are not accepted.
+std::optional<HeaderField> ParseField(std::string_view line) {
+  const size_t colon = line.find(':');
+  if (colon == 0 || colon == std::string_view::npos) return std::nullopt;
+  const std::string_view name = line.substr(0, colon);
+  std::string_view value = line.substr(colon + 1);
+  if (!std::ranges::all_of(name, IsFieldNameCharacter) ||
+      !std::ranges::all_of(value, IsFieldValueCharacter)) {
+    return std::nullopt;
+  }
+  const size_t first = value.find_first_not_of(" \t");
+  if (first == std::string_view::npos)
+    return HeaderField{std::string(name), ""};
+  value = value.substr(first, value.find_last_not_of(" \t") - first + 1);
+  return HeaderField{std::string(name), std::string(value)};
+}
+
+/// @return nullopt when it is not a length.
+std::optional<int64_t> ParseLength(std::string_view text) {
+  int64_t length = -1;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, length);
+  if (error != std::errc() || stop != end || text.front() == '-') {
+    return std::nullopt;
+  }
+  return length;
+}
+
+/// Sets the length of an answer's body from its fields.
+/// @return false when the fields contradict each other or are invalid.
+bool ReadLength(AnswerHead& head) {
+  for (const HeaderField& field : head.headers) {
+    if (!EqualFieldNames(field.name, "Content-Length")) continue;
+    const auto length = ParseLength(field.value);
+    const bool first = head.content_length < 0;
+    if (!length || (!first && *length != head.content_length)) return false;
+    head.content_length = *length;
+  }
+  return head.content_length < 0 ||
+         FindField(head.headers, "Transfer-Encoding") == nullptr;
+}
+
 /// One run or probe; used on the client's thread only.
 struct Run {
   RunId id = 0;
@@ -30,6 +85,7 @@
   CallAttempt attempt;
   AnswerHead head;
   AnswerHeadKind head_kind = AnswerHeadKind::kAnswer;
+  bool in_head = false;  ///< A status line was received, but not its end.
   bool head_received = false;
   bool sent = false;             ///< Sending the request has begun.
   int64_t remaining_credit = 0;  ///< Bytes of the body that may still be read.
@@ -235,6 +291,7 @@
     auto* run = static_cast<Run*>(cls);
     if (run->sent && !run->attempt.repeatable) return CURL_PREREQFUNC_ABORT;
     run->sent = true;
+    run->in_head = false;
     return CURL_PREREQFUNC_OK;
   }
 
@@ -246,19 +303,22 @@
 
   static size_t OnHeaderLine(char* data, size_t size, size_t count, void* cls) {
     auto* run = static_cast<Run*>(cls);
-    const std::string line(data, size * count);
-    if (line.starts_with("HTTP/")) {
+    if (run->head_received) return size * count;  // A trailer.
+    std::string_view line(data, size * count);
+    if (line.ends_with('\n')) line.remove_suffix(1);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (!run->in_head && line.starts_with("HTTP/")) {
+      run->in_head = true;
       run->head = {};
-    } else if (const size_t colon = line.find(':');
-               colon != std::string::npos) {
-      const size_t first = line.find_first_not_of(" \t", colon + 1);
-      const size_t last = line.find_last_not_of(" \t\r\n");
-      std::string value = first == std::string::npos || last < first
-                              ? ""
-                              : line.substr(first, last - first + 1);
-      run->head.headers.push_back({line.substr(0, colon), std::move(value)});
-    } else {
+    } else if (run->in_head && line.empty()) {
+      run->in_head = false;
       run->client->FinishHead(*run);
+    } else if (auto field = ParseField(line); run->in_head && field) {
+      run->head.headers.push_back(std::move(*field));
+    } else {
+      // libcurl may have read the rest of the head in another way.
+      run->head_kind = AnswerHeadKind::kMismatched;
+      return 0;
     }
     return size * count;
   }
@@ -270,13 +330,13 @@
     run.head_received = true;
     run.head.status = static_cast<int>(status);
     for (const HeaderField& field : run.head.headers) {
-      if (EqualFieldNames(field.name, "Content-Length")) {
-        run.head.content_length =
-            std::strtoll(field.value.c_str(), nullptr, 10);
-      }
       if (EqualFieldNames(field.name, "Keep-Alive"))
         UpdateKeepAlive(field.value);
     }
+    if (!ReadLength(run.head)) {
+      run.head_kind = AnswerHeadKind::kMismatched;
+      return;
+    }
     run.head_kind = config_.dialect.ClassifyHead(run.attempt, run.head);
     if (run.head_kind != AnswerHeadKind::kAnswer) return;
     DeferEvent([this, id = run.id, head = run.head] {
--- a/src/upstream/tests/broken_answer_test.cc
+++ b/src/upstream/tests/broken_answer_test.cc
@@ -94,5 +94,33 @@
   ExpectBroken("abc\r\n\r\n", RunProgress::kSent);
 }
 
+// Guards against heads that end at a line that is no field.
+TEST_F(ABrokenAnswer, HasALineThatIsNoField) {
+  for (const char* line : {"no field", " folded", "\tfolded: x", ": no name",
+                           "Name : a", "HTTP/1.1 200 OK", "X-Field: a\rb"}) {
+    ExpectBroken(std::string("HTTP/1.1 421 Other\r\n") + line + "\r\n" +
+                     kOther + ": 1\r\nContent-Length: 0\r\n\r\n",
+                 RunProgress::kSent);
+  }
+}
+
+// Guards against bodies whose end is read in two ways.
+TEST_F(ABrokenAnswer, HasNoClearLength) {
+  for (const char* fields :
+       {"Content-Length: 12abc", "Content-Length: -3", "Content-Length: +3",
+        "Content-Length:", "Content-Length: 0x3", "Content-Length: 3, 3",
+        "Content-Length: 3 3", "Content-Length: 99999999999999999999",
+        "Content-Length: 3\r\nContent-Length: 2",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3"}) {
+    ExpectBroken(std::string("HTTP/1.1 200 OK\r\n") + fields +
+                     "\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                 RunProgress::kSent);
+  }
+  ExpectWhole(
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+      "abc");
+}
+
 }  // namespace
 }  // namespace hibiscusglade
