Close a connection after a rejection

Callers could be told "not run, try again" for a request that runs, or a request that may not be repeated could run at two upstreams: a faulty upstream writes a rejection a second time, and the daemon sends the same request, with the same id, on the same connection once more (the entry tries an owner again after a rejection). The copy names the right request.

Cause: the connection of a rejection was kept for later requests. So was that of an answer to another request without a body; the answer that was due then arrived as the answer to the request after it, and so on.

Before: after a rejection, and after an answer with a foreign id, the next request was sent on the same connection ("upstream.Requests() Which is: { 2 }", expected { 1, 1 }). After: on a new one.

The client now aborts the transfer at the end of a head that is not the answer, which makes libcurl close the connection. So no connection carries an id twice after a rejection. Weighed: remembering for each connection which ids it has carried; that saves a handshake for each rejection, but owners admit by slots, so that rejections by the upstream are rare. Its body is no longer read.

--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -22,8 +22,6 @@
 /// keep-alive timeout.
 constexpr long kDefaultKeepAliveSeconds = 4;
 constexpr uint32_t kMaxKeepAliveSeconds = 118;  // libcurl's own limit.
-/// Read of the body of a rejection, so that its connection can be reused.
-constexpr size_t kMaxRejectionBytes = size_t{16} << 10U;
 
 bool IsFieldNameCharacter(char c) {
   return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
@@ -90,7 +88,6 @@
   bool sent = false;             ///< Sending the request has begun.
   int64_t remaining_credit = 0;  ///< Bytes of the body that may still be read.
   bool paused = false;           ///< Reading is paused for lack of credit.
-  size_t rejection_bytes = 0;    ///< Of a body that is not passed on.
   bool is_probe = false;
   class Client* client = nullptr;
 };
@@ -313,6 +310,9 @@
     } else if (run->in_head && line.empty()) {
       run->in_head = false;
       run->client->FinishHead(*run);
+      // What else arrives on the connection could be taken for the answer to a
+      // later request: 0 aborts the transfer, which closes the connection.
+      if (run->head_kind != AnswerHeadKind::kAnswer) return 0;
     } else if (auto field = ParseField(line); run->in_head && field) {
       run->head.headers.push_back(std::move(*field));
     } else {
@@ -361,13 +361,6 @@
 
   static size_t OnBody(char* data, size_t size, size_t count, void* cls) {
     auto* run = static_cast<Run*>(cls);
-    // Not the answer to this request, so that its body is not needed:
-    // returning 0 aborts the transfer.
-    if (run->head_kind == AnswerHeadKind::kMismatched) return 0;
-    if (run->head_kind != AnswerHeadKind::kAnswer) {
-      run->rejection_bytes += size * count;
-      return run->rejection_bytes <= kMaxRejectionBytes ? size * count : 0;
-    }
     if (run->remaining_credit <= 0) {
       run->paused = true;
       return CURL_WRITEFUNC_PAUSE;
--- /dev/null
+++ b/src/upstream/tests/kept_connection_test.cc
@@ -0,0 +1,68 @@
+#include "upstream/tests/scripted_upstream.h"
+
+namespace hibiscusglade {
+namespace {
+
+using Counts = std::vector<int>;
+
+std::string Answer(const std::string& id, const std::string& body = "ab") {
+  return "HTTP/1.1 200 OK\r\n" + std::string(kEchoedId) + ": " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+/// @param field what the answer says.
+/// @param id of the request that it names; none when empty.
+std::string Rejection(const std::string& field, const std::string& id) {
+  const std::string echoed =
+      id.empty() ? "" : std::string(kEchoedId) + ": " + id + "\r\n";
+  return "HTTP/1.1 503 Busy\r\n" + field + ": 1\r\n" + echoed +
+         "Content-Length: 0\r\n\r\n";
+}
+
+class AKeptConnection : public RunFixture {
+ protected:
+  void ExpectAnswered(const AScriptedUpstream& upstream,
+                      const std::string& id) {
+    Start(upstream.Address(), id, "GET", false);
+    ASSERT_TRUE(Finished());
+    EXPECT_TRUE(ended_) << failure_->reason;
+    EXPECT_EQ(body_, "ab");
+  }
+
+  void ExpectFailed(const AScriptedUpstream& upstream, const std::string& id,
+                    RunProgress progress) {
+    Start(upstream.Address(), id, "GET", false);
+    ASSERT_TRUE(Finished());
+    ASSERT_TRUE(failure_.has_value()) << "the run ended";
+    EXPECT_EQ(failure_->progress, progress);
+  }
+};
+
+TEST_F(AKeptConnection, CarriesTheNextRequest) {
+  AScriptedUpstream upstream({{{Answer("r1")}, {Answer("r2")}}});
+  ExpectAnswered(upstream, "r1");
+  ExpectAnswered(upstream, "r2");
+  EXPECT_EQ(upstream.Requests(), Counts({2}));
+}
+
+// Guards against a copy of a rejection that is taken for a second one.
+TEST_F(AKeptConnection, IsNotKeptAfterARejection) {
+  for (const char* field : {kNotRun, kOther}) {
+    AScriptedUpstream upstream({{{Rejection(field, "r1")}}, {{Answer("r1")}}});
+    ExpectFailed(upstream, "r1", RunProgress::kRejected);
+    ExpectAnswered(upstream, "r1");
+    EXPECT_EQ(upstream.Requests(), Counts({1, 1}));
+  }
+}
+
+// Guards against answers that are each taken by the request after theirs.
+TEST_F(AKeptConnection, IsNotKeptAfterTheAnswerToAnotherRequest) {
+  AScriptedUpstream upstream({{{Answer("r0", "")}}, {{Answer("r2")}}});
+  ExpectFailed(upstream, "r1", RunProgress::kSent);
+  ExpectAnswered(upstream, "r2");
+  EXPECT_EQ(upstream.Requests(), Counts({1, 1}));
+}
+
+}  // namespace
+}  // namespace hibiscusglade
