Believe a rejection on a reused connection only when it names the request

Callers could be told "not run, try again" for a request that runs, or a request that may not be repeated could run at a second upstream: a faulty upstream writes an earlier rejection once more on a kept connection. A 421 without the request's id counts as the rejection of the request on its way.

Cause: the platform's dialect takes a 421 without the id for a rejection, as the server that uses an address now need not know the request. On a new connection nothing earlier can be on its way; on a reused one such an answer belongs to nobody.

New tests: AKeptConnection.BringsNoRejectionThatNamesNoRequest, before: progress kRejected, expected kSent, for both kinds of rejection; MayBringOneWhileItIsNew passed before and after.

The dialect now states whether an answer names the request, and the client, which knows whether libcurl opened the connection for this request (CURLINFO_NUM_CONNECTS), takes a nameless rejection on a reused connection for no answer: the outcome is unknown.

Ruled out: other answers without the id, such as a 400 or 503 with Not-Executed, were refused before; every request here has an id.

--- a/src/upstream/internal/default_upstream_dialect.cc
+++ b/src/upstream/internal/default_upstream_dialect.cc
@@ -17,6 +17,10 @@
                               const AnswerHead&) const override {
     return AnswerHeadKind::kAnswer;
   }
+
+  bool NamesRequest(const CallAttempt&, const AnswerHead&) const override {
+    return false;
+  }
 };
 
 }  // namespace
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -323,6 +323,13 @@
     return size * count;
   }
 
+  /// @return whether the connection of a run has carried requests before.
+  static bool IsReused(const Run& run) {
+    long new_connections = 0;
+    curl_easy_getinfo(run.easy, CURLINFO_NUM_CONNECTS, &new_connections);
+    return new_connections == 0;
+  }
+
   void FinishHead(Run& run) {
     long status = 0;
     curl_easy_getinfo(run.easy, CURLINFO_RESPONSE_CODE, &status);
@@ -338,6 +345,12 @@
       return;
     }
     run.head_kind = config_.dialect.ClassifyHead(run.attempt, run.head);
+    // On a reused connection, a rejection without the request's id may be that
+    // of an earlier request.
+    if (IsReused(run) && !config_.dialect.NamesRequest(run.attempt, run.head) &&
+        run.head_kind != AnswerHeadKind::kAnswer) {
+      run.head_kind = AnswerHeadKind::kMismatched;
+    }
     if (run.head_kind != AnswerHeadKind::kAnswer) return;
     DeferEvent([this, id = run.id, head = run.head] {
       events_.OnRunHead(id, head, clock_.Now());
--- a/src/upstream/tests/kept_connection_test.cc
+++ b/src/upstream/tests/kept_connection_test.cc
@@ -64,5 +64,21 @@
   EXPECT_EQ(upstream.Requests(), Counts({1, 1}));
 }
 
+// Guards against an earlier rejection, without a request's id, that is taken
+// for that of the request on its way.
+TEST_F(AKeptConnection, BringsNoRejectionThatNamesNoRequest) {
+  for (const char* field : {kNotRun, kOther}) {
+    AScriptedUpstream upstream({{{Answer("r1")}, {Rejection(field, "")}}});
+    ExpectAnswered(upstream, "r1");
+    ExpectFailed(upstream, "r2", RunProgress::kSent);
+    EXPECT_EQ(upstream.Requests(), Counts({2}));
+  }
+}
+
+TEST_F(AKeptConnection, MayBringOneWhileItIsNew) {
+  AScriptedUpstream upstream({{{Rejection(kOther, "")}}});
+  ExpectFailed(upstream, "r1", RunProgress::kRejected);
+}
+
 }  // namespace
 }  // namespace hibiscusglade
--- a/src/upstream/tests/run_fixture.h
+++ b/src/upstream/tests/run_fixture.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "calls/field_values.h"
 #include "upstream/http_upstream_client.h"
 
 namespace hibiscusglade {
@@ -71,6 +72,9 @@
     }
     return kind;
   }
+  bool NamesRequest(const CallAttempt&, const AnswerHead& head) const override {
+    return FindField(head.headers, kEchoedId) != nullptr;
+  }
 };
 
 /// Runs requests with a deadline in a minute.
--- a/src/upstream/upstream_dialect.h
+++ b/src/upstream/upstream_dialect.h
@@ -31,6 +31,11 @@
 
   virtual AnswerHeadKind ClassifyHead(const CallAttempt& attempt,
                                       const AnswerHead& head) const = 0;
+
+  /// @return whether an answer states that it belongs to this attempt's
+  /// request.
+  virtual bool NamesRequest(const CallAttempt& attempt,
+                            const AnswerHead& head) const = 0;
 };
 
 /// The default dialect. It adds X-Request-Id, X-Request-Timeout-Ms and
