Send no request behind bytes that wait on a kept connection

Callers got a failure of unknown outcome, for requests of their own that an upstream ran, after a faulty upstream had sent bytes behind a complete answer: the next request on that connection read them as its answer.

Cause: libcurl 7.88 closes a connection with bytes that it reads together with the end of an answer, but checks a connection that it reuses only for being open. Measured with a socket test: a 503 sent 20 ms behind an answer was the answer to the next request on the kept connection.

New test AKeptConnection.CarriesNoRequestBehindWaitingBytes (a rejection, an answer, one byte). Before: "not an answer to the request", then a run without an end; after: the request goes over a new connection, and the next one over that, too.

The client looks for bytes before it sends on a reused connection. If there are any, or it was closed, the transfer is aborted before a byte of the request is sent, which closes the connection, and started again on a new one within the same deadline.

Ruled out: CURLINFO_ACTIVESOCKET, which is unset at that time; so the client opens the sockets itself.

--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -2,14 +2,18 @@
 
 #include <curl/curl.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <charconv>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -86,12 +90,25 @@
   bool in_head = false;  ///< A status line was received, but not its end.
   bool head_received = false;
   bool sent = false;             ///< Sending the request has begun.
+  bool found_bytes = false;      ///< Its connection had bytes of nobody.
   int64_t remaining_credit = 0;  ///< Bytes of the body that may still be read.
   bool paused = false;           ///< Reading is paused for lack of credit.
   bool is_probe = false;
+  curl_socket_t opened_socket = CURL_SOCKET_BAD;  ///< For this run.
+  Instant deadline;
   class Client* client = nullptr;
 };
 
+/// Both ends of a connection: local address and port, remote address and port.
+using ConnectionEnds = std::tuple<std::string, int, std::string, int>;
+
+/// @return whether bytes wait on a socket, or it was closed.
+bool HasBytes(curl_socket_t socket) {
+  char byte = 0;
+  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+         (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 class Client : public UpstreamClient {
  public:
   Client(const UpstreamClientConfig& config, RunEvents& events, EventLoop& loop,
@@ -122,6 +139,7 @@
     run->id = id;
     run->client = this;
     run->attempt = attempt;
+    run->deadline = clock_.Now() + attempt.remaining;
     run->remaining_credit = static_cast<int64_t>(attempt.credit_bytes);
     run->easy = TakeHandle();
     SetOptions(*run, address);
@@ -271,6 +289,10 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &run);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Client::OnBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &run);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Client::OnOpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &run);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Client::OnCloseSocket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     // When a reused connection turns out to be closed by the upstream, the
     // outcome of a request that may not be repeated is unknown. libcurl checks
     // whether it is closed before it reuses it, but the upstream may close it
@@ -281,17 +303,63 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &run);
   }
 
+  static curl_socket_t OnOpenSocket(void* cls, curlsocktype,
+                                    curl_sockaddr* address) {
+    auto* run = static_cast<Run*>(cls);
+    run->opened_socket = socket(
+        address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    return run->opened_socket;
+  }
+
+  static int OnCloseSocket(void* cls, curl_socket_t socket) {
+    auto* self = static_cast<Client*>(cls);
+    std::erase_if(self->connections_,
+                  [&](const auto& entry) { return entry.second == socket; });
+    return close(socket);
+  }
+
   /// Callback of libcurl before it sends a request. libcurl sends a request
   /// again by itself when a reused connection is lost; this prevents it for
   /// requests that may not be repeated.
-  static int OnBeforeSend(void* cls, char*, char*, int, int) {
+  static int OnBeforeSend(void* cls, char* remote_address, char* local_address,
+                          int remote_port, int local_port) {
     auto* run = static_cast<Run*>(cls);
     if (run->sent && !run->attempt.repeatable) return CURL_PREREQFUNC_ABORT;
+    const ConnectionEnds ends{local_address, local_port, remote_address,
+                              remote_port};
+    if (!run->client->IsClean(*run, ends)) {
+      run->found_bytes = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
     run->sent = true;
     run->in_head = false;
     return CURL_PREREQFUNC_OK;
   }
 
+  /// @return whether the next bytes on a run's connection can be its answer.
+  /// libcurl reuses connections on which bytes of nobody wait.
+  bool IsClean(const Run& run, const ConnectionEnds& ends) {
+    if (!IsReused(run)) {
+      connections_[ends] = run.opened_socket;
+      return true;
+    }
+    const auto found = connections_.find(ends);
+    return found != connections_.end() && !HasBytes(found->second);
+  }
+
+  /// Starts a run again, on a new connection, of which nothing was sent.
+  void Restart(Run& run) {
+    run.found_bytes = false;
+    curl_multi_remove_handle(multi_, run.easy);
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(
+        run.deadline - clock_.Now());
+    curl_easy_setopt(
+        run.easy, CURLOPT_TIMEOUT_MS,
+        static_cast<long>(std::max<int64_t>(1, remaining.count())));
+    curl_easy_setopt(run.easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_multi_add_handle(multi_, run.easy);
+  }
+
   static void AddField(Run& run, const std::string& name,
                        const std::string& value) {
     const std::string line = value.empty() ? name + ";" : name + ": " + value;
@@ -399,6 +467,10 @@
   }
 
   void Finish(Run& run, CURLcode result) {
+    if (run.found_bytes) {
+      Restart(run);
+      return;
+    }
     const RunId id = run.id;
     if (run.is_probe) {
       DeferEvent([this, reachable = result == CURLE_OK] {
@@ -461,6 +533,7 @@
   EventLoop::TimerId timer_ = 0;
   std::vector<CURL*> idle_handles_;  ///< To be reused.
   std::map<RunId, std::unique_ptr<Run>> runs_;
+  std::map<ConnectionEnds, curl_socket_t> connections_;  ///< Open ones.
   long keep_alive_s_ = kDefaultKeepAliveSeconds;
   RunId last_probe_ = 0;  ///< Probes' ids count down from the largest RunId.
 };
--- a/src/upstream/tests/kept_connection_test.cc
+++ b/src/upstream/tests/kept_connection_test.cc
@@ -80,5 +80,19 @@
   ExpectFailed(upstream, "r1", RunProgress::kRejected);
 }
 
+// Guards against requests that are sent behind bytes of nobody.
+TEST_F(AKeptConnection, CarriesNoRequestBehindWaitingBytes) {
+  for (const std::string& bytes :
+       {Rejection(kNotRun, "r1"), Answer("r1"), std::string("#")}) {
+    AScriptedUpstream upstream(
+        {{{Answer("r1")}, {Answer("r2")}}, {{Answer("r2")}, {Answer("r3")}}});
+    ExpectAnswered(upstream, "r1");
+    upstream.SendNow(0, bytes);
+    ExpectAnswered(upstream, "r2");
+    ExpectAnswered(upstream, "r3");
+    EXPECT_EQ(upstream.Requests(), Counts({1, 2}));
+  }
+}
+
 }  // namespace
 }  // namespace hibiscusglade
