Take a daemon's answer for none when its head broke off

The command line tool could report an order as accepted (status 200) though the daemon's connection ended within the head of its answer.

Looked at elsewhere: the tool and the upstream client are the only users of libcurl under src.

--- a/src/ctl/internal/api_client.cc
+++ b/src/ctl/internal/api_client.cc
@@ -2,6 +2,8 @@
 
 #include <curl/curl.h>
 
+#include <string_view>
+
 namespace hibiscusglade {
 namespace {
 
@@ -13,6 +15,13 @@
   return size * count;
 }
 
+/// Notes in `whole` whether the last line received ends a head.
+size_t NoteHeadEnd(char* data, size_t size, size_t count, void* whole) {
+  const std::string_view line(data, size * count);
+  *static_cast<bool*>(whole) = line == "\r\n" || line == "\n";
+  return size * count;
+}
+
 }  // namespace
 
 ApiAnswer ApiClient::Send(const std::string& method, const std::string& path,
@@ -26,12 +35,16 @@
   curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, kTimeoutMs);
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, &answer.text);
+  // libcurl reports success when the connection is closed within the head.
+  bool whole_head = false;
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &NoteHeadEnd);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &whole_head);
   if (method == "POST") {
     curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(body.size()));
     curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body.c_str());
   }
-  if (curl_easy_perform(curl) == CURLE_OK) {
+  if (curl_easy_perform(curl) == CURLE_OK && whole_head) {
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &answer.status);
   }
   curl_off_t connect_micros = 0;
