--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -2,11 +2,18 @@
 
 #include <curl/curl.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
-#include <cstdlib>
+#include <cctype>
+#include <cerrno>
+#include <charconv>
 #include <functional>
 #include <map>
+#include <optional>
+#include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -19,8 +26,58 @@
 /// keep-alive timeout.
 constexpr long kDefaultKeepAliveSeconds = 4;
 constexpr uint32_t kMaxKeepAliveSeconds = 118;  // libcurl's own limit.
-/// Read of the body of a rejection, so that its connection can be reused.
-constexpr size_t kMaxRejectionBytes = size_t{16} << 10U;
+
+bool IsFieldNameCharacter(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool IsFieldValueCharacter(char c) {
+  return c == '\t' || (static_cast<unsigned char>(c) >= ' ' && c != '\x7f');
+}
+
+/// @param line of a head, without its end.
+/// @return nullopt when it is not a field. Folded fields are not accepted.
+std::optional<HeaderField> ParseField(std::string_view line) {
+  const size_t colon = line.find(':');
+  if (colon == 0 || colon == std::string_view::npos) return std::nullopt;
+  const std::string_view name = line.substr(0, colon);
+  std::string_view value = line.substr(colon + 1);
+  if (!std::ranges::all_of(name, IsFieldNameCharacter) ||
+      !std::ranges::all_of(value, IsFieldValueCharacter)) {
+    return std::nullopt;
+  }
+  const size_t first = value.find_first_not_of(" \t");
+  if (first == std::string_view::npos)
+    return HeaderField{std::string(name), ""};
+  value = value.substr(first, value.find_last_not_of(" \t") - first + 1);
+  return HeaderField{std::string(name), std::string(value)};
+}
+
+/// @return nullopt when it is not a length.
+std::optional<int64_t> ParseLength(std::string_view text) {
+  int64_t length = -1;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, length);
+  if (error != std::errc() || stop != end || text.front() == '-') {
+    return std::nullopt;
+  }
+  return length;
+}
+
+/// Sets the length of an answer's body from its fields.
+/// @return false when the fields contradict each other or are invalid.
+bool ReadLength(AnswerHead& head) {
+  for (const HeaderField& field : head.headers) {
+    if (!EqualFieldNames(field.name, "Content-Length")) continue;
+    const auto length = ParseLength(field.value);
+    const bool first = head.content_length < 0;
+    if (!length || (!first && *length != head.content_length)) return false;
+    head.content_length = *length;
+  }
+  return head.content_length < 0 ||
+         FindField(head.headers, "Transfer-Encoding") == nullptr;
+}
 
 /// One run or probe; used on the client's thread only.
 struct Run {
@@ -30,15 +87,28 @@
   CallAttempt attempt;
   AnswerHead head;
   AnswerHeadKind head_kind = AnswerHeadKind::kAnswer;
+  bool in_head = false;  ///< A status line was received, but not its end.
   bool head_received = false;
   bool sent = false;             ///< Sending the request has begun.
+  bool found_bytes = false;      ///< Its connection had bytes of nobody.
   int64_t remaining_credit = 0;  ///< Bytes of the body that may still be read.
   bool paused = false;           ///< Reading is paused for lack of credit.
-  size_t rejection_bytes = 0;    ///< Of a body that is not passed on.
   bool is_probe = false;
+  curl_socket_t opened_socket = CURL_SOCKET_BAD;  ///< For this run.
+  Instant deadline;
   class Client* client = nullptr;
 };
 
+/// Both ends of a connection: local address and port, remote address and port.
+using ConnectionEnds = std::tuple<std::string, int, std::string, int>;
+
+/// @return whether bytes wait on a socket, or it was closed.
+bool HasBytes(curl_socket_t socket) {
+  char byte = 0;
+  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+         (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 class Client : public UpstreamClient {
  public:
   Client(const UpstreamClientConfig& config, RunEvents& events, EventLoop& loop,
@@ -69,6 +139,7 @@
     run->id = id;
     run->client = this;
     run->attempt = attempt;
+    run->deadline = clock_.Now() + attempt.remaining;
     run->remaining_credit = static_cast<int64_t>(attempt.credit_bytes);
     run->easy = TakeHandle();
     SetOptions(*run, address);
@@ -218,6 +289,10 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &run);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Client::OnBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &run);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Client::OnOpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &run);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Client::OnCloseSocket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     // When a reused connection turns out to be closed by the upstream, the
     // outcome of a request that may not be repeated is unknown. libcurl checks
     // whether it is closed before it reuses it, but the upstream may close it
@@ -228,16 +303,63 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &run);
   }
 
+  static curl_socket_t OnOpenSocket(void* cls, curlsocktype,
+                                    curl_sockaddr* address) {
+    auto* run = static_cast<Run*>(cls);
+    run->opened_socket = socket(
+        address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    return run->opened_socket;
+  }
+
+  static int OnCloseSocket(void* cls, curl_socket_t socket) {
+    auto* self = static_cast<Client*>(cls);
+    std::erase_if(self->connections_,
+                  [&](const auto& entry) { return entry.second == socket; });
+    return close(socket);
+  }
+
   /// Callback of libcurl before it sends a request. libcurl sends a request
   /// again by itself when a reused connection is lost; this prevents it for
   /// requests that may not be repeated.
-  static int OnBeforeSend(void* cls, char*, char*, int, int) {
+  static int OnBeforeSend(void* cls, char* remote_address, char* local_address,
+                          int remote_port, int local_port) {
     auto* run = static_cast<Run*>(cls);
     if (run->sent && !run->attempt.repeatable) return CURL_PREREQFUNC_ABORT;
+    const ConnectionEnds ends{local_address, local_port, remote_address,
+                              remote_port};
+    if (!run->client->IsClean(*run, ends)) {
+      run->found_bytes = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
     run->sent = true;
+    run->in_head = false;
     return CURL_PREREQFUNC_OK;
   }
 
+  /// @return whether the next bytes on a run's connection can be its answer.
+  /// libcurl reuses connections on which bytes of nobody wait.
+  bool IsClean(const Run& run, const ConnectionEnds& ends) {
+    if (!IsReused(run)) {
+      connections_[ends] = run.opened_socket;
+      return true;
+    }
+    const auto found = connections_.find(ends);
+    return found != connections_.end() && !HasBytes(found->second);
+  }
+
+  /// Starts a run again, on a new connection, of which nothing was sent.
+  void Restart(Run& run) {
+    run.found_bytes = false;
+    curl_multi_remove_handle(multi_, run.easy);
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(
+        run.deadline - clock_.Now());
+    curl_easy_setopt(
+        run.easy, CURLOPT_TIMEOUT_MS,
+        static_cast<long>(std::max<int64_t>(1, remaining.count())));
+    curl_easy_setopt(run.easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_multi_add_handle(multi_, run.easy);
+  }
+
   static void AddField(Run& run, const std::string& name,
                        const std::string& value) {
     const std::string line = value.empty() ? name + ";" : name + ": " + value;
@@ -246,23 +368,36 @@
 
   static size_t OnHeaderLine(char* data, size_t size, size_t count, void* cls) {
     auto* run = static_cast<Run*>(cls);
-    const std::string line(data, size * count);
-    if (line.starts_with("HTTP/")) {
+    if (run->head_received) return size * count;  // A trailer.
+    std::string_view line(data, size * count);
+    if (line.ends_with('\n')) line.remove_suffix(1);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (!run->in_head && line.starts_with("HTTP/")) {
+      run->in_head = true;
       run->head = {};
-    } else if (const size_t colon = line.find(':');
-               colon != std::string::npos) {
-      const size_t first = line.find_first_not_of(" \t", colon + 1);
-      const size_t last = line.find_last_not_of(" \t\r\n");
-      std::string value = first == std::string::npos || last < first
-                              ? ""
-                              : line.substr(first, last - first + 1);
-      run->head.headers.push_back({line.substr(0, colon), std::move(value)});
-    } else {
+    } else if (run->in_head && line.empty()) {
+      run->in_head = false;
       run->client->FinishHead(*run);
+      // What else arrives on the connection could be taken for the answer to a
+      // later request: 0 aborts the transfer, which closes the connection.
+      if (run->head_kind != AnswerHeadKind::kAnswer) return 0;
+    } else if (auto field = ParseField(line); run->in_head && field) {
+      run->head.headers.push_back(std::move(*field));
+    } else {
+      // libcurl may have read the rest of the head in another way.
+      run->head_kind = AnswerHeadKind::kMismatched;
+      return 0;
     }
     return size * count;
   }
 
+  /// @return whether the connection of a run has carried requests before.
+  static bool IsReused(const Run& run) {
+    long new_connections = 0;
+    curl_easy_getinfo(run.easy, CURLINFO_NUM_CONNECTS, &new_connections);
+    return new_connections == 0;
+  }
+
   void FinishHead(Run& run) {
     long status = 0;
     curl_easy_getinfo(run.easy, CURLINFO_RESPONSE_CODE, &status);
@@ -270,14 +405,20 @@
     run.head_received = true;
     run.head.status = static_cast<int>(status);
     for (const HeaderField& field : run.head.headers) {
-      if (EqualFieldNames(field.name, "Content-Length")) {
-        run.head.content_length =
-            std::strtoll(field.value.c_str(), nullptr, 10);
-      }
       if (EqualFieldNames(field.name, "Keep-Alive"))
         UpdateKeepAlive(field.value);
     }
+    if (!ReadLength(run.head)) {
+      run.head_kind = AnswerHeadKind::kMismatched;
+      return;
+    }
     run.head_kind = config_.dialect.ClassifyHead(run.attempt, run.head);
+    // On a reused connection, a rejection without the request's id may be that
+    // of an earlier request.
+    if (IsReused(run) && !config_.dialect.NamesRequest(run.attempt, run.head) &&
+        run.head_kind != AnswerHeadKind::kAnswer) {
+      run.head_kind = AnswerHeadKind::kMismatched;
+    }
     if (run.head_kind != AnswerHeadKind::kAnswer) return;
     DeferEvent([this, id = run.id, head = run.head] {
       events_.OnRunHead(id, head, clock_.Now());
@@ -301,13 +442,6 @@
 
   static size_t OnBody(char* data, size_t size, size_t count, void* cls) {
     auto* run = static_cast<Run*>(cls);
-    // Not the answer to this request, so that its body is not needed:
-    // returning 0 aborts the transfer.
-    if (run->head_kind == AnswerHeadKind::kMismatched) return 0;
-    if (run->head_kind != AnswerHeadKind::kAnswer) {
-      run->rejection_bytes += size * count;
-      return run->rejection_bytes <= kMaxRejectionBytes ? size * count : 0;
-    }
     if (run->remaining_credit <= 0) {
       run->paused = true;
       return CURL_WRITEFUNC_PAUSE;
@@ -333,12 +467,17 @@
   }
 
   void Finish(Run& run, CURLcode result) {
+    if (run.found_bytes) {
+      Restart(run);
+      return;
+    }
     const RunId id = run.id;
     if (run.is_probe) {
       DeferEvent([this, reachable = result == CURLE_OK] {
         events_.OnProbed(reachable, clock_.Now());
       });
-    } else if (result == CURLE_OK && run.head_kind == AnswerHeadKind::kAnswer) {
+    } else if (result == CURLE_OK && run.head_received &&
+               run.head_kind == AnswerHeadKind::kAnswer) {
       DeferEvent([this, id] { events_.OnRunEnd(id, clock_.Now()); });
     } else {
       DeferEvent([this, id, failure = FailureOf(run, result)] {
@@ -360,6 +499,10 @@
     RunProgress progress = RunProgress::kNotSent;
     if (run.sent) progress = RunProgress::kSent;
     if (run.head_received) progress = RunProgress::kAnswering;
+    // libcurl reports success when the connection is closed within the head.
+    if (result == CURLE_OK) {
+      return {progress, true, "the head of its answer broke off"};
+    }
     // OnBeforeSend() aborts when a reused connection was lost.
     const bool lost =
         result == CURLE_COULDNT_CONNECT || result == CURLE_SEND_ERROR ||
@@ -390,6 +533,7 @@
   EventLoop::TimerId timer_ = 0;
   std::vector<CURL*> idle_handles_;  ///< To be reused.
   std::map<RunId, std::unique_ptr<Run>> runs_;
+  std::map<ConnectionEnds, curl_socket_t> connections_;  ///< Open ones.
   long keep_alive_s_ = kDefaultKeepAliveSeconds;
   RunId last_probe_ = 0;  ///< Probes' ids count down from the largest RunId.
 };
