Leave out odd seed hosts instead of refusing all settings

A list of seeds comes from others: with one odd entry (a port out of range, a host name) a daemon that was started again refused the whole file and ended, again and again, and a running one stopped following the list. The entry is now left out with a warning at its place, and the others are used. Without any usable seed and without replicas the settings are still refused, as before. Entries that are no texts stay faults: settings are rendered with texts there.

--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -35,6 +35,14 @@
 }
 
 /// Owns all parts of the daemon. Later members depend on earlier ones.
+void LogIgnoredEntries(const DaemonSettings& settings) {
+  for (const SettingsFault& entry : settings.ignored_entries) {
+    Log(LogLevel::kWarning, "app",
+        "An entry of the settings is left out: " + entry.pointer + ": " +
+            entry.message + ".");
+  }
+}
+
 class Daemon {
  public:
   Daemon(const DaemonSettings& settings, const ExternalInterface& external)
@@ -86,6 +94,7 @@
 
   /// Applies the settings that may change while the daemon runs.
   void Reload(const DaemonSettings& settings) {
+    LogIgnoredEntries(settings);
     control_->SetSeeds(settings.seeds, settings.replicas);
   }
 
@@ -194,6 +203,7 @@
 int RunDaemon(const std::string& path, const DaemonSettings& settings,
               const ExternalInterface& external) {
   InitLogging(settings.log_level, settings.instance, settings.failure_domain);
+  LogIgnoredEntries(settings);
   Daemon daemon(settings, external);
   if (std::error_code error = daemon.Start()) {
     Log(LogLevel::kError, "app",
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -42,6 +42,8 @@
   uint16_t advertised_request_port = 0;
   std::vector<std::string> seeds;       ///< Control addresses, "ip:port".
   std::vector<std::string> seed_hosts;  ///< IP addresses among the seeds.
+  /// Entries of lists that can't be used and were left out.
+  std::vector<SettingsFault> ignored_entries;
   /// Protocol spoken with callers, upstreams and operators.
   ExternalInterfaceKind external_interface = ExternalInterfaceKind::kDefault;
 
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -87,12 +87,14 @@
   const std::vector<std::string> hosts = reader.Texts(
       "seed_hosts", {"",
                      "Instances to contact first, as ip or ip:port; this "
-                     "daemon's control port is used instead of that port."});
+                     "daemon's control port is used instead of that port. "
+                     "Others are left out with a warning."});
   for (size_t i = 0; i < hosts.size(); ++i) {
     const auto ip = SeedIpOf(hosts[i]);
     if (!ip.has_value()) {
-      reader.FaultAt("/peer/seed_hosts/" + std::to_string(i),
-                     "expected ip or ip:port, found \"" + hosts[i] + "\"");
+      settings.ignored_entries.push_back(
+          {"/peer/seed_hosts/" + std::to_string(i),
+           "expected ip or ip:port, found \"" + hosts[i] + "\""});
       continue;
     }
     settings.seed_hosts.push_back(*ip);
