Read on after a part of a request beyond the pipeline's limit

With 32 requests and a part of a 33rd, all 32 answered in one turn, the rest of the 33rd was never read: the socket's events were set before the part that waited was parsed, so that input stayed off. The caller got 408 or an idle close.

--- a/src/caller/internal/caller_connection.cc
+++ b/src/caller/internal/caller_connection.cc
@@ -206,6 +206,7 @@
   if (!unparsed_.empty() && exchanges_.size() < kMaxExchanges) {
     const std::string bytes = std::exchange(unparsed_, {});
     Parse(bytes);
+    if (!ended_ && unparsed_.empty()) WatchSocket(false);
   }
 }
 
--- a/src/caller/tests/caller_connection_test.cc
+++ b/src/caller/tests/caller_connection_test.cc
@@ -130,9 +130,11 @@
   calls_.streams["/1"]->OnBroken({});
   calls_.Answer("/2", "second");
   const std::string answers = Received();
-  EXPECT_NE(answers.find("HTTP/1.1 502"), std::string::npos);
+  EXPECT_EQ(answers.find("part"), std::string::npos);
+  EXPECT_LT(answers.find("HTTP/1.1 502"), answers.find("second"));
   EXPECT_NE(answers.find("second"), std::string::npos);
   EXPECT_FALSE(ended_);
+  EXPECT_EQ(cut_, std::nullopt);
 }
 
 TEST_F(PipelinedRequests, AreNotBegunBehindAnAnswerThatIsPartlySent) {
@@ -156,6 +158,18 @@
   EXPECT_NE(Received().find(std::string(1000, 'x')), std::string::npos);
 }
 
+/// A connection with a part of a 33rd request was not read any more.
+TEST_F(PipelinedRequests, BeyondTheLimitAreReadInParts) {
+  std::string requests;
+  for (int i = 1; i <= 32; ++i) requests += Get("/" + std::to_string(i));
+  const std::string last = Get("/33");
+  Send(requests + last.substr(0, 10));
+  for (int i = 32; i >= 1; --i) calls_.Answer("/" + std::to_string(i), "x");
+  Received();
+  Send(last.substr(10));
+  EXPECT_EQ(calls_.begun.size(), 33u);
+}
+
 class ACallerThatDisconnects : public CallerConnectionTest {};
 
 TEST_F(ACallerThatDisconnects, HasItsRunningRequestsCancelled) {
