Hold short answers of unknown length, and retry what was held

Now answers of unknown length are held up to 64 KiB and a quarter of a second (a stream of events is still passed on), a gap in a held answer counts as a failed attempt, nothing is started past the timeout, and a begun answer has 120 ms. BreaksOffAnAnswerWithAGap uses an answer of known length above 64 KiB, as one of unknown length is no longer forwarded at once; its expectation is the same.

--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -28,6 +28,7 @@
 struct HeldAnswer {
   AnswerHead head;
   std::string body;
+  Instant since;  ///< When the head arrived.
 
   friend bool operator==(const HeldAnswer&, const HeldAnswer&) = default;
 };
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -18,8 +18,11 @@
 constexpr uint64_t kInitialCreditBytes = 256 * 1024;
 /// Time past the timeout of its route in which an answer that has begun to
 /// arrive may end.
-constexpr Duration kAnswerGrace = std::chrono::milliseconds(200);
+constexpr Duration kAnswerGrace = std::chrono::milliseconds(120);
 constexpr int64_t kMaxHeldAnswerBytes = int64_t{64} * 1024;
+/// Longest time that an answer of unknown length is held. It may be a stream
+/// of events that its caller reads one by one.
+constexpr Duration kMaxHoldTime = std::chrono::milliseconds(250);
 /// A daemon that has just started receives the version within some hundred
 /// milliseconds.
 constexpr Duration kNoVersionRetryAfter = std::chrono::milliseconds(300);
@@ -104,7 +107,7 @@
     parts_.chooser.OnAdmitted(attempt.instance, call->route->request_class);
     CancelOpen(*call, now);
     if (IsHeld(head)) {
-      call->held = HeldAnswer{head, {}};
+      call->held = HeldAnswer{head, {}, now};
     } else {
       call->stream->OnHead(head);
     }
@@ -117,7 +120,7 @@
     const CallHandle handle = attempt->call;
     OpenCall& call = *calls_.Find(handle);
     if (call.answering != id || sequence != call.next_chunk) {
-      FinishBroken(handle, now);
+      AbandonAnswer(id, now);
       return;
     }
     ++call.next_chunk;
@@ -125,6 +128,7 @@
     call.digest = DigestOf(data, call.digest);
     if (call.held.has_value()) {
       call.held->body += data;
+      if (call.held->body.size() > kMaxHeldAnswerBytes) ForwardHeld(call);
     } else {
       call.stream->OnData(std::move(data));
     }
@@ -137,7 +141,7 @@
     const CallHandle handle = calls_.FindAttempt(id)->call;
     const AnswerEnd seen{call->next_chunk, call->bytes, call->digest};
     if (call->answering != id || seen != end) {
-      FinishBroken(handle, now);
+      AbandonAnswer(id, now);
       return;
     }
     EndAttempt(id, AttemptOutcome::kAnswered, now);
@@ -146,10 +150,7 @@
     if (call->tried.size() > 1) {
       LogOutcome(*call, {}, "run", now);
     }
-    if (call->held.has_value()) {
-      call->stream->OnHead(call->held->head);
-      call->stream->OnData(std::move(call->held->body));
-    }
+    if (call->held.has_value()) ForwardHeld(*call);
     call->stream->OnEnd();
     parts_.metrics.HistogramOf("call_seconds", "").Record(now - call->began);
     calls_.Remove(handle);
@@ -191,6 +192,7 @@
       } else {
         ConsiderHedge(handle, call, now);
       }
+      ForwardHeldTooLong(handle, now);
     }
     PublishEjectionCounts();
   }
@@ -204,12 +206,41 @@
   bool Idle() const override { return calls_.Empty(); }
 
  private:
-  /// @return whether an answer is forwarded only once it is complete. Short
-  /// answers are, so that another attempt or an error can replace one that
-  /// breaks off; a partly forwarded one ends the caller's connection.
+  /// @return whether an answer is forwarded only once it is complete, or has
+  /// been held for too long. Short answers are, so that another attempt or an
+  /// error can replace one that breaks off; a partly forwarded one ends the
+  /// caller's connection.
   static bool IsHeld(const AnswerHead& head) {
-    return head.content_length >= 0 &&
-           head.content_length <= kMaxHeldAnswerBytes;
+    return head.content_length <= kMaxHeldAnswerBytes;
+  }
+
+  static void ForwardHeld(OpenCall& call) {
+    HeldAnswer held = std::move(*call.held);
+    call.held.reset();
+    call.stream->OnHead(held.head);
+    call.stream->OnData(std::move(held.body));
+  }
+
+  void ForwardHeldTooLong(CallHandle handle, Instant now) {
+    OpenCall* call = calls_.Find(handle);
+    if (call != nullptr && call->held.has_value() &&
+        call->held->head.content_length < 0 &&
+        now - call->held->since >= kMaxHoldTime) {
+      ForwardHeld(*call);
+    }
+  }
+
+  /// A part of an attempt's answer is missing.
+  void AbandonAnswer(const AttemptId& id, Instant now) {
+    const OpenAttempt& attempt = *calls_.FindAttempt(id);
+    const CallHandle handle = attempt.call;
+    if (calls_.Find(handle)->HeadForwarded()) {
+      FinishBroken(handle, now);
+      return;
+    }
+    parts_.owners.Cancel(attempt.owner, id);
+    HandleFailedAttempt(
+        id, RefusalOf(RoutingCode::kAnswerBroken, Certainty::kUnknown), now);
   }
 
   std::optional<RoutingCode> FindRoute(OpenCall& call) {
@@ -352,6 +383,11 @@
     }
     // Another attempt may still answer.
     if (!call.open_attempts.empty()) return;
+    if (now >= call.deadline) {
+      Refuse(call, *call.last_refusal, now);
+      calls_.Remove(handle);
+      return;
+    }
     const AttemptDecision decision =
         policy_.DecideRetry(ProgressOf(call), refusal);
     if (decision == AttemptDecision::kAllowed) {
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -325,9 +325,78 @@
   EXPECT_EQ(received_, "refused 4005 unknown");
 }
 
-TEST_F(AnEntry, BreaksOffAnAnswerWithAGap) {
+TEST_F(AnEntry, StartsNoAttemptPastTheRouteTimeout) {
+  Begin("/reads/1", 0, seconds(3));
+  now_ += milliseconds(950);
+  entry_->OnAnswerHead(Attempt(0), {200, {}, 8}, kLoad, now_);
+  now_ += milliseconds(100);
+  entry_->OnTick(now_);
+  entry_->OnOwnerLost(owners_.started.at(0).first, true, now_);
+  EXPECT_EQ(owners_.started.size(), 1u);
+  EXPECT_EQ(received_, "refused 4006 unknown");
+}
+
+TEST_F(AnEntry, GivesUpABegunAnswerSoonAfterTheRouteTimeout) {
+  Begin("/reads/1", 0, seconds(3));
+  entry_->OnAnswerHead(Attempt(0), {200, {}, 8}, kLoad, now_);
+  now_ += milliseconds(1120);
+  entry_->OnTick(now_);
+  EXPECT_EQ(received_, "refused 4005 unknown");
+  EXPECT_EQ(owners_.cancelled.size(), 1u);
+}
+
+TEST_F(AnEntry, TriesElsewhereWhenAShortAnswerHasAGap) {
+  Begin("/reads/1");
+  entry_->OnAnswerHead(Attempt(0), {200, {}, 8}, kLoad, now_);
+  entry_->OnAnswerChunk(Attempt(0), 1, "part", now_);
+  ASSERT_EQ(owners_.started.size(), 2u);
+  EXPECT_EQ(owners_.cancelled, std::vector<AttemptId>{Attempt(0)});
+  entry_->OnAnswerHead(Attempt(1), {200, {}, 8}, kLoad, now_);
+  entry_->OnAnswerChunk(Attempt(1), 0, "four", now_);
+  entry_->OnAnswerChunk(Attempt(1), 1, "more", now_);
+  entry_->OnAnswerEnd(Attempt(1), {2, 8, DigestOf("more", DigestOf("four", 0))},
+                      kLoad, now_);
+  EXPECT_EQ(received_, "head 200 fourmore end");
+}
+
+/// Calls of upstreams lost their connection when an answer without a length
+/// did not arrive in one piece.
+TEST_F(AnEntry, TriesElsewhereWhenAnAnswerOfUnknownLengthBreaksOff) {
   Begin("/reads/1");
   entry_->OnAnswerHead(Attempt(0), {200, {}, -1}, kLoad, now_);
+  entry_->OnAnswerChunk(Attempt(0), 0, "part", now_);
+  EXPECT_EQ(received_, "");
+  entry_->OnAttemptUnknown(Attempt(0), now_);
+  ASSERT_EQ(owners_.started.size(), 2u);
+  Answer(Attempt(1), "body");
+  EXPECT_EQ(received_, "head 200 body end");
+}
+
+TEST_F(AnEntry, HoldsAnAnswerOfUnknownLengthOnlyForAQuarterOfASecond) {
+  Begin("/reads/1");
+  entry_->OnAnswerHead(Attempt(0), {200, {}, -1}, kLoad, now_);
+  entry_->OnAnswerChunk(Attempt(0), 0, "event", now_);
+  now_ += milliseconds(249);
+  entry_->OnTick(now_);
+  EXPECT_EQ(received_, "");
+  now_ += milliseconds(1);
+  entry_->OnTick(now_);
+  EXPECT_EQ(received_, "head 200 event ");
+}
+
+TEST_F(AnEntry, HoldsNoMoreThanSixtyFourKibibytes) {
+  const std::string part(size_t{64} << 10U, 'x');
+  Begin("/reads/1");
+  entry_->OnAnswerHead(Attempt(0), {200, {}, -1}, kLoad, now_);
+  entry_->OnAnswerChunk(Attempt(0), 0, part, now_);
+  EXPECT_EQ(received_, "");
+  entry_->OnAnswerChunk(Attempt(0), 1, "y", now_);
+  EXPECT_EQ(received_, "head 200 " + part + "y ");
+}
+
+TEST_F(AnEntry, BreaksOffAnAnswerWithAGap) {
+  Begin("/reads/1");
+  entry_->OnAnswerHead(Attempt(0), {200, {}, 1'000'000}, kLoad, now_);
   entry_->OnAnswerChunk(Attempt(0), 1, "second", now_);
   EXPECT_EQ(received_, "head 200 broken 4007 unknown");
   EXPECT_EQ(owners_.cancelled.size(), 1u);
