Log what holds memory when it has grown

Callers lose all open requests of a daemon that is ended over its memory limit, and nothing in the log told what its memory was held by. Cause: only resident memory was seen, from outside.

--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <thread>
 
+#include "app/internal/memory_reporter.h"
 #include "app/internal/settings_watcher.h"
 #include "base/clock.h"
 #include "base/log.h"
@@ -50,11 +51,13 @@
                                  *requests_)),
         claims_(control_->MakeClaimStore(requests_->RequestExecutor())),
         gateway_(MakeCallerGateway(CallerSettings(), requests_->Loop(), clock_,
-                                   *requests_, routes_, *metrics_)) {}
+                                   *requests_, routes_, *metrics_)),
+        memory_(requests_->Loop(), clock_, [this] { return MemoryFields(); }) {}
 
   std::error_code Start() {
     std::error_code error;
     if (settings_.callers.port != 0) error = gateway_->Start();
+    memory_.Start();
     if (!error) error = requests_->Start(*claims_, *control_);
     if (!error) error = control_->Start();
     operators_ = StartServer(
@@ -117,6 +120,22 @@
   }
 
  private:
+  /// @return what the daemon holds on the request thread.
+  LogFields MemoryFields() const {
+    LogFields fields = requests_->Usage();
+    const CallerGatewayUsage callers = gateway_->Usage();
+    fields.emplace_back("callers", std::to_string(callers.connections));
+    fields.emplace_back("exchanges", std::to_string(callers.exchanges));
+    fields.emplace_back("caller_output", std::to_string(callers.output_bytes));
+    fields.emplace_back("caller_input", std::to_string(callers.unparsed_bytes));
+    const RouteTablePtr table = routes_.Current();
+    if (table == nullptr) return fields;
+    fields.emplace_back("document", std::to_string(table->TextBytes()));
+    fields.emplace_back("routes",
+                        std::to_string(table->Document().routes.size()));
+    return fields;
+  }
+
   /// Starts a server unless its port is 0 or an earlier start failed.
   static std::unique_ptr<SimpleHttpServer> StartServer(
       const ListenerSettings& listener, SimpleHttpServer::Handler handler,
@@ -183,6 +202,7 @@
   std::unique_ptr<ControlLoop> control_;
   std::unique_ptr<ClaimStore> claims_;
   std::unique_ptr<CallerGateway> gateway_;
+  MemoryReporter memory_;
   std::unique_ptr<SimpleHttpServer> operators_;
   std::unique_ptr<SimpleHttpServer> announcements_;
   std::unique_ptr<SimpleHttpServer> readiness_;
--- a/src/caller/caller_gateway.h
+++ b/src/caller/caller_gateway.h
@@ -25,6 +25,14 @@
   const CallerDialect& dialect = DefaultCallerDialect();
 };
 
+/// What a gateway holds.
+struct CallerGatewayUsage {
+  size_t connections = 0;
+  size_t exchanges = 0;       ///< Requests that are not answered.
+  size_t output_bytes = 0;    ///< Allocated for output.
+  size_t unparsed_bytes = 0;  ///< Allocated for input beyond those requests.
+};
+
 /// HTTP server for callers, on an event loop. All methods must be called on
 /// the loop's thread, or before the loop runs.
 class CallerGateway {
@@ -38,6 +46,8 @@
   /// Closes each connection after the answer to the next request that is read
   /// from it.
   virtual void CloseAfterAnswers() = 0;
+
+  virtual CallerGatewayUsage Usage() const = 0;
 };
 
 /// @param handler answers the requests; it must outlive the gateway.
--- a/src/caller/internal/caller_connection.cc
+++ b/src/caller/internal/caller_connection.cc
@@ -68,6 +68,15 @@
   }
 }
 
+void CallerConnection::AddUsage(CallerGatewayUsage& usage) const {
+  ++usage.connections;
+  usage.exchanges += exchanges_.size();
+  usage.unparsed_bytes += unparsed_.capacity();
+  for (const auto& exchange : exchanges_) {
+    usage.output_bytes += exchange->OutputCapacity();
+  }
+}
+
 void CallerConnection::OnEvents(uint32_t events) {
   if ((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
     // A caller that closes the connection, or its side of it, does not wait
--- a/src/caller/internal/caller_connection.h
+++ b/src/caller/internal/caller_connection.h
@@ -57,6 +57,9 @@
   /// Ends the connection, or refuses an incomplete head, after a timeout.
   void CheckTimeouts(const ConnectionLimits& limits, Instant now);
 
+  /// Adds what this connection holds.
+  void AddUsage(CallerGatewayUsage& usage) const;
+
  private:
   void OnEvents(uint32_t events);
   void Read();
--- a/src/caller/internal/caller_gateway.cc
+++ b/src/caller/internal/caller_gateway.cc
@@ -57,6 +57,14 @@
     }
   }
 
+  CallerGatewayUsage Usage() const override {
+    CallerGatewayUsage usage;
+    for (const auto& [descriptor, connection] : connections_) {
+      connection->AddUsage(usage);
+    }
+    return usage;
+  }
+
  private:
   void Accept() {
     while (connections_.size() < config_.max_connections) {
--- a/src/caller/internal/exchange.h
+++ b/src/caller/internal/exchange.h
@@ -39,6 +39,8 @@
   const std::string& Method() const { return request_.method; }
   bool Done() const { return done_ && Unsent().empty(); }
   bool Broken() const { return broken_; }
+  /// @return bytes allocated for the output.
+  size_t OutputCapacity() const { return out_.capacity(); }
   bool KeepsAlive() const { return keep_alive_; }
 
   CallHandle call = 0;
--- a/src/calls/call_links.h
+++ b/src/calls/call_links.h
@@ -76,6 +76,12 @@
   virtual void OnProbed(bool reachable, Instant now) = 0;
 };
 
+/// What a client of the upstream holds.
+struct UpstreamClientUsage {
+  size_t runs = 0;          ///< Requests and probes that have not ended.
+  size_t idle_handles = 0;  ///< Kept for later requests.
+};
+
 /// Runs requests at the local upstream.
 class UpstreamClient {
  public:
@@ -96,6 +102,9 @@
 
   /// Aborts a run; RunEvents is not notified of it any more.
   virtual void Cancel(RunId run) = 0;
+
+  /// @return what it holds; nothing for a client that can't tell.
+  virtual UpstreamClientUsage Usage() const { return {}; }
 };
 
 }  // namespace hibiscusglade
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -20,6 +20,13 @@
   Metrics& metrics;
 };
 
+/// What an entry holds.
+struct EntryUsage {
+  size_t calls = 0;
+  size_t attempts = 0;
+  size_t request_bytes = 0;  ///< Of the bodies of open calls.
+};
+
 /// Handles callers' requests: finds the route, chooses upstreams, sends
 /// attempts to their owners and forwards the answer of exactly one attempt to
 /// the caller. Single-threaded.
@@ -65,6 +72,8 @@
 
   /// @return whether no call is open.
   virtual bool Idle() const = 0;
+
+  virtual EntryUsage Usage() const = 0;
 };
 
 /// @param instance name of this instance; attempt ids begin with it.
--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -114,6 +114,15 @@
   }
 
   bool Empty() const { return calls_.empty(); }
+  size_t Calls() const { return calls_.size(); }
+  size_t Attempts() const { return attempts_.size(); }
+
+  /// @return bytes of the requests' bodies.
+  size_t RequestBytes() const {
+    size_t bytes = 0;
+    for (const auto& [handle, call] : calls_) bytes += call.request.body.size();
+    return bytes;
+  }
 
  private:
   std::map<CallHandle, OpenCall> calls_;
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -182,6 +182,10 @@
 
   bool Idle() const override { return calls_.Empty(); }
 
+  EntryUsage Usage() const override {
+    return {calls_.Calls(), calls_.Attempts(), calls_.RequestBytes()};
+  }
+
  private:
   std::optional<RoutingCode> FindRoute(OpenCall& call) {
     const RouteTablePtr table = parts_.routes.Current();
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -125,6 +125,16 @@
     return jobs_.empty() && writer_.PendingCommands() == 0;
   }
 
+  OwnerUsage Usage() const override {
+    OwnerUsage usage;
+    for (const auto& [id, job] : jobs_) {
+      ++usage.jobs;
+      usage.request_bytes += job.attempt.request.body.size();
+      usage.answer_bytes += job.body.size() + job.encoded_answer.size();
+    }
+    return usage;
+  }
+
   void OnRunHead(RunId run, const AnswerHead& head, Instant) override {
     Job* job = Find(run);
     if (job == nullptr) return;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -41,6 +41,13 @@
   OwnerListener& listener;
 };
 
+/// What an owner holds.
+struct OwnerUsage {
+  size_t jobs = 0;           ///< Attempts that are queued or running.
+  size_t request_bytes = 0;  ///< Of the bodies of their requests.
+  size_t answer_bytes = 0;   ///< Of answers that are not sent yet.
+};
+
 /// Sends requests to the upstream beside this daemon, as the only sender to it.
 /// Admits, queues or refuses the attempts of entries, runs them and streams the
 /// answers back. Single-threaded.
@@ -77,6 +84,8 @@
 
   /// @return whether there are no attempts and no unanswered claim commands.
   virtual bool Idle() const = 0;
+
+  virtual OwnerUsage Usage() const = 0;
 };
 
 /// @param instance name of this instance; claims record it as their owner.
--- a/src/peer/internal/tcp_transport.cc
+++ b/src/peer/internal/tcp_transport.cc
@@ -123,6 +123,18 @@
 
   size_t OpenConnections() const override { return outgoing_.size(); }
 
+  TransportUsage Usage() const override {
+    TransportUsage usage;
+    for (const auto& [id, connection] : connections_by_id_) {
+      ++usage.connections;
+      usage.unsent_bytes +=
+          connection->send_buffer.size() - connection->send_offset;
+      usage.send_capacity += connection->send_buffer.capacity();
+      usage.receive_capacity += connection->receive_buffer.capacity();
+    }
+    return usage;
+  }
+
  private:
   Connection* GetOrConnect(const std::string& address) {
     auto found = outgoing_.find(address);
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -31,6 +31,14 @@
 /// connection that this process opened.
 using ReturnPath = std::string;
 
+/// What a transport holds.
+struct TransportUsage {
+  size_t connections = 0;       ///< Opened and accepted.
+  size_t unsent_bytes = 0;      ///< Queued for peers.
+  size_t send_capacity = 0;     ///< Bytes allocated for them.
+  size_t receive_capacity = 0;  ///< Bytes allocated for incomplete messages.
+};
+
 /// Sends and receives messages between daemons on one plane (control or
 /// requests). Methods are called and callbacks run on the thread that runs
 /// Poll().
@@ -84,6 +92,9 @@
 
   /// @return the number of connections opened by this process.
   virtual size_t OpenConnections() const = 0;
+
+  /// @return what it holds; nothing for a transport that can't tell.
+  virtual TransportUsage Usage() const { return {}; }
 };
 
 /// Makes a transport over ZeroMQ, which reconnects by itself.
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -101,6 +101,25 @@
     upstream_.reset();
   }
 
+  LogFields Usage() const override {
+    const EntryUsage entry = entry_->Usage();
+    const OwnerUsage owner = owner_->Usage();
+    const TransportUsage links = transport_->Usage();
+    const UpstreamClientUsage upstream = upstream_->Usage();
+    return {
+        {"calls", std::to_string(entry.calls)},
+        {"attempts", std::to_string(entry.attempts)},
+        {"call_bytes", std::to_string(entry.request_bytes)},
+        {"jobs", std::to_string(owner.jobs)},
+        {"job_bytes", std::to_string(owner.request_bytes + owner.answer_bytes)},
+        {"runs", std::to_string(upstream.runs)},
+        {"idle_handles", std::to_string(upstream.idle_handles)},
+        {"links", std::to_string(links.connections)},
+        {"link_unsent", std::to_string(links.unsent_bytes)},
+        {"link_send_capacity", std::to_string(links.send_capacity)},
+        {"link_receive_capacity", std::to_string(links.receive_capacity)}};
+  }
+
   // CallHandler.
   CallHandle Begin(CallRequest request,
                    std::unique_ptr<CallerStream> stream) override {
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/event_loop.h"
 #include "base/executor.h"
+#include "base/log.h"
 #include "base/metrics.h"
 #include "calls/call_handler.h"
 #include "claims/claim_store.h"
@@ -54,6 +55,10 @@
   virtual bool Idle() = 0;
 
   virtual void Stop() = 0;
+
+  /// To be called on the request thread.
+  /// @return what the request plane holds, as fields of a log line.
+  virtual LogFields Usage() const = 0;
 };
 
 std::unique_ptr<RequestLoop> MakeRequestLoop(const RequestLoopConfig& config,
--- a/src/routing/types/route_table.h
+++ b/src/routing/types/route_table.h
@@ -51,6 +51,8 @@
 
   const ConfigDocument& Document() const { return version_->document; }
   uint64_t VersionNumber() const { return version_->number; }
+  /// @return size of the version's document as text, in bytes.
+  size_t TextBytes() const { return version_->text.size(); }
 
  private:
   ConfigVersionPtr version_;
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -104,6 +104,10 @@
     runs_[run->id] = std::move(run);
   }
 
+  UpstreamClientUsage Usage() const override {
+    return {runs_.size(), idle_handles_.size()};
+  }
+
   void Cancel(RunId run) override {
     auto found = runs_.find(run);
     if (found == runs_.end()) return;
