--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -205,6 +205,10 @@
 
   bool Idle() const override { return calls_.Empty(); }
 
+  EntryUsage Usage() const override {
+    return {calls_.Calls(), calls_.Attempts(), calls_.RequestBytes()};
+  }
+
  private:
   /// @return whether an answer is forwarded only once it is complete, or has
   /// been held for too long. Short answers are, so that another attempt or an
