Prefer the upstream beside the entry for large answers

Cause: the chooser treated the upstream of the own instance like each other of the domain. It needs no link, so it is now first for classes whose answers are large (moving average by class), unless it is saturated or refused lately; choices_total{reason="own_instance"} counts it.

Test that failed before: PrefersTheUpstreamOfItsOwnInstanceForLargeAnswers.

--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -16,7 +16,8 @@
     {"caller_refusals_total", "counter", "code", "Refusals sent to callers.",
      "Look the code up in RESULT_CODES."},
     {"choices_total", "counter", "reason",
-     "Choices of an upstream outside the own domain, or to probe one.",
+     "Choices of an upstream outside the own domain, beside the entry, or to "
+     "probe one.",
      "When spill_over grows: add upstreams in this failure domain."},
     {"control_turn_seconds", "summary", "",
      "Time that a turn of the control thread took beyond its wait.",
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -442,6 +442,8 @@
       Count("choices_total", "spill_over");
     } else if (reason == ChoiceReason::kProbe) {
       Count("choices_total", "probe");
+    } else if (reason == ChoiceReason::kOwnInstance) {
+      Count("choices_total", "own_instance");
     }
   }
 
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -81,6 +81,9 @@
     if (auto probe = PartitionByDomain(request, own, other, now)) {
       return Choice{*probe, ChoiceReason::kProbe};
     }
+    if (auto local = FindOwnInstance(request, own, now)) {
+      return Choice{*local, ChoiceReason::kOwnInstance};
+    }
     if (config_.policy == ChoicePolicy::kShortestTime && !own.empty()) {
       return PickByExpectedTime(request, own, other, now);
     }
@@ -224,12 +227,35 @@
     std::sort(among.begin(), among.end());
   }
 
+  /// A large answer of this instance's own upstream crosses no link, so that it
+  /// leaves the link to answers for other instances.
+  /// @return the own upstream among the candidates if it has room for a request
+  /// with a large answer.
+  std::optional<size_t> FindOwnInstance(const ChoiceRequest& request,
+                                        const std::vector<size_t>& own,
+                                        Instant now) {
+    if (!HasLargeAnswer(request)) return std::nullopt;
+    for (size_t i : own) {
+      const std::string& instance = request.candidates[i].instance;
+      if (instance != config_.instance) continue;
+      const bool refused =
+          LoadOf(instance).backoff.RefusedRecently(request.request_class, now);
+      if (refused || Saturated(request, {i}, now)) return std::nullopt;
+      return i;
+    }
+    return std::nullopt;
+  }
+
+  bool HasLargeAnswer(const ChoiceRequest& request) const {
+    return SpillOverWait(request) >= 2 * kMinSpillOverWait;
+  }
+
   bool Saturated(const ChoiceRequest& request, const std::vector<size_t>& among,
                  Instant now) {
     const Duration spill_over_wait = SpillOverWait(request);
     // For a large answer, an attempt that the own domain may refuse costs
     // little compared with the transfer from another domain.
-    const bool is_large = spill_over_wait >= 2 * kMinSpillOverWait;
+    const bool is_large = HasLargeAnswer(request);
     return std::all_of(among.begin(), among.end(), [&](size_t i) {
       const UpstreamTarget& target = request.candidates[i];
       const UpstreamLoad& load = LoadOf(target.instance);
--- a/src/routing/tests/upstream_chooser_test.cc
+++ b/src/routing/tests/upstream_chooser_test.cc
@@ -120,6 +120,22 @@
   EXPECT_EQ(Choose()->reason, ChoiceReason::kSpillOver);
 }
 
+/// Archives of 90 KB over slow links: the upstream beside the entry needs none.
+TEST_F(AnEntryInDomainA, PrefersTheUpstreamOfItsOwnInstanceForLargeAnswers) {
+  Build(4, 0);
+  targets_[2].instance = "entry";
+  EXPECT_LT(CountChoicesOf("entry", 100), 60);
+  for (int i = 0; i < 100; ++i) chooser_->OnAnswerSize("plots", "short", 90000);
+  EXPECT_EQ(CountChoicesOf("entry", 100), 100);
+  EXPECT_EQ(Choose()->reason, ChoiceReason::kOwnInstance);
+  EXPECT_NE(Choose({"entry"})->reason, ChoiceReason::kOwnInstance);
+  Report("entry", 6, 12, milliseconds(60));
+  EXPECT_NE(Choose()->reason, ChoiceReason::kOwnInstance);
+  Report("entry", 0, 0, milliseconds(60));
+  chooser_->OnCapacityRefusal("entry", "short", now_);
+  EXPECT_NE(Choose()->reason, ChoiceReason::kOwnInstance);
+}
+
 TEST_F(AnEntryInDomainA, StaysWhenTheOtherDomainIsSaturatedToo) {
   Build(1, 1);
   chooser_->OnRefused("a0", "short", now_);
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -28,9 +28,10 @@
 
 /// Why an upstream was chosen.
 enum class ChoiceReason {
-  kOwnDomain,  ///< The usual case.
-  kSpillOver,  ///< Own domain saturated, slower or without candidates.
-  kProbe,      ///< Checks whether an ejected upstream has recovered.
+  kOwnDomain,    ///< The usual case.
+  kSpillOver,    ///< Own domain saturated, slower or without candidates.
+  kProbe,        ///< Checks whether an ejected upstream has recovered.
+  kOwnInstance,  ///< A large answer that then crosses no link.
 };
 
 struct Choice {
