Pace large answers to the link and refuse what it can't carry in time

Cause: owners admitted by slots alone and read each archive at once. Bytes piled up in send buffers in front of links of 7.7 Mbit/s, also those of callers that had left, and short answers queued behind them.

Now the setting link_mbps tells the link's rate. An attempt whose answer would arrive after its objective is refused at once as not run (5003), with the time until there is room; one that is late anyway gets an idle link only; the own instance needs no link. An answer whose entry cancels is dropped. The slot is freed when the upstream has finished; the attempt stays known until its answer is on the link.

Ruled out: slots (21 of 60 busy by arithmetic).

--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -132,6 +132,7 @@
             settings_.AdvertisedRequestAddress(),
             settings_.upstream_connections,
             RandomSeed(),
+            settings_.link_mbps,
             external_.Upstreams(),
             ChooserConfigFromEnv()};
   }
@@ -201,7 +202,8 @@
             std::to_string(error.value()) + ").");
     return kExitStartFailed;
   }
-  Log(LogLevel::kInfo, "app", "The daemon is running.");
+  Log(LogLevel::kInfo, "app", "The daemon is running.",
+      {{"link_mbps", std::to_string(settings.link_mbps)}});
   SettingsWatcher watcher(path, settings);
   while (WaitForSignal(kSettingsPollMs) != SignalRequest::kStop) {
     if (auto changed = watcher.ReloadIfChanged()) daemon.Reload(*changed);
--- a/src/base/internal/settings_reader.cc
+++ b/src/base/internal/settings_reader.cc
@@ -41,8 +41,10 @@
   return std::to_string(spec.lowest) + " to " + std::to_string(spec.highest);
 }
 
-std::string NumberExpectation(const NumberSpec& spec) {
-  std::string text = "expected a whole number from " + RangeText(spec);
+std::string NumberExpectation(const NumberSpec& spec,
+                              std::string_view kind = "a whole number") {
+  std::string text =
+      "expected " + std::string(kind) + " from " + RangeText(spec);
   if (!spec.unit.empty()) text += " (" + std::string(spec.unit) + ")";
   return text;
 }
@@ -140,6 +142,26 @@
   return value->get<int64_t>();
 }
 
+double SettingsReader::Decimal(std::string_view name, const NumberSpec& spec) {
+  if (MarkKnown(name)) {
+    const std::string default_text =
+        spec.required ? "required" : std::to_string(spec.default_value);
+    Describe(name, {"", "decimal", std::string(spec.unit), RangeText(spec),
+                    default_text, std::string(spec.text)});
+  }
+  const json* value = Find(name);
+  const std::string expectation = NumberExpectation(spec, "a number");
+  if (value == nullptr) {
+    if (spec.required) Fault(name, "missing; " + expectation);
+    return static_cast<double>(spec.default_value);
+  }
+  if (!value->is_number() || *value < spec.lowest || *value > spec.highest) {
+    Fault(name, expectation + ", found " + value->dump());
+    return static_cast<double>(spec.default_value);
+  }
+  return value->get<double>();
+}
+
 std::string SettingsReader::Text(std::string_view name, const TextSpec& spec) {
   if (MarkKnown(name)) {
     const std::string default_text =
--- a/src/base/settings_reader.h
+++ b/src/base/settings_reader.h
@@ -29,7 +29,7 @@
   std::string text;
 };
 
-/// Bounds, default, unit and description of an integer field.
+/// Bounds, default, unit and description of a field with a number.
 struct NumberSpec {
   int64_t lowest = 0;
   int64_t highest = 0;
@@ -71,10 +71,12 @@
   SettingsReader(const SettingsReader&) = delete;
   SettingsReader& operator=(const SettingsReader&) = delete;
 
-  /// Number(), Text() and Flag() read a field.
+  /// Number(), Decimal(), Text() and Flag() read a field; Decimal() accepts
+  /// fractions.
   /// @return its value, or the default when it is absent or invalid; an invalid
   /// or a missing required field is recorded as a fault.
   int64_t Number(std::string_view name, const NumberSpec& spec);
+  double Decimal(std::string_view name, const NumberSpec& spec);
   std::string Text(std::string_view name, const TextSpec& spec);
   bool Flag(std::string_view name, bool default_value, std::string_view text);
 
--- a/src/base/tests/settings_reader_test.cc
+++ b/src/base/tests/settings_reader_test.cc
@@ -42,6 +42,21 @@
   EXPECT_EQ(faults[3], (SettingsFault{"/x", "unknown field"}));
 }
 
+TEST(ASettingsFileWithADecimal, AcceptsFractionsAndChecksTheRange) {
+  const NumberSpec rate{0, 100, 0, "10^6 bit/s", "Rate."};
+  SettingsReader good(R"({"a": 7.7, "b": 8})");
+  EXPECT_EQ(good.Decimal("a", rate), 7.7);
+  EXPECT_EQ(good.Decimal("b", rate), 8);
+  EXPECT_EQ(good.Decimal("absent", rate), 0);
+  EXPECT_TRUE(good.Faults().empty());
+  SettingsReader bad(R"({"a": -0.5, "b": "8"})");
+  EXPECT_EQ(bad.Decimal("a", rate), 0);
+  EXPECT_EQ(bad.Decimal("b", rate), 0);
+  ASSERT_EQ(bad.Faults().size(), 2u);
+  EXPECT_EQ(bad.Faults()[0].message,
+            "expected a number from 0 to 100 (10^6 bit/s), found -0.5");
+}
+
 TEST_F(ASettingsFileWithFaults, IsRefusedWhenItIsNoJson) {
   auto faults = FaultsOf("{\"port\": ");
   ASSERT_EQ(faults.size(), 1u);
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -40,14 +40,14 @@
   OwnerImpl(std::string instance, const OwnerParts& parts)
       : parts_(parts),
         writer_(std::move(instance), parts.claims, parts.clock),
-        sender_(parts.entries, parts.metrics,
+        sender_(parts.entries, parts.metrics, parts.clock, parts.link_mbps,
                 [this](const std::string& request_class) {
                   return Load(request_class);
                 }) {}
 
   void OnStart(const EntryRef& entry, const CallAttempt& attempt,
                Instant now) override {
-    if (by_attempt_.contains(attempt.id)) return;
+    if (HasAttempt(attempt.id)) return;
     Job job;
     job.entry = entry;
     job.attempt = attempt;
@@ -61,6 +61,12 @@
       sender_.SendRefusal(job, *refused, Certainty::kNotRun);
       return;
     }
+    if (auto wait = sender_.WaitForRoom(job, now)) {
+      sender_.SendRefusal(job, AdmissionCode::kQueueFull, Certainty::kNotRun,
+                          "", *wait);
+      return;
+    }
+    sender_.OnAccepted(job);
     const SlotRequestId id = ++last_id_;
     by_attempt_[attempt.id] = id;
     jobs_[id] = std::move(job);
@@ -82,7 +88,11 @@
   void OnCancel(const EntryRef&, const AttemptId& attempt,
                 Instant now) override {
     auto found = by_attempt_.find(attempt);
-    if (found != by_attempt_.end()) Cancel(found->second, now);
+    if (found != by_attempt_.end()) {
+      Cancel(found->second, now);
+    } else {
+      sender_.Drop(attempt);
+    }
   }
 
   void OnEntryAlive(const std::vector<AttemptId>& attempts,
@@ -96,6 +106,7 @@
   void OnTick(Instant now) override {
     Apply(admission_->OnTick(now), now);
     CheckJobs(now);
+    sender_.SendQueued(now);
     if (suspects_.empty()) suspects_ = death_detector_.TakeSuspects(now);
     if (suspects_.empty() && death_detector_.Idle()) RefuseConnectionLost();
     CheckUpstream(now);
@@ -118,11 +129,11 @@
   }
 
   bool HasAttempt(const AttemptId& attempt) const override {
-    return by_attempt_.contains(attempt);
+    return by_attempt_.contains(attempt) || sender_.HasQueued(attempt);
   }
 
   bool Idle() const override {
-    return jobs_.empty() && writer_.PendingCommands() == 0;
+    return jobs_.empty() && sender_.Idle() && writer_.PendingCommands() == 0;
   }
 
   void OnRunHead(RunId run, const AnswerHead& head, Instant) override {
@@ -510,6 +521,7 @@
   void RemoveJob(SlotRequestId id) {
     auto found = jobs_.find(id);
     if (found == jobs_.end()) return;
+    sender_.OnRemoved(found->second);
     by_attempt_.erase(found->second.attempt.id);
     jobs_.erase(found);
   }
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -39,6 +39,9 @@
   Metrics& metrics;
   const Clock& clock;
   OwnerListener& listener;
+  /// Rate of this instance's link in 10^6 bit/s; 0: unknown, so that answers
+  /// are not paced.
+  double link_mbps = 0;
 };
 
 /// Sends requests to the upstream beside this daemon, as the only sender to it.
@@ -72,10 +75,11 @@
   virtual void Drain(Instant now) = 0;
 
   /// @return whether this owner has an attempt that is neither answered nor
-  /// refused yet.
+  /// refused yet, or whose answer waits for the link.
   virtual bool HasAttempt(const AttemptId& attempt) const = 0;
 
-  /// @return whether there are no attempts and no unanswered claim commands.
+  /// @return whether there are no attempts, no queued answers and no unanswered
+  /// claim commands.
   virtual bool Idle() const = 0;
 };
 
--- a/src/owner/tests/owner_fixture.h
+++ b/src/owner/tests/owner_fixture.h
@@ -118,11 +118,11 @@
 /// An owner with its fakes. Several owners may share one ledger.
 class OwnerHarness {
  public:
-  OwnerHarness(const std::string& name, ClaimLedger& ledger,
-               uint32_t slots = 2) {
+  OwnerHarness(const std::string& name, ClaimLedger& ledger, uint32_t slots = 2,
+               double link_mbps = 0) {
     store.ledger = &ledger;
     owner = MakeOwner(name, {recorder, recorder, store, *quarantine, *metrics,
-                             clock, recorder});
+                             clock, recorder, link_mbps});
     UpstreamAnnouncement upstream;
     upstream.service = "orders";
     upstream.slots = slots;
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -58,9 +58,9 @@
                                       UpstreamClientConfig{}.connect_timeout,
                                       config_.upstream_dialect};
     upstream_ = MakeHttpUpstreamClient(client, run_events_, loop_, clock_);
-    owner_ = MakeOwner(
-        config_.identity.instance,
-        {*this, *upstream_, claims, *quarantine_, metrics_, clock_, *this});
+    owner_ = MakeOwner(config_.identity.instance,
+                       {*this, *upstream_, claims, *quarantine_, metrics_,
+                        clock_, *this, config_.link_mbps});
     run_events_.owner = owner_.get();
     std::error_code error = transport_->Listen(config_.listen_address);
     if (error) return error;
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -26,6 +26,7 @@
   std::string request_address;  ///< Address at which peers reach this daemon.
   uint32_t upstream_connections = 100;
   uint64_t seed = 0;
+  double link_mbps = 0;  ///< Of this instance, in 10^6 bit/s; 0: unknown.
   const UpstreamDialect& upstream_dialect = DefaultUpstreamDialect();
   ChooserConfig choice;  ///< Instance, failure domain and seed are overwritten.
 };
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -57,6 +57,7 @@
   std::string local_upstream;
   std::string local_service;  ///< Service of the upstream beside this daemon.
   uint32_t upstream_connections = 100;
+  double link_mbps = 0;  ///< Of this instance, in 10^6 bit/s; 0: unknown.
 
   std::string data_folder;       ///< Empty without the replica role.
   std::vector<Member> replicas;  ///< Initial control replicas.
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -200,6 +200,12 @@
         "max_connections",
         {1, 129, 100, "connections", "Maximum connections to the upstream."}));
   }
+  settings.link_mbps = reader.Decimal(
+      "link_mbps",
+      {0, 1'000'000, 0, "10^6 bit/s",
+       "Rate of this instance's link to other instances. Answers are sent at "
+       "this rate, and what it can't carry in time is refused. 0: unknown, no "
+       "limit."});
   {
     SettingsReader replica =
         reader.Object("replica", "Control replica on this instance.");
