Charge all that the daemon sends to its link, not only answers

Now the pacer reads peer_sent_bytes_total of both planes at each tick and charges what was not an answer; the time that an answer will take follows from what is left. 0.92 of the link are used.

Test that failed before: TheLinkBudget.LeavesRoomForWhatElseTheDaemonSends.

--- a/src/owner/internal/answer_sender.cc
+++ b/src/owner/internal/answer_sender.cc
@@ -9,11 +9,13 @@
 
 AnswerSender::AnswerSender(EntryLink& entries, Metrics& metrics,
                            const Clock& clock, double link_mbps,
+                           std::vector<const Counter*> link_traffic,
                            LoadSource load)
     : entries_(entries),
       metrics_(metrics),
       clock_(clock),
       budget_(link_mbps),
+      link_traffic_(std::move(link_traffic)),
       load_(std::move(load)) {}
 
 std::optional<Duration> AnswerSender::WaitForRoom(const Job& job, Instant now) {
@@ -127,6 +129,9 @@
 }
 
 void AnswerSender::SendQueued(Instant now) {
+  uint64_t total_bytes = 0;
+  for (const Counter* sent : link_traffic_) total_bytes += sent->Value();
+  if (total_bytes > 0) budget_.OnTraffic(total_bytes, now);
   while (!queue_.Empty() && budget_.MaySend(now)) {
     auto next = queue_.Next(now);
     if (next == queue_.End()) break;
--- a/src/owner/internal/answer_sender.h
+++ b/src/owner/internal/answer_sender.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 #include <system_error>
+#include <vector>
 
 #include "base/metrics.h"
 #include "calls/call_links.h"
@@ -23,7 +24,8 @@
       std::function<LoadReport(const std::string& request_class)>;
 
   AnswerSender(EntryLink& entries, Metrics& metrics, const Clock& clock,
-               double link_mbps, LoadSource load);
+               double link_mbps, std::vector<const Counter*> link_traffic,
+               LoadSource load);
 
   /// @return nullopt when the link has room for the answer to a new attempt;
   /// otherwise how long it takes until it will.
@@ -72,6 +74,7 @@
   Metrics& metrics_;
   const Clock& clock_;
   LinkBudget budget_;
+  std::vector<const Counter*> link_traffic_;
   LoadSource load_;
   AnswerQueue queue_;
   uint64_t published_backlog_ = 0;
--- a/src/owner/internal/link_budget.cc
+++ b/src/owner/internal/link_budget.cc
@@ -8,9 +8,11 @@
 using std::chrono::milliseconds;
 
 constexpr double kBytesPerMegabit = 1e6 / 8;
-/// The rest of the link is for headers, for requests that this instance's entry
-/// sends, and for the control plane.
-constexpr double kAnswerShare = 0.9;
+/// The rest of the link is for the headers of packets and for acknowledgements.
+constexpr double kUsableShare = 0.92;
+/// Answers get at least this share of it, whatever else is sent.
+constexpr double kMinAnswerShare = 0.25;
+constexpr Duration kTrafficSmoothing = std::chrono::seconds(1);
 /// Bytes may be sent this much ahead of the rate, so that the link does not
 /// idle between two ticks.
 constexpr Duration kBurst = milliseconds(20);
@@ -34,7 +36,7 @@
 }  // namespace
 
 LinkBudget::LinkBudget(double megabits_per_second)
-    : bytes_per_second_(megabits_per_second * kBytesPerMegabit * kAnswerShare),
+    : bytes_per_second_(megabits_per_second * kBytesPerMegabit * kUsableShare),
       burst_bytes_(
           std::max(kMinPieceBytes, bytes_per_second_ * Seconds(kBurst))),
       allowance_bytes_(burst_bytes_) {}
@@ -83,12 +85,31 @@
   if (!Limited()) return;
   AddAllowance(now);
   allowance_bytes_ -= static_cast<double>(bytes);
+  charged_bytes_ += bytes;
   auto found = reserved_.find(attempt);
   if (found == reserved_.end()) return;
   SetReserved(attempt,
               std::max(0.0, found->second - static_cast<double>(bytes)));
 }
 
+void LinkBudget::OnTraffic(uint64_t total_bytes, Instant now) {
+  if (!Limited() || now <= traffic_at_) return;
+  AddAllowance(now);
+  const bool is_first = traffic_at_ == Instant{};
+  const auto sent = static_cast<double>(total_bytes - total_bytes_);
+  const double other =
+      std::max(0.0, sent - static_cast<double>(charged_bytes_));
+  const double seconds = Seconds(now - traffic_at_);
+  total_bytes_ = total_bytes;
+  charged_bytes_ = 0;
+  traffic_at_ = now;
+  if (is_first) return;
+  allowance_bytes_ -= other;
+  other_bytes_per_second_ +=
+      std::min(1.0, seconds / Seconds(kTrafficSmoothing)) *
+      (other / seconds - other_bytes_per_second_);
+}
+
 void LinkBudget::Release(const AttemptId& attempt) {
   if (!reserved_.contains(attempt)) return;
   SetReserved(attempt, 0);
@@ -130,8 +151,9 @@
 }
 
 Duration LinkBudget::TransferTime(double bytes) const {
-  return Duration(
-      static_cast<int64_t>(bytes / bytes_per_second_ * kMicrosPerSecond));
+  const double rate = std::max(bytes_per_second_ * kMinAnswerShare,
+                               bytes_per_second_ - other_bytes_per_second_);
+  return Duration(static_cast<int64_t>(bytes / rate * kMicrosPerSecond));
 }
 
 void LinkBudget::AddAllowance(Instant now) {
--- a/src/owner/internal/link_budget.h
+++ b/src/owner/internal/link_budget.h
@@ -55,6 +55,11 @@
   /// Bytes of an answer were passed to the transport.
   void OnSent(const AttemptId& attempt, uint64_t bytes, Instant now);
 
+  /// Charges what the daemon sent besides the answers of OnSent(): requests of
+  /// its entry, refusals, the control plane.
+  /// @param total_bytes all bytes that the daemon has sent since its start.
+  void OnTraffic(uint64_t total_bytes, Instant now);
+
   /// An answer has ended or was dropped.
   void Release(const AttemptId& attempt);
 
@@ -79,10 +84,15 @@
   void AddAllowance(Instant now);
   void SetReserved(const AttemptId& attempt, double bytes);
 
-  double bytes_per_second_;  ///< Of answers.
+  double bytes_per_second_;  ///< Of the daemon's bytes.
   double burst_bytes_;
   double allowance_bytes_;  ///< Below zero: sent ahead of the rate.
   Instant allowance_at_;
+  uint64_t total_bytes_ = 0;    ///< Sent by the daemon until traffic_at_.
+  uint64_t charged_bytes_ = 0;  ///< Of answers, since traffic_at_.
+  Instant traffic_at_;
+  /// Moving average of what the daemon sends besides answers.
+  double other_bytes_per_second_ = 0;
   double reserved_total_ = 0;
   std::map<AttemptId, double> reserved_;        ///< Bytes.
   std::map<std::string, double> answer_bytes_;  ///< Moving average by class.
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -41,7 +41,7 @@
       : parts_(parts),
         writer_(std::move(instance), parts.claims, parts.clock),
         sender_(parts.entries, parts.metrics, parts.clock, parts.link_mbps,
-                [this](const std::string& request_class) {
+                parts.link_traffic, [this](const std::string& request_class) {
                   return Load(request_class);
                 }) {}
 
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -42,6 +42,9 @@
   /// Rate of this instance's link in 10^6 bit/s; 0: unknown, so that answers
   /// are not paced.
   double link_mbps = 0;
+  /// Counters of the bytes that this daemon sends over the link, for whatever
+  /// purpose; answers get what those leave.
+  std::vector<const Counter*> link_traffic = {};
 };
 
 /// Sends requests to the upstream beside this daemon, as the only sender to it.
--- a/src/owner/tests/owner_link_test.cc
+++ b/src/owner/tests/owner_link_test.cc
@@ -174,6 +174,27 @@
             20U);
 }
 
+/// The instance's entry sends requests over the same link, at half its rate.
+TEST(TheLinkBudget, LeavesRoomForWhatElseTheDaemonSends) {
+  LinkBudget budget(kSlowLinkMbps);
+  Instant now(std::chrono::seconds(1));
+  uint64_t total = 1000;
+  uint64_t answer_bytes = 0;
+  budget.OnTraffic(total, now);
+  for (int i = 0; i < 200; ++i) {
+    now += milliseconds(10);
+    total += 4800;
+    budget.OnTraffic(total, now);
+    while (budget.MaySend(now)) {
+      budget.OnSent("a", budget.PieceBytes(), now);
+      answer_bytes += budget.PieceBytes();
+      total += budget.PieceBytes();
+    }
+  }
+  EXPECT_GT(answer_bytes, 700'000U);
+  EXPECT_LT(answer_bytes, 900'000U);  // Of 1,925,000 bytes in two seconds.
+}
+
 TEST(TheLinkBudget, LimitsNothingOnALinkOfUnknownRate) {
   LinkBudget budget(0);
   const Instant now(std::chrono::seconds(1));
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -58,9 +58,18 @@
                                       UpstreamClientConfig{}.connect_timeout,
                                       config_.upstream_dialect};
     upstream_ = MakeHttpUpstreamClient(client, run_events_, loop_, clock_);
-    owner_ = MakeOwner(config_.identity.instance,
-                       {*this, *upstream_, claims, *quarantine_, metrics_,
-                        clock_, *this, config_.link_mbps});
+    owner_ = MakeOwner(
+        config_.identity.instance,
+        {*this,
+         *upstream_,
+         claims,
+         *quarantine_,
+         metrics_,
+         clock_,
+         *this,
+         config_.link_mbps,
+         {&metrics_.CounterOf("peer_sent_bytes_total", "plane=\"request\""),
+          &metrics_.CounterOf("peer_sent_bytes_total", "plane=\"control\"")}});
     run_events_.owner = owner_.get();
     std::error_code error = transport_->Listen(config_.listen_address);
     if (error) return error;
