--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -160,6 +160,7 @@
             settings_.AdvertisedRequestAddress(),
             settings_.upstream_connections,
             RandomSeed(),
+            settings_.link_mbps,
             external_.Upstreams(),
             ChooserConfigFromEnv()};
   }
@@ -231,7 +232,8 @@
             std::to_string(error.value()) + ").");
     return kExitStartFailed;
   }
-  Log(LogLevel::kInfo, "app", "The daemon is running.");
+  Log(LogLevel::kInfo, "app", "The daemon is running.",
+      {{"link_mbps", std::to_string(settings.link_mbps)}});
   SettingsWatcher watcher(path, settings);
   while (WaitForSignal(kSettingsPollMs) != SignalRequest::kStop) {
     if (auto changed = watcher.ReloadIfChanged()) daemon.Reload(*changed);
