Free what a link has sent while more is queued

Sent bytes were freed only once a link's queue was empty, so that a link which is never idle grew without bound and beyond its limit of queued bytes; and assigning an empty string kept the memory of a large frame.

--- a/src/peer/internal/tcp_transport.cc
+++ b/src/peer/internal/tcp_transport.cc
@@ -274,9 +274,15 @@
     const bool all_sent = connection.send_offset == queued.size();
     if (all_sent) {
       // Free the memory of a large frame.
-      if (queued.capacity() > kReadBufferBytes) queued = std::string();
+      if (queued.capacity() > kReadBufferBytes) std::string().swap(queued);
       queued.clear();
       connection.send_offset = 0;
+    } else if (connection.send_offset >= kReadBufferBytes &&
+               connection.send_offset >= queued.size() / 2) {
+      // Free what was sent; at most as much is copied as was sent since the
+      // last time.
+      queued = queued.substr(connection.send_offset);
+      connection.send_offset = 0;
     }
     loop_.ChangeEvents(connection.descriptor,
                        all_sent ? EPOLLIN : EPOLLIN | EPOLLOUT);
