--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -6,18 +6,16 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <cctype>
 #include <cerrno>
-#include <charconv>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
 
 #include "calls/field_values.h"
+#include "upstream/internal/answer_head.h"
 
 namespace hibiscusglade {
 namespace {
@@ -27,58 +25,6 @@
 constexpr long kDefaultKeepAliveSeconds = 4;
 constexpr uint32_t kMaxKeepAliveSeconds = 118;  // libcurl's own limit.
 
-bool IsFieldNameCharacter(char c) {
-  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-}
-
-bool IsFieldValueCharacter(char c) {
-  return c == '\t' || (static_cast<unsigned char>(c) >= ' ' && c != '\x7f');
-}
-
-/// @param line of a head, without its end.
-/// @return nullopt when it is not a field. Folded fields are not accepted.
-std::optional<HeaderField> ParseField(std::string_view line) {
-  const size_t colon = line.find(':');
-  if (colon == 0 || colon == std::string_view::npos) return std::nullopt;
-  const std::string_view name = line.substr(0, colon);
-  std::string_view value = line.substr(colon + 1);
-  if (!std::ranges::all_of(name, IsFieldNameCharacter) ||
-      !std::ranges::all_of(value, IsFieldValueCharacter)) {
-    return std::nullopt;
-  }
-  const size_t first = value.find_first_not_of(" \t");
-  if (first == std::string_view::npos)
-    return HeaderField{std::string(name), ""};
-  value = value.substr(first, value.find_last_not_of(" \t") - first + 1);
-  return HeaderField{std::string(name), std::string(value)};
-}
-
-/// @return nullopt when it is not a length.
-std::optional<int64_t> ParseLength(std::string_view text) {
-  int64_t length = -1;
-  const char* end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, length);
-  if (error != std::errc() || stop != end || text.front() == '-') {
-    return std::nullopt;
-  }
-  return length;
-}
-
-/// Sets the length of an answer's body from its fields.
-/// @return false when the fields contradict each other or are invalid.
-bool ReadLength(AnswerHead& head) {
-  for (const HeaderField& field : head.headers) {
-    if (!EqualFieldNames(field.name, "Content-Length")) continue;
-    const auto length = ParseLength(field.value);
-    const bool first = head.content_length < 0;
-    if (!length || (!first && *length != head.content_length)) return false;
-    head.content_length = *length;
-  }
-  return head.content_length < 0 ||
-         FindField(head.headers, "Transfer-Encoding") == nullptr;
-}
-
 /// One run or probe; used on the client's thread only.
 struct Run {
   RunId id = 0;
@@ -385,7 +331,7 @@
       // What else arrives on the connection could be taken for the answer to a
       // later request: 0 aborts the transfer, which closes the connection.
       if (run->head_kind != AnswerHeadKind::kAnswer) return 0;
-    } else if (auto field = ParseField(line); run->in_head && field) {
+    } else if (auto field = ParseAnswerField(line); run->in_head && field) {
       run->head.headers.push_back(std::move(*field));
     } else {
       // libcurl may have read the rest of the head in another way.
@@ -412,7 +358,7 @@
       if (EqualFieldNames(field.name, "Keep-Alive"))
         UpdateKeepAlive(field.value);
     }
-    if (!ReadLength(run.head)) {
+    if (!ReadAnswerLength(run.head)) {
       run.head_kind = AnswerHeadKind::kMismatched;
       return;
     }
