--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -5,8 +5,8 @@
 
 #include "admission/admission_result_codes.h"
 #include "base/digest.h"
-#include "base/log.h"
 #include "entry/internal/attempt_policy.h"
+#include "entry/internal/call_reporter.h"
 #include "entry/internal/call_table.h"
 #include "entry/internal/caller_wait_estimator.h"
 #include "routing/routing_result_codes.h"
@@ -28,9 +28,6 @@
 constexpr Duration kNoVersionRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kMinRetryPause = std::chrono::milliseconds(10);
 constexpr uint64_t kJitterSteps = 8;
-/// Writing a line takes some 10 us, so that logging uses less than a thousandth
-/// of a core.
-constexpr uint32_t kLogLinesPerSecond = 20;
 
 Refusal RefusalOf(RoutingCode code, Certainty certainty) {
   const std::error_code error = code;
@@ -43,6 +40,7 @@
       : attempt_id_prefix_(std::move(instance) + "/" +
                            std::to_string(incarnation) + "/"),
         parts_(parts),
+        reporter_(parts.metrics),
         share_picker_(DigestOf(attempt_id_prefix_)) {}
 
   void Begin(CallHandle handle, CallRequest request,
@@ -92,7 +90,7 @@
     if (call == nullptr) return;
     call->answering.clear();
     CancelOpen(*call, now);
-    Count("call_refusals_total", RoutingCode::kCallerDisconnected);
+    reporter_.Count("call_refusals_total", RoutingCode::kCallerDisconnected);
     calls_.Remove(handle);
   }
 
@@ -102,7 +100,7 @@
     if (call == nullptr || !call->answering.empty()) return;
     const OpenAttempt& attempt = *calls_.FindAttempt(id);
     policy_.OnFirstByte(call->route->name, now - attempt.sent);
-    if (attempt.is_hedge) Count("hedges_total", "won");
+    if (attempt.is_hedge) reporter_.Count("hedges_total", "won");
     call->answering = id;
     parts_.chooser.OnAdmitted(attempt.instance, call->route->request_class);
     CancelOpen(*call, now);
@@ -148,7 +146,7 @@
     parts_.chooser.OnAnswerSize(call->service, call->route->request_class,
                                 call->bytes);
     if (call->tried.size() > 1) {
-      LogOutcome(*call, {}, "run", now);
+      reporter_.LogOutcome(*call, {}, "run", now);
     }
     if (call->held.has_value()) ForwardHeld(*call);
     call->stream->OnEnd();
@@ -194,7 +192,7 @@
       }
       ForwardHeldTooLong(handle, now);
     }
-    PublishEjectionCounts();
+    reporter_.PublishEjections(parts_.chooser.Counts());
   }
 
   void Stop() override { stopping_ = true; }
@@ -291,8 +289,8 @@
       }
       return;
     }
-    CountChoice(choice->reason);
-    if (is_hedge) Count("hedges_total", "sent");
+    reporter_.CountChoice(choice->reason);
+    if (is_hedge) reporter_.Count("hedges_total", "sent");
     const UpstreamTarget& target = candidates[choice->index];
     const AttemptId id = attempt_id_prefix_ + std::to_string(++last_attempt_);
     ++call.attempts;
@@ -358,7 +356,7 @@
     if (decision == AttemptDecision::kAllowed) {
       SendAttempt(handle, call, true, now);
     } else {
-      Count("hedges_total", AttemptDecisionName(decision));
+      reporter_.Count("hedges_total", AttemptDecisionName(decision));
     }
   }
 
@@ -395,11 +393,11 @@
     const AttemptDecision decision =
         policy_.DecideRetry(ProgressOf(call), refusal);
     if (decision == AttemptDecision::kAllowed) {
-      Count("retries_total", refusal.code);
+      reporter_.Count("retries_total", refusal.code);
       SendAttempt(handle, call, false, now);
       return;
     }
-    Count("retries_denied_total", AttemptDecisionName(decision));
+    reporter_.Count("retries_denied_total", AttemptDecisionName(decision));
     Refuse(call, *call.last_refusal, now);
     calls_.Remove(handle);
   }
@@ -461,8 +459,9 @@
 
   void NotifyCaller(OpenCall& call, const Refusal& refusal, bool head_forwarded,
                     Instant now) {
-    LogOutcome(call, refusal.code, CertaintyName(refusal.certainty), now);
-    Count("call_refusals_total", refusal.code);
+    reporter_.LogOutcome(call, refusal.code, CertaintyName(refusal.certainty),
+                         now);
+    reporter_.Count("call_refusals_total", refusal.code);
     if (head_forwarded) {
       call.stream->OnBroken(refusal);
     } else {
@@ -470,73 +469,14 @@
     }
   }
 
-  /// Logs one line for each call that is refused, fails or needs more than one
-  /// owner, within the limit of log_rate_limiter_.
-  /// @param code why the call was not answered; no error when it was.
-  /// @param certainty "run" when the call was answered.
-  void LogOutcome(const OpenCall& call, const std::error_code& code,
-                  std::string_view certainty, Instant now) {
-    if (!log_rate_limiter_.AllowLine(now)) return;
-    std::string owners;
-    for (const std::string& instance : call.tried) {
-      owners += (owners.empty() ? "" : ",") + instance;
-    }
-    const std::string outcome =
-        code ? code.message() : "answered after a retry or hedge";
-    Log(LogLevel::kInfo, "entry", "A call ended: " + outcome + ".",
-        {{"request", call.request.request_id},
-         {"route", call.route.has_value() ? call.route->name : "-"},
-         {"service", call.service.empty() ? "-" : call.service},
-         {"version", std::to_string(call.version)},
-         {"owners", owners.empty() ? "-" : owners},
-         {"attempts", std::to_string(call.attempts)},
-         {"code", std::to_string(code.value())},
-         {"outcome", std::string(certainty)},
-         {"ms", std::to_string((now - call.began).count() / 1000)},
-         {"lines_left_out",
-          std::to_string(log_rate_limiter_.TakeSuppressedCount())}});
-  }
-
-  void PublishEjectionCounts() {
-    const EjectionCounts counts = parts_.chooser.Counts();
-    if (counts == published_counts_) return;
-    parts_.metrics.CounterOf("upstream_ejections_total", "")
-        .Add(counts.ejections - published_counts_.ejections);
-    parts_.metrics.CounterOf("upstream_returns_total", "")
-        .Add(counts.reinstatements - published_counts_.reinstatements);
-    published_counts_ = counts;
-  }
-
-  void CountChoice(ChoiceReason reason) {
-    if (reason == ChoiceReason::kSpillOver) {
-      Count("choices_total", "spill_over");
-    } else if (reason == ChoiceReason::kProbe) {
-      Count("choices_total", "probe");
-    } else if (reason == ChoiceReason::kOwnInstance) {
-      Count("choices_total", "own_instance");
-    }
-  }
-
-  void Count(std::string_view name, std::string_view reason) {
-    parts_.metrics.CounterOf(name, "reason=\"" + std::string(reason) + "\"")
-        .Add();
-  }
-
-  void Count(std::string_view name, const std::error_code& code) {
-    parts_.metrics
-        .CounterOf(name, "code=\"" + std::to_string(code.value()) + "\"")
-        .Add();
-  }
-
   std::string attempt_id_prefix_;
   EntryParts parts_;
+  CallReporter reporter_;
   AttemptPolicy policy_;
   CallerWaitEstimator wait_estimator_;
   SharePicker share_picker_;
   CallTable calls_;
   uint64_t last_attempt_ = 0;
-  LogRateLimiter log_rate_limiter_{kLogLinesPerSecond};
-  EjectionCounts published_counts_;
   bool stopping_ = false;
 };
 
