--- a/src/caller/internal/exchange.h
+++ b/src/caller/internal/exchange.h
@@ -38,7 +38,7 @@
   CallRequest TakeRequest();
   const std::string& Method() const { return request_.method; }
   const std::string& RequestId() const { return request_.request_id; }
-  /// @return whether the answer is here to its end, or was broken off.
+  /// @return whether the whole answer was received.
   bool Complete() const { return done_ && !broken_; }
   /// @return whether nothing more is appended to the answer.
   bool Ended() const { return done_; }
