Ask for the latest version when nobody confirms it

Cause: a daemon learned that a version exists from those alone that have it as a peer, and took silence for "nothing new". Nothing told it, or its log, how old that knowledge was.

A daemon whose knowledge is too old asks by itself, its relays first, and past its domain when these are silent, in turn and not by a view of who lives. Asks replace the notice that each daemon sent to one peer each half second. The age is in the log lines of versions and calls and in a metric; a line says when confirmations stay away and when they are back.

--- a/src/base/internal/log.cc
+++ b/src/base/internal/log.cc
@@ -8,6 +8,16 @@
 #include <iostream>
 
 namespace hibiscusglade {
+
+std::string MillisText(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+std::string MillisText(const std::optional<Duration>& duration) {
+  return duration.has_value() ? MillisText(*duration) : "-";
+}
+
 namespace {
 
 namespace trivial = boost::log::trivial;
--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -84,6 +84,13 @@
      "When it falls: check the upstreams' announcements."},
     {"version_age_seconds", "gauge", "",
      "Time since the version in use was put in use.", "Nothing."},
+    {"version_asks_total", "counter", "",
+     "Times that another daemon was asked for the latest version, as none had "
+     "confirmed it in time.",
+     "When it keeps growing: check the replicas' leader and the network."},
+    {"version_confirmed_seconds", "gauge", "",
+     "Time since the version in use was confirmed as the latest one.",
+     "When it stays above 2: check the replicas' leader and the network."},
     {"version_in_use", "gauge", "", "Number of the version in use.",
      "When it lags behind other daemons: check the daemon's network and log."},
 };
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSGLADE_BASE_LOG_H_
 #define HIBISCUSGLADE_BASE_LOG_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,6 +28,12 @@
 /// Details of a log line, written after its sentence as key=value.
 using LogFields = std::vector<std::pair<std::string_view, std::string>>;
 
+/// @return a duration in whole milliseconds, for a field.
+std::string MillisText(Duration duration);
+
+/// @return the same; "-" when there is none.
+std::string MillisText(const std::optional<Duration>& duration);
+
 /// Limits the rate of one kind of log lines, so that logging doesn't slow down
 /// the code that logs.
 class LogRateLimiter {
--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -8,6 +8,8 @@
 
 /// The version ledger rejects larger documents.
 constexpr size_t kMaxWholeBytes = size_t{4} << 20U;
+/// Ages above this are treated as unknown.
+constexpr uint64_t kMaxAgeMicros = uint64_t{3600} * 1'000'000;
 
 /// @param out a message with repeated steps.
 template <typename Message>
@@ -52,6 +54,12 @@
     auto* to = out.mutable_version_notice();
     to->set_number(m.number);
     to->set_digest(m.digest);
+    if (m.age && m.age->count() >= 0) {
+      to->set_age_micros(static_cast<uint64_t>(m.age->count()));
+    }
+    to->set_wants_answer(m.wants_answer);
+    to->set_forward_to(m.forward_to);
+    to->set_relay(m.relay);
   }
   void operator()(const VersionPull& m) const {
     auto* to = out.mutable_version_pull();
@@ -156,6 +164,19 @@
   }
 };
 
+VersionNotice From(const wire::VersionNotice& in) {
+  VersionNotice notice;
+  notice.number = in.number();
+  notice.digest = in.digest();
+  if (in.has_age_micros() && in.age_micros() <= kMaxAgeMicros) {
+    notice.age = Duration(static_cast<int64_t>(in.age_micros()));
+  }
+  notice.wants_answer = in.wants_answer();
+  notice.forward_to = in.forward_to();
+  notice.relay = in.relay();
+  return notice;
+}
+
 VersionPullAnswer From(const wire::VersionPullAnswer& in) {
   VersionPullAnswer answer;
   answer.base_number = in.base_number();
@@ -190,8 +211,7 @@
     const wire::Envelope& in) {
   switch (in.body_case()) {
     case wire::Envelope::kVersionNotice:
-      return VersionNotice{in.version_notice().number(),
-                           in.version_notice().digest()};
+      return From(in.version_notice());
     case wire::Envelope::kVersionPull:
       return VersionPull{in.version_pull().have_number(),
                          in.version_pull().have_digest(),
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -10,6 +10,8 @@
 #include "base/log.h"
 #include "consensus/consensus_codec.h"
 #include "consensus/consensus_result_codes.h"
+#include "control/internal/ask_targets.h"
+#include "control/internal/confirmation_reporter.h"
 #include "control/internal/control_codec.h"
 #include "control/internal/control_views.h"
 #include "control/internal/group_client.h"
@@ -36,10 +38,6 @@
 /// versions wait for its end.
 constexpr Duration kLongTurn = std::chrono::milliseconds(250);
 
-std::string MillisText(Duration duration) {
-  return std::to_string(duration.count() / 1000);
-}
-
 std::vector<std::string> AddressesOf(const std::vector<Member>& members) {
   std::vector<std::string> addresses;
   for (const Member& member : members) addresses.push_back(member.address);
@@ -57,6 +55,9 @@
         routes_(routes),
         listener_(listener),
         turn_seconds_(metrics.HistogramOf("control_turn_seconds", "")),
+        asks_(metrics.CounterOf("version_asks_total", "")),
+        confirmations_(routes),
+        ask_targets_(config.control_address, config.identity.failure_domain),
         transport_(
             MakeZmqTransport(config.identity, "control", clock, metrics)),
         group_client_(
@@ -82,7 +83,9 @@
     follower.instance = config_.identity.instance;
     follower.failure_domain = config_.identity.failure_domain;
     follower.replica = IsReplica();
-    follower_ = MakeVersionFollower(follower, config_.seed + 1, now);
+    follower_ =
+        MakeVersionFollower(follower, config_.seed + 1, now, ask_targets_);
+    UpdateAskTargets(membership_->Records());
     if (IsReplica()) {
       Member self{{config_.identity.instance, 0},
                   false,
@@ -250,6 +253,9 @@
         status.version_in_use = follower_->InUse()->number;
         status.version_age_ms = static_cast<uint64_t>(
             (clock_.Now() - activated_at_).count() / 1000);
+        if (const auto age = follower_->Age(clock_.Now())) {
+          status.confirmed_ms_ago = static_cast<uint64_t>(age->count() / 1000);
+        }
       }
       if (IsReplica()) {
         status.replica_role = NameOf(replica_host_.Role(GroupId::kVersions));
@@ -361,30 +367,34 @@
     ApplyEffects(membership_->OnTick(now));
     ApplyEffects(follower_->OnTick(now));
     group_client_.OnTick(now);
+    confirmations_.Report(follower_->Age(now), follower_->InUse(), now);
     if (!IsReplica()) return;
     replica_host_.OnTick(now);
   }
 
-  /// Reads the number of the latest version from the leader, and passes it to
-  /// the follower as its floor.
-  void ReadFloor() {
-    if (floor_read_pending_) return;
-    floor_read_pending_ = true;
+  /// Reads the number of the latest version from the leader, for the follower.
+  void ReadLatestNumber() {
+    if (latest_read_pending_) return;
+    latest_read_pending_ = true;
     wire::VersionQuery query;
-    query.set_kind(wire::VersionQuery::HISTORY);
+    // A leader of an earlier release knows histories only.
+    const bool history = std::exchange(reads_history_, false);
+    query.set_kind(history ? wire::VersionQuery::HISTORY
+                           : wire::VersionQuery::LATEST_NUMBER);
     query.set_most(1);
+    const Instant begun_at = clock_.Now();
     group_client_.Submit(
-        GroupId::kVersions, query.SerializeAsString(), true, clock_.Now(),
-        [this](const ReplicaResult& result) {
-          floor_read_pending_ = false;
+        GroupId::kVersions, query.SerializeAsString(), true, begun_at,
+        [this, begun_at, history](const ReplicaResult& result) {
+          latest_read_pending_ = false;
           wire::VersionQueryAnswer answer;
-          if (result.error || !answer.ParseFromString(result.result)) {
-            return;
-          }
+          if (result.error || !answer.ParseFromString(result.result)) return;
+          reads_history_ = !history && !answer.found();
+          if (reads_history_) return;
           apply_time_ = {};
-          ApplyEffects(follower_->OnFloor(
+          ApplyEffects(follower_->OnLatestRead(
               answer.versions().empty() ? 0 : answer.versions(0).number(),
-              clock_.Now()));
+              begun_at, clock_.Now()));
         });
   }
 
@@ -435,13 +445,18 @@
     view_changed_ = true;
   }
 
+  void UpdateAskTargets(const std::vector<InstanceRecord>& records) {
+    ask_targets_.SetInstances(records, membership_->Relays(), SeedAddresses());
+  }
+
   void ApplyEffects(const FollowerEffects& effects) {
     for (const DistributionSend& sent : effects.send) {
       wire::Envelope message;
       ToWire(sent.message, message);
+      if (message.version_notice().wants_answer()) asks_.Add();
       SendOrDeliver(sent.address, message);
     }
-    if (effects.read_floor) ReadFloor();
+    if (effects.read_latest) ReadLatestNumber();
     if (effects.activate == nullptr) return;
     activated_at_ = clock_.Now();
     readiness_.OnVersionInUse();
@@ -455,7 +470,8 @@
     const CatchUp& catch_up = effects.catch_up;
     Log(LogLevel::kInfo, "distribution",
         "Version " + std::to_string(effects.activate->number) + " is in use.",
-        {{"behind_ms", MillisText(catch_up.behind)},
+        {{"confirmed_ms_ago", MillisText(follower_->Age(activated_at_))},
+         {"behind_ms", MillisText(catch_up.behind)},
          {"pulls", std::to_string(catch_up.pulls)},
          {"busy", std::to_string(catch_up.busy)},
          {"unanswered", std::to_string(catch_up.unanswered)},
@@ -470,6 +486,7 @@
   void PublishView() {
     const std::vector<InstanceRecord> records = membership_->Records();
     UpdateKnownReplicas(records);
+    UpdateAskTargets(records);
     const ConfigVersionPtr& version = follower_->InUse();
     if (version == nullptr) return;
     routes_.Publish(std::make_shared<const RouteTable>(version, records));
@@ -542,6 +559,10 @@
       return;
     }
     if (auto distribution = DistributionFromWire(message)) {
+      if (auto* notice = std::get_if<VersionNotice>(&*distribution)) {
+        notice->same_domain =
+            message.failure_domain() == config_.identity.failure_domain;
+      }
       DriveFollower(from, path, [&] {
         return follower_->OnMessage(kSenderAddress, *distribution, now);
       });
@@ -708,7 +729,10 @@
   RouteTableHolder& routes_;
   LocalUpstreamListener& listener_;
   LatencyHistogram& turn_seconds_;
+  Counter& asks_;
+  ConfirmationReporter confirmations_;
   Executor executor_;
+  AskTargets ask_targets_;
   std::unique_ptr<PeerTransport> transport_;
   GroupClient group_client_;
   std::vector<ConfigVersionPtr> accepted_versions_;
@@ -724,7 +748,8 @@
   Duration apply_time_{};  ///< Spent on the last answer of a peer.
   LogRateLimiter long_turns_{1};
   LogRateLimiter unreadable_records_{1};
-  bool floor_read_pending_ = false;
+  bool latest_read_pending_ = false;
+  bool reads_history_ = false;
   bool view_changed_ = false;  ///< Handled at the end of a loop iteration.
   bool draining_ = false;
   bool exit_requested_ = false;
--- a/src/control/tests/control_codec_test.cc
+++ b/src/control/tests/control_codec_test.cc
@@ -84,6 +84,28 @@
   EXPECT_TRUE(Receive(message_).steps.empty());
 }
 
+TEST(AVersionNotice, IsReadAsItWasWritten) {
+  const VersionNotice notice{7, 8, std::chrono::milliseconds(9), true, 3, true};
+  wire::Envelope message;
+  ToWire(notice, message);
+  EXPECT_EQ(std::get<VersionNotice>(*DistributionFromWire(message)), notice);
+}
+
+TEST(AVersionNotice, OfAnEarlierReleaseHasNoAge) {
+  wire::Envelope message;
+  message.mutable_version_notice()->set_number(7);
+  const auto read = std::get<VersionNotice>(*DistributionFromWire(message));
+  EXPECT_EQ(read.number, 7u);
+  EXPECT_EQ(read.age, std::nullopt);
+}
+
+TEST(AVersionNotice, WithAnImpossibleAgeHasNone) {
+  wire::Envelope message;
+  message.mutable_version_notice()->set_age_micros(~uint64_t{0});
+  EXPECT_EQ(std::get<VersionNotice>(*DistributionFromWire(message)).age,
+            std::nullopt);
+}
+
 TEST(AnInstanceRecord, IsReadAsItWasWritten) {
   InstanceRecord record;
   record.instance = "x";
--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/random.h"
+#include "distribution/internal/ask_schedule.h"
 #include "distribution/internal/version_history.h"
 
 namespace hibiscusglade {
@@ -12,14 +13,18 @@
 
 class Follower : public VersionFollower {
  public:
-  Follower(FollowerConfig config, uint64_t seed, Instant now)
-      : config_(std::move(config)), random_(seed), next_notice_(now) {}
+  Follower(FollowerConfig config, uint64_t seed, Instant now,
+           AskDirectory& directory)
+      : config_(std::move(config)),
+        random_(seed),
+        directory_(directory),
+        asks_(config_.ask_interval, random_) {}
 
   FollowerEffects OnTick(Instant now) override {
     FollowerEffects effects;
-    RequestFloor(now, effects);
+    RequestLatest(now, effects);
     PullWhenBehind(now, effects);
-    SendNotice(now, effects);
+    AskWhenTooOld(now, effects);
     return effects;
   }
 
@@ -56,17 +61,22 @@
   FollowerEffects OnCommitted(const ConfigVersionPtr& version,
                               Instant now) override {
     FollowerEffects effects;
-    if (history_.Add(version)) next_notice_ = now;
+    history_.Add(version);
     Activate(now, effects, Origin::kOwnReplica);
     return effects;
   }
 
-  FollowerEffects OnFloor(uint64_t number, Instant now) override {
+  FollowerEffects OnLatestRead(uint64_t number, Instant begun_at,
+                               Instant now) override {
     FollowerEffects effects;
-    if (floor_known_) return effects;
-    floor_known_ = true;
-    floor_ = number;
-    Activate(now, effects);
+    if (!floor_known_) {
+      floor_known_ = true;
+      floor_ = number;
+      Activate(now, effects);
+    }
+    const size_t receivers = config_.replica ? OwnDomainPeers() : 0;
+    OnConfirmation({number, begun_at, static_cast<uint32_t>(receivers)}, now,
+                   effects);
     return effects;
   }
 
@@ -77,6 +87,11 @@
   const ConfigVersionPtr& InUse() const override { return in_use_; }
   bool FloorKnown() const override { return floor_known_; }
 
+  std::optional<Duration> Age(Instant now) const override {
+    if (!confirmed_at_) return std::nullopt;
+    return now - *confirmed_at_;
+  }
+
   std::string WaitingFor() const override {
     if (!floor_known_) {
       return "the leader of a majority of the replicas to tell the latest "
@@ -94,23 +109,96 @@
   /// Versions with longer patches are not sent to peers that may have them.
   static constexpr size_t kMaxUnsolicitedBytes = 1024;
   static constexpr Duration kPullCountWindow = std::chrono::milliseconds(500);
+  /// A confirmation that is newer by less than this is not passed on, as it
+  /// reached the daemon by a second path.
+  static constexpr Duration kMinConfirmationAdvance =
+      std::chrono::milliseconds(150);
+
+  /// That no version after `number` was committed at a time.
+  struct Confirmation {
+    uint64_t number = 0;
+    Instant as_of;
+    uint32_t forward_to = 0;  ///< Nearest peers to pass it on to.
+  };
+
+  /// Reads the latest number until the floor is known. Replicas go on, for all
+  /// daemons.
+  void RequestLatest(Instant now, FollowerEffects& effects) {
+    if (now < next_read_ || (floor_known_ && !config_.replica)) return;
+    next_read_ = now + (floor_known_ ? Jittered(config_.confirm_interval) / 2 +
+                                           config_.confirm_interval / 2
+                                     : Jittered(config_.floor_interval));
+    effects.read_latest = true;
+  }
+
+  void OnConfirmation(const Confirmation& confirmation, Instant now,
+                      FollowerEffects& effects) {
+    if (confirmation.number > history_.Latest()->number) {
+      // The first one is kept: a daemon that is always a little behind would
+      // reach none of the later ones.
+      if (!awaited_) awaited_ = confirmation;
+      return;
+    }
+    const bool passes_on =
+        !confirmed_at_ ||
+        confirmation.as_of - *confirmed_at_ >= kMinConfirmationAdvance;
+    if (!confirmed_at_ || confirmation.as_of > *confirmed_at_) {
+      confirmed_at_ = confirmation.as_of;
+    }
+    if (!passes_on) return;
+    // A relay that had to ask has the confirmation from outside its domain.
+    const size_t receivers = IsRelay() && asks_.Asking()
+                                 ? OwnDomainPeers()
+                                 : confirmation.forward_to;
+    PassConfirmationOn(receivers, now, effects);
+  }
+
+  /// Sends a confirmation to the nearest peers of the own failure domain, in
+  /// the same way as PassOn() does with changes.
+  void PassConfirmationOn(size_t most_peers, Instant now,
+                          FollowerEffects& effects) const {
+    VersionNotice notice = LatestNotice(now);
+    for (size_t distance_log = std::min(most_peers, OwnDomainPeers());
+         distance_log-- > 0;) {
+      notice.forward_to = static_cast<uint32_t>(distance_log);
+      effects.send.push_back({peers_[distance_log].address, notice});
+    }
+  }
 
-  void RequestFloor(Instant now, FollowerEffects& effects) {
-    if (floor_known_ || now < next_floor_read_) return;
-    next_floor_read_ = now + Jittered(config_.floor_interval);
-    effects.read_floor = true;
+  /// Asks others for the latest version when the last confirmation is too old
+  /// or the peers that know a newer version do not answer.
+  void AskWhenTooOld(Instant now, FollowerEffects& effects) {
+    const std::optional<Duration> age = Age(now);
+    const Duration max_age =
+        IsRelay() ? config_.max_relay_age : config_.max_age;
+    const bool pulls_in_vain =
+        behind_since_ && now - *behind_since_ > config_.pull_timeout;
+    if (age && *age <= max_age && !pulls_in_vain) {
+      asks_.Reset();
+      return;
+    }
+    VersionNotice ask = LatestNotice(now);
+    ask.wants_answer = true;
+    for (AskScope scope : asks_.NextRound(IsRelay(), now)) {
+      const std::string address = directory_.Next(scope);
+      if (!address.empty()) effects.send.push_back({address, ask});
+    }
   }
 
   void OnNotice(const std::string& from, const VersionNotice& notice,
                 Instant now, FollowerEffects& effects) {
+    if (notice.same_domain && notice.relay) asks_.OnRelayHeard();
+    if (notice.age) {
+      OnConfirmation({notice.number, now - *notice.age, notice.forward_to}, now,
+                     effects);
+    }
     // The sender may be missing from its peers' views, so that none of them
     // notifies it of newer versions.
-    if (notice.number < history_.Latest()->number) {
-      effects.send.push_back({from, LatestNotice()});
-      return;
+    if (notice.number < history_.Latest()->number || notice.wants_answer) {
+      effects.send.push_back({from, LatestNotice(now)});
     }
     newest_notified_ = std::max(newest_notified_, notice.number);
-    if (notice.number == history_.Latest()->number) return;
+    if (notice.number <= history_.Latest()->number) return;
     if (!behind_since_) behind_since_ = now;
     if (now >= next_pull_) Pull(from, now, effects);
   }
@@ -204,25 +292,28 @@
                         const VersionPullAnswer& answer, Instant now,
                         FollowerEffects& effects) {
     if (history_.ApplyAnswer(answer) == nullptr) {
-      OnNotice(from, {answer.number, answer.digest}, now, effects);
+      VersionNotice notice;
+      notice.number = answer.number;
+      notice.digest = answer.digest;
+      OnNotice(from, notice, now, effects);
       return;
     }
     next_pull_ = now;
     Activate(now, effects);
   }
 
-  void SendNotice(Instant now, FollowerEffects& effects) {
-    if (now < next_notice_ || peers_.empty()) return;
-    next_notice_ = now + Jittered(config_.notice_interval);
-    Notify(peers_[random_.Below(peers_.size())], effects);
-  }
-
-  void Notify(const DistributionPeer& peer, FollowerEffects& effects) const {
-    effects.send.push_back({peer.address, LatestNotice()});
+  void Notify(const DistributionPeer& peer, Instant now,
+              FollowerEffects& effects) const {
+    effects.send.push_back({peer.address, LatestNotice(now)});
   }
 
-  VersionNotice LatestNotice() const {
-    return {history_.Latest()->number, history_.Latest()->digest};
+  VersionNotice LatestNotice(Instant now) const {
+    VersionNotice notice;
+    notice.number = history_.Latest()->number;
+    notice.digest = history_.Latest()->digest;
+    notice.age = Age(now);
+    notice.relay = IsRelay();
+    return notice;
   }
 
   /// @return a random duration of 0.5 to 1.5 intervals.
@@ -242,7 +333,10 @@
     effects.catch_up = std::exchange(catch_up_, {});
     behind_since_.reset();
     if (newest_notified_ > latest->number) behind_since_ = now;
-    SendToPeers(ChangesSince(previous), origin, effects);
+    SendToPeers(ChangesSince(previous), origin, now, effects);
+    if (awaited_ && awaited_->number <= latest->number) {
+      OnConfirmation(*std::exchange(awaited_, std::nullopt), now, effects);
+    }
   }
 
   /// @return what has changed since `previous`; without steps when this
@@ -281,7 +375,7 @@
   /// that the own replica has committed are sent through the failure domain
   /// first; peers of earlier releases, which can't read them, pull when
   /// notified.
-  void SendToPeers(VersionPullAnswer changes, Origin origin,
+  void SendToPeers(VersionPullAnswer changes, Origin origin, Instant now,
                    FollowerEffects& effects) const {
     const bool has_changes = !changes.steps.empty();
     const bool small = has_changes && IsSmall(changes);
@@ -293,7 +387,7 @@
       if (small) {
         effects.send.push_back({peer.address, changes});
       } else {
-        Notify(peer, effects);
+        Notify(peer, now, effects);
       }
     }
   }
@@ -306,6 +400,8 @@
 
   FollowerConfig config_;
   Random random_;
+  AskDirectory& directory_;
+  AskSchedule asks_;
   VersionHistory history_;
   ConfigVersionPtr in_use_;
   std::optional<Received> received_;
@@ -313,9 +409,10 @@
 
   bool floor_known_ = false;
   uint64_t floor_ = 0;
-  Instant next_floor_read_;
+  Instant next_read_;
 
-  Instant next_notice_;
+  std::optional<Instant> confirmed_at_;  ///< As of which it was the latest.
+  std::optional<Confirmation> awaited_;  ///< Of a version not received yet.
   uint64_t newest_notified_ = 0;
   Instant next_pull_;
   std::optional<Instant> pulled_at_;  ///< Of the pull that has no answer yet.
@@ -328,9 +425,9 @@
 }  // namespace
 
 std::unique_ptr<VersionFollower> MakeVersionFollower(FollowerConfig config,
-                                                     uint64_t seed,
-                                                     Instant now) {
-  return std::make_unique<Follower>(std::move(config), seed, now);
+                                                     uint64_t seed, Instant now,
+                                                     AskDirectory& directory) {
+  return std::make_unique<Follower>(std::move(config), seed, now, directory);
 }
 
 }  // namespace hibiscusglade
--- a/src/distribution/tests/version_cost_test.cc
+++ b/src/distribution/tests/version_cost_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "distribution/tests/ask_directories.h"
 #include "distribution/version_follower.h"
 #include "versions/config_reader.h"
 
@@ -60,7 +61,7 @@
 class ADaemonWithManyRoutes : public testing::Test {
  protected:
   explicit ADaemonWithManyRoutes(int routes = kRoutes) {
-    follower_->OnFloor(0, now_);
+    follower_->OnLatestRead(0, now_, now_);
     latest_ = MakeConfigVersion(1, 0, DocumentText(routes), "", faults_);
     VersionPullAnswer whole;
     whole.whole = latest_->text;
@@ -107,8 +108,9 @@
   Instant now_ = Instant(std::chrono::seconds(1000));
   std::vector<SettingsFault> faults_;
   ConfigVersionPtr latest_;
+  EmptyAskDirectory directory_;
   std::unique_ptr<VersionFollower> follower_ =
-      MakeVersionFollower({"x", "a"}, 1, now_);
+      MakeVersionFollower({"x", "a"}, 1, now_, directory_);
 };
 
 TEST_F(ADaemonWithManyRoutes, PassesASmallChangeOnInTime) {
--- a/src/distribution/tests/version_follower_property_test.cc
+++ b/src/distribution/tests/version_follower_property_test.cc
@@ -3,6 +3,7 @@
 
 #include <optional>
 
+#include "distribution/tests/ask_directories.h"
 #include "distribution/version_follower.h"
 #include "versions/config_reader.h"
 
@@ -47,7 +48,8 @@
               ()) {
   const auto versions = History();
   Instant now(std::chrono::seconds(1000));
-  auto follower = MakeVersionFollower({"x", "a"}, 1, now);
+  EmptyAskDirectory directory;
+  auto follower = MakeVersionFollower({"x", "a"}, 1, now, directory);
   follower->SetPeers({{"z", "a", "z", false}});
   const auto floor = *rc::gen::inRange<uint64_t>(0, kVersions);
   std::optional<uint64_t> in_use;  // Version 0 can be in use, too.
@@ -61,7 +63,7 @@
         effects = follower->OnCommitted(versions[to], now);
         break;
       case 1:
-        effects = follower->OnFloor(floor, now);
+        effects = follower->OnLatestRead(floor, now, now);
         break;
       default: {
         VersionPullAnswer answer =
--- a/src/distribution/tests/version_follower_test.cc
+++ b/src/distribution/tests/version_follower_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "distribution/tests/ask_directories.h"
 #include "versions/config_reader.h"
 
 namespace hibiscusglade {
@@ -27,25 +28,26 @@
   }
 
   Instant now_ = Instant(std::chrono::seconds(1000));
+  EmptyAskDirectory directory_;
   std::unique_ptr<VersionFollower> follower_ =
-      MakeVersionFollower(ConfigOf("x"), 1, now_);
+      MakeVersionFollower(ConfigOf("x"), 1, now_, directory_);
 };
 
 class ARestartedFollower : public AFollower {};
 
 TEST_F(ARestartedFollower, RequestsTheFloorAgainUntilItIsKnown) {
-  EXPECT_TRUE(follower_->OnTick(now_).read_floor);
-  EXPECT_FALSE(follower_->OnTick(now_).read_floor);
-  EXPECT_TRUE(follower_->OnTick(now_ + std::chrono::seconds(1)).read_floor);
+  EXPECT_TRUE(follower_->OnTick(now_).read_latest);
+  EXPECT_FALSE(follower_->OnTick(now_).read_latest);
+  EXPECT_TRUE(follower_->OnTick(now_ + std::chrono::seconds(1)).read_latest);
   EXPECT_FALSE(follower_->WaitingFor().empty());
-  follower_->OnFloor(0, now_);
-  EXPECT_FALSE(follower_->OnTick(now_ + std::chrono::seconds(9)).read_floor);
+  follower_->OnLatestRead(0, now_, now_);
+  EXPECT_FALSE(follower_->OnTick(now_ + std::chrono::seconds(9)).read_latest);
 }
 
 TEST_F(ARestartedFollower, UsesNothingBelowTheFloor) {
   EXPECT_EQ(follower_->OnCommitted(VersionWith(1, "a"), now_).activate,
             nullptr);
-  EXPECT_EQ(follower_->OnFloor(2, now_).activate, nullptr);
+  EXPECT_EQ(follower_->OnLatestRead(2, now_, now_).activate, nullptr);
   EXPECT_EQ(follower_->InUse(), nullptr);
   EXPECT_EQ(follower_->WaitingFor(), "version 2");
   auto effects = follower_->OnCommitted(VersionWith(2, "b"), now_);
@@ -55,11 +57,11 @@
 
 class AFollowerWithAFloor : public AFollower {
  protected:
-  AFollowerWithAFloor() { follower_->OnFloor(0, now_); }
+  AFollowerWithAFloor() { follower_->OnLatestRead(0, now_, now_); }
 };
 
 TEST_F(AFollowerWithAFloor, PullsFromThePeerThatIsAhead) {
-  auto source = MakeVersionFollower(ConfigOf("y"), 2, now_);
+  auto source = MakeVersionFollower(ConfigOf("y"), 2, now_, directory_);
   source->OnCommitted(VersionWith(1, "plots"), now_);
   auto pull = follower_->OnMessage(
       "y", VersionNotice{1, VersionWith(1, "plots")->digest}, now_);
@@ -130,7 +132,7 @@
 class AFollowerBehindAFullUplink : public AFollowerWithAFloor {
  protected:
   AFollowerBehindAFullUplink() {
-    source_->OnFloor(0, now_);
+    source_->OnLatestRead(0, now_, now_);
     source_->SetPeers({{"x", "a", "x", false}});
   }
 
@@ -146,7 +148,7 @@
   }
 
   std::unique_ptr<VersionFollower> source_ =
-      MakeVersionFollower(ConfigOf("y"), 2, now_);
+      MakeVersionFollower(ConfigOf("y"), 2, now_, directory_);
   std::vector<DistributionSend> sent_;  ///< By the follower, not delivered.
 };
 
@@ -191,8 +193,8 @@
     for (size_t i = 0; i < kFollowers; ++i) {
       FollowerConfig config = ConfigOf(std::to_string(i));
       config.failure_domain = "a";
-      followers_.push_back(MakeVersionFollower(config, i, now_));
-      followers_.back()->OnFloor(0, now_);
+      followers_.push_back(MakeVersionFollower(config, i, now_, directory_));
+      followers_.back()->OnLatestRead(0, now_, now_);
       std::vector<DistributionPeer> peers;
       for (size_t distance = 1; distance < kFollowers; distance *= 2) {
         const std::string peer = std::to_string((i + distance) % kFollowers);
@@ -304,13 +306,20 @@
 }
 
 /// Its peers have declared it dead, so that they send it nothing by themselves.
-class AFollowerThatNoPeerKnows : public AFollowerWithAFloor {};
+class AFollowerThatNoPeerKnows : public AFollower {
+ protected:
+  AFollowerThatNoPeerKnows() {
+    follower_ = MakeVersionFollower(ConfigOf("x"), 1, now_, knows_peer_);
+    follower_->OnLatestRead(0, now_, now_);
+  }
 
-TEST_F(AFollowerThatNoPeerKnows, LearnsOfANewVersionByItsOwnNotice) {
-  auto peer = MakeVersionFollower(ConfigOf("y"), 2, now_);
-  peer->OnFloor(0, now_);
+  FixedAskDirectory knows_peer_{{{AskScope::kOwnDomain, {"y"}}}};
+};
+
+TEST_F(AFollowerThatNoPeerKnows, LearnsOfANewVersionByAsking) {
+  auto peer = MakeVersionFollower(ConfigOf("y"), 2, now_, directory_);
+  peer->OnLatestRead(0, now_, now_);
   peer->OnCommitted(VersionWith(1, "plots"), now_);
-  follower_->SetPeers({{"y", "a", "y", false}});
   // A change must be in force within two seconds.
   std::vector<DistributionSend> to_peer;
   for (const Instant end = now_ + std::chrono::seconds(1); now_ < end;
@@ -331,7 +340,7 @@
 class ManyFollowersAtOnce : public AFollower {};
 
 TEST_F(ManyFollowersAtOnce, AreAnsweredBusyAboveThePullLimit) {
-  follower_->OnFloor(0, now_);
+  follower_->OnLatestRead(0, now_, now_);
   follower_->OnCommitted(VersionWith(1, "a"), now_);
   const VersionPull pull{0, EmptyConfigVersion()->digest};
   int busy = 0;
@@ -345,7 +354,7 @@
 }
 
 TEST_F(ManyFollowersAtOnce, AskAgainAfterABusyAnswer) {
-  follower_->OnFloor(3, now_);
+  follower_->OnLatestRead(3, now_, now_);
   follower_->SetPeers({{"p", "a", "p-address", false}});
   EXPECT_FALSE(follower_->OnTick(now_).send.empty());
   VersionPullAnswer busy;
--- a/src/distribution/types/distribution_types.h
+++ b/src/distribution/types/distribution_types.h
@@ -2,6 +2,7 @@
 #define HIBISCUSGLADE_DISTRIBUTION_TYPES_DISTRIBUTION_TYPES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -15,6 +16,17 @@
 struct VersionNotice {
   uint64_t number = 0;
   Digest digest = 0;
+  /// Time since a quorum confirmed that no later version was committed; absent
+  /// when the sender does not know.
+  std::optional<Duration> age = std::nullopt;
+  /// Whether the receiver is asked for its own notice. It answers when it knows
+  /// a later version or a more recent confirmation.
+  bool wants_answer = false;
+  /// How many of the receiver's nearest peers to pass a confirmation on to.
+  uint32_t forward_to = 0;
+  bool relay = false;  ///< The sender is a relay of its failure domain.
+  /// Whether the sender is in the receiver's failure domain; not on the wire.
+  bool same_domain = false;
 
   friend bool operator==(const VersionNotice&, const VersionNotice&) = default;
 };
--- a/src/distribution/version_follower.h
+++ b/src/distribution/version_follower.h
@@ -3,10 +3,12 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
+#include "distribution/ask_directory.h"
 #include "distribution/types/distribution_types.h"
 #include "versions/types/config_document.h"
 
@@ -17,9 +19,15 @@
   std::string instance;
   std::string failure_domain;
   bool replica = false;  ///< A control replica runs here.
-  /// Notices are repeated, as those sent on activation may be lost and a change
-  /// must be in force within 2 s.
-  Duration notice_interval = std::chrono::milliseconds(500);
+  /// Interval at which a replica has the latest number confirmed by a quorum. A
+  /// change must be in force within 2 s, so that each daemon has to notice well
+  /// before that that it receives no confirmations.
+  Duration confirm_interval = std::chrono::milliseconds(400);
+  /// A daemon asks for the latest version when the last confirmation is older.
+  Duration max_age = std::chrono::milliseconds(800);
+  /// The same for a relay, which asks on behalf of its failure domain.
+  Duration max_relay_age = std::chrono::milliseconds(500);
+  Duration ask_interval = std::chrono::milliseconds(200);
   /// A stopped peer does not answer; after this time another one is asked.
   Duration pull_timeout = std::chrono::milliseconds(400);
   Duration pull_retry_pause = std::chrono::milliseconds(100);
@@ -34,14 +42,19 @@
   ConfigVersionPtr activate;
   CatchUp catch_up;  ///< What led to `activate`.
   /// Whether to read the latest number from the leader of the versions group,
-  /// confirmed by a majority, and to pass it to OnFloor().
-  bool read_floor = false;
+  /// confirmed by a majority, and to pass it to OnLatestRead().
+  bool read_latest = false;
 };
 
 /// One daemon's copy of the configuration. Receives notices of newer versions
 /// from its peers, pulls these versions and puts each in use atomically. Has no
 /// version in use until it knows the floor, the lowest version that the daemon
 /// may serve by, and has a version at or above it.
+///
+/// Replicas have the latest number confirmed by a quorum, and the confirmations
+/// are passed on along the ring of each failure domain. So each daemon knows
+/// since when its version may have been out of date, and asks others for the
+/// latest one when that is too long ago.
 class VersionFollower {
  public:
   virtual ~VersionFollower() = default;
@@ -63,10 +76,12 @@
   virtual FollowerEffects OnCommitted(const ConfigVersionPtr& version,
                                       Instant now) = 0;
 
-  /// Sets the floor to the number read for `read_floor`. The read must have
-  /// begun after this follower was created, so that no version above `number`
+  /// Handles the number read for `read_latest`: a first one is the floor.
+  /// @param begun_at when the read began: no later version was committed then.
+  /// Not before this follower was created, so that no version above `number`
   /// was in use here before.
-  virtual FollowerEffects OnFloor(uint64_t number, Instant now) = 0;
+  virtual FollowerEffects OnLatestRead(uint64_t number, Instant begun_at,
+                                       Instant now) = 0;
 
   /// Replaces the list of live peers. Those of the own failure domain come
   /// first, in order of their distance on its ring: 1, 2, 4, ...
@@ -78,13 +93,18 @@
   /// @return whether the floor is known; it may not be reached yet.
   virtual bool FloorKnown() const = 0;
 
+  /// @return the time since the version here was last confirmed as the latest
+  /// one; absent while it never was.
+  virtual std::optional<Duration> Age(Instant now) const = 0;
+
   /// @return what is missing to put a first version in use; empty afterwards.
   virtual std::string WaitingFor() const = 0;
 };
 
+/// @param directory whom to ask besides peers; must outlive the follower.
 std::unique_ptr<VersionFollower> MakeVersionFollower(FollowerConfig config,
-                                                     uint64_t seed,
-                                                     Instant now);
+                                                     uint64_t seed, Instant now,
+                                                     AskDirectory& directory);
 
 }  // namespace hibiscusglade
 
--- a/src/entry/internal/call_reporter.cc
+++ b/src/entry/internal/call_reporter.cc
@@ -18,11 +18,12 @@
        {"route", call.route.has_value() ? call.route->name : "-"},
        {"service", call.service.empty() ? "-" : call.service},
        {"version", std::to_string(call.version)},
+       {"confirmed_ms_ago", MillisText(call.confirmed_ago)},
        {"owners", owners.empty() ? "-" : owners},
        {"attempts", std::to_string(call.attempts)},
        {"code", std::to_string(code.value())},
        {"outcome", std::string(certainty)},
-       {"ms", std::to_string((now - call.began).count() / 1000)},
+       {"ms", MillisText(now - call.began)},
        {"lines_left_out",
         std::to_string(log_rate_limiter_.TakeSuppressedCount())}});
 }
--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -41,6 +41,8 @@
   // Copies of what the call needs of the route table that it began with. The
   // table itself would keep the whole version in memory until the call ends.
   uint64_t version = 0;
+  /// How long before the call the version was last confirmed as the latest.
+  std::optional<Duration> confirmed_ago;
   std::optional<RouteConfig> route;
   LimitsConfig limits;
   std::string service;  ///< Of the route, or picked from its shares.
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -248,6 +248,7 @@
   std::optional<RoutingCode> FindRoute(OpenCall& call) {
     const RouteTablePtr table = parts_.routes.Current();
     if (table != nullptr) call.version = table->VersionNumber();
+    call.confirmed_ago = parts_.routes.ConfirmationAge(call.began);
     if (stopping_) return RoutingCode::kStopping;
     if (table == nullptr) return RoutingCode::kNoVersion;
     const RouteConfig* route = table->Match(
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -167,6 +167,10 @@
     return peers;
   }
 
+  std::vector<std::string> Relays() const override {
+    return view_.own_domain_relays;
+  }
+
   std::optional<UpstreamAnnouncement> LocalUpstream() const override {
     return upstream_;
   }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -136,6 +136,9 @@
   /// in its own failure domain and, when it is a relay, the relays of others.
   virtual std::vector<InstanceRecord> Peers() const = 0;
 
+  /// @return names of the relays of this daemon's failure domain.
+  virtual std::vector<std::string> Relays() const = 0;
+
   /// @return the last announcement of the local upstream, while its lease runs.
   virtual std::optional<UpstreamAnnouncement> LocalUpstream() const = 0;
 
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -231,6 +231,10 @@
                    static_cast<double>(status.version_in_use));
   gauges->SetGauge("version_age_seconds", "",
                    static_cast<double>(status.version_age_ms) * 1e-3);
+  if (status.confirmed_ms_ago.has_value()) {
+    gauges->SetGauge("version_confirmed_seconds", "",
+                     static_cast<double>(*status.confirmed_ms_ago) * 1e-3);
+  }
   gauges->SetGauge("stopping", "", status.stopping ? 1 : 0);
   std::map<std::string, int> states;
   std::map<std::string, int> serving;
--- a/src/operator/operator_backend.h
+++ b/src/operator/operator_backend.h
@@ -2,6 +2,7 @@
 #define HIBISCUSGLADE_OPERATOR_OPERATOR_BACKEND_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -91,6 +92,8 @@
   std::string leader_address;
   bool stopping = false;
   uint64_t version_age_ms = 0;  ///< Since this version came into use.
+  /// Since this version was last confirmed as the latest one; absent: never.
+  std::optional<uint64_t> confirmed_ms_ago;
 
   friend bool operator==(const DaemonStatus&, const DaemonStatus&) = default;
 };
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -200,7 +200,7 @@
            {"upstream", job->attempt.upstream_id},
            {"progress", std::to_string(static_cast<int>(failure.progress))},
            {"version", std::to_string(job->attempt.version)},
-           {"ms", std::to_string((now - job->run_started).count() / 1000)},
+           {"ms", MillisText(now - job->run_started)},
            {"lines_left_out",
             std::to_string(log_rate_limiter_.TakeSuppressedCount())}});
     }
--- a/src/routing/internal/route_table_holder.cc
+++ b/src/routing/internal/route_table_holder.cc
@@ -31,4 +31,15 @@
   delete previous;
 }
 
+void RouteTableHolder::SetConfirmedAt(Instant confirmed_at) {
+  confirmed_at_micros_.store(confirmed_at.time_since_epoch().count(),
+                             std::memory_order_relaxed);
+}
+
+std::optional<Duration> RouteTableHolder::ConfirmationAge(Instant now) const {
+  const int64_t micros = confirmed_at_micros_.load(std::memory_order_relaxed);
+  if (micros == 0) return std::nullopt;
+  return now - Instant(Duration(micros));
+}
+
 }  // namespace hibiscusglade
--- a/src/routing/route_table_holder.h
+++ b/src/routing/route_table_holder.h
@@ -1,8 +1,12 @@
 #ifndef HIBISCUSGLADE_ROUTING_ROUTE_TABLE_HOLDER_H_
 #define HIBISCUSGLADE_ROUTING_ROUTE_TABLE_HOLDER_H_
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
+#include <optional>
 
+#include "base/clock.h"
 #include "routing/types/route_table.h"
 
 namespace hibiscusglade {
@@ -24,9 +28,18 @@
   /// Replaces the table. Not to be called concurrently with itself.
   void Publish(RouteTablePtr table);
 
+  /// Sets when the version in use was last confirmed as the latest one.
+  void SetConfirmedAt(Instant confirmed_at);
+
+  /// Thread-safe.
+  /// @return the time since the version in use was last confirmed as the latest
+  /// one; absent while it never was.
+  std::optional<Duration> ConfirmationAge(Instant now) const;
+
  private:
   struct PublishedTable;
   PublishedTable* published_ = nullptr;
+  std::atomic<int64_t> confirmed_at_micros_{0};  ///< 0: never.
 };
 
 }  // namespace hibiscusglade
--- a/src/versions/internal/version_ledger.cc
+++ b/src/versions/internal/version_ledger.cc
@@ -318,6 +318,10 @@
       }
       break;
     }
+    case wire::VersionQuery::LATEST_NUMBER:
+      answer.set_found(true);
+      answer.add_versions()->set_number(latest_->number);
+      break;
     case wire::VersionQuery::VERDICT: {
       auto known = verdicts_.find(query.patch_id());
       if (known == verdicts_.end()) break;
