Send the last messages of a daemon that ends

What callers saw: nothing directly.

Cause: messages to a peer whose connection is not open yet were dropped as the process ended (linger 0), and the leave is the last message. Tables of peers change often while instances come and go, so that its targets are often new.

Now the transport waits up to 250 ms for what it has not sent.

--- a/src/peer/internal/zmq_transport.cc
+++ b/src/peer/internal/zmq_transport.cc
@@ -23,6 +23,9 @@
 constexpr int kHeartbeatTimeoutMs = 2500;
 constexpr int kHandshakeTimeoutMs = 1000;
 constexpr int kMaxMessagesPerPoll = 256;
+/// How long the transport waits at its end for messages that are not sent yet,
+/// such as the notice that this daemon leaves.
+constexpr int kLingerMs = 250;
 constexpr Duration kIdleConnectionTimeout = std::chrono::seconds(60);
 
 class ZmqTransport : public PeerTransport {
@@ -43,6 +46,14 @@
     router_.set(zmq::sockopt::router_mandatory, 1);
   }
 
+  ~ZmqTransport() override {
+    for (auto& [address, connection] : connections_) {
+      connection.socket.set(zmq::sockopt::linger, kLingerMs);
+    }
+  }
+  ZmqTransport(const ZmqTransport&) = delete;
+  ZmqTransport& operator=(const ZmqTransport&) = delete;
+
   std::error_code Listen(const std::string& address) override {
     try {
       router_.bind("tcp://" + address);
