Tell peers of a leave as a stop begins

What callers saw: nothing directly. Between the stop signal and the end of the process, up to 5 s, others went on choosing the daemon as a peer and relay, and learned of its leave by one message to three of them as it ended.

Now peers are told when the stop begins, and once more at its end; what it passed on, others take over meanwhile.

--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -64,11 +64,11 @@
   /// Opens the data folder, listens and starts the thread.
   virtual std::error_code Start() = 0;
 
-  /// Notifies peers that this daemon leaves, and ends the thread.
+  /// Notifies peers once more that this daemon leaves, and ends the thread.
   virtual void Stop() = 0;
 
-  /// Marks the daemon as stopping: it is no longer ready, and its upstream
-  /// drains.
+  /// Marks the daemon as stopping: it is no longer ready, its upstream drains,
+  /// and peers are notified that it leaves.
   virtual void BeginStop() = 0;
 
   /// Replaces the seeds and the replicas named in the settings, after the
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -126,9 +126,12 @@
     readiness_.BeginStop();
     executor_.Post([this] {
       auto upstream = membership_->LocalUpstream();
-      if (!upstream.has_value()) return;
-      upstream->state = UpstreamState::kDraining;
-      HandleAnnouncement(*upstream, clock_.Now());
+      if (upstream.has_value()) {
+        upstream->state = UpstreamState::kDraining;
+        HandleAnnouncement(*upstream, clock_.Now());
+      }
+      // Peers choose others for what they pass on well before it ends.
+      ApplyEffects(membership_->Leave(clock_.Now()));
     });
   }
 
--- a/tests/processes/stop_leave_test.cc
+++ b/tests/processes/stop_leave_test.cc
@@ -57,6 +57,19 @@
     stopped_.push_back(name);
   }
 
+  /// @return whether the others list a daemon as left while its process runs.
+  bool KnownToLeaveWhileItRuns(const std::string& name) {
+    mesh_.Daemon(name).Signal(SIGTERM);
+    bool running = true;
+    for (const std::string& viewer : Running()) {
+      if (viewer == name) continue;
+      EXPECT_TRUE(Mesh::Eventually(
+          [&] { return StateAt(viewer, name) == "left"; }, seconds(20)));
+      running = running && mesh_.Daemon(name).Running();
+    }
+    return running;
+  }
+
   /// @return the daemons that have not been stopped.
   std::vector<std::string> Running() const {
     std::vector<std::string> running;
@@ -105,6 +118,10 @@
   ExpectKnownToHaveLeft();
 }
 
+TEST_F(ADomainWhoseDaemonsStop, KnowsOfALeaveBeforeTheProcessEnds) {
+  EXPECT_TRUE(KnownToLeaveWhileItRuns(PlainDaemon(1)));
+}
+
 TEST_F(ADomainWhoseDaemonsStop, KnowsWhoHasLeftWhileOthersStop) {
   for (int i = 1; i <= kPlainDaemons - 2; ++i) {
     Stop(PlainDaemon(i));
