--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -15,6 +15,7 @@
 #include "control/internal/control_codec.h"
 #include "control/internal/control_views.h"
 #include "control/internal/group_client.h"
+#include "control/internal/instance_state_reporter.h"
 #include "control/internal/ledger_claim_store.h"
 #include "control/internal/readiness.h"
 #include "control/internal/replica_host.h"
@@ -57,6 +58,7 @@
         turn_seconds_(metrics.HistogramOf("control_turn_seconds", "")),
         asks_(metrics.CounterOf("version_asks_total", "")),
         confirmations_(routes),
+        instance_states_(config.identity.failure_domain),
         ask_targets_(config.control_address, config.identity.failure_domain),
         transport_(
             MakeZmqTransport(config.identity, "control", clock, metrics)),
@@ -490,6 +492,7 @@
     const std::vector<InstanceRecord> records = membership_->Records();
     UpdateKnownReplicas(records);
     UpdateAskTargets(records);
+    instance_states_.Report(records, clock_.Now());
     const ConfigVersionPtr& version = follower_->InUse();
     if (version == nullptr) return;
     routes_.Publish(std::make_shared<const RouteTable>(version, records));
@@ -734,6 +737,7 @@
   LatencyHistogram& turn_seconds_;
   Counter& asks_;
   ConfirmationReporter confirmations_;
+  InstanceStateReporter instance_states_;
   Executor executor_;
   AskTargets ask_targets_;
   std::unique_ptr<PeerTransport> transport_;
--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -27,6 +27,36 @@
   kDraining = 3,
 };
 
+/// @return the name used in logs and by the operators' API.
+inline const char* NameOf(InstanceState state) {
+  switch (state) {
+    case InstanceState::kAlive:
+      return "alive";
+    case InstanceState::kSuspected:
+      return "suspected";
+    case InstanceState::kDead:
+      return "dead";
+    case InstanceState::kLeft:
+      break;
+  }
+  return "left";
+}
+
+/// @return the name used in logs and by the operators' API.
+inline const char* NameOf(UpstreamState state) {
+  switch (state) {
+    case UpstreamState::kStarting:
+      return "starting";
+    case UpstreamState::kServing:
+      return "serving";
+    case UpstreamState::kDraining:
+      return "draining";
+    case UpstreamState::kNone:
+      break;
+  }
+  return "none";
+}
+
 /// A daemon's description of itself and its upstream, spread by gossip. Only
 /// that daemon raises the sequence; other daemons may only change the state, to
 /// suspected or dead.
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -167,34 +167,6 @@
       {{"number", *number}, {"everywhere", everywhere}, {"domains", domains}});
 }
 
-const char* NameOf(UpstreamState state) {
-  switch (state) {
-    case UpstreamState::kStarting:
-      return "starting";
-    case UpstreamState::kServing:
-      return "serving";
-    case UpstreamState::kDraining:
-      return "draining";
-    case UpstreamState::kNone:
-      break;
-  }
-  return "none";
-}
-
-const char* NameOf(InstanceState state) {
-  switch (state) {
-    case InstanceState::kAlive:
-      return "alive";
-    case InstanceState::kSuspected:
-      return "suspected";
-    case InstanceState::kDead:
-      return "dead";
-    case InstanceState::kLeft:
-      break;
-  }
-  return "left";
-}
-
 HttpResponse Instances(OperatorBackend& backend) {
   json rows = json::array();
   for (const InstanceRecord& record : backend.Instances()) {
