--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <limits>
 #include <set>
 #include <utility>
 
@@ -10,6 +9,7 @@
 #include "membership/internal/failure_detector.h"
 #include "membership/internal/peer_view.h"
 #include "membership/internal/record_table.h"
+#include "membership/internal/upstream_registration.h"
 
 namespace hibiscusglade {
 namespace {
@@ -17,9 +17,6 @@
 constexpr size_t kGossipFanout = 3;
 constexpr size_t kGossipRoundsPerUpdate = 3;
 constexpr size_t kMaxRecordsPerMessage = 100;
-/// Upstreams that have deregistered and are remembered, as their earlier
-/// announcements may arrive seconds later.
-constexpr size_t kMaxDeparted = 16;
 /// One comparison in four goes to a seed.
 constexpr uint64_t kComparisonsPerSeedComparison = 4;
 
@@ -38,6 +35,7 @@
         self_(config_.self),
         random_(seed),
         detector_(config_, random_),
+        upstream_(config_),
         next_gossip_(now),
         next_compare_(now),
         next_probe_(now) {
@@ -47,9 +45,7 @@
 
   MembershipEffects OnTick(Instant now) override {
     MembershipEffects effects;
-    if (upstream_.has_value() && now >= lease_expires_at_) {
-      effects = OnUpstreamLeft("", 0, now);
-    }
+    if (upstream_.Expire(now)) PublishUpstream(now, effects);
     if (table_.RemoveExpired(now, config_.retention)) RebuildView(effects);
     detector_.OnTick(now, effects);
     SuspectUnresponsive(now, effects);
@@ -86,36 +82,14 @@
   MembershipEffects OnAnnounce(const UpstreamAnnouncement& upstream,
                                Instant now) override {
     MembershipEffects effects;
-    if (IsStale(upstream) || IsOfAnotherUpstream(upstream)) return effects;
-    lease_expires_at_ = now + config_.announcement_lease;
-    last_upstream_start_ms_ = upstream.started_at_ms;
-    last_upstream_id_ = upstream.id;
-    last_sequence_ = upstream.sequence;
-    const bool renews =
-        upstream_.has_value() && IsRenewal(*upstream_, upstream);
-    upstream_ = upstream;
-    if (renews) return effects;
-    self_.service = upstream.service;
-    self_.slots = upstream.slots;
-    self_.upstream_state = upstream.state;
-    PublishUpstreamState(now, effects);
+    if (upstream_.Announce(upstream, now)) PublishUpstream(now, effects);
     return effects;
   }
 
   MembershipEffects OnUpstreamLeft(const std::string& id, int64_t started_at_ms,
                                    Instant now) override {
     MembershipEffects effects;
-    // Also one that is not known here: the daemon may have been restarted.
-    if (!id.empty() && started_at_ms != 0) Remember({id, started_at_ms});
-    if (!upstream_.has_value()) return effects;
-    if (!id.empty() && id != upstream_->id) return effects;
-    if (started_at_ms != 0 && started_at_ms != upstream_->started_at_ms)
-      return effects;
-    // Ignore announcements of this upstream incarnation that arrive later.
-    if (!id.empty()) last_sequence_ = std::numeric_limits<uint64_t>::max();
-    upstream_.reset();
-    self_.upstream_state = UpstreamState::kNone;
-    PublishUpstreamState(now, effects);
+    if (upstream_.Leave(id, started_at_ms)) PublishUpstream(now, effects);
     return effects;
   }
 
@@ -168,7 +142,7 @@
   }
 
   std::optional<UpstreamAnnouncement> LocalUpstream() const override {
-    return upstream_;
+    return upstream_.Current();
   }
 
   bool DomainReachable(const std::string& failure_domain) const override {
@@ -196,79 +170,11 @@
     PublishOwnRecord(now, effects);
   }
 
-  struct Departed {
-    std::string id;
-    int64_t started_at_ms = 0;
-  };
-
-  void Remember(Departed departed) {
-    departed_.push_back(std::move(departed));
-    if (departed_.size() > kMaxDeparted) departed_.pop_front();
-  }
-
-  bool HasLeft(const UpstreamAnnouncement& upstream) const {
-    return std::any_of(departed_.begin(), departed_.end(),
-                       [&upstream](const Departed& departed) {
-                         return departed.id == upstream.id &&
-                                upstream.started_at_ms <=
-                                    departed.started_at_ms;
-                       });
-  }
-
-  /// @return whether an announcement is of an earlier upstream incarnation, of
-  /// one that has left, or older than the last one of the same incarnation.
-  bool IsStale(const UpstreamAnnouncement& upstream) const {
-    if (HasLeft(upstream)) return true;
-    if (upstream.started_at_ms != last_upstream_start_ms_) {
-      return upstream.started_at_ms < last_upstream_start_ms_;
-    }
-    return (last_upstream_id_.empty() || upstream.id == last_upstream_id_) &&
-           upstream.sequence < last_sequence_;
-  }
-
-  bool IsOfAnotherUpstream(const UpstreamAnnouncement& upstream) const {
-    return (!config_.expected_service.empty() &&
-            upstream.service != config_.expected_service) ||
-           (!config_.expected_address.empty() &&
-            upstream.address != config_.expected_address);
-  }
-
-  /// @return whether `b` only renews the lease of `a`: nothing differs that
-  /// peers or the owner act on.
-  static bool IsRenewal(const UpstreamAnnouncement& a, UpstreamAnnouncement b) {
-    b.sequence = a.sequence;
-    b.cold_remaining = a.cold_remaining;
-    return a == b;
-  }
-
-  void PublishUpstreamState(Instant now, MembershipEffects& effects) {
-    const bool leaving = self_.upstream_state == UpstreamState::kNone ||
-                         self_.upstream_state == UpstreamState::kDraining;
-    self_.upstream_started_at_ms = leaving ? last_upstream_start_ms_ : 0;
-    self_.upstream_sequence = leaving ? last_sequence_ : 0;
+  void PublishUpstream(Instant now, MembershipEffects& effects) {
+    upstream_.Describe(self_);
     PublishOwnRecord(now, effects);
   }
 
-  /// Continues from a record of this daemon's earlier process, which has
-  /// acknowledged announcements that this one does not know.
-  void OnEarlierRecord(const InstanceRecord& record, Instant now,
-                       MembershipEffects& effects) {
-    const int64_t started_at_ms = record.upstream_started_at_ms;
-    if (started_at_ms < last_upstream_start_ms_) return;
-    if (started_at_ms == last_upstream_start_ms_) {
-      if (record.upstream_sequence <= last_sequence_) return;
-    } else {
-      last_upstream_id_.clear();
-    }
-    last_upstream_start_ms_ = started_at_ms;
-    last_sequence_ = record.upstream_sequence;
-    if (upstream_.has_value() && IsStale(*upstream_)) {
-      upstream_.reset();
-      self_.upstream_state = UpstreamState::kNone;
-    }
-    PublishUpstreamState(now, effects);
-  }
-
   void PublishOwnRecord(Instant now, MembershipEffects& effects) {
     ++self_.sequence;
     StoreRecord(self_, now, effects);
@@ -329,7 +235,7 @@
              MembershipEffects& effects) {
     if (record.instance == self_.instance) {
       if (record.incarnation < self_.incarnation) {
-        OnEarlierRecord(record, now, effects);
+        if (upstream_.ContinueFrom(record)) PublishUpstream(now, effects);
       } else {
         RefuteIfSuperseded(record, now, effects);
       }
@@ -567,19 +473,13 @@
   RecordTable table_;
   PeerView view_;
   FailureDetector detector_;
+  UpstreamRegistration upstream_;
   /// Remaining gossip rounds for each instance with a changed record.
   std::map<std::string, size_t> pending_updates_;
   std::map<std::string, Instant> suspected_since_;
   std::map<std::string, Instant> domain_seen_at_;
   std::map<std::string, Instant> unreachable_since_;
   Instant next_domain_expiry_;
-  std::optional<UpstreamAnnouncement> upstream_;
-  Instant lease_expires_at_;
-  // Of the last announcement accepted.
-  int64_t last_upstream_start_ms_ = 0;
-  std::string last_upstream_id_;
-  uint64_t last_sequence_ = 0;
-  std::deque<Departed> departed_;  ///< Oldest first.
   Instant last_message_at_;
   bool version_pending_ = false;
   Instant next_version_gossip_;
--- /dev/null
+++ b/src/membership/internal/upstream_registration.cc
@@ -0,0 +1,115 @@
+#include "membership/internal/upstream_registration.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace hibiscusglade {
+namespace {
+
+/// Upstreams that have deregistered and are remembered.
+constexpr size_t kMaxDeparted = 16;
+
+/// @return whether `b` only renews the lease of `a`: nothing differs that peers
+/// or the owner act on.
+bool IsRenewal(const UpstreamAnnouncement& a, UpstreamAnnouncement b) {
+  b.sequence = a.sequence;
+  b.cold_remaining = a.cold_remaining;
+  return a == b;
+}
+
+}  // namespace
+
+UpstreamRegistration::UpstreamRegistration(const MembershipConfig& config)
+    : lease_(config.announcement_lease),
+      expected_service_(config.expected_service),
+      expected_address_(config.expected_address) {}
+
+bool UpstreamRegistration::Announce(const UpstreamAnnouncement& upstream,
+                                    Instant now) {
+  if (IsStale(upstream) || !IsExpected(upstream)) return false;
+  lease_expires_at_ = now + lease_;
+  last_start_ms_ = upstream.started_at_ms;
+  last_id_ = upstream.id;
+  last_sequence_ = upstream.sequence;
+  const bool renews = upstream_.has_value() && IsRenewal(*upstream_, upstream);
+  upstream_ = upstream;
+  return !renews;
+}
+
+bool UpstreamRegistration::Leave(const std::string& id, int64_t started_at_ms) {
+  // Also one that is not known here: the daemon may have been restarted.
+  if (!id.empty() && started_at_ms != 0) Remember({id, started_at_ms});
+  if (!upstream_.has_value()) return false;
+  if (!id.empty() && id != upstream_->id) return false;
+  if (started_at_ms != 0 && started_at_ms != upstream_->started_at_ms) {
+    return false;
+  }
+  // Ignore announcements of this upstream incarnation that arrive later.
+  if (!id.empty()) last_sequence_ = std::numeric_limits<uint64_t>::max();
+  upstream_.reset();
+  return true;
+}
+
+bool UpstreamRegistration::Expire(Instant now) {
+  if (!upstream_.has_value() || now < lease_expires_at_) return false;
+  upstream_.reset();
+  return true;
+}
+
+bool UpstreamRegistration::ContinueFrom(const InstanceRecord& earlier) {
+  const int64_t started_at_ms = earlier.upstream_started_at_ms;
+  if (started_at_ms < last_start_ms_) return false;
+  if (started_at_ms == last_start_ms_) {
+    if (earlier.upstream_sequence <= last_sequence_) return false;
+  } else {
+    last_id_.clear();
+  }
+  last_start_ms_ = started_at_ms;
+  last_sequence_ = earlier.upstream_sequence;
+  if (upstream_.has_value() && IsStale(*upstream_)) upstream_.reset();
+  return true;
+}
+
+void UpstreamRegistration::Describe(InstanceRecord& self) const {
+  self.upstream_state = UpstreamState::kNone;
+  if (upstream_.has_value()) {
+    self.service = upstream_->service;
+    self.slots = upstream_->slots;
+    self.upstream_state = upstream_->state;
+  }
+  const bool leaving = self.upstream_state == UpstreamState::kNone ||
+                       self.upstream_state == UpstreamState::kDraining;
+  self.upstream_started_at_ms = leaving ? last_start_ms_ : 0;
+  self.upstream_sequence = leaving ? last_sequence_ : 0;
+}
+
+void UpstreamRegistration::Remember(Departed departed) {
+  departed_.push_back(std::move(departed));
+  if (departed_.size() > kMaxDeparted) departed_.pop_front();
+}
+
+bool UpstreamRegistration::HasLeft(const UpstreamAnnouncement& upstream) const {
+  return std::any_of(departed_.begin(), departed_.end(),
+                     [&upstream](const Departed& departed) {
+                       return departed.id == upstream.id &&
+                              upstream.started_at_ms <= departed.started_at_ms;
+                     });
+}
+
+bool UpstreamRegistration::IsStale(const UpstreamAnnouncement& upstream) const {
+  if (HasLeft(upstream)) return true;
+  if (upstream.started_at_ms != last_start_ms_) {
+    return upstream.started_at_ms < last_start_ms_;
+  }
+  return (last_id_.empty() || upstream.id == last_id_) &&
+         upstream.sequence < last_sequence_;
+}
+
+bool UpstreamRegistration::IsExpected(
+    const UpstreamAnnouncement& upstream) const {
+  return (expected_service_.empty() || upstream.service == expected_service_) &&
+         (expected_address_.empty() || upstream.address == expected_address_);
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/membership/internal/upstream_registration.h
@@ -0,0 +1,77 @@
+#ifndef HIBISCUSGLADE_MEMBERSHIP_INTERNAL_UPSTREAM_REGISTRATION_H_
+#define HIBISCUSGLADE_MEMBERSHIP_INTERNAL_UPSTREAM_REGISTRATION_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "membership/membership.h"
+#include "membership/types/instance_record.h"
+
+namespace hibiscusglade {
+
+/// The upstream beside this daemon, while its lease runs, and what is
+/// remembered of those that drain or have left, as their earlier announcements
+/// may arrive seconds later.
+class UpstreamRegistration {
+ public:
+  explicit UpstreamRegistration(const MembershipConfig& config);
+
+  /// Handles an announcement, or ignores it when it is out of date or of
+  /// another upstream than the one expected.
+  /// @return whether anything changed that peers or the owner act on.
+  bool Announce(const UpstreamAnnouncement& upstream, Instant now);
+
+  /// As Membership::OnUpstreamLeft().
+  /// @return whether anything changed that peers or the owner act on.
+  bool Leave(const std::string& id, int64_t started_at_ms);
+
+  /// Removes the upstream when its lease has expired.
+  /// @return whether it was removed.
+  bool Expire(Instant now);
+
+  /// Continues from a record of this daemon's earlier process, which has
+  /// acknowledged announcements that this one does not know.
+  /// @return whether anything changed that peers or the owner act on.
+  bool ContinueFrom(const InstanceRecord& earlier);
+
+  /// Writes the upstream, or what is remembered of the last one, into this
+  /// daemon's record.
+  void Describe(InstanceRecord& self) const;
+
+  const std::optional<UpstreamAnnouncement>& Current() const {
+    return upstream_;
+  }
+
+ private:
+  struct Departed {
+    std::string id;
+    int64_t started_at_ms = 0;
+  };
+
+  void Remember(Departed departed);
+  bool HasLeft(const UpstreamAnnouncement& upstream) const;
+
+  /// @return whether an announcement is of an earlier upstream incarnation, of
+  /// one that has left, or older than the last one of the same incarnation.
+  bool IsStale(const UpstreamAnnouncement& upstream) const;
+
+  bool IsExpected(const UpstreamAnnouncement& upstream) const;
+
+  Duration lease_;
+  std::string expected_service_;
+  std::string expected_address_;
+  std::optional<UpstreamAnnouncement> upstream_;
+  Instant lease_expires_at_;
+  // Of the last announcement accepted.
+  int64_t last_start_ms_ = 0;
+  std::string last_id_;
+  uint64_t last_sequence_ = 0;
+  std::deque<Departed> departed_;  ///< Oldest first.
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_MEMBERSHIP_INTERNAL_UPSTREAM_REGISTRATION_H_
