Bound the time for which an upstream's start time orders announcements

Callers got no answer from an upstream that was started after the clock of its machine had been set back, or that sends no start time and restarted under its id: its daemon acknowledged every announcement and used none.

Cause: the start time of the last upstream was kept without an age. Whatever started earlier counted as a late message of a process before, also long after that process had fallen silent or left, and, as records of daemons carry it, also for the daemon's next process.

Evidence: four tests in announcement_test failed before, each with the upstream's id "" instead of the new one: ANewStart.WithoutAStartTimeIsTakenOnceTheLeaseHasExpired AnUpstreamWithAnEarlierStartTime.ReplacesOneWhoseLeaseHasExpired AnUpstreamWithAnEarlierStartTime.ReplacesOneThatHasLeft AnUpstreamWithAnEarlierStartTime.DoesNotLetTheOneThatLeftReturn

Now an earlier start time is a late message only until a lease has passed since the last announcement that was accepted; within it, the order is as before. What is known of one incarnation, by its id and its start time or by its start time and sequence, needs no age and has none: one that has left stays left, also when its deregistration named no start time.

Ruled out: ordering by the time of arrival alone, as an announcement that a cut has held up would replace the upstream that runs.

--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -235,7 +235,7 @@
              MembershipEffects& effects) {
     if (record.instance == self_.instance) {
       if (record.incarnation < self_.incarnation) {
-        if (upstream_.ContinueFrom(record)) PublishUpstream(now, effects);
+        if (upstream_.ContinueFrom(record, now)) PublishUpstream(now, effects);
       } else {
         RefuteIfSuperseded(record, now, effects);
       }
--- a/src/membership/internal/upstream_registration.cc
+++ b/src/membership/internal/upstream_registration.cc
@@ -27,8 +27,9 @@
 
 bool UpstreamRegistration::Announce(const UpstreamAnnouncement& upstream,
                                     Instant now) {
-  if (IsStale(upstream) || !IsExpected(upstream)) return false;
+  if (IsStale(upstream, now) || !IsExpected(upstream)) return false;
   lease_expires_at_ = now + lease_;
+  order_expires_at_ = now + lease_;
   last_start_ms_ = upstream.started_at_ms;
   last_id_ = upstream.id;
   last_sequence_ = upstream.sequence;
@@ -38,13 +39,13 @@
 }
 
 bool UpstreamRegistration::Leave(const std::string& id, int64_t started_at_ms) {
+  const bool is_current =
+      upstream_.has_value() && (id.empty() || id == upstream_->id) &&
+      (started_at_ms == 0 || started_at_ms == upstream_->started_at_ms);
+  const int64_t start = is_current ? upstream_->started_at_ms : started_at_ms;
   // Also one that is not known here: the daemon may have been restarted.
-  if (!id.empty() && started_at_ms != 0) Remember({id, started_at_ms});
-  if (!upstream_.has_value()) return false;
-  if (!id.empty() && id != upstream_->id) return false;
-  if (started_at_ms != 0 && started_at_ms != upstream_->started_at_ms) {
-    return false;
-  }
+  if (!id.empty() && start != 0) Remember({id, start});
+  if (!is_current) return false;
   // Ignore announcements of this upstream incarnation that arrive later.
   if (!id.empty()) last_sequence_ = std::numeric_limits<uint64_t>::max();
   upstream_.reset();
@@ -57,7 +58,8 @@
   return true;
 }
 
-bool UpstreamRegistration::ContinueFrom(const InstanceRecord& earlier) {
+bool UpstreamRegistration::ContinueFrom(const InstanceRecord& earlier,
+                                        Instant now) {
   const int64_t started_at_ms = earlier.upstream_started_at_ms;
   if (started_at_ms < last_start_ms_) return false;
   if (started_at_ms == last_start_ms_) {
@@ -67,7 +69,8 @@
   }
   last_start_ms_ = started_at_ms;
   last_sequence_ = earlier.upstream_sequence;
-  if (upstream_.has_value() && IsStale(*upstream_)) upstream_.reset();
+  order_expires_at_ = now + lease_;
+  if (upstream_.has_value() && IsStale(*upstream_, now)) upstream_.reset();
   return true;
 }
 
@@ -97,11 +100,14 @@
                      });
 }
 
-bool UpstreamRegistration::IsStale(const UpstreamAnnouncement& upstream) const {
+bool UpstreamRegistration::IsStale(const UpstreamAnnouncement& upstream,
+                                   Instant now) const {
   if (HasLeft(upstream)) return true;
+  const bool order_expired = now >= order_expires_at_;
   if (upstream.started_at_ms != last_start_ms_) {
-    return upstream.started_at_ms < last_start_ms_;
+    return upstream.started_at_ms < last_start_ms_ && !order_expired;
   }
+  if (upstream.started_at_ms == 0 && order_expired) return false;
   return (last_id_.empty() || upstream.id == last_id_) &&
          upstream.sequence < last_sequence_;
 }
--- a/src/membership/internal/upstream_registration.h
+++ b/src/membership/internal/upstream_registration.h
@@ -35,7 +35,7 @@
   /// Continues from a record of this daemon's earlier process, which has
   /// acknowledged announcements that this one does not know.
   /// @return whether anything changed that peers or the owner act on.
-  bool ContinueFrom(const InstanceRecord& earlier);
+  bool ContinueFrom(const InstanceRecord& earlier, Instant now);
 
   /// Writes the upstream, or what is remembered of the last one, into this
   /// daemon's record.
@@ -56,7 +56,7 @@
 
   /// @return whether an announcement is of an earlier upstream incarnation, of
   /// one that has left, or older than the last one of the same incarnation.
-  bool IsStale(const UpstreamAnnouncement& upstream) const;
+  bool IsStale(const UpstreamAnnouncement& upstream, Instant now) const;
 
   bool IsExpected(const UpstreamAnnouncement& upstream) const;
 
@@ -65,6 +65,9 @@
   std::string expected_address_;
   std::optional<UpstreamAnnouncement> upstream_;
   Instant lease_expires_at_;
+  /// Until then, an earlier start time means an earlier incarnation. Afterwards
+  /// it means that the upstreams' clock was set back.
+  Instant order_expires_at_;
   // Of the last announcement accepted.
   int64_t last_start_ms_ = 0;
   std::string last_id_;
--- a/src/membership/tests/announcement_test.cc
+++ b/src/membership/tests/announcement_test.cc
@@ -96,6 +96,16 @@
   EXPECT_EQ(membership_->LocalUpstream()->started_at_ms, 3000);
 }
 
+TEST_F(ANewStart, WithoutAStartTimeIsTakenOnceTheLeaseHasExpired) {
+  Announce("i-1", 0, 50);
+  Announce("i-1", 0, 1);
+  EXPECT_EQ(membership_->LocalUpstream()->sequence, 50U);
+  now_ += seconds(6);
+  membership_->OnTick(now_);
+  Announce("i-1", 0, 2);
+  EXPECT_EQ(Id(), "i-1");
+}
+
 TEST_F(ANewStart, IsNotRemovedByTheDeregistrationOfTheOldOne) {
   Announce("i-1", 1000, 50);
   Announce("i-1", 3000, 1);
@@ -106,6 +116,39 @@
   EXPECT_EQ(Id(), "i-2");
 }
 
+/// The clock that upstreams take their start times from was set back between
+/// two starts.
+class AnUpstreamWithAnEarlierStartTime : public AnUpstreamBesideADaemon {
+ protected:
+  AnUpstreamWithAnEarlierStartTime() { Announce("i-1", 9000, 50); }
+};
+
+TEST_F(AnUpstreamWithAnEarlierStartTime, ReplacesOneWhoseLeaseHasExpired) {
+  now_ += seconds(6);
+  membership_->OnTick(now_);
+  Announce("i-2", 4000, 5);
+  EXPECT_EQ(Id(), "i-2");
+}
+
+TEST_F(AnUpstreamWithAnEarlierStartTime, ReplacesOneThatHasLeft) {
+  membership_->OnUpstreamLeft("i-1", 9000, now_);
+  Announce("i-2", 4000, 5);
+  EXPECT_EQ(Id(), "");
+  now_ += seconds(6);
+  membership_->OnTick(now_);
+  Announce("i-2", 4000, 9);
+  EXPECT_EQ(Id(), "i-2");
+}
+
+TEST_F(AnUpstreamWithAnEarlierStartTime, DoesNotLetTheOneThatLeftReturn) {
+  membership_->OnUpstreamLeft("i-1", 9000, now_);
+  now_ += seconds(6);
+  membership_->OnTick(now_);
+  Announce("i-2", 4000, 5);
+  Announce("i-1", 9000, 51);
+  EXPECT_EQ(Id(), "i-2");
+}
+
 class AnUnexpectedAnnouncement : public AnUpstreamBesideADaemon {};
 
 TEST_F(AnUnexpectedAnnouncement, OfAnotherServiceOrAddressIsIgnored) {
