Tell later processes of an upstream that left while it was not known

A request could reach an upstream that had deregistered, if its daemon was restarted twice around that: the daemon acknowledged the deregistration of an upstream that it did not know yet, or whose lease had expired, and kept it to itself. Its record did not tell it, so peers could not return it to the next process, and an announcement that the upstream had sent before registered it again for a lease (DRAIN).

Found by reading, not seen in a run. Evidence: membership_test ADaemonRestartedWhileItsUpstreamLeaves.KeepsItLeftWhenTheProcessBeforeDidNotKnowIt failed before (Upstream().has_value() is true).

Now the leave goes into the daemon's record unless another upstream is registered or has started later, as the leave of a known one does.

--- a/src/membership/internal/upstream_registration.cc
+++ b/src/membership/internal/upstream_registration.cc
@@ -9,6 +9,9 @@
 
 /// Upstreams that have deregistered and are remembered.
 constexpr size_t kMaxDeparted = 16;
+/// Sequence of an upstream incarnation that has left: all its announcements are
+/// out of date.
+constexpr uint64_t kAfterLeave = std::numeric_limits<uint64_t>::max();
 
 /// @return whether `b` only renews the lease of `a`: nothing differs that peers
 /// or the owner act on.
@@ -45,9 +48,9 @@
   const int64_t start = is_current ? upstream_->started_at_ms : started_at_ms;
   // Also one that is not known here: the daemon may have been restarted.
   if (!id.empty() && start != 0) Remember({id, start});
-  if (!is_current) return false;
+  if (!is_current) return AdoptDeparted(id, start);
   // Ignore announcements of this upstream incarnation that arrive later.
-  if (!id.empty()) last_sequence_ = std::numeric_limits<uint64_t>::max();
+  if (!id.empty()) last_sequence_ = kAfterLeave;
   upstream_.reset();
   return true;
 }
@@ -92,6 +95,18 @@
   if (departed_.size() > kMaxDeparted) departed_.pop_front();
 }
 
+bool UpstreamRegistration::AdoptDeparted(const std::string& id,
+                                         int64_t started_at_ms) {
+  if (upstream_.has_value() || id.empty() || started_at_ms == 0) return false;
+  if (started_at_ms < last_start_ms_) return false;
+  if (started_at_ms == last_start_ms_ && last_sequence_ == kAfterLeave)
+    return false;
+  last_start_ms_ = started_at_ms;
+  last_id_ = id;
+  last_sequence_ = kAfterLeave;
+  return true;
+}
+
 bool UpstreamRegistration::HasLeft(const UpstreamAnnouncement& upstream) const {
   return std::any_of(departed_.begin(), departed_.end(),
                      [&upstream](const Departed& departed) {
--- a/src/membership/internal/upstream_registration.h
+++ b/src/membership/internal/upstream_registration.h
@@ -52,6 +52,11 @@
   };
 
   void Remember(Departed departed);
+  /// Takes the leave of an upstream that is not registered here into this
+  /// daemon's record, from which a later process learns of it.
+  /// @return whether it is news.
+  bool AdoptDeparted(const std::string& id, int64_t started_at_ms);
+
   bool HasLeft(const UpstreamAnnouncement& upstream) const;
 
   /// @return whether an announcement is of an earlier upstream incarnation, of
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -290,6 +290,17 @@
   EXPECT_EQ(Upstream()->state, UpstreamState::kServing);
 }
 
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves,
+       KeepsItLeftWhenTheProcessBeforeDidNotKnowIt) {
+  Start("c3", 2);
+  nodes_["c3"]->OnUpstreamLeft("i-1", 1000, now_);
+  Run(milliseconds(500));
+  Start("c3", 3);
+  Run(milliseconds(500));
+  Announce(5, UpstreamState::kServing);
+  EXPECT_FALSE(Upstream().has_value());
+}
+
 class AnUpstreamsLease : public SomeInstances {};
 
 TEST_F(AnUpstreamsLease, EndsWhenItIsNotRenewed) {
