Return the record of an upstream that leaves to whoever was restarted

A request could reach an upstream that had said that it leaves: its daemon and those that the daemon reached first were restarted together, as when a failure domain loses power, and a late announcement registered the upstream again for a lease (DRAIN).

Cause: a peer that knew of the leave returned the earlier record to whoever had told it of the daemon's later process. That was the daemon itself or not; another one dropped the record, as it had a later one. The peer had replaced its own record by then, so nobody had it any more and the daemon never learned of it.

Now who is returned such a record passes it on to the daemon, and each daemon does so once for each process, so that the number of messages is bounded by the number of daemons that lacked the record.

Ruled out: sending the record to the daemon from everyone who has it, as that is one message from each daemon of the mesh.

--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -1,12 +1,12 @@
 #include "membership/membership.h"
 
 #include <algorithm>
-#include <deque>
 #include <set>
 #include <utility>
 
 #include "base/random.h"
 #include "membership/internal/failure_detector.h"
+#include "membership/internal/passed_on_records.h"
 #include "membership/internal/peer_view.h"
 #include "membership/internal/record_table.h"
 #include "membership/internal/upstream_registration.h"
@@ -20,14 +20,6 @@
 /// One comparison in four goes to a seed.
 constexpr uint64_t kComparisonsPerSeedComparison = 4;
 
-/// @return whether two records differ at most in sequence and version in use.
-bool DifferOnlyInVersion(const InstanceRecord& a, InstanceRecord b) {
-  b.sequence = a.sequence;
-  b.version_in_use = a.version_in_use;
-  b.version_digest = a.version_digest;
-  return a == b;
-}
-
 class MembershipImpl : public Membership {
  public:
   MembershipImpl(MembershipConfig config, uint64_t seed, Instant now)
@@ -46,7 +38,10 @@
   MembershipEffects OnTick(Instant now) override {
     MembershipEffects effects;
     if (upstream_.Expire(now)) PublishUpstream(now, effects);
-    if (table_.RemoveExpired(now, config_.retention)) RebuildView(effects);
+    if (table_.RemoveExpired(now, config_.retention)) {
+      RebuildView(effects);
+      passed_on_.Retain(table_);
+    }
     detector_.OnTick(now, effects);
     SuspectUnresponsive(now, effects);
     ExpireSuspicions(now, effects);
@@ -243,15 +238,23 @@
     }
     const auto* stored = table_.Find(record.instance);
     if (stored == nullptr || Supersedes(record, stored->record)) {
-      if (stored != nullptr && stored->record.upstream_started_at_ms != 0 &&
-          record.incarnation > stored->record.incarnation) {
+      if (stored != nullptr && IsEarlierLeave(stored->record, record) &&
+          passed_on_.Add(stored->record, record.incarnation)) {
         answer.records.push_back(stored->record);
       }
       StoreRecord(record, now, effects);
-    } else if (Supersedes(stored->record, record) &&
-               stored->record.state != InstanceState::kAlive) {
+      return;
+    }
+    if (!Supersedes(stored->record, record)) return;
+    if (stored->record.state != InstanceState::kAlive) {
       answer.records.push_back(stored->record);
     }
+    // The answer of a daemon that learned of the restart from this one.
+    if (IsEarlierLeave(record, stored->record) &&
+        passed_on_.Add(record, stored->record.incarnation)) {
+      effects.send.push_back(
+          {stored->record.control_address, GossipMessage{{record}, {}}});
+    }
   }
 
   void RefuteIfSuperseded(const InstanceRecord& record, Instant now,
@@ -399,13 +402,6 @@
     });
   }
 
-  /// Records of daemons that leave and of upstreams that drain are sent before
-  /// others, as no more requests must be sent there.
-  static bool IsUrgent(const InstanceRecord& record) {
-    return record.state == InstanceState::kLeft ||
-           record.upstream_state == UpstreamState::kDraining;
-  }
-
   std::vector<std::string> ChooseGossipTargets() {
     std::vector<std::string> candidates = view_.own_domain_peers;
     std::vector<std::string> targets;
@@ -471,6 +467,7 @@
   InstanceRecord self_;
   Random random_;
   RecordTable table_;
+  PassedOnRecords passed_on_;
   PeerView view_;
   FailureDetector detector_;
   UpstreamRegistration upstream_;
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -290,6 +290,23 @@
   EXPECT_EQ(Upstream()->state, UpstreamState::kServing);
 }
 
+/// The seeds are restarted at the same moment, so that those that the daemon
+/// reaches first know nothing of its earlier process.
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves,
+       KeepsItDrainingWhenItsSeedsHaveForgottenIt) {
+  Announce(6, UpstreamState::kDraining);
+  for (uint64_t restart = 2; restart < 42; ++restart) {
+    Run(milliseconds(1500 + 50 * restart));
+    Start("a1", restart);
+    Start("b1", restart);
+    Start("c3", restart);
+    Run(seconds(8));
+    Announce(5, UpstreamState::kServing);
+    EXPECT_FALSE(Upstream().has_value()) << "after restart " << restart;
+    Announce(6, UpstreamState::kDraining);
+  }
+}
+
 TEST_F(ADaemonRestartedWhileItsUpstreamLeaves,
        KeepsItLeftWhenTheProcessBeforeDidNotKnowIt) {
   Start("c3", 2);
--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -64,6 +64,29 @@
   return a.state > b.state;
 }
 
+/// @return whether two records differ at most in sequence and version in use.
+inline bool DifferOnlyInVersion(const InstanceRecord& a, InstanceRecord b) {
+  b.sequence = a.sequence;
+  b.version_in_use = a.version_in_use;
+  b.version_digest = a.version_digest;
+  return a == b;
+}
+
+/// @return whether `earlier` is of an earlier process of the same daemon than
+/// `later`, and tells of an upstream that drains or has left.
+inline bool IsEarlierLeave(const InstanceRecord& earlier,
+                           const InstanceRecord& later) {
+  return earlier.upstream_started_at_ms != 0 &&
+         earlier.incarnation < later.incarnation;
+}
+
+/// @return whether a record is to be sent before others, as no more requests
+/// must be sent there: its daemon leaves or its upstream drains.
+inline bool IsUrgent(const InstanceRecord& record) {
+  return record.state == InstanceState::kLeft ||
+         record.upstream_state == UpstreamState::kDraining;
+}
+
 /// An upstream's registration with its daemon, or a renewal of it.
 struct UpstreamAnnouncement {
   std::string service;
