Begin with a new upstream as reachable, whatever the last one's probe says

An upstream that took the place of one that had crashed was refused its first requests, up to 200 ms and a connection's time-out, and could be announced to all daemons as draining until its next announcement, 1.5 s later.

Cause: that no connection could be opened was kept as a property of the place, not of the upstream: it stayed until the next probe, and a probe of the old upstream that ended after the new one had registered counted for the new one.

Evidence: two tests in owner_drain_test failed before: AnOwnerWhoseUpstreamIsReplaced.SendsRequestsToTheNewOneAtOnce: "next" refused AnOwnerWhoseUpstreamIsReplaced.DoesNotTakeTheOldOnesDeathForItsOwn: "upstream is down" in the log, "next" not started

Now another upstream, by id, start or address, begins as reachable, and the result of a probe begun before only confirms the death of the old one, for the requests that ran there. A renewal of the same upstream changes nothing.

--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -114,6 +114,12 @@
 
   void SetUpstream(const std::optional<UpstreamAnnouncement>& upstream,
                    const AdmissionConfig& config, Instant now) override {
+    if (upstream.has_value() && !IsCurrent(*upstream)) {
+      // What is known of the one before says nothing about this one.
+      down_ = false;
+      down_notified_ = false;
+      probe_outdated_ = probing_;
+    }
     upstream_ = upstream;
     AdmissionConfig limits = config;
     limits.slots = upstream.has_value() ? upstream->slots : 0;
@@ -228,20 +234,32 @@
 
   void OnProbed(bool reachable, Instant now) override {
     probing_ = false;
-    down_ = !reachable;
-    if (reachable) down_notified_ = false;
     const std::vector<Digest> suspects = std::exchange(suspects_, {});
-    if (down_ && upstream_.has_value()) {
-      if (!suspects.empty()) ReportDeath(suspects, now);
-      if (!std::exchange(down_notified_, true)) {
-        parts_.listener.OnUpstreamDown(*upstream_);
-      }
-      RefuseQueued(AdmissionCode::kNotServing, now);
+    if (!reachable && upstream_.has_value() && !suspects.empty()) {
+      ReportDeath(suspects, now);
     }
+    if (!std::exchange(probe_outdated_, false)) SetReachable(reachable, now);
     if (death_detector_.Idle()) RefuseConnectionLost();
   }
 
  private:
+  /// @return whether an announcement is of the upstream that is in use.
+  bool IsCurrent(const UpstreamAnnouncement& upstream) const {
+    return upstream_.has_value() && upstream.id == upstream_->id &&
+           upstream.started_at_ms == upstream_->started_at_ms &&
+           upstream.address == upstream_->address;
+  }
+
+  void SetReachable(bool reachable, Instant now) {
+    down_ = !reachable;
+    if (reachable) down_notified_ = false;
+    if (!down_ || !upstream_.has_value()) return;
+    if (!std::exchange(down_notified_, true)) {
+      parts_.listener.OnUpstreamDown(*upstream_);
+    }
+    RefuseQueued(AdmissionCode::kNotServing, now);
+  }
+
   LoadReport Load(const std::string& request_class) const {
     LoadReport load = admission_->Load(request_class);
     load.serving = load.serving && !down_ && !UpstreamDrains();
@@ -556,6 +574,7 @@
   bool down_ = false;           ///< The upstream accepts no connections.
   bool down_notified_ = false;  ///< The listener was notified of it.
   bool probing_ = false;
+  bool probe_outdated_ = false;  ///< The probe is of the upstream before.
   Instant next_probe_;
   std::vector<Digest> suspects_;  ///< Of a death that a probe must confirm.
 };
--- a/src/owner/tests/owner_drain_test.cc
+++ b/src/owner/tests/owner_drain_test.cc
@@ -62,5 +62,61 @@
   EXPECT_TRUE(harness_.owner->Idle());
 }
 
+/// An owner that probes its upstream, as a connection to it was lost, while
+/// another upstream takes its place.
+class AnOwnerWhoseUpstreamIsReplaced : public testing::Test {
+ protected:
+  AnOwnerWhoseUpstreamIsReplaced() {
+    Announce("i-1");
+    harness_.Start("lost", "", true);
+    harness_.owner->OnRunFailed(1, {RunProgress::kNotSent, true, "refused"},
+                                harness_.clock.now);
+    harness_.Wait(milliseconds(10));
+  }
+
+  void Announce(const std::string& id) {
+    UpstreamAnnouncement upstream;
+    upstream.service = "orders";
+    upstream.slots = 4;
+    upstream.state = UpstreamState::kServing;
+    upstream.id = id;
+    harness_.owner->SetUpstream(upstream, {}, harness_.clock.now);
+  }
+
+  bool Logged(const std::string& line) const {
+    return harness_.recorder.log.find(line) != std::string::npos;
+  }
+
+  ClaimLedger ledger_;
+  OwnerHarness harness_{"o1", ledger_, 4};
+};
+
+TEST_F(AnOwnerWhoseUpstreamIsReplaced, ReportsTheOneDownThatItProbed) {
+  ASSERT_TRUE(Logged("upstream is probed"));
+  harness_.owner->OnProbed(false, harness_.clock.now);
+  EXPECT_TRUE(Logged("upstream is down"));
+}
+
+TEST_F(AnOwnerWhoseUpstreamIsReplaced, SendsRequestsToTheNewOneAtOnce) {
+  Announce("i-2");
+  harness_.Start("next", "", true);
+  EXPECT_FALSE(harness_.recorder.refused.contains("next"));
+  EXPECT_TRUE(harness_.recorder.started.contains(2));
+}
+
+TEST_F(AnOwnerWhoseUpstreamIsReplaced, DoesNotTakeTheOldOnesDeathForItsOwn) {
+  Announce("i-2");
+  harness_.owner->OnProbed(false, harness_.clock.now);
+  EXPECT_FALSE(Logged("upstream is down"));
+  harness_.Start("next", "", true);
+  EXPECT_TRUE(harness_.recorder.started.contains(2));
+}
+
+TEST_F(AnOwnerWhoseUpstreamIsReplaced, KeepsItsStateOnARenewal) {
+  Announce("i-1");
+  harness_.Start("next", "", true);
+  EXPECT_EQ(harness_.recorder.refused.at("next"), Certainty::kNotRun);
+}
+
 }  // namespace
 }  // namespace hibiscusglade
