Don't take a daemon's own pause for the silence of its upstream

A daemon that stood still for longer than a lease removed its upstream when it went on, refused the requests that waited for it, and told all daemons that it has no upstream, until the next announcement 1.5 s later.

Cause: the lease ended by the clock alone. During the pause nothing is read, so that no announcement could renew it; those that wait to be read are handled after the tick that ends the lease.

Evidence: announcement_test ADaemonThatPauses.DoesNotTakeItForTheSilenceOfItsUpstream failed before: the id was "" instead of "i-1".

Now a lease that began before a pause of a second or more goes on after it with what was left of it. An upstream that stays silent is removed then; a lease that began after the pause isn't prolonged.

--- a/src/membership/internal/upstream_registration.cc
+++ b/src/membership/internal/upstream_registration.cc
@@ -9,6 +9,8 @@
 
 /// Upstreams that have deregistered and are remembered.
 constexpr size_t kMaxDeparted = 16;
+/// Time between two checks of a lease above which this process has stood still.
+constexpr Duration kPause = std::chrono::seconds(1);
 /// Sequence of an upstream incarnation that has left: all its announcements are
 /// out of date.
 constexpr uint64_t kAfterLeave = std::numeric_limits<uint64_t>::max();
@@ -56,6 +58,12 @@
 }
 
 bool UpstreamRegistration::Expire(Instant now) {
+  const Instant last_check = std::exchange(checked_at_, now).value_or(now);
+  const bool began_before = lease_expires_at_ - lease_ <= last_check;
+  // What was announced during a pause of this process is not read yet.
+  if (now - last_check >= kPause && began_before) {
+    lease_expires_at_ += now - last_check;
+  }
   if (!upstream_.has_value() || now < lease_expires_at_) return false;
   upstream_.reset();
   return true;
--- a/src/membership/internal/upstream_registration.h
+++ b/src/membership/internal/upstream_registration.h
@@ -28,7 +28,8 @@
   /// @return whether anything changed that peers or the owner act on.
   bool Leave(const std::string& id, int64_t started_at_ms);
 
-  /// Removes the upstream when its lease has expired.
+  /// Removes the upstream when its lease has expired. To be called at each
+  /// tick.
   /// @return whether it was removed.
   bool Expire(Instant now);
 
@@ -70,6 +71,7 @@
   std::string expected_address_;
   std::optional<UpstreamAnnouncement> upstream_;
   Instant lease_expires_at_;
+  std::optional<Instant> checked_at_;  ///< Whether the lease had expired.
   /// Until then, an earlier start time means an earlier incarnation. Afterwards
   /// it means that the upstreams' clock was set back.
   Instant order_expires_at_;
--- a/src/membership/tests/announcement_test.cc
+++ b/src/membership/tests/announcement_test.cc
@@ -149,6 +149,40 @@
   EXPECT_EQ(Id(), "i-2");
 }
 
+/// The daemon stands still for longer than a lease, so that it reads no
+/// announcements meanwhile.
+class ADaemonThatPauses : public AnUpstreamBesideADaemon {
+ protected:
+  ADaemonThatPauses() {
+    Announce("i-1", 1000, 1);
+    Run(seconds(1));
+    now_ += seconds(30);
+  }
+
+  void Run(Duration length) {
+    for (const Instant end = now_ + length; now_ < end;
+         now_ += std::chrono::milliseconds(50)) {
+      membership_->OnTick(now_);
+    }
+  }
+};
+
+TEST_F(ADaemonThatPauses, DoesNotTakeItForTheSilenceOfItsUpstream) {
+  Run(seconds(2));
+  EXPECT_EQ(Id(), "i-1");
+}
+
+TEST_F(ADaemonThatPauses, EndsTheLeaseOfAnUpstreamThatStaysSilent) {
+  Run(seconds(6));
+  EXPECT_EQ(Id(), "");
+}
+
+TEST_F(ADaemonThatPauses, DoesNotProlongALeaseThatBeganAfterThePause) {
+  Announce("i-1", 1000, 2);
+  Run(seconds(6));
+  EXPECT_EQ(Id(), "");
+}
+
 class AnUnexpectedAnnouncement : public AnUpstreamBesideADaemon {};
 
 TEST_F(AnUnexpectedAnnouncement, OfAnotherServiceOrAddressIsIgnored) {
