Remember leaves that name no start time, also of unknown upstreams

A request could reach an upstream that had deregistered.

Cause: a daemon that was restarted remembers the leave of an upstream that it does not know yet only when the deregistration names the start time of the upstream.

Evidence: announcement_test ARestartedDaemon.RemembersALeaveWithoutAStartTimeForALease failed before: the id was "i-1" after it had left.

Now such a leave counts for the id, for one lease: an announcement after that is of a new start under the same id. When the start time is known, from the deregistration or the registration, the leave counts for good, as before.

What remains: the leave of an upstream whose start is unknown is not in the daemon's record, so that a second restart within the lease forgets it.

--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -84,7 +84,7 @@
   MembershipEffects OnUpstreamLeft(const std::string& id, int64_t started_at_ms,
                                    Instant now) override {
     MembershipEffects effects;
-    if (upstream_.Leave(id, started_at_ms)) PublishUpstream(now, effects);
+    if (upstream_.Leave(id, started_at_ms, now)) PublishUpstream(now, effects);
     return effects;
   }
 
--- a/src/membership/internal/upstream_registration.cc
+++ b/src/membership/internal/upstream_registration.cc
@@ -43,13 +43,14 @@
   return !renews;
 }
 
-bool UpstreamRegistration::Leave(const std::string& id, int64_t started_at_ms) {
+bool UpstreamRegistration::Leave(const std::string& id, int64_t started_at_ms,
+                                 Instant now) {
   const bool is_current =
       upstream_.has_value() && (id.empty() || id == upstream_->id) &&
       (started_at_ms == 0 || started_at_ms == upstream_->started_at_ms);
   const int64_t start = is_current ? upstream_->started_at_ms : started_at_ms;
   // Also one that is not known here: the daemon may have been restarted.
-  if (!id.empty() && start != 0) Remember({id, start});
+  if (!id.empty()) Remember({id, start, now + lease_});
   if (!is_current) return AdoptDeparted(id, start);
   // Ignore announcements of this upstream incarnation that arrive later.
   if (!id.empty()) last_sequence_ = kAfterLeave;
@@ -115,17 +116,20 @@
   return true;
 }
 
-bool UpstreamRegistration::HasLeft(const UpstreamAnnouncement& upstream) const {
-  return std::any_of(departed_.begin(), departed_.end(),
-                     [&upstream](const Departed& departed) {
-                       return departed.id == upstream.id &&
-                              upstream.started_at_ms <= departed.started_at_ms;
-                     });
+bool UpstreamRegistration::HasLeft(const UpstreamAnnouncement& upstream,
+                                   Instant now) const {
+  return std::any_of(
+      departed_.begin(), departed_.end(), [&](const Departed& departed) {
+        if (departed.id != upstream.id) return false;
+        return departed.started_at_ms == 0
+                   ? now < departed.lease_expires_at
+                   : upstream.started_at_ms <= departed.started_at_ms;
+      });
 }
 
 bool UpstreamRegistration::IsStale(const UpstreamAnnouncement& upstream,
                                    Instant now) const {
-  if (HasLeft(upstream)) return true;
+  if (HasLeft(upstream, now)) return true;
   const bool order_expired = now >= order_expires_at_;
   if (upstream.started_at_ms != last_start_ms_) {
     return upstream.started_at_ms < last_start_ms_ && !order_expired;
--- a/src/membership/internal/upstream_registration.h
+++ b/src/membership/internal/upstream_registration.h
@@ -26,7 +26,7 @@
 
   /// As Membership::OnUpstreamLeft().
   /// @return whether anything changed that peers or the owner act on.
-  bool Leave(const std::string& id, int64_t started_at_ms);
+  bool Leave(const std::string& id, int64_t started_at_ms, Instant now);
 
   /// Removes the upstream when its lease has expired. To be called at each
   /// tick.
@@ -49,7 +49,9 @@
  private:
   struct Departed {
     std::string id;
-    int64_t started_at_ms = 0;
+    int64_t started_at_ms = 0;  ///< 0: unknown.
+    /// Without a start time, a later announcement is of a new start from then.
+    Instant lease_expires_at;
   };
 
   void Remember(Departed departed);
@@ -58,7 +60,7 @@
   /// @return whether it is news.
   bool AdoptDeparted(const std::string& id, int64_t started_at_ms);
 
-  bool HasLeft(const UpstreamAnnouncement& upstream) const;
+  bool HasLeft(const UpstreamAnnouncement& upstream, Instant now) const;
 
   /// @return whether an announcement is of an earlier upstream incarnation, of
   /// one that has left, or older than the last one of the same incarnation.
--- a/src/membership/tests/announcement_test.cc
+++ b/src/membership/tests/announcement_test.cc
@@ -74,6 +74,23 @@
   EXPECT_EQ(Id(), "i-1");
 }
 
+/// Deregistrations need not name a start time.
+TEST_F(ARestartedDaemon, RemembersALeaveWithoutAStartTimeForALease) {
+  membership_->OnUpstreamLeft("i-1", 0, now_);
+  now_ += seconds(3);
+  Announce("i-1", 1000, 5);
+  EXPECT_EQ(Id(), "");
+  Announce("i-2", 1000, 1);
+  EXPECT_EQ(Id(), "i-2");
+}
+
+TEST_F(ARestartedDaemon, TakesANewStartUnderAnIdThatLeftWithoutAStartTime) {
+  membership_->OnUpstreamLeft("i-1", 0, now_);
+  now_ += seconds(6);
+  Announce("i-1", 3000, 1);
+  EXPECT_EQ(Id(), "i-1");
+}
+
 TEST_F(ARestartedDaemon, TakesAnotherUpstreamAfterALeave) {
   membership_->OnUpstreamLeft("i-1", 9000, now_);
   Announce("i-2", 2000, 1);
