--- a/src/membership/tests/announcement_test.cc
+++ b/src/membership/tests/announcement_test.cc
@@ -74,6 +74,23 @@
   EXPECT_EQ(Id(), "i-1");
 }
 
+/// Deregistrations need not name a start time.
+TEST_F(ARestartedDaemon, RemembersALeaveWithoutAStartTimeForALease) {
+  membership_->OnUpstreamLeft("i-1", 0, now_);
+  now_ += seconds(3);
+  Announce("i-1", 1000, 5);
+  EXPECT_EQ(Id(), "");
+  Announce("i-2", 1000, 1);
+  EXPECT_EQ(Id(), "i-2");
+}
+
+TEST_F(ARestartedDaemon, TakesANewStartUnderAnIdThatLeftWithoutAStartTime) {
+  membership_->OnUpstreamLeft("i-1", 0, now_);
+  now_ += seconds(6);
+  Announce("i-1", 3000, 1);
+  EXPECT_EQ(Id(), "i-1");
+}
+
 TEST_F(ARestartedDaemon, TakesAnotherUpstreamAfterALeave) {
   membership_->OnUpstreamLeft("i-1", 9000, now_);
   Announce("i-2", 2000, 1);
@@ -96,6 +113,16 @@
   EXPECT_EQ(membership_->LocalUpstream()->started_at_ms, 3000);
 }
 
+TEST_F(ANewStart, WithoutAStartTimeIsTakenOnceTheLeaseHasExpired) {
+  Announce("i-1", 0, 50);
+  Announce("i-1", 0, 1);
+  EXPECT_EQ(membership_->LocalUpstream()->sequence, 50U);
+  now_ += seconds(6);
+  membership_->OnTick(now_);
+  Announce("i-1", 0, 2);
+  EXPECT_EQ(Id(), "i-1");
+}
+
 TEST_F(ANewStart, IsNotRemovedByTheDeregistrationOfTheOldOne) {
   Announce("i-1", 1000, 50);
   Announce("i-1", 3000, 1);
@@ -106,6 +133,73 @@
   EXPECT_EQ(Id(), "i-2");
 }
 
+/// The clock that upstreams take their start times from was set back between
+/// two starts.
+class AnUpstreamWithAnEarlierStartTime : public AnUpstreamBesideADaemon {
+ protected:
+  AnUpstreamWithAnEarlierStartTime() { Announce("i-1", 9000, 50); }
+};
+
+TEST_F(AnUpstreamWithAnEarlierStartTime, ReplacesOneWhoseLeaseHasExpired) {
+  now_ += seconds(6);
+  membership_->OnTick(now_);
+  Announce("i-2", 4000, 5);
+  EXPECT_EQ(Id(), "i-2");
+}
+
+TEST_F(AnUpstreamWithAnEarlierStartTime, ReplacesOneThatHasLeft) {
+  membership_->OnUpstreamLeft("i-1", 9000, now_);
+  Announce("i-2", 4000, 5);
+  EXPECT_EQ(Id(), "");
+  now_ += seconds(6);
+  membership_->OnTick(now_);
+  Announce("i-2", 4000, 9);
+  EXPECT_EQ(Id(), "i-2");
+}
+
+TEST_F(AnUpstreamWithAnEarlierStartTime, DoesNotLetTheOneThatLeftReturn) {
+  membership_->OnUpstreamLeft("i-1", 9000, now_);
+  now_ += seconds(6);
+  membership_->OnTick(now_);
+  Announce("i-2", 4000, 5);
+  Announce("i-1", 9000, 51);
+  EXPECT_EQ(Id(), "i-2");
+}
+
+/// The daemon stands still for longer than a lease, so that it reads no
+/// announcements meanwhile.
+class ADaemonThatPauses : public AnUpstreamBesideADaemon {
+ protected:
+  ADaemonThatPauses() {
+    Announce("i-1", 1000, 1);
+    Run(seconds(1));
+    now_ += seconds(30);
+  }
+
+  void Run(Duration length) {
+    for (const Instant end = now_ + length; now_ < end;
+         now_ += std::chrono::milliseconds(50)) {
+      membership_->OnTick(now_);
+    }
+  }
+};
+
+TEST_F(ADaemonThatPauses, DoesNotTakeItForTheSilenceOfItsUpstream) {
+  Run(seconds(2));
+  EXPECT_EQ(Id(), "i-1");
+}
+
+TEST_F(ADaemonThatPauses, EndsTheLeaseOfAnUpstreamThatStaysSilent) {
+  Run(seconds(6));
+  EXPECT_EQ(Id(), "");
+}
+
+TEST_F(ADaemonThatPauses, DoesNotProlongALeaseThatBeganAfterThePause) {
+  Announce("i-1", 1000, 2);
+  Run(seconds(6));
+  EXPECT_EQ(Id(), "");
+}
+
 class AnUnexpectedAnnouncement : public AnUpstreamBesideADaemon {};
 
 TEST_F(AnUnexpectedAnnouncement, OfAnotherServiceOrAddressIsIgnored) {
