Show that a daemon whose clock was set back stays dead to the mesh

The incarnation of a daemon's process is the time of day at its start. When the clock was set back between two starts, on one machine or because another machine takes over the address, the later process has the lower incarnation. Peers keep the record of the earlier process, and the later process doesn't refute it, as it refutes records of its own incarnation only. Nobody sends requests to its upstream until the record expires after ten minutes.

The test fails: after 8 s all 11 other daemons see the instance as dead.

--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -290,6 +290,20 @@
   EXPECT_EQ(Upstream()->state, UpstreamState::kServing);
 }
 
+/// The incarnation is the time of day at the start of the process. The clock
+/// was set back between the starts of two processes.
+TEST_F(TwelveInstancesInThreeDomains, TakeALaterProcessWhoseClockWasSetBack) {
+  Start("a3", 9);
+  Run(seconds(8));
+  nodes_.erase("a3");
+  Run(seconds(12));
+  Start("a3", 2);
+  Run(seconds(8));
+  for (const auto& [name, node] : nodes_) {
+    EXPECT_EQ(StateAt(name, "a3"), InstanceState::kAlive) << name;
+  }
+}
+
 class AnUpstreamsLease : public SomeInstances {};
 
 TEST_F(AnUpstreamsLease, EndsWhenItIsNotRenewed) {
