Show that a leave is acknowledged before any peer knows of it

A daemon acknowledges that its upstream leaves once its own request thread refuses by it. Its peers, from which its next process would learn the leave, are told on the next tick, up to 50 ms later. A daemon that loses power in between has told nobody. A late announcement then makes its next process serve the upstream again, later than the drain time.

The test fails: 500 ms after the restart the announcement with the lower sequence is accepted. KeepsItLeft, in which the daemon lives on for 500 ms, passes.

--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -290,6 +290,19 @@
   EXPECT_EQ(Upstream()->state, UpstreamState::kServing);
 }
 
+/// Its daemon loses power as soon as it has handled the deregistration, which
+/// is when the upstream gets its acknowledgement.
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves,
+       KeepsItLeftWhenItEndedRightAfterTheAcknowledgement) {
+  Send("c3", nodes_["c3"]->OnUpstreamLeft("i-1", 1000, now_));
+  nodes_.erase("c3");
+  Run(milliseconds(500));
+  Start("c3", 2);
+  Run(milliseconds(500));
+  Announce(4, UpstreamState::kServing);
+  EXPECT_FALSE(Upstream().has_value());
+}
+
 /// The incarnation is the time of day at the start of the process. The clock
 /// was set back between the starts of two processes.
 TEST_F(TwelveInstancesInThreeDomains, TakeALaterProcessWhoseClockWasSetBack) {
