Show that an instance stays dead for seconds after its cut ends

A daemon that was cut off is dead to its peers and no longer in their views, so they send it nothing, and the answers to its own probes don't tell it. It learns that it counts as dead from its next comparison of tables, up to 7.5 s later. Until then its upstream gets no requests from other daemons, and it doesn't hear of drains and leaves.

--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -317,6 +317,26 @@
   }
 }
 
+/// Its peers have declared it dead while it was cut off, and don't include it
+/// any more in what they send.
+TEST_F(TwelveInstancesInThreeDomains, TakeBackAnInstanceSoonAfterItsCutEnds) {
+  for (int cut_seconds = 6; cut_seconds <= 12; ++cut_seconds) {
+    for (const auto& [name, node] : nodes_) {
+      if (name == "c4") continue;
+      cut_links_.insert({"c4", name});
+      cut_links_.insert({name, "c4"});
+    }
+    Run(seconds(cut_seconds));
+    cut_links_.clear();
+    Run(seconds(3));
+    for (const auto& [name, node] : nodes_) {
+      EXPECT_EQ(StateAt(name, "c4"), InstanceState::kAlive)
+          << name << " after a cut of " << cut_seconds << " s";
+    }
+    Run(seconds(10));
+  }
+}
+
 class AnUpstreamsLease : public SomeInstances {};
 
 TEST_F(AnUpstreamsLease, EndsWhenItIsNotRenewed) {
