Show that a dead relay's last record hides a cut

A failure domain counts as reachable while any relay of the own domain doesn't list it as unreachable. The record of a relay that has ended or stands still lists none, and counts until the relay is declared dead; its successor as a relay then waits for the domain timeout from anew. Meanwhile requests are sent to upstreams behind the cut.

The test fails 6 s after the cut: the timeout of 4 s and 2 s for gossip.

--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -317,6 +317,24 @@
   }
 }
 
+/// A relay ends at the moment at which another domain is cut off. Its last
+/// record, which lists no unreachable domain, must not count for long.
+TEST_F(TwelveInstancesInThreeDomains, NoticeACutDomainWhenARelayEndsAsWell) {
+  std::string relay = "a1";
+  for (const char* name : {"a2", "a3", "a4"}) {
+    if (DigestOf(name) < DigestOf(relay)) relay = name;
+  }
+  nodes_.erase(relay);
+  cut_domains_ = {'c'};
+  const Duration detection = MembershipConfig{}.domain_timeout + seconds(2);
+  Run(detection);
+  for (const auto& [name, node] : nodes_) {
+    if (name[0] == 'a') {
+      EXPECT_FALSE(node->DomainReachable("c")) << name;
+    }
+  }
+}
+
 /// Its peers have declared it dead while it was cut off, and don't include it
 /// any more in what they send.
 TEST_F(TwelveInstancesInThreeDomains, TakeBackAnInstanceSoonAfterItsCutEnds) {
