Split the membership by responsibility

The registration of the local upstream, the queue of records to gossip and the watch over other failure domains become classes of their own.

--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -1,25 +1,20 @@
 #include "membership/membership.h"
 
 #include <algorithm>
-#include <deque>
-#include <limits>
-#include <set>
 #include <utility>
 
 #include "base/random.h"
+#include "membership/internal/domain_watch.h"
 #include "membership/internal/failure_detector.h"
 #include "membership/internal/peer_view.h"
 #include "membership/internal/record_table.h"
+#include "membership/internal/update_queue.h"
+#include "membership/internal/upstream_registration.h"
 
 namespace hibiscusglade {
 namespace {
 
 constexpr size_t kGossipFanout = 3;
-constexpr size_t kGossipRoundsPerUpdate = 3;
-constexpr size_t kMaxRecordsPerMessage = 100;
-/// Upstreams that have deregistered and are remembered, as their earlier
-/// announcements may arrive seconds later.
-constexpr size_t kMaxDeparted = 16;
 /// One comparison in four goes to a seed.
 constexpr uint64_t kComparisonsPerSeedComparison = 4;
 
@@ -38,24 +33,24 @@
         self_(config_.self),
         random_(seed),
         detector_(config_, random_),
+        domains_(config_, table_, view_),
+        upstream_(config_),
         next_gossip_(now),
         next_compare_(now),
         next_probe_(now) {
     table_.Put(self_, now);
-    pending_updates_[self_.instance] = kGossipRoundsPerUpdate;
+    updates_.Add(self_.instance);
   }
 
   MembershipEffects OnTick(Instant now) override {
     MembershipEffects effects;
-    if (upstream_.has_value() && now >= lease_expires_at_) {
-      effects = OnUpstreamLeft("", 0, now);
-    }
+    if (upstream_.LeaseExpired(now)) effects = OnUpstreamLeft("", 0, now);
     if (table_.RemoveExpired(now, config_.retention)) RebuildView(effects);
     detector_.OnTick(now, effects);
     SuspectUnresponsive(now, effects);
     ExpireSuspicions(now, effects);
     UpdateUnreachableDomains(now, effects);
-    if (now >= next_domain_expiry_) ExpireUnreachableDomains(now, effects);
+    ForgetExpiredDomains(now, effects);
     if (now >= next_probe_) SendProbes(now, effects);
     GossipVersionInUse(now);
     if (now >= next_gossip_) SendUpdates(now, effects);
@@ -86,36 +81,14 @@
   MembershipEffects OnAnnounce(const UpstreamAnnouncement& upstream,
                                Instant now) override {
     MembershipEffects effects;
-    if (IsStale(upstream) || IsOfAnotherUpstream(upstream)) return effects;
-    lease_expires_at_ = now + config_.announcement_lease;
-    last_upstream_start_ms_ = upstream.started_at_ms;
-    last_upstream_id_ = upstream.id;
-    last_sequence_ = upstream.sequence;
-    const bool renews =
-        upstream_.has_value() && IsRenewal(*upstream_, upstream);
-    upstream_ = upstream;
-    if (renews) return effects;
-    self_.service = upstream.service;
-    self_.slots = upstream.slots;
-    self_.upstream_state = upstream.state;
-    PublishUpstreamState(now, effects);
+    if (upstream_.OnAnnounce(upstream, now)) PublishUpstream(now, effects);
     return effects;
   }
 
   MembershipEffects OnUpstreamLeft(const std::string& id, int64_t started_at_ms,
                                    Instant now) override {
     MembershipEffects effects;
-    // Also one that is not known here: the daemon may have been restarted.
-    if (!id.empty() && started_at_ms != 0) Remember({id, started_at_ms});
-    if (!upstream_.has_value()) return effects;
-    if (!id.empty() && id != upstream_->id) return effects;
-    if (started_at_ms != 0 && started_at_ms != upstream_->started_at_ms)
-      return effects;
-    // Ignore announcements of this upstream incarnation that arrive later.
-    if (!id.empty()) last_sequence_ = std::numeric_limits<uint64_t>::max();
-    upstream_.reset();
-    self_.upstream_state = UpstreamState::kNone;
-    PublishUpstreamState(now, effects);
+    if (upstream_.OnLeft(id, started_at_ms)) PublishUpstream(now, effects);
     return effects;
   }
 
@@ -139,15 +112,13 @@
   }
 
   std::vector<InstanceRecord> Records() const override {
-    std::set<std::string> unreachable;
-    for (const auto& [domain, seen] : domain_seen_at_) {
-      if (!DomainReachable(domain)) unreachable.insert(domain);
-    }
+    const std::vector<std::string> unreachable = domains_.Unreachable();
     std::vector<InstanceRecord> records;
     for (const auto& [instance, stored] : table_.All()) {
       records.push_back(stored.record);
       if (records.back().state == InstanceState::kAlive &&
-          unreachable.contains(stored.record.failure_domain)) {
+          std::binary_search(unreachable.begin(), unreachable.end(),
+                             stored.record.failure_domain)) {
         records.back().state = InstanceState::kSuspected;
       }
     }
@@ -168,21 +139,11 @@
   }
 
   std::optional<UpstreamAnnouncement> LocalUpstream() const override {
-    return upstream_;
+    return upstream_.Current();
   }
 
   bool DomainReachable(const std::string& failure_domain) const override {
-    if (failure_domain == self_.failure_domain) return true;
-    if (!domain_seen_at_.contains(failure_domain)) return false;
-    return std::any_of(
-        view_.own_domain_relays.begin(), view_.own_domain_relays.end(),
-        [&](const std::string& relay) {
-          const auto* stored = table_.Find(relay);
-          return stored != nullptr &&
-                 !std::binary_search(stored->record.unreachable_domains.begin(),
-                                     stored->record.unreachable_domains.end(),
-                                     failure_domain);
-        });
+    return domains_.Reachable(failure_domain);
   }
 
  private:
@@ -196,79 +157,11 @@
     PublishOwnRecord(now, effects);
   }
 
-  struct Departed {
-    std::string id;
-    int64_t started_at_ms = 0;
-  };
-
-  void Remember(Departed departed) {
-    departed_.push_back(std::move(departed));
-    if (departed_.size() > kMaxDeparted) departed_.pop_front();
-  }
-
-  bool HasLeft(const UpstreamAnnouncement& upstream) const {
-    return std::any_of(departed_.begin(), departed_.end(),
-                       [&upstream](const Departed& departed) {
-                         return departed.id == upstream.id &&
-                                upstream.started_at_ms <=
-                                    departed.started_at_ms;
-                       });
-  }
-
-  /// @return whether an announcement is of an earlier upstream incarnation, of
-  /// one that has left, or older than the last one of the same incarnation.
-  bool IsStale(const UpstreamAnnouncement& upstream) const {
-    if (HasLeft(upstream)) return true;
-    if (upstream.started_at_ms != last_upstream_start_ms_) {
-      return upstream.started_at_ms < last_upstream_start_ms_;
-    }
-    return (last_upstream_id_.empty() || upstream.id == last_upstream_id_) &&
-           upstream.sequence < last_sequence_;
-  }
-
-  bool IsOfAnotherUpstream(const UpstreamAnnouncement& upstream) const {
-    return (!config_.expected_service.empty() &&
-            upstream.service != config_.expected_service) ||
-           (!config_.expected_address.empty() &&
-            upstream.address != config_.expected_address);
-  }
-
-  /// @return whether `b` only renews the lease of `a`: nothing differs that
-  /// peers or the owner act on.
-  static bool IsRenewal(const UpstreamAnnouncement& a, UpstreamAnnouncement b) {
-    b.sequence = a.sequence;
-    b.cold_remaining = a.cold_remaining;
-    return a == b;
-  }
-
-  void PublishUpstreamState(Instant now, MembershipEffects& effects) {
-    const bool leaving = self_.upstream_state == UpstreamState::kNone ||
-                         self_.upstream_state == UpstreamState::kDraining;
-    self_.upstream_started_at_ms = leaving ? last_upstream_start_ms_ : 0;
-    self_.upstream_sequence = leaving ? last_sequence_ : 0;
+  void PublishUpstream(Instant now, MembershipEffects& effects) {
+    upstream_.Describe(self_);
     PublishOwnRecord(now, effects);
   }
 
-  /// Continues from a record of this daemon's earlier process, which has
-  /// acknowledged announcements that this one does not know.
-  void OnEarlierRecord(const InstanceRecord& record, Instant now,
-                       MembershipEffects& effects) {
-    const int64_t started_at_ms = record.upstream_started_at_ms;
-    if (started_at_ms < last_upstream_start_ms_) return;
-    if (started_at_ms == last_upstream_start_ms_) {
-      if (record.upstream_sequence <= last_sequence_) return;
-    } else {
-      last_upstream_id_.clear();
-    }
-    last_upstream_start_ms_ = started_at_ms;
-    last_sequence_ = record.upstream_sequence;
-    if (upstream_.has_value() && IsStale(*upstream_)) {
-      upstream_.reset();
-      self_.upstream_state = UpstreamState::kNone;
-    }
-    PublishUpstreamState(now, effects);
-  }
-
   void PublishOwnRecord(Instant now, MembershipEffects& effects) {
     ++self_.sequence;
     StoreRecord(self_, now, effects);
@@ -287,8 +180,8 @@
     effects.changed |=
         stored == nullptr || !DifferOnlyInVersion(stored->record, record);
     table_.Put(record, now);
-    pending_updates_[record.instance] = kGossipRoundsPerUpdate;
-    domain_seen_at_.emplace(record.failure_domain, now);
+    updates_.Add(record.instance);
+    domains_.OnRecord(record.failure_domain, now);
     if (record.state == InstanceState::kSuspected) {
       suspected_since_.emplace(record.instance, now);
     } else {
@@ -329,7 +222,7 @@
              MembershipEffects& effects) {
     if (record.instance == self_.instance) {
       if (record.incarnation < self_.incarnation) {
-        OnEarlierRecord(record, now, effects);
+        if (upstream_.ContinueFrom(record)) PublishUpstream(now, effects);
       } else {
         RefuteIfSuperseded(record, now, effects);
       }
@@ -360,7 +253,8 @@
 
   void OnAnswerFrom(const std::string& instance, Instant now) {
     const auto* stored = table_.Find(instance);
-    if (stored != nullptr) domain_seen_at_[stored->record.failure_domain] = now;
+    if (stored != nullptr)
+      domains_.OnAnswer(stored->record.failure_domain, now);
   }
 
   /// Marks unresponsive instances as suspected. Suspects none while no messages
@@ -398,46 +292,19 @@
   /// At a relay, lists the failure domains that do not answer probes in its own
   /// record, for the other daemons of its domain.
   void UpdateUnreachableDomains(Instant now, MembershipEffects& effects) {
-    if (view_.is_relay && !was_relay_) {
-      // Restart the timeouts: a daemon that is no relay does not probe other
-      // domains, so the times are out of date.
-      for (auto& [domain, seen] : domain_seen_at_) seen = now;
-    }
-    was_relay_ = view_.is_relay;
-    std::vector<std::string> unreachable;
-    for (const auto& [domain, relays] : view_.other_domain_relays) {
-      auto [seen, added] = domain_seen_at_.emplace(domain, now);
-      if (now - seen->second > config_.domain_timeout) {
-        unreachable.push_back(domain);
-      }
-    }
+    std::vector<std::string> unreachable = domains_.SilentToRelay(now);
     if (unreachable == self_.unreachable_domains) return;
     self_.unreachable_domains = std::move(unreachable);
     PublishOwnRecord(now, effects);
   }
 
-  void ExpireUnreachableDomains(Instant now, MembershipEffects& effects) {
-    next_domain_expiry_ = now + config_.probe_interval;
-    for (auto seen = domain_seen_at_.begin(); seen != domain_seen_at_.end();) {
-      const std::string& domain = seen->first;
-      if (DomainReachable(domain)) {
-        unreachable_since_.erase(domain);
-        ++seen;
-        continue;
-      }
-      const Instant since =
-          unreachable_since_.emplace(domain, now).first->second;
-      if (now - since <= config_.retention) {
-        ++seen;
-        continue;
-      }
+  void ForgetExpiredDomains(Instant now, MembershipEffects& effects) {
+    for (const std::string& domain : domains_.TakeExpired(now)) {
       table_.RemoveDomain(domain);
       std::erase_if(suspected_since_, [this](const auto& item) {
         return table_.Find(item.first) == nullptr;
       });
       RebuildView(effects);
-      unreachable_since_.erase(domain);
-      seen = domain_seen_at_.erase(seen);
     }
   }
 
@@ -461,43 +328,17 @@
 
   void SendUpdates(Instant now, MembershipEffects& effects) {
     next_gossip_ = now + Jittered(config_.gossip_interval);
-    if (pending_updates_.empty()) return;
-    GossipMessage local;
-    GossipMessage remote;
-    for (bool urgent : {true, false}) {
-      for (const auto& [instance, rounds] : pending_updates_) {
-        const auto* stored = table_.Find(instance);
-        if (stored == nullptr || IsUrgent(stored->record) != urgent ||
-            local.records.size() >= kMaxRecordsPerMessage) {
-          continue;
-        }
-        local.records.push_back(stored->record);
-        if (stored->record.failure_domain == self_.failure_domain &&
-            rounds == kGossipRoundsPerUpdate) {
-          remote.records.push_back(stored->record);
-        }
-      }
-    }
+    if (updates_.Empty()) return;
     const std::vector<std::string> targets = ChooseGossipTargets();
     if (targets.empty()) return;
+    const UpdateQueue::Round round =
+        updates_.Take(table_, self_.failure_domain);
     for (const std::string& address : targets) {
-      effects.send.push_back({address, local});
+      effects.send.push_back({address, round.own_domain});
     }
-    if (!remote.records.empty()) SendToOtherDomains(remote, effects);
-    for (const InstanceRecord& sent : local.records) {
-      auto found = pending_updates_.find(sent.instance);
-      if (--found->second == 0) pending_updates_.erase(found);
+    if (!round.other_domains.records.empty()) {
+      SendToOtherDomains(round.other_domains, effects);
     }
-    std::erase_if(pending_updates_, [this](const auto& item) {
-      return table_.Find(item.first) == nullptr;
-    });
-  }
-
-  /// Records of daemons that leave and of upstreams that drain are sent before
-  /// others, as no more requests must be sent there.
-  static bool IsUrgent(const InstanceRecord& record) {
-    return record.state == InstanceState::kLeft ||
-           record.upstream_state == UpstreamState::kDraining;
   }
 
   std::vector<std::string> ChooseGossipTargets() {
@@ -567,19 +408,10 @@
   RecordTable table_;
   PeerView view_;
   FailureDetector detector_;
-  /// Remaining gossip rounds for each instance with a changed record.
-  std::map<std::string, size_t> pending_updates_;
+  DomainWatch domains_;
+  UpstreamRegistration upstream_;
+  UpdateQueue updates_;
   std::map<std::string, Instant> suspected_since_;
-  std::map<std::string, Instant> domain_seen_at_;
-  std::map<std::string, Instant> unreachable_since_;
-  Instant next_domain_expiry_;
-  std::optional<UpstreamAnnouncement> upstream_;
-  Instant lease_expires_at_;
-  // Of the last announcement accepted.
-  int64_t last_upstream_start_ms_ = 0;
-  std::string last_upstream_id_;
-  uint64_t last_sequence_ = 0;
-  std::deque<Departed> departed_;  ///< Oldest first.
   Instant last_message_at_;
   bool version_pending_ = false;
   Instant next_version_gossip_;
@@ -587,7 +419,6 @@
   Instant next_compare_;
   Instant next_probe_;
   size_t next_probe_index_ = 0;
-  bool was_relay_ = false;
 };
 
 }  // namespace
