Take over from an earlier process with a higher incarnation

What callers saw: nobody sent requests to an upstream whose daemon was started again after its clock was set back, until the earlier record expired after ten minutes.

Cause: a daemon refuted records of its own incarnation only, and continued only from records of lower ones. A peer with the earlier, higher record did not even send it while that record was alive.

A daemon that meets a higher incarnation of its own now takes that number plus one and publishes its record, and continues from what that process knew of an upstream that leaves. A peer that has the record of a later process sends it to the sender of an earlier one's. A process alive at another address is not overtaken: two daemons of one name would contend without end.

Nothing else compares incarnations: frames carry the start time, which no receiver reads, and attempt ids need it to differ between processes only.

Evidence: TakeALaterProcessWhoseClockWasSetBack and the new KeepsItLeftWhenItsClockWasSetBack failed before and pass; KeepTheLaterOfTwoProcessesOfOneName passes before and after.

--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -216,16 +216,13 @@
   }
 
   /// @param answer receives the stored record when it is newer than the
-  /// sender's and its instance is not alive, or when the instance has been
-  /// restarted and may have forgotten that its upstream leaves.
+  /// sender's and its instance is not alive or the sender's is of another
+  /// process, or when the instance has been restarted and may have forgotten
+  /// that its upstream leaves.
   void Merge(const InstanceRecord& record, Instant now, GossipMessage& answer,
              MembershipEffects& effects) {
     if (record.instance == self_.instance) {
-      if (record.incarnation < self_.incarnation) {
-        if (upstream_.ContinueFrom(record)) PublishUpstream(now, effects);
-      } else {
-        RefuteIfSuperseded(record, now, effects);
-      }
+      MergeOwnRecord(record, now, effects);
       return;
     }
     const auto* stored = table_.Find(record.instance);
@@ -236,21 +233,46 @@
       }
       StoreRecord(record, now, effects);
     } else if (Supersedes(stored->record, record) &&
-               stored->record.state != InstanceState::kAlive) {
+               (stored->record.state != InstanceState::kAlive ||
+                stored->record.incarnation > record.incarnation)) {
       answer.records.push_back(stored->record);
     }
   }
 
-  void RefuteIfSuperseded(const InstanceRecord& record, Instant now,
-                          MembershipEffects& effects) {
-    if (record.incarnation != self_.incarnation || !Supersedes(record, self_) ||
-        self_.state == InstanceState::kLeft) {
+  /// Handles a record of this instance that a peer has: one of an earlier
+  /// process, or one that a peer has declared suspected or dead.
+  void MergeOwnRecord(const InstanceRecord& record, Instant now,
+                      MembershipEffects& effects) {
+    if (record.incarnation != self_.incarnation) {
+      const bool newer = Overtake(record);
+      if (upstream_.ContinueFrom(record) || newer) {
+        PublishUpstream(now, effects);
+      }
+      return;
+    }
+    if (!Supersedes(record, self_) || self_.state == InstanceState::kLeft) {
       return;
     }
     self_.sequence = record.sequence;
     PublishOwnRecord(now, effects);
   }
 
+  /// Raises the own incarnation above that of an earlier process, which was
+  /// started before the clock was set back. Leaves an alive process at another
+  /// address alone: two processes of one name would overtake each other
+  /// without end.
+  /// @return whether the incarnation was raised.
+  bool Overtake(const InstanceRecord& record) {
+    const bool may_run_elsewhere =
+        record.state <= InstanceState::kSuspected &&
+        record.control_address != self_.control_address;
+    if (record.incarnation < self_.incarnation || may_run_elsewhere) {
+      return false;
+    }
+    self_.incarnation = record.incarnation + 1;
+    return true;
+  }
+
   void OnAnswerFrom(const std::string& instance, Instant now) {
     const auto* stored = table_.Find(instance);
     if (stored != nullptr)
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -317,6 +317,46 @@
   }
 }
 
+/// The earlier process had acknowledged that its upstream leaves.
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves,
+       KeepsItLeftWhenItsClockWasSetBack) {
+  Start("c3", 9);
+  Run(seconds(2));
+  Announce(6, UpstreamState::kServing);
+  nodes_["c3"]->OnUpstreamLeft("i-1", 1000, now_);
+  Run(milliseconds(500));
+  Start("c3", 2);
+  Run(milliseconds(500));
+  Announce(4, UpstreamState::kServing);
+  EXPECT_FALSE(Upstream().has_value());
+  Announce(1, UpstreamState::kServing, 2000);
+  Run(seconds(2));
+  for (const auto& [name, node] : nodes_) {
+    EXPECT_EQ(StateAt(name, "c3"), InstanceState::kAlive) << name;
+  }
+}
+
+/// Two processes were given one name, at different addresses. The later one
+/// keeps it, and they don't overtake each other.
+TEST_F(TwelveInstancesInThreeDomains, KeepTheLaterOfTwoProcessesOfOneName) {
+  MembershipConfig config;
+  config.self.instance = "a3";
+  config.self.failure_domain = "a";
+  config.self.incarnation = 2;
+  config.self.control_address = "elsewhere";
+  config.seeds = {"a1", "b1"};
+  nodes_["elsewhere"] = MakeMembership(config, 1, now_);
+  Run(seconds(20));
+  for (const auto& [name, node] : nodes_) {
+    for (const InstanceRecord& record : node->Records()) {
+      if (record.instance == "a3" && name != "a3") {
+        EXPECT_EQ(record.incarnation, 2u) << name;
+        EXPECT_EQ(record.state, InstanceState::kAlive) << name;
+      }
+    }
+  }
+}
+
 /// A relay ends at the moment at which another domain is cut off. Its last
 /// record, which lists no unreachable domain, must not count for long.
 TEST_F(TwelveInstancesInThreeDomains, NoticeACutDomainWhenARelayEndsAsWell) {
--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -34,7 +34,9 @@
   std::string instance;
   std::string region;
   std::string failure_domain;
-  uint64_t incarnation = 0;  ///< Of the daemon's process; rises at restarts.
+  /// Of the daemon's process; rises at restarts. The start time, or more than
+  /// that of the earlier process where the clock was set back.
+  uint64_t incarnation = 0;
   uint64_t sequence = 0;
   InstanceState state = InstanceState::kAlive;
   std::string control_address;
