--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -6,6 +6,7 @@
 #include "base/random.h"
 #include "membership/internal/domain_watch.h"
 #include "membership/internal/failure_detector.h"
+#include "membership/internal/gossip_targets.h"
 #include "membership/internal/peer_view.h"
 #include "membership/internal/record_table.h"
 #include "membership/internal/update_queue.h"
@@ -14,10 +15,6 @@
 namespace hibiscusglade {
 namespace {
 
-constexpr size_t kGossipFanout = 3;
-/// One comparison in four goes to a seed.
-constexpr uint64_t kComparisonsPerSeedComparison = 4;
-
 /// @return whether two records differ at most in sequence and version in use.
 bool DifferOnlyInVersion(const InstanceRecord& a, InstanceRecord b) {
   b.sequence = a.sequence;
@@ -34,6 +31,7 @@
         random_(seed),
         detector_(config_, random_),
         domains_(config_, table_, view_),
+        targets_(config_, table_, view_, random_),
         upstream_(config_),
         next_gossip_(now),
         next_compare_(now),
@@ -338,86 +336,43 @@
                                  view_.own_domain_peers.size()];
       std::vector<ProbeTarget> helpers;
       for (const std::string& other : view_.own_domain_peers) {
-        if (other != chosen) helpers.push_back(TargetOf(other));
+        if (other != chosen) helpers.push_back(targets_.Of(other));
       }
-      detector_.Probe(TargetOf(chosen), std::move(helpers), now, effects);
+      detector_.Probe(targets_.Of(chosen), std::move(helpers), now, effects);
     }
     for (const auto& [domain, relays] : view_.other_domain_relays) {
-      detector_.Probe(TargetOf(relays[random_.Below(relays.size())]), {}, now,
-                      effects);
+      detector_.Probe(targets_.Of(relays[random_.Below(relays.size())]), {},
+                      now, effects);
     }
   }
 
   void SendUpdates(Instant now, MembershipEffects& effects) {
     next_gossip_ = now + Jittered(config_.gossip_interval);
     if (updates_.Empty()) return;
-    const std::vector<std::string> targets = ChooseGossipTargets();
+    const std::vector<std::string> targets = targets_.ForUpdates();
     if (targets.empty()) return;
     const UpdateQueue::Round round =
         updates_.Take(table_, self_.failure_domain);
     for (const std::string& address : targets) {
       effects.send.push_back({address, round.own_domain});
     }
-    if (!round.other_domains.records.empty()) {
-      SendToOtherDomains(round.other_domains, effects);
-    }
-  }
-
-  std::vector<std::string> ChooseGossipTargets() {
-    std::vector<std::string> candidates = view_.own_domain_peers;
-    std::vector<std::string> targets;
-    while (targets.size() < kGossipFanout && !candidates.empty()) {
-      const size_t chosen = random_.Below(candidates.size());
-      targets.push_back(TargetOf(candidates[chosen]).address);
-      candidates.erase(candidates.begin() + static_cast<ptrdiff_t>(chosen));
-    }
-    if (targets.empty() && view_.other_domain_relays.empty()) {
-      const std::string seed = RandomSeed();
-      if (!seed.empty()) targets.push_back(seed);
-    }
-    if (targets.empty() && !view_.other_domain_relays.empty()) {
-      const auto& relays = view_.other_domain_relays.begin()->second;
-      targets.push_back(TargetOf(relays.front()).address);
-    }
-    return targets;
-  }
-
-  void SendToOtherDomains(const GossipMessage& message,
-                          MembershipEffects& effects) {
-    for (const auto& [domain, relays] : view_.other_domain_relays) {
-      const std::string& chosen = relays[random_.Below(relays.size())];
-      effects.send.push_back({TargetOf(chosen).address, message});
+    if (round.other_domains.records.empty()) return;
+    for (const std::string& address : targets_.InOtherDomains()) {
+      effects.send.push_back({address, round.other_domains});
     }
   }
 
-  /// Starts a comparison of tables with one peer, or sometimes with a seed, so
-  /// that groups of daemons that no longer know each other are joined again.
+  /// Starts a comparison of tables with one peer or seed.
   void SendComparison(Instant now, MembershipEffects& effects) {
     const bool alone = table_.All().size() == 1;
     next_compare_ = now + Jittered(alone ? config_.gossip_interval
                                          : config_.compare_interval);
-    std::vector<InstanceRecord> peers = Peers();
-    std::string address;
-    if (peers.empty() || random_.Below(kComparisonsPerSeedComparison) == 0) {
-      address = RandomSeed();
-    } else {
-      address = peers[random_.Below(peers.size())].control_address;
-    }
+    const std::string address = targets_.ForComparison();
     if (address.empty()) return;
     effects.send.push_back(
         {address, {GossipMessage{{self_}, table_.BucketDigests()}}});
   }
 
-  std::string RandomSeed() {
-    std::vector<std::string> seeds = config_.seeds;
-    std::erase(seeds, self_.control_address);
-    return seeds.empty() ? "" : seeds[random_.Below(seeds.size())];
-  }
-
-  ProbeTarget TargetOf(const std::string& instance) const {
-    return {instance, table_.Find(instance)->record.control_address};
-  }
-
   /// @return a random duration between 0.5 and 1.5 times the interval.
   Duration Jittered(Duration interval) {
     const auto length = static_cast<uint64_t>(interval.count());
@@ -431,6 +386,7 @@
   PeerView view_;
   FailureDetector detector_;
   DomainWatch domains_;
+  GossipTargets targets_;
   UpstreamRegistration upstream_;
   UpdateQueue updates_;
   std::map<std::string, Instant> suspected_since_;
