Stand in as a relay when the own failure domain is silent

Cause: a daemon that hears nothing at all accuses nobody, as the fault is most likely its own. So the two relays of its domain stayed its relays though they were dark, and it got no records of other domains.

While nobody of its domain answers it probes all its peers at once. When all of them are silent it stands in as a relay, and compares tables with another domain's relay about every second, as nobody there knows of it. It declares nobody dead by what it hears as a stand-in. In a mesh of one domain the view stays as it was, so that Peers() is never empty while anybody is known. Probes carry the sender's name, which is how it is heard.

Ruled out: leaving out only those found silent, without standing in, as a domain of 225 is then known to be silent only after many rounds of probes; declaring the domain dead, as the fault may be this daemon's.

--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -142,6 +142,7 @@
   }
   void operator()(const ProbeMessage& m) const {
     out.mutable_probe()->set_sequence(m.sequence);
+    out.mutable_probe()->set_instance(m.instance);
   }
   void operator()(const ProbeAckMessage& m) const {
     out.mutable_probe_ack()->set_sequence(m.sequence);
@@ -218,7 +219,7 @@
       return gossip;
     }
     case wire::Envelope::kProbe:
-      return ProbeMessage{in.probe().sequence()};
+      return ProbeMessage{in.probe().sequence(), in.probe().instance()};
     case wire::Envelope::kProbeAck:
       return ProbeAckMessage{in.probe_ack().sequence(),
                              in.probe_ack().instance()};
--- a/src/control/tests/control_codec_test.cc
+++ b/src/control/tests/control_codec_test.cc
@@ -109,6 +109,13 @@
   EXPECT_EQ(read.records, std::vector<InstanceRecord>{record});
 }
 
+TEST(AProbe, IsReadAsItWasWritten) {
+  const ProbeMessage probe{7, "x"};
+  wire::Envelope message;
+  ToWire(probe, message);
+  EXPECT_EQ(std::get<ProbeMessage>(*MembershipFromWire(message)), probe);
+}
+
 TEST(AnInstanceRecordWithAnAddressThatCannotBeRead,
      IsLeftOutAndTheOthersAreRead) {
   InstanceRecord good;
--- a/src/membership/internal/failure_detector.cc
+++ b/src/membership/internal/failure_detector.cc
@@ -13,7 +13,8 @@
   probe.target = target;
   probe.helpers = std::move(helpers);
   probe.deadline = now + config_.probe_timeout;
-  effects.send.push_back({target.address, ProbeMessage{sequence}});
+  effects.send.push_back(
+      {target.address, ProbeMessage{sequence, config_.self.instance}});
 }
 
 void FailureDetector::OnTick(Instant now, MembershipEffects& effects) {
@@ -60,6 +61,13 @@
   pending_.erase(found);
 }
 
+bool FailureDetector::IsProbing(const std::string& instance) const {
+  return std::any_of(pending_.begin(), pending_.end(), [&](const auto& item) {
+    return item.second.asker_address.empty() &&
+           item.second.target.instance == instance;
+  });
+}
+
 std::vector<std::string> FailureDetector::TakeUnresponsive() {
   return std::exchange(unresponsive_, {});
 }
--- a/src/membership/internal/failure_detector.h
+++ b/src/membership/internal/failure_detector.h
@@ -41,6 +41,9 @@
 
   void OnAck(const ProbeAckMessage& ack, MembershipEffects& effects);
 
+  /// @return whether an answer to a probe of this daemon's own is awaited.
+  bool IsProbing(const std::string& instance) const;
+
   /// @return instances that became unresponsive since the last call.
   std::vector<std::string> TakeUnresponsive();
 
--- a/src/membership/internal/gossip_targets.cc
+++ b/src/membership/internal/gossip_targets.cc
@@ -39,13 +39,15 @@
 }
 
 std::string GossipTargets::ForComparison() {
-  std::vector<std::string> peers = view_.own_domain_peers;
+  std::vector<std::string> peers;
+  if (!view_.stands_in) peers = view_.own_domain_peers;
   for (const auto& [domain, relays] : view_.other_domain_relays) {
     peers.insert(peers.end(), relays.begin(), relays.end());
   }
-  if (peers.empty() || random_.Below(kComparisonsPerSeedComparison) == 0) {
-    return RandomSeed();
-  }
+  const bool to_seed =
+      peers.empty() ||
+      (!view_.stands_in && random_.Below(kComparisonsPerSeedComparison) == 0);
+  if (to_seed) return RandomSeed();
   return Of(OneOf(peers)).address;
 }
 
--- a/src/membership/internal/gossip_targets.h
+++ b/src/membership/internal/gossip_targets.h
@@ -29,7 +29,7 @@
 
   /// @return the address of a peer, or sometimes of a seed, so that groups of
   /// daemons that no longer know each other are joined again; empty: nobody is
-  /// known.
+  /// known. That of another domain's relay while this daemon stands in as one.
   std::string ForComparison();
 
   /// @param instance one that is in the table.
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -1,6 +1,7 @@
 #include "membership/membership.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/random.h"
@@ -15,6 +16,9 @@
 namespace hibiscusglade {
 namespace {
 
+/// Of the instances left out of the view, so many are probed at a time.
+constexpr size_t kSilentProbes = 3;
+
 /// @return whether two records differ at most in sequence and version in use.
 bool DifferOnlyInVersion(const InstanceRecord& a, InstanceRecord b) {
   b.sequence = a.sequence;
@@ -45,7 +49,7 @@
     if (upstream_.LeaseExpired(now)) effects = OnUpstreamLeft("", 0, now);
     if (table_.RemoveExpired(now, config_.retention)) RebuildView(effects);
     detector_.OnTick(now, effects);
-    SuspectUnresponsive(now, effects);
+    HandleUnresponsive(now, effects);
     ExpireSuspicions(now, effects);
     UpdateUnreachableDomains(now, effects);
     ForgetExpiredDomains(now, effects);
@@ -64,9 +68,11 @@
     if (const auto* gossip = std::get_if<GossipMessage>(&message)) {
       OnGossip(from, *gossip, now, effects);
     } else if (const auto* probe = std::get_if<ProbeMessage>(&message)) {
+      OnHeard(probe->instance, now, effects);
       effects.send.push_back(
           {from, ProbeAckMessage{probe->sequence, self_.instance}});
     } else if (const auto* ack = std::get_if<ProbeAckMessage>(&message)) {
+      OnHeard(ack->instance, now, effects);
       OnAnswerFrom(ack->instance, now);
       detector_.OnAck(*ack, effects);
     } else if (const auto* indirect =
@@ -175,6 +181,11 @@
     const auto* stored = table_.Find(record.instance);
     const bool state_changed =
         stored == nullptr || stored->record.state != record.state;
+    const bool restarted =
+        stored != nullptr && stored->record.incarnation != record.incarnation;
+    const bool returns =
+        (restarted || record.state > InstanceState::kSuspected) &&
+        silent_.erase(record.instance) != 0;
     effects.changed |=
         stored == nullptr || !DifferOnlyInVersion(stored->record, record);
     table_.Put(record, now);
@@ -185,7 +196,7 @@
     } else {
       suspected_since_.erase(record.instance);
     }
-    if (state_changed) RebuildView(effects);
+    if (state_changed || returns) RebuildView(effects);
   }
 
   void RebuildView(MembershipEffects& effects) {
@@ -194,7 +205,10 @@
     for (const auto& [instance, stored] : table_.All()) {
       records.push_back(&stored.record);
     }
-    view_ = MakePeerView(records, self_);
+    const bool stood_in = view_.stands_in;
+    view_ = MakePeerView(records, self_, silent_);
+    // Nobody in other domains knows that this daemon stands in.
+    if (view_.stands_in && !stood_in) next_compare_ = Instant{};
   }
 
   void OnGossip(const std::string& from, const GossipMessage& gossip,
@@ -277,28 +291,66 @@
       domains_.OnAnswer(stored->record.failure_domain, now);
   }
 
-  /// Marks unresponsive instances as suspected. Suspects none while no messages
-  /// arrive at all, because the fault is then most likely at this daemon.
-  void SuspectUnresponsive(Instant now, MembershipEffects& effects) {
+  /// @param instance the sender of a message, or the one that a helper reached.
+  void OnHeard(const std::string& instance, Instant now,
+               MembershipEffects& effects) {
+    const auto* stored = table_.Find(instance);
+    if (stored != nullptr &&
+        stored->record.failure_domain == self_.failure_domain) {
+      last_heard_own_domain_at_ = now;
+    }
+    if (silent_.erase(instance) != 0) RebuildView(effects);
+  }
+
+  /// Leaves unresponsive instances out of the view, and marks them as
+  /// suspected. While nobody of the own domain is heard, probes all peers at
+  /// once, to find somebody who answers.
+  void HandleUnresponsive(Instant now, MembershipEffects& effects) {
+    const std::vector<std::string> peers = view_.own_domain_peers;
+    bool any_added = false;
     for (const std::string& instance : detector_.TakeUnresponsive()) {
       const auto* stored = table_.Find(instance);
-      if (stored == nullptr || stored->record.state != InstanceState::kAlive ||
-          stored->record.failure_domain != self_.failure_domain ||
-          now - last_message_at_ > config_.probe_interval) {
+      if (stored == nullptr ||
+          stored->record.state > InstanceState::kSuspected ||
+          stored->record.failure_domain != self_.failure_domain) {
+        continue;
+      }
+      any_added |= silent_.insert(instance).second;
+      if (stored->record.state != InstanceState::kAlive || !MayAccuse(now)) {
         continue;
       }
       InstanceRecord suspected = stored->record;
       suspected.state = InstanceState::kSuspected;
       StoreRecord(suspected, now, effects);
     }
+    if (!any_added) return;
+    RebuildView(effects);
+    if (HearsOwnDomain(now)) return;
+    for (const std::string& peer : peers) {
+      ProbeUnlessPending(peer, now, effects);
+    }
+    for (const std::string& peer : view_.own_domain_peers) {
+      ProbeUnlessPending(peer, now, effects);
+    }
+  }
+
+  bool HearsOwnDomain(Instant now) const {
+    return now - last_heard_own_domain_at_ <= config_.probe_interval;
+  }
+
+  /// @return whether others may be suspected and declared dead: not while no
+  /// messages arrive at all, nor while other domains are heard only because
+  /// this daemon stands in as a relay. The fault is then most likely here.
+  bool MayAccuse(Instant now) const {
+    return now - last_message_at_ <= config_.probe_interval &&
+           (!view_.stands_in || HearsOwnDomain(now));
   }
 
   void ExpireSuspicions(Instant now, MembershipEffects& effects) {
     std::vector<InstanceRecord> expired;
     for (const auto& [instance, since] : suspected_since_) {
       const InstanceRecord& record = table_.Find(instance)->record;
-      if (now - since > config_.suspicion_timeout &&
-          now - last_message_at_ <= config_.probe_interval &&
+      if (now - since > config_.suspicion_timeout && MayAccuse(now) &&
           record.failure_domain == self_.failure_domain) {
         expired.push_back(record);
       }
@@ -331,14 +383,15 @@
   void SendProbes(Instant now, MembershipEffects& effects) {
     next_probe_ = now + Jittered(config_.probe_interval);
     if (!view_.own_domain_peers.empty()) {
-      const std::string& chosen =
-          view_.own_domain_peers[next_probe_index_++ %
-                                 view_.own_domain_peers.size()];
-      std::vector<ProbeTarget> helpers;
-      for (const std::string& other : view_.own_domain_peers) {
-        if (other != chosen) helpers.push_back(targets_.Of(other));
-      }
-      detector_.Probe(targets_.Of(chosen), std::move(helpers), now, effects);
+      ProbeOwnDomain(view_.own_domain_peers[next_probe_index_++ %
+                                            view_.own_domain_peers.size()],
+                     now, effects);
+    }
+    for (size_t i = 0; i < std::min(kSilentProbes, silent_.size()); ++i) {
+      auto next = silent_.upper_bound(last_silent_probed_);
+      if (next == silent_.end()) next = silent_.begin();
+      last_silent_probed_ = *next;
+      ProbeUnlessPending(*next, now, effects);
     }
     for (const auto& [domain, relays] : view_.other_domain_relays) {
       detector_.Probe(targets_.Of(relays[random_.Below(relays.size())]), {},
@@ -346,6 +399,20 @@
     }
   }
 
+  void ProbeUnlessPending(const std::string& instance, Instant now,
+                          MembershipEffects& effects) {
+    if (!detector_.IsProbing(instance)) ProbeOwnDomain(instance, now, effects);
+  }
+
+  void ProbeOwnDomain(const std::string& instance, Instant now,
+                      MembershipEffects& effects) {
+    std::vector<ProbeTarget> helpers;
+    for (const std::string& other : view_.own_domain_peers) {
+      if (other != instance) helpers.push_back(targets_.Of(other));
+    }
+    detector_.Probe(targets_.Of(instance), std::move(helpers), now, effects);
+  }
+
   void SendUpdates(Instant now, MembershipEffects& effects) {
     next_gossip_ = now + Jittered(config_.gossip_interval);
     if (updates_.Empty()) return;
@@ -365,8 +432,10 @@
   /// Starts a comparison of tables with one peer or seed.
   void SendComparison(Instant now, MembershipEffects& effects) {
     const bool alone = table_.All().size() == 1;
-    next_compare_ = now + Jittered(alone ? config_.gossip_interval
-                                         : config_.compare_interval);
+    const Duration interval = alone             ? config_.gossip_interval
+                              : view_.stands_in ? config_.probe_interval
+                                                : config_.compare_interval;
+    next_compare_ = now + Jittered(interval);
     const std::string address = targets_.ForComparison();
     if (address.empty()) return;
     effects.send.push_back(
@@ -390,7 +459,12 @@
   UpstreamRegistration upstream_;
   UpdateQueue updates_;
   std::map<std::string, Instant> suspected_since_;
+  /// Instances of the own domain that didn't answer, nor through helpers, since
+  /// they were last heard from.
+  std::set<std::string> silent_;
+  std::string last_silent_probed_;
   Instant last_message_at_;
+  Instant last_heard_own_domain_at_;
   bool version_pending_ = false;
   Instant next_version_gossip_;
   Instant next_gossip_;
--- a/src/membership/internal/peer_view.cc
+++ b/src/membership/internal/peer_view.cc
@@ -30,10 +30,15 @@
   return peers;
 }
 
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 }  // namespace
 
 PeerView MakePeerView(const std::vector<const InstanceRecord*>& records,
-                      const InstanceRecord& self) {
+                      const InstanceRecord& self,
+                      const std::set<std::string>& silent) {
   std::map<std::string, Ring> rings;
   for (const InstanceRecord* record : records) {
     if (record->state > InstanceState::kSuspected &&
@@ -44,13 +49,23 @@
                                                record->instance);
   }
   for (auto& [domain, ring] : rings) std::sort(ring.begin(), ring.end());
+  Ring& own = rings[self.failure_domain];
+  const std::vector<std::string> all_peers = Successors(own, self.instance);
+  const bool relay_of_all = Contains(RelaysOf(own), self.instance);
+  const bool nobody_answers =
+      !all_peers.empty() &&
+      std::all_of(all_peers.begin(), all_peers.end(),
+                  [&](const auto& peer) { return silent.contains(peer); });
+  std::erase_if(own, [&](const auto& p) { return silent.contains(p.second); });
   PeerView view;
-  const Ring& own = rings[self.failure_domain];
   view.own_domain_peers = Successors(own, self.instance);
+  if (view.own_domain_peers.empty() && rings.size() == 1 && !silent.empty()) {
+    return MakePeerView(records, self, {});
+  }
   view.own_domain_relays = RelaysOf(own);
-  view.is_relay =
-      std::find(view.own_domain_relays.begin(), view.own_domain_relays.end(),
-                self.instance) != view.own_domain_relays.end();
+  if (nobody_answers) view.own_domain_relays = {self.instance};
+  view.is_relay = Contains(view.own_domain_relays, self.instance);
+  view.stands_in = view.is_relay && !relay_of_all;
   if (!view.is_relay) return view;
   for (const auto& [domain, ring] : rings) {
     if (domain != self.failure_domain) {
--- a/src/membership/internal/peer_view.h
+++ b/src/membership/internal/peer_view.h
@@ -2,6 +2,7 @@
 #define HIBISCUSGLADE_MEMBERSHIP_INTERNAL_PEER_VIEW_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
   std::map<std::string, std::vector<std::string>> other_domain_relays;
   std::vector<std::string> own_domain_relays;
   bool is_relay = false;
+  /// A relay only because others don't answer.
+  bool stands_in = false;
 
   friend bool operator==(const PeerView&, const PeerView&) = default;
 };
@@ -26,8 +29,12 @@
 /// and so on positions after it, so that an update reaches all n daemons of a
 /// domain in log2(n) steps, and each daemon has log2(n) peers. The first two
 /// instances on the ring are the domain's relays.
+/// @param silent instances that don't answer `self`, which are left out of the
+/// ring of its domain while anybody else is known. A daemon that all its peers
+/// don't answer stands in as a relay.
 PeerView MakePeerView(const std::vector<const InstanceRecord*>& records,
-                      const InstanceRecord& self);
+                      const InstanceRecord& self,
+                      const std::set<std::string>& silent);
 
 }  // namespace hibiscusglade
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -49,6 +49,7 @@
 
 struct ProbeMessage {
   uint64_t sequence = 0;
+  std::string instance;  ///< The sender; empty from an earlier release.
 
   friend bool operator==(const ProbeMessage&, const ProbeMessage&) = default;
 };
