Answer a probe of a dead instance with its record

What callers saw: the upstream of a daemon that was cut off for some seconds got no requests from other daemons for up to 15 s after the cut, and its daemon heard of no drains or leaves.

Cause: its peers had declared it dead and sent it nothing any more; the answers to its probes did not tell it. It learnt of its death from its next comparison of tables only.

Who answers a probe now also sends the record that it has of the prober, when that isn't alive, and the prober refutes it at once. A daemon that hears again from an instance that it had left out gossips its own record once more, as that instance has missed the earlier rounds. No message grows; the added one is sent only to a prober that counts as suspected, dead or left.

--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -68,9 +68,7 @@
     if (const auto* gossip = std::get_if<GossipMessage>(&message)) {
       OnGossip(from, *gossip, now, effects);
     } else if (const auto* probe = std::get_if<ProbeMessage>(&message)) {
-      OnHeard(probe->instance, now, effects);
-      effects.send.push_back(
-          {from, ProbeAckMessage{probe->sequence, self_.instance}});
+      OnProbe(from, *probe, now, effects);
     } else if (const auto* ack = std::get_if<ProbeAckMessage>(&message)) {
       OnHeard(ack->instance, now, effects);
       OnAnswerFrom(ack->instance, now);
@@ -291,6 +289,20 @@
       domains_.OnAnswer(stored->record.failure_domain, now);
   }
 
+  /// Answers a probe. A sender that isn't alive by its record here is sent that
+  /// record too, to refute it.
+  void OnProbe(const std::string& from, const ProbeMessage& probe, Instant now,
+               MembershipEffects& effects) {
+    OnHeard(probe.instance, now, effects);
+    effects.send.push_back(
+        {from, ProbeAckMessage{probe.sequence, self_.instance}});
+    const auto* stored = table_.Find(probe.instance);
+    if (stored == nullptr || stored->record.state == InstanceState::kAlive) {
+      return;
+    }
+    effects.send.push_back({from, GossipMessage{{stored->record}, {}}});
+  }
+
   /// @param instance the sender of a message, or the one that a helper reached.
   void OnHeard(const std::string& instance, Instant now,
                MembershipEffects& effects) {
@@ -299,7 +311,10 @@
         stored->record.failure_domain == self_.failure_domain) {
       last_heard_own_domain_at_ = now;
     }
-    if (silent_.erase(instance) != 0) RebuildView(effects);
+    if (silent_.erase(instance) == 0) return;
+    RebuildView(effects);
+    // It has missed what was gossiped meanwhile.
+    updates_.Add(self_.instance);
   }
 
   /// Leaves unresponsive instances out of the view, and marks them as
