--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -5,20 +5,20 @@
 #include <utility>
 
 #include "base/random.h"
+#include "membership/internal/domain_watch.h"
 #include "membership/internal/failure_detector.h"
+#include "membership/internal/gossip_targets.h"
 #include "membership/internal/passed_on_records.h"
 #include "membership/internal/peer_view.h"
 #include "membership/internal/record_table.h"
+#include "membership/internal/update_queue.h"
 #include "membership/internal/upstream_registration.h"
 
 namespace hibiscusglade {
 namespace {
 
-constexpr size_t kGossipFanout = 3;
-constexpr size_t kGossipRoundsPerUpdate = 3;
-constexpr size_t kMaxRecordsPerMessage = 100;
-/// One comparison in four goes to a seed.
-constexpr uint64_t kComparisonsPerSeedComparison = 4;
+/// Of the instances left out of the view, so many are probed at a time.
+constexpr size_t kSilentProbes = 3;
 
 class MembershipImpl : public Membership {
  public:
@@ -27,12 +27,14 @@
         self_(config_.self),
         random_(seed),
         detector_(config_, random_),
+        domains_(config_, table_, view_),
+        targets_(config_, table_, view_, random_),
         upstream_(config_),
         next_gossip_(now),
         next_compare_(now),
         next_probe_(now) {
     table_.Put(self_, now);
-    pending_updates_[self_.instance] = kGossipRoundsPerUpdate;
+    updates_.Add(self_.instance);
   }
 
   MembershipEffects OnTick(Instant now) override {
@@ -43,10 +45,10 @@
       passed_on_.Retain(table_);
     }
     detector_.OnTick(now, effects);
-    SuspectUnresponsive(now, effects);
+    HandleUnresponsive(now, effects);
     ExpireSuspicions(now, effects);
     UpdateUnreachableDomains(now, effects);
-    if (now >= next_domain_expiry_) ExpireUnreachableDomains(now, effects);
+    ForgetExpiredDomains(now, effects);
     if (now >= next_probe_) SendProbes(now, effects);
     GossipVersionInUse(now);
     if (now >= next_gossip_) SendUpdates(now, effects);
@@ -62,9 +64,9 @@
     if (const auto* gossip = std::get_if<GossipMessage>(&message)) {
       OnGossip(from, *gossip, now, effects);
     } else if (const auto* probe = std::get_if<ProbeMessage>(&message)) {
-      effects.send.push_back(
-          {from, ProbeAckMessage{probe->sequence, self_.instance}});
+      OnProbe(from, *probe, now, effects);
     } else if (const auto* ack = std::get_if<ProbeAckMessage>(&message)) {
+      OnHeard(ack->instance, now, effects);
       OnAnswerFrom(ack->instance, now);
       detector_.OnAck(*ack, effects);
     } else if (const auto* indirect =
@@ -108,15 +110,13 @@
   }
 
   std::vector<InstanceRecord> Records() const override {
-    std::set<std::string> unreachable;
-    for (const auto& [domain, seen] : domain_seen_at_) {
-      if (!DomainReachable(domain)) unreachable.insert(domain);
-    }
+    const std::vector<std::string> unreachable = domains_.Unreachable();
     std::vector<InstanceRecord> records;
     for (const auto& [instance, stored] : table_.All()) {
       records.push_back(stored.record);
       if (records.back().state == InstanceState::kAlive &&
-          unreachable.contains(stored.record.failure_domain)) {
+          std::binary_search(unreachable.begin(), unreachable.end(),
+                             stored.record.failure_domain)) {
         records.back().state = InstanceState::kSuspected;
       }
     }
@@ -145,17 +145,7 @@
   }
 
   bool DomainReachable(const std::string& failure_domain) const override {
-    if (failure_domain == self_.failure_domain) return true;
-    if (!domain_seen_at_.contains(failure_domain)) return false;
-    return std::any_of(
-        view_.own_domain_relays.begin(), view_.own_domain_relays.end(),
-        [&](const std::string& relay) {
-          const auto* stored = table_.Find(relay);
-          return stored != nullptr &&
-                 !std::binary_search(stored->record.unreachable_domains.begin(),
-                                     stored->record.unreachable_domains.end(),
-                                     failure_domain);
-        });
+    return domains_.Reachable(failure_domain);
   }
 
  private:
@@ -189,17 +179,22 @@
     const auto* stored = table_.Find(record.instance);
     const bool state_changed =
         stored == nullptr || stored->record.state != record.state;
+    const bool restarted =
+        stored != nullptr && stored->record.incarnation != record.incarnation;
+    const bool returns =
+        (restarted || record.state > InstanceState::kSuspected) &&
+        silent_.erase(record.instance) != 0;
     effects.changed |=
         stored == nullptr || !DifferOnlyInVersion(stored->record, record);
     table_.Put(record, now);
-    pending_updates_[record.instance] = kGossipRoundsPerUpdate;
-    domain_seen_at_.emplace(record.failure_domain, now);
+    updates_.Add(record.instance);
+    domains_.OnRecord(record.failure_domain, now);
     if (record.state == InstanceState::kSuspected) {
       suspected_since_.emplace(record.instance, now);
     } else {
       suspected_since_.erase(record.instance);
     }
-    if (state_changed) RebuildView(effects);
+    if (state_changed || returns) RebuildView(effects);
   }
 
   void RebuildView(MembershipEffects& effects) {
@@ -208,7 +203,10 @@
     for (const auto& [instance, stored] : table_.All()) {
       records.push_back(&stored.record);
     }
-    view_ = MakePeerView(records, self_);
+    const bool stood_in = view_.stands_in;
+    view_ = MakePeerView(records, self_, silent_);
+    // Nobody in other domains knows that this daemon stands in.
+    if (view_.stands_in && !stood_in) next_compare_ = Instant{};
   }
 
   void OnGossip(const std::string& from, const GossipMessage& gossip,
@@ -228,16 +226,13 @@
   }
 
   /// @param answer receives the stored record when it is newer than the
-  /// sender's and its instance is not alive, or when the instance has been
-  /// restarted and may have forgotten that its upstream leaves.
+  /// sender's and its instance is not alive or the sender's is of another
+  /// process, or when the instance has been restarted and may have forgotten
+  /// that its upstream leaves.
   void Merge(const InstanceRecord& record, Instant now, GossipMessage& answer,
              MembershipEffects& effects) {
     if (record.instance == self_.instance) {
-      if (record.incarnation < self_.incarnation) {
-        if (upstream_.ContinueFrom(record, now)) PublishUpstream(now, effects);
-      } else {
-        RefuteIfSuperseded(record, now, effects);
-      }
+      MergeOwnRecord(record, now, effects);
       return;
     }
     const auto* stored = table_.Find(record.instance);
@@ -250,7 +245,8 @@
       return;
     }
     if (!Supersedes(stored->record, record)) return;
-    if (stored->record.state != InstanceState::kAlive) {
+    if (stored->record.state != InstanceState::kAlive ||
+        stored->record.incarnation > record.incarnation) {
       answer.records.push_back(stored->record);
     }
     // The answer of a daemon that learned of the restart from this one.
@@ -261,43 +257,123 @@
     }
   }
 
-  void RefuteIfSuperseded(const InstanceRecord& record, Instant now,
-                          MembershipEffects& effects) {
-    if (record.incarnation != self_.incarnation || !Supersedes(record, self_) ||
-        self_.state == InstanceState::kLeft) {
+  /// Handles a record of this instance that a peer has: one of an earlier
+  /// process, or one that a peer has declared suspected or dead.
+  void MergeOwnRecord(const InstanceRecord& record, Instant now,
+                      MembershipEffects& effects) {
+    if (record.incarnation != self_.incarnation) {
+      const bool newer = Overtake(record);
+      if (upstream_.ContinueFrom(record, now) || newer) {
+        PublishUpstream(now, effects);
+      }
+      return;
+    }
+    if (!Supersedes(record, self_) || self_.state == InstanceState::kLeft) {
       return;
     }
     self_.sequence = record.sequence;
     PublishOwnRecord(now, effects);
   }
 
+  /// Raises the own incarnation above that of an earlier process, which was
+  /// started before the clock was set back. Leaves an alive process at another
+  /// address alone: two processes of one name would overtake each other
+  /// without end.
+  /// @return whether the incarnation was raised.
+  bool Overtake(const InstanceRecord& record) {
+    const bool may_run_elsewhere =
+        record.state <= InstanceState::kSuspected &&
+        record.control_address != self_.control_address;
+    if (record.incarnation < self_.incarnation || may_run_elsewhere) {
+      return false;
+    }
+    self_.incarnation = record.incarnation + 1;
+    return true;
+  }
+
   void OnAnswerFrom(const std::string& instance, Instant now) {
     const auto* stored = table_.Find(instance);
-    if (stored != nullptr) domain_seen_at_[stored->record.failure_domain] = now;
+    if (stored != nullptr)
+      domains_.OnAnswer(stored->record.failure_domain, now);
+  }
+
+  /// Answers a probe. A sender that isn't alive by its record here is sent that
+  /// record too, to refute it.
+  void OnProbe(const std::string& from, const ProbeMessage& probe, Instant now,
+               MembershipEffects& effects) {
+    OnHeard(probe.instance, now, effects);
+    effects.send.push_back(
+        {from, ProbeAckMessage{probe.sequence, self_.instance}});
+    const auto* stored = table_.Find(probe.instance);
+    if (stored == nullptr || stored->record.state == InstanceState::kAlive) {
+      return;
+    }
+    effects.send.push_back({from, GossipMessage{{stored->record}, {}}});
   }
 
-  /// Marks unresponsive instances as suspected. Suspects none while no messages
-  /// arrive at all, because the fault is then most likely at this daemon.
-  void SuspectUnresponsive(Instant now, MembershipEffects& effects) {
+  /// @param instance the sender of a message, or the one that a helper reached.
+  void OnHeard(const std::string& instance, Instant now,
+               MembershipEffects& effects) {
+    const auto* stored = table_.Find(instance);
+    if (stored != nullptr &&
+        stored->record.failure_domain == self_.failure_domain) {
+      last_heard_own_domain_at_ = now;
+    }
+    if (silent_.erase(instance) == 0) return;
+    RebuildView(effects);
+    // It has missed what was gossiped meanwhile.
+    updates_.Add(self_.instance);
+  }
+
+  /// Leaves unresponsive instances out of the view, and marks them as
+  /// suspected. While nobody of the own domain is heard, probes all peers at
+  /// once, to find somebody who answers.
+  void HandleUnresponsive(Instant now, MembershipEffects& effects) {
+    const std::vector<std::string> peers = view_.own_domain_peers;
+    bool any_added = false;
     for (const std::string& instance : detector_.TakeUnresponsive()) {
       const auto* stored = table_.Find(instance);
-      if (stored == nullptr || stored->record.state != InstanceState::kAlive ||
-          stored->record.failure_domain != self_.failure_domain ||
-          now - last_message_at_ > config_.probe_interval) {
+      if (stored == nullptr ||
+          stored->record.state > InstanceState::kSuspected ||
+          stored->record.failure_domain != self_.failure_domain) {
+        continue;
+      }
+      any_added |= silent_.insert(instance).second;
+      if (stored->record.state != InstanceState::kAlive || !MayAccuse(now)) {
         continue;
       }
       InstanceRecord suspected = stored->record;
       suspected.state = InstanceState::kSuspected;
       StoreRecord(suspected, now, effects);
     }
+    if (!any_added) return;
+    RebuildView(effects);
+    if (HearsOwnDomain(now)) return;
+    for (const std::string& peer : peers) {
+      ProbeUnlessPending(peer, now, effects);
+    }
+    for (const std::string& peer : view_.own_domain_peers) {
+      ProbeUnlessPending(peer, now, effects);
+    }
+  }
+
+  bool HearsOwnDomain(Instant now) const {
+    return now - last_heard_own_domain_at_ <= config_.probe_interval;
+  }
+
+  /// @return whether others may be suspected and declared dead: not while no
+  /// messages arrive at all, nor while other domains are heard only because
+  /// this daemon stands in as a relay. The fault is then most likely here.
+  bool MayAccuse(Instant now) const {
+    return now - last_message_at_ <= config_.probe_interval &&
+           (!view_.stands_in || HearsOwnDomain(now));
   }
 
   void ExpireSuspicions(Instant now, MembershipEffects& effects) {
     std::vector<InstanceRecord> expired;
     for (const auto& [instance, since] : suspected_since_) {
       const InstanceRecord& record = table_.Find(instance)->record;
-      if (now - since > config_.suspicion_timeout &&
-          now - last_message_at_ <= config_.probe_interval &&
+      if (now - since > config_.suspicion_timeout && MayAccuse(now) &&
           record.failure_domain == self_.failure_domain) {
         expired.push_back(record);
       }
@@ -311,156 +387,84 @@
   /// At a relay, lists the failure domains that do not answer probes in its own
   /// record, for the other daemons of its domain.
   void UpdateUnreachableDomains(Instant now, MembershipEffects& effects) {
-    if (view_.is_relay && !was_relay_) {
-      // Restart the timeouts: a daemon that is no relay does not probe other
-      // domains, so the times are out of date.
-      for (auto& [domain, seen] : domain_seen_at_) seen = now;
-    }
-    was_relay_ = view_.is_relay;
-    std::vector<std::string> unreachable;
-    for (const auto& [domain, relays] : view_.other_domain_relays) {
-      auto [seen, added] = domain_seen_at_.emplace(domain, now);
-      if (now - seen->second > config_.domain_timeout) {
-        unreachable.push_back(domain);
-      }
-    }
+    std::vector<std::string> unreachable = domains_.SilentToRelay(now);
     if (unreachable == self_.unreachable_domains) return;
     self_.unreachable_domains = std::move(unreachable);
     PublishOwnRecord(now, effects);
   }
 
-  void ExpireUnreachableDomains(Instant now, MembershipEffects& effects) {
-    next_domain_expiry_ = now + config_.probe_interval;
-    for (auto seen = domain_seen_at_.begin(); seen != domain_seen_at_.end();) {
-      const std::string& domain = seen->first;
-      if (DomainReachable(domain)) {
-        unreachable_since_.erase(domain);
-        ++seen;
-        continue;
-      }
-      const Instant since =
-          unreachable_since_.emplace(domain, now).first->second;
-      if (now - since <= config_.retention) {
-        ++seen;
-        continue;
-      }
+  void ForgetExpiredDomains(Instant now, MembershipEffects& effects) {
+    for (const std::string& domain : domains_.TakeExpired(now)) {
       table_.RemoveDomain(domain);
       std::erase_if(suspected_since_, [this](const auto& item) {
         return table_.Find(item.first) == nullptr;
       });
       RebuildView(effects);
-      unreachable_since_.erase(domain);
-      seen = domain_seen_at_.erase(seen);
     }
   }
 
   void SendProbes(Instant now, MembershipEffects& effects) {
     next_probe_ = now + Jittered(config_.probe_interval);
     if (!view_.own_domain_peers.empty()) {
-      const std::string& chosen =
-          view_.own_domain_peers[next_probe_index_++ %
-                                 view_.own_domain_peers.size()];
-      std::vector<ProbeTarget> helpers;
-      for (const std::string& other : view_.own_domain_peers) {
-        if (other != chosen) helpers.push_back(TargetOf(other));
-      }
-      detector_.Probe(TargetOf(chosen), std::move(helpers), now, effects);
+      ProbeOwnDomain(view_.own_domain_peers[next_probe_index_++ %
+                                            view_.own_domain_peers.size()],
+                     now, effects);
+    }
+    for (size_t i = 0; i < std::min(kSilentProbes, silent_.size()); ++i) {
+      auto next = silent_.upper_bound(last_silent_probed_);
+      if (next == silent_.end()) next = silent_.begin();
+      last_silent_probed_ = *next;
+      ProbeUnlessPending(*next, now, effects);
     }
     for (const auto& [domain, relays] : view_.other_domain_relays) {
-      detector_.Probe(TargetOf(relays[random_.Below(relays.size())]), {}, now,
-                      effects);
+      detector_.Probe(targets_.Of(relays[random_.Below(relays.size())]), {},
+                      now, effects);
+    }
+  }
+
+  void ProbeUnlessPending(const std::string& instance, Instant now,
+                          MembershipEffects& effects) {
+    if (!detector_.IsProbing(instance)) ProbeOwnDomain(instance, now, effects);
+  }
+
+  void ProbeOwnDomain(const std::string& instance, Instant now,
+                      MembershipEffects& effects) {
+    std::vector<ProbeTarget> helpers;
+    for (const std::string& other : view_.own_domain_peers) {
+      if (other != instance) helpers.push_back(targets_.Of(other));
     }
+    detector_.Probe(targets_.Of(instance), std::move(helpers), now, effects);
   }
 
   void SendUpdates(Instant now, MembershipEffects& effects) {
     next_gossip_ = now + Jittered(config_.gossip_interval);
-    if (pending_updates_.empty()) return;
-    GossipMessage local;
-    GossipMessage remote;
-    for (bool urgent : {true, false}) {
-      for (const auto& [instance, rounds] : pending_updates_) {
-        const auto* stored = table_.Find(instance);
-        if (stored == nullptr || IsUrgent(stored->record) != urgent ||
-            local.records.size() >= kMaxRecordsPerMessage) {
-          continue;
-        }
-        local.records.push_back(stored->record);
-        if (stored->record.failure_domain == self_.failure_domain &&
-            rounds == kGossipRoundsPerUpdate) {
-          remote.records.push_back(stored->record);
-        }
-      }
-    }
-    const std::vector<std::string> targets = ChooseGossipTargets();
+    if (updates_.Empty()) return;
+    const std::vector<std::string> targets = targets_.ForUpdates();
     if (targets.empty()) return;
+    const UpdateQueue::Round round =
+        updates_.Take(table_, self_.failure_domain);
     for (const std::string& address : targets) {
-      effects.send.push_back({address, local});
+      effects.send.push_back({address, round.own_domain});
     }
-    if (!remote.records.empty()) SendToOtherDomains(remote, effects);
-    for (const InstanceRecord& sent : local.records) {
-      auto found = pending_updates_.find(sent.instance);
-      if (--found->second == 0) pending_updates_.erase(found);
-    }
-    std::erase_if(pending_updates_, [this](const auto& item) {
-      return table_.Find(item.first) == nullptr;
-    });
-  }
-
-  std::vector<std::string> ChooseGossipTargets() {
-    std::vector<std::string> candidates = view_.own_domain_peers;
-    std::vector<std::string> targets;
-    while (targets.size() < kGossipFanout && !candidates.empty()) {
-      const size_t chosen = random_.Below(candidates.size());
-      targets.push_back(TargetOf(candidates[chosen]).address);
-      candidates.erase(candidates.begin() + static_cast<ptrdiff_t>(chosen));
-    }
-    if (targets.empty() && view_.other_domain_relays.empty()) {
-      const std::string seed = RandomSeed();
-      if (!seed.empty()) targets.push_back(seed);
-    }
-    if (targets.empty() && !view_.other_domain_relays.empty()) {
-      const auto& relays = view_.other_domain_relays.begin()->second;
-      targets.push_back(TargetOf(relays.front()).address);
-    }
-    return targets;
-  }
-
-  void SendToOtherDomains(const GossipMessage& message,
-                          MembershipEffects& effects) {
-    for (const auto& [domain, relays] : view_.other_domain_relays) {
-      const std::string& chosen = relays[random_.Below(relays.size())];
-      effects.send.push_back({TargetOf(chosen).address, message});
+    if (round.other_domains.records.empty()) return;
+    for (const std::string& address : targets_.InOtherDomains()) {
+      effects.send.push_back({address, round.other_domains});
     }
   }
 
-  /// Starts a comparison of tables with one peer, or sometimes with a seed, so
-  /// that groups of daemons that no longer know each other are joined again.
+  /// Starts a comparison of tables with one peer or seed.
   void SendComparison(Instant now, MembershipEffects& effects) {
     const bool alone = table_.All().size() == 1;
-    next_compare_ = now + Jittered(alone ? config_.gossip_interval
-                                         : config_.compare_interval);
-    std::vector<InstanceRecord> peers = Peers();
-    std::string address;
-    if (peers.empty() || random_.Below(kComparisonsPerSeedComparison) == 0) {
-      address = RandomSeed();
-    } else {
-      address = peers[random_.Below(peers.size())].control_address;
-    }
+    const Duration interval = alone             ? config_.gossip_interval
+                              : view_.stands_in ? config_.probe_interval
+                                                : config_.compare_interval;
+    next_compare_ = now + Jittered(interval);
+    const std::string address = targets_.ForComparison();
     if (address.empty()) return;
     effects.send.push_back(
         {address, {GossipMessage{{self_}, table_.BucketDigests()}}});
   }
 
-  std::string RandomSeed() {
-    std::vector<std::string> seeds = config_.seeds;
-    std::erase(seeds, self_.control_address);
-    return seeds.empty() ? "" : seeds[random_.Below(seeds.size())];
-  }
-
-  ProbeTarget TargetOf(const std::string& instance) const {
-    return {instance, table_.Find(instance)->record.control_address};
-  }
-
   /// @return a random duration between 0.5 and 1.5 times the interval.
   Duration Jittered(Duration interval) {
     const auto length = static_cast<uint64_t>(interval.count());
@@ -474,21 +478,23 @@
   PassedOnRecords passed_on_;
   PeerView view_;
   FailureDetector detector_;
+  DomainWatch domains_;
+  GossipTargets targets_;
   UpstreamRegistration upstream_;
-  /// Remaining gossip rounds for each instance with a changed record.
-  std::map<std::string, size_t> pending_updates_;
+  UpdateQueue updates_;
   std::map<std::string, Instant> suspected_since_;
-  std::map<std::string, Instant> domain_seen_at_;
-  std::map<std::string, Instant> unreachable_since_;
-  Instant next_domain_expiry_;
+  /// Instances of the own domain that didn't answer, nor through helpers, since
+  /// they were last heard from.
+  std::set<std::string> silent_;
+  std::string last_silent_probed_;
   Instant last_message_at_;
+  Instant last_heard_own_domain_at_;
   bool version_pending_ = false;
   Instant next_version_gossip_;
   Instant next_gossip_;
   Instant next_compare_;
   Instant next_probe_;
   size_t next_probe_index_ = 0;
-  bool was_relay_ = false;
 };
 
 }  // namespace
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -2,9 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include <deque>
-#include <map>
-#include <set>
+#include "membership/tests/simulated_mesh.h"
 
 namespace hibiscusglade {
 namespace {
@@ -12,72 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Simulates instances that exchange messages without delay, unless the link is
-/// cut. An instance's address is its name; its failure domain is the first
-/// letter of the name.
-class SomeInstances : public testing::Test {
- protected:
-  void Start(const std::string& name, uint64_t incarnation = 1) {
-    MembershipConfig config;
-    config.self.instance = name;
-    config.self.failure_domain = name.substr(0, 1);
-    config.self.incarnation = incarnation;
-    config.self.control_address = name;
-    config.seeds = {"a1", "b1"};
-    nodes_[name] = MakeMembership(config, DigestOf(name), now_);
-  }
-
-  void Run(Duration length) {
-    for (const Instant end = now_ + length; now_ < end;
-         now_ += milliseconds(50)) {
-      for (auto& [name, node] : nodes_) Send(name, node->OnTick(now_));
-      while (!queue_.empty()) {
-        const Message message = queue_.front();
-        queue_.pop_front();
-        auto node = nodes_.find(message.to);
-        if (node == nodes_.end() || IsCut(message.from, message.to)) continue;
-        Send(message.to,
-             node->second->OnMessage(message.from, message.body, now_));
-      }
-    }
-  }
-
-  void Send(const std::string& from, const MembershipEffects& effects) {
-    for (const MembershipSend& sent : effects.send) {
-      queue_.push_back({from, sent.address, sent.message});
-    }
-  }
-
-  bool IsCut(const std::string& from, const std::string& to) const {
-    return cut_links_.contains({from, to}) ||
-           (from[0] != to[0] &&
-            (cut_domains_.contains(from[0]) || cut_domains_.contains(to[0])));
-  }
-
-  InstanceState StateAt(const std::string& viewer, const std::string& name) {
-    for (const InstanceRecord& record : nodes_.at(viewer)->Records()) {
-      if (record.instance == name) return record.state;
-    }
-    return InstanceState::kDead;
-  }
-
-  size_t CountAt(const std::string& viewer) {
-    return nodes_.at(viewer)->Records().size();
-  }
-
-  struct Message {
-    std::string from;
-    std::string to;
-    MembershipMessage body;
-  };
-
-  Instant now_ = Instant(seconds(1000));
-  std::map<std::string, std::unique_ptr<Membership>> nodes_;
-  std::deque<Message> queue_;
-  std::set<std::pair<std::string, std::string>> cut_links_;
-  std::set<char> cut_domains_;
-};
-
 class TwelveInstancesInThreeDomains : public SomeInstances {
  protected:
   TwelveInstancesInThreeDomains() {
@@ -318,6 +250,111 @@
   EXPECT_FALSE(Upstream().has_value());
 }
 
+/// Its daemon loses power as soon as it has handled the deregistration, which
+/// is when the upstream gets its acknowledgement.
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves,
+       KeepsItLeftWhenItEndedRightAfterTheAcknowledgement) {
+  Send("c3", nodes_["c3"]->OnUpstreamLeft("i-1", 1000, now_));
+  nodes_.erase("c3");
+  Run(milliseconds(500));
+  Start("c3", 2);
+  Run(milliseconds(500));
+  Announce(4, UpstreamState::kServing);
+  EXPECT_FALSE(Upstream().has_value());
+}
+
+/// The incarnation is the time of day at the start of the process. The clock
+/// was set back between the starts of two processes.
+TEST_F(TwelveInstancesInThreeDomains, TakeALaterProcessWhoseClockWasSetBack) {
+  Start("a3", 9);
+  Run(seconds(8));
+  nodes_.erase("a3");
+  Run(seconds(12));
+  Start("a3", 2);
+  Run(seconds(8));
+  for (const auto& [name, node] : nodes_) {
+    EXPECT_EQ(StateAt(name, "a3"), InstanceState::kAlive) << name;
+  }
+}
+
+/// The earlier process had acknowledged that its upstream leaves.
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves,
+       KeepsItLeftWhenItsClockWasSetBack) {
+  Start("c3", 9);
+  Run(seconds(2));
+  Announce(6, UpstreamState::kServing);
+  nodes_["c3"]->OnUpstreamLeft("i-1", 1000, now_);
+  Run(milliseconds(500));
+  Start("c3", 2);
+  Run(milliseconds(500));
+  Announce(4, UpstreamState::kServing);
+  EXPECT_FALSE(Upstream().has_value());
+  Announce(1, UpstreamState::kServing, 2000);
+  Run(seconds(2));
+  for (const auto& [name, node] : nodes_) {
+    EXPECT_EQ(StateAt(name, "c3"), InstanceState::kAlive) << name;
+  }
+}
+
+/// Two processes were given one name, at different addresses. The later one
+/// keeps it, and they don't overtake each other.
+TEST_F(TwelveInstancesInThreeDomains, KeepTheLaterOfTwoProcessesOfOneName) {
+  MembershipConfig config;
+  config.self.instance = "a3";
+  config.self.failure_domain = "a";
+  config.self.incarnation = 2;
+  config.self.control_address = "elsewhere";
+  config.seeds = {"a1", "b1"};
+  nodes_["elsewhere"] = MakeMembership(config, 1, now_);
+  Run(seconds(20));
+  for (const auto& [name, node] : nodes_) {
+    for (const InstanceRecord& record : node->Records()) {
+      if (record.instance == "a3" && name != "a3") {
+        EXPECT_EQ(record.incarnation, 2u) << name;
+        EXPECT_EQ(record.state, InstanceState::kAlive) << name;
+      }
+    }
+  }
+}
+
+/// A relay ends at the moment at which another domain is cut off. Its last
+/// record, which lists no unreachable domain, must not count for long.
+TEST_F(TwelveInstancesInThreeDomains, NoticeACutDomainWhenARelayEndsAsWell) {
+  std::string relay = "a1";
+  for (const char* name : {"a2", "a3", "a4"}) {
+    if (DigestOf(name) < DigestOf(relay)) relay = name;
+  }
+  nodes_.erase(relay);
+  cut_domains_ = {'c'};
+  const Duration detection = MembershipConfig{}.domain_timeout + seconds(2);
+  Run(detection);
+  for (const auto& [name, node] : nodes_) {
+    if (name[0] == 'a') {
+      EXPECT_FALSE(node->DomainReachable("c")) << name;
+    }
+  }
+}
+
+/// Its peers have declared it dead while it was cut off, and don't include it
+/// any more in what they send.
+TEST_F(TwelveInstancesInThreeDomains, TakeBackAnInstanceSoonAfterItsCutEnds) {
+  for (int cut_seconds = 6; cut_seconds <= 12; ++cut_seconds) {
+    for (const auto& [name, node] : nodes_) {
+      if (name == "c4") continue;
+      cut_links_.insert({"c4", name});
+      cut_links_.insert({name, "c4"});
+    }
+    Run(seconds(cut_seconds));
+    cut_links_.clear();
+    Run(seconds(3));
+    for (const auto& [name, node] : nodes_) {
+      EXPECT_EQ(StateAt(name, "c4"), InstanceState::kAlive)
+          << name << " after a cut of " << cut_seconds << " s";
+    }
+    Run(seconds(10));
+  }
+}
+
 class AnUpstreamsLease : public SomeInstances {};
 
 TEST_F(AnUpstreamsLease, EndsWhenItIsNotRenewed) {
