Refuse during a stop what could outlast the process

Callers saw: requests sent late in the grace of a planned stop were taken, passed on to an upstream, and cut with no answer when the process ended, among them requests that may not be repeated. Reported by other operators; seen here with three daemons, stop_notice_ms 2500 and stop_timeout_s 5: orders of 3.7 s with a timeout of 4 s, sent 1.5 s after TERM, got no answer; after the notice 503 came without Retry-After.

Cause: a stop had two fixed times, the notice until which the entry took all requests and the timeout at which all that ran was cut, and no place compared a request's deadline with the second. The daemon also ended as soon as the entry was idle, whether or not the last answers had been sent to their callers (by reading).

Fix: from the signal on there is one end. Entry and owner compare deadlines with it (StopLimit) where work is taken, sent, retried, hedged, queued, held behind a suspect or waits for its claim, and refuse what does not fit as not run (4011, with Retry-After); entries of other daemons send it to another owner. A request that was taken ends by its own deadline, so that it can't outlast the process. What was sent before the signal and needs longer gets a final answer at the end (4012: unknown, or not run if no attempt may have run), the daemon waits until answers are sent, for 500 ms at most at the end, and one log line names the cut requests. The default interface sends Retry-After as well, in whole seconds.

Ruled out: less time for requests that don't fit, as the upstream is then broken off at work; an estimate from past service times, as it is wrong for the slow requests, which are those at risk. An upstream that drains alone announces no time of its end; its owner refuses all that it has not sent from the first moment, as before.

--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -1,5 +1,6 @@
 #include "app/daemon.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <memory>
 #include <random>
@@ -26,16 +27,23 @@
 constexpr int kExitStartFailed = 1;
 constexpr int kExitRequestsOpen = 3;
 constexpr int kDrainPollMs = 50;
+/// Time in which final answers are sent to those whose requests were cut.
+constexpr Duration kFinalAnswerTime = std::chrono::milliseconds(500);
+constexpr std::chrono::milliseconds kFinalAnswerPoll{10};
+constexpr size_t kMaxNamedRequests = 20;
 /// Interval between checks of the settings file, which may change without a
 /// signal.
 constexpr int kSettingsPollMs = 2000;
 
+int64_t MillisOf(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<uint64_t>(device()) << 32U) | device();
 }
 
-/// Owns all parts of the daemon. Later members depend on earlier ones.
 void LogIgnoredEntries(const DaemonSettings& settings) {
   for (const SettingsFault& entry : settings.ignored_entries) {
     Log(LogLevel::kWarning, "app",
@@ -44,6 +52,24 @@
   }
 }
 
+/// Logs the requests that a stop cut, the first ones by name.
+/// @param unanswered requests of callers without a whole answer at the end.
+void LogCutRequests(const std::vector<UnfinishedRequest>& cut,
+                    size_t unanswered) {
+  std::string names;
+  for (size_t i = 0; i < std::min(cut.size(), kMaxNamedRequests); ++i) {
+    const UnfinishedRequest& request = cut[i];
+    names += (i == 0 ? "" : ";") + request.request_id + "," + request.route +
+             ",ran_ms:" + std::to_string(MillisOf(request.running)) +
+             ",left_ms:" + std::to_string(MillisOf(request.remaining));
+  }
+  Log(LogLevel::kWarning, "app", "The stop cut open requests.",
+      {{"count", std::to_string(cut.size())},
+       {"unanswered", std::to_string(unanswered)},
+       {"requests", names.empty() ? "-" : names}});
+}
+
+/// Owns all parts of the daemon. Later members depend on earlier ones.
 class Daemon {
  public:
   Daemon(const DaemonSettings& settings, const ExternalInterface& external)
@@ -101,23 +127,26 @@
     control_->SetSeeds(settings.seeds, settings.replicas);
   }
 
-  /// Drains: notifies peers and callers, then refuses new requests, then waits
-  /// for the open ones.
+  /// Drains: notifies peers and callers, and serves only what ends before the
+  /// stop's timeout; then refuses new requests and waits for the open ones. At
+  /// the timeout, or at a second stop signal, open ones get a final answer.
   /// @return whether all open requests ended before the stop.
   bool Stop() {
-    const Instant deadline =
-        clock_.Now() + std::chrono::seconds(settings_.stop_timeout_s);
+    const Duration timeout = std::chrono::seconds(settings_.stop_timeout_s);
+    const Duration notice = std::chrono::milliseconds(settings_.stop_notice_ms);
+    const Instant end = clock_.Now() + timeout;
     control_->BeginStop();
+    requests_->BeginStop(end);
     requests_->RequestExecutor().Post(
         [this] { gateway_->CloseAfterAnswers(); });
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds(settings_.stop_notice_ms));
+    std::this_thread::sleep_for(std::min(notice, timeout));
     requests_->Drain();
-    bool idle = requests_->Idle();
-    while (!idle && clock_.Now() < deadline) {
+    bool idle = Idle();
+    while (!idle && clock_.Now() < end) {
       if (WaitForStopSignal(kDrainPollMs)) break;
-      idle = requests_->Idle();
+      idle = Idle();
     }
+    if (!idle) EndOpenRequests();
     metrics_server_.reset();
     readiness_.reset();
     operators_.reset();
@@ -129,6 +158,25 @@
   }
 
  private:
+  /// @return whether no request is open and all answers to callers were sent.
+  bool Idle() { return requests_->Idle() && OpenExchanges() == 0; }
+
+  size_t OpenExchanges() {
+    return RunAndWait(requests_->RequestExecutor(),
+                      [this] { return gateway_->Usage().exchanges; });
+  }
+
+  /// Ends what is open and gives the final answers time to be sent.
+  void EndOpenRequests() {
+    const std::vector<UnfinishedRequest> cut = requests_->CutOpenRequests();
+    const Instant end = clock_.Now() + kFinalAnswerTime;
+    while (clock_.Now() < end &&
+           (OpenExchanges() > 0 || requests_->HasUnsentOutput())) {
+      std::this_thread::sleep_for(kFinalAnswerPoll);
+    }
+    LogCutRequests(cut, OpenExchanges());
+  }
+
   /// @return what the daemon holds on the request thread.
   LogFields MemoryFields() const {
     LogFields fields = requests_->Usage();
--- a/src/base/executor.h
+++ b/src/base/executor.h
@@ -2,7 +2,11 @@
 #define HIBISCUSGLADE_BASE_EXECUTOR_H_
 
 #include <functional>
+#include <future>
+#include <memory>
 #include <mutex>
+#include <type_traits>
+#include <utility>
 #include <vector>
 
 namespace hibiscusglade {
@@ -33,6 +37,19 @@
   std::vector<Task> tasks_;
 };
 
+/// Runs a function on the executor's thread and waits for its result. Must not
+/// be called on that thread, which must be running.
+template <typename Function>
+auto RunAndWait(Executor& executor, Function function) {
+  using Result = std::invoke_result_t<Function>;
+  auto promise = std::make_shared<std::promise<Result>>();
+  std::future<Result> result = promise->get_future();
+  executor.Post([promise, function = std::move(function)] {
+    promise->set_value(function());
+  });
+  return result.get();
+}
+
 }  // namespace hibiscusglade
 
 #endif  // HIBISCUSGLADE_BASE_EXECUTOR_H_
--- a/src/caller/internal/default_caller_dialect.cc
+++ b/src/caller/internal/default_caller_dialect.cc
@@ -41,6 +41,12 @@
                       {"X-Outcome", certainty},
                       {"X-Result-Code", code},
                       {"X-Request-Id", request.request_id}};
+    if (refusal.retry_after > Duration{}) {
+      const auto seconds =
+          std::chrono::ceil<std::chrono::seconds>(refusal.retry_after);
+      answer.headers.push_back(
+          {"Retry-After", std::to_string(seconds.count())});
+    }
     answer.body = "{\"code\":" + code + ",\"outcome\":\"" + certainty +
                   "\",\"message\":\"" + refusal.code.message() + "\"}\n";
     return answer;
--- a/src/calls/types/call_types.h
+++ b/src/calls/types/call_types.h
@@ -111,6 +111,17 @@
   friend bool operator==(const Refusal&, const Refusal&) = default;
 };
 
+/// A request that was still open when its daemon stopped.
+struct UnfinishedRequest {
+  std::string request_id;
+  std::string route;
+  Duration running{};    ///< Since it was accepted.
+  Duration remaining{};  ///< Until its deadline.
+
+  friend bool operator==(const UnfinishedRequest&,
+                         const UnfinishedRequest&) = default;
+};
+
 }  // namespace hibiscusglade
 
 #endif  // HIBISCUSGLADE_CALLS_TYPES_CALL_TYPES_H_
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/metrics.h"
 #include "calls/call_handler.h"
@@ -63,9 +64,19 @@
 
   virtual void OnTick(Instant now) = 0;
 
+  /// The daemon was told to stop. From now on no attempt is sent whose answer
+  /// could still be awaited at `end`: its call is refused as not run, unless an
+  /// earlier attempt may have run. All that fits is served.
+  virtual void BeginStop(Instant end, Instant now) = 0;
+
   /// From now on refuses new calls as not run; open calls continue.
   virtual void Stop() = 0;
 
+  /// Ends all open calls with a final answer, as far as none was forwarded yet:
+  /// unknown if an upstream may have run the request.
+  /// @return those calls.
+  virtual std::vector<UnfinishedRequest> CutOpenCalls(Instant now) = 0;
+
   /// @return the open attempts that were sent to an owner.
   virtual std::vector<AttemptId> OpenAttempts(
       const std::string& owner) const = 0;
--- a/src/entry/internal/attempt_policy.cc
+++ b/src/entry/internal/attempt_policy.cc
@@ -19,7 +19,8 @@
   return code == AdmissionCode::kNotServing ||
          code == AdmissionCode::kDraining ||
          code == AdmissionCode::kWrongService ||
-         code == RoutingCode::kOwnerUnreachable;
+         code == RoutingCode::kOwnerUnreachable ||
+         code == RoutingCode::kStopsTooSoon;
 }
 
 /// Every other owner would refuse the request as well.
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -5,6 +5,7 @@
 
 #include "admission/admission_result_codes.h"
 #include "base/digest.h"
+#include "calls/stop_limit.h"
 #include "entry/internal/attempt_policy.h"
 #include "entry/internal/call_reporter.h"
 #include "entry/internal/call_table.h"
@@ -15,10 +16,6 @@
 namespace hibiscusglade {
 namespace {
 
-constexpr uint64_t kInitialCreditBytes = 256 * 1024;
-/// Time past the timeout of its route in which an answer that has begun to
-/// arrive may end.
-constexpr Duration kAnswerGrace = std::chrono::milliseconds(120);
 constexpr int64_t kMaxHeldAnswerBytes = int64_t{64} * 1024;
 /// Longest time that an answer of unknown length is held. It may be a stream
 /// of events that its caller reads one by one.
@@ -53,20 +50,13 @@
       Refusal refusal = RefusalOf(*refused, Certainty::kNotRun);
       if (*refused == RoutingCode::kNoVersion) {
         refusal.retry_after = kNoVersionRetryAfter;
+      } else if (*refused == RoutingCode::kStopping) {
+        refusal.retry_after = stop_limit_.RetryAfter(now);
       }
       Refuse(call, refusal, now);
       return;
     }
-    Duration timeout = call.route->timeout;
-    if (call.request.timeout > Duration{}) {
-      timeout = std::min(timeout, call.request.timeout);
-    }
-    call.deadline = now + timeout;
-    call.answer_deadline = call.deadline + kAnswerGrace;
-    if (call.request.timeout > Duration{}) {
-      call.answer_deadline =
-          std::min(call.answer_deadline, now + call.request.timeout);
-    }
+    call.SetDeadlines(now);
     // A caller's timeout has no effect beyond the timeout of its route.
     const Duration allowed =
         std::min(call.request.timeout, call.route->timeout);
@@ -182,7 +172,7 @@
     for (CallHandle handle : calls_.Handles()) {
       OpenCall& call = *calls_.Find(handle);
       if (now >= call.CurrentDeadline()) {
-        FinishAtDeadline(handle, call, now);
+        FinishUnanswered(handle, call, RoutingCode::kDeadlinePassed, now);
       } else if (call.retry_at.has_value() && now >= *call.retry_at) {
         call.retry_at.reset();
         call.tried.clear();
@@ -195,8 +185,30 @@
     reporter_.PublishEjections(parts_.chooser.Counts());
   }
 
+  void BeginStop(Instant end, Instant now) override {
+    stop_limit_.Set(end);
+    for (CallHandle handle : calls_.Handles()) {
+      OpenCall& call = *calls_.Find(handle);
+      const bool waits_for_retry = call.retry_at.has_value();
+      if (waits_for_retry && stop_limit_.EndsBefore(call.answer_deadline)) {
+        RefuseForStop(handle, call, now);
+      }
+    }
+  }
+
   void Stop() override { stopping_ = true; }
 
+  std::vector<UnfinishedRequest> CutOpenCalls(Instant now) override {
+    std::vector<UnfinishedRequest> cut;
+    for (CallHandle handle : calls_.Handles()) {
+      const OpenCall& call = *calls_.Find(handle);
+      cut.push_back({call.request.request_id, call.route->name,
+                     now - call.began, call.CurrentDeadline() - now});
+      FinishUnanswered(handle, call, RoutingCode::kCutByStop, now);
+    }
+    return cut;
+  }
+
   std::vector<AttemptId> OpenAttempts(const std::string& owner) const override {
     return calls_.AttemptsAt(owner);
   }
@@ -274,6 +286,10 @@
 
   void SendAttempt(CallHandle handle, OpenCall& call, bool is_hedge,
                    Instant now) {
+    if (stop_limit_.EndsBefore(call.answer_deadline)) {
+      if (!is_hedge) RefuseForStop(handle, call, now);
+      return;
+    }
     const std::vector<UpstreamTarget>& candidates = *call.upstreams;
     const ChoiceRequest request{candidates, call.service,
                                 call.route->request_class, call.tried,
@@ -298,24 +314,7 @@
     calls_.AddAttempt(
         id, {handle, target.instance, target.owner_address, now, is_hedge});
     parts_.chooser.OnSent(target.instance, now);
-    parts_.owners.Start(target.owner_address, AttemptOf(id, call, now));
-  }
-
-  static CallAttempt AttemptOf(const AttemptId& id, const OpenCall& call,
-                               Instant now) {
-    CallAttempt attempt;
-    attempt.id = id;
-    attempt.request = call.request;
-    attempt.service = call.service;
-    attempt.route = call.route->name;
-    attempt.request_class = call.route->request_class;
-    attempt.repeatable = call.route->repeatable;
-    attempt.claimed = call.route->claimed;
-    attempt.objective = call.objective - now;
-    attempt.remaining = call.deadline - now;
-    attempt.credit_bytes = kInitialCreditBytes;
-    attempt.version = call.version;
-    return attempt;
+    parts_.owners.Start(target.owner_address, call.NewAttempt(id, now));
   }
 
   /// @return the refusal of a call for which no upstream may be chosen.
@@ -417,17 +416,24 @@
            now);
   }
 
-  void FinishAtDeadline(CallHandle handle, const OpenCall& call, Instant now) {
-    const bool may_have_run =
-        !call.open_attempts.empty() ||
-        (call.last_refusal.has_value() &&
-         call.last_refusal->certainty != Certainty::kNotRun);
+  void FinishUnanswered(CallHandle handle, const OpenCall& call,
+                        RoutingCode code, Instant now) {
     Finish(handle,
-           RefusalOf(RoutingCode::kDeadlinePassed,
-                     may_have_run ? Certainty::kUnknown : Certainty::kNotRun),
+           RefusalOf(code, call.MayHaveRun() ? Certainty::kUnknown
+                                             : Certainty::kNotRun),
            now);
   }
 
+  /// Ends a call without another attempt, which could still run when the
+  /// daemon ends.
+  void RefuseForStop(CallHandle handle, OpenCall& call, Instant now) {
+    Refusal refusal = RefusalOf(RoutingCode::kStopsTooSoon, Certainty::kNotRun);
+    refusal.retry_after = stop_limit_.RetryAfter(now);
+    call.RecordRefusal(refusal);
+    Refuse(call, *call.last_refusal, now);
+    calls_.Remove(handle);
+  }
+
   /// Cancels all attempts of a call and ends it without an answer.
   void Finish(CallHandle handle, const Refusal& refusal, Instant now) {
     OpenCall& call = *calls_.Find(handle);
@@ -477,6 +483,7 @@
   SharePicker share_picker_;
   CallTable calls_;
   uint64_t last_attempt_ = 0;
+  StopLimit stop_limit_;
   bool stopping_ = false;
 };
 
--- /dev/null
+++ b/src/entry/internal/open_call.h
@@ -0,0 +1,92 @@
+#ifndef HIBISCUSGLADE_ENTRY_INTERNAL_OPEN_CALL_H_
+#define HIBISCUSGLADE_ENTRY_INTERNAL_OPEN_CALL_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/digest.h"
+#include "calls/call_handler.h"
+#include "routing/types/route_table.h"
+
+namespace hibiscusglade {
+
+/// The part of an answer that was received, while none was forwarded.
+struct HeldAnswer {
+  AnswerHead head;
+  std::string body;
+  Instant since;  ///< When the head arrived.
+
+  friend bool operator==(const HeldAnswer&, const HeldAnswer&) = default;
+};
+
+/// A call that has not ended. Its answer comes from one attempt only, the first
+/// one whose head arrives.
+struct OpenCall {
+  CallRequest request;
+  std::unique_ptr<CallerStream> stream;
+  // Copies of what the call needs of the route table that it began with. The
+  // table itself would keep the whole version in memory until the call ends.
+  uint64_t version = 0;
+  std::optional<RouteConfig> route;
+  LimitsConfig limits;
+  std::string service;  ///< Of the route, or picked from its shares.
+  UpstreamListPtr upstreams;
+  Instant began;
+  Instant deadline;
+  Instant answer_deadline;  ///< In force once an answer has begun to arrive.
+  Instant objective;        ///< A later answer misses the latency objective.
+  std::set<AttemptId> open_attempts;
+  AttemptId answering;  ///< Attempt whose answer is received, if any.
+  /// Answer that is forwarded once it is complete.
+  std::optional<HeldAnswer> held;
+  uint32_t attempts = 0;  ///< Counted towards the route's limit.
+  std::set<std::string> tried;
+  std::optional<Refusal> last_refusal;
+  std::optional<Instant> retry_at;
+  bool hedged = false;
+  uint64_t next_chunk = 0;
+  uint64_t bytes = 0;
+  Digest digest = 0;
+
+  Instant CurrentDeadline() const {
+    return answering.empty() ? deadline : answer_deadline;
+  }
+
+  bool HeadForwarded() const { return !answering.empty() && !held; }
+
+  /// Sets the deadlines by the route's timeout and the caller's.
+  void SetDeadlines(Instant now);
+
+  /// @return whether an upstream may have run the request, or be running it.
+  bool MayHaveRun() const;
+
+  /// @return an attempt at the call, to be sent at time `now`.
+  CallAttempt NewAttempt(const AttemptId& id, Instant now) const;
+
+  /// Forgets what was received of an answer that was not forwarded.
+  void DropHeldAnswer() {
+    answering.clear();
+    held.reset();
+    next_chunk = 0;
+    bytes = 0;
+    digest = 0;
+  }
+
+  /// Records the refusal to report to the caller. One with an unknown outcome
+  /// is never replaced by one that states that the request was not run.
+  void RecordRefusal(const Refusal& refusal) {
+    if (last_refusal.has_value() &&
+        last_refusal->certainty == Certainty::kUnknown &&
+        refusal.certainty == Certainty::kNotRun) {
+      return;
+    }
+    last_refusal = refusal;
+  }
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_ENTRY_INTERNAL_OPEN_CALL_H_
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -1,11 +1,8 @@
-#include "entry/entry.h"
-
 #include <gtest/gtest.h>
 
 #include "admission/admission_result_codes.h"
+#include "entry/tests/entry_fixture.h"
 #include "routing/retry_budget.h"
-#include "routing/routing_result_codes.h"
-#include "versions/config_reader.h"
 
 namespace hibiscusglade {
 namespace {
@@ -13,127 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr char kDocument[] = R"({
-  "services": {"plots": {}},
-  "classes": {"short": {}},
-  "routes": {
-    "reads": {"path_prefix": "/reads/", "service": "plots", "class": "short",
-              "repeatable": true, "hedge": true, "timeout_ms": 1000,
-              "objective_ms": 300,
-              "max_attempts": 3},
-    "tags": {"path_prefix": "/tags/", "service": "plots", "class": "short",
-             "repeatable": false, "timeout_ms": 1000, "max_attempts": 3}}})";
-
-/// Records the attempts that are started and cancelled at owners.
-struct SentAttempts : public OwnerLink {
-  void Start(const std::string& owner, const CallAttempt& attempt) override {
-    started.push_back({owner, attempt.id});
-    objective = attempt.objective;
-  }
-  void Credit(const std::string&, const AttemptId&, uint64_t) override {}
-  void Cancel(const std::string&, const AttemptId& attempt) override {
-    cancelled.push_back(attempt);
-  }
-  std::vector<std::pair<std::string, AttemptId>> started;
-  std::vector<AttemptId> cancelled;
-  Duration objective{};  ///< Of the last attempt.
-};
-
-/// Records what the caller receives, as text.
-class RecordingStream : public CallerStream {
- public:
-  explicit RecordingStream(std::string& received) : received_(received) {}
-  void OnHead(const AnswerHead& head) override {
-    received_ += "head " + std::to_string(head.status) + " ";
-  }
-  void OnData(std::string data) override { received_ += data + " "; }
-  void OnEnd() override { received_ += "end"; }
-  void OnBroken(const Refusal& reason) override {
-    AppendRefusal("broken", reason);
-  }
-  void OnRefused(const Refusal& reason) override {
-    AppendRefusal("refused", reason);
-  }
-
- private:
-  void AppendRefusal(const std::string& what, const Refusal& reason) {
-    received_ += what + " " + std::to_string(reason.code.value()) + " " +
-                 std::string(CertaintyName(reason.certainty));
-  }
-  std::string& received_;
-};
-
-class AnEntry : public testing::Test {
- protected:
-  AnEntry() {
-    std::vector<InstanceRecord> records;
-    for (const char* name : {"x", "y", "z"}) {
-      InstanceRecord record;
-      record.instance = name;
-      record.service = "plots";
-      record.request_address = name;
-      record.upstream_state = UpstreamState::kServing;
-      records.push_back(record);
-    }
-    std::vector<SettingsFault> faults;
-    routes_.Publish(std::make_shared<const RouteTable>(
-        MakeConfigVersion(1, 0, kDocument, "", faults), records));
-  }
-
-  void Begin(const std::string& target, uint32_t depth = 0,
-             Duration timeout = {}) {
-    CallRequest request;
-    request.timeout = timeout;
-    request.method = "GET";
-    request.target = target;
-    request.depth = depth;
-    received_.clear();
-    owners_.started.clear();
-    entry_->Begin(++last_call_, request,
-                  std::make_unique<RecordingStream>(received_), now_);
-  }
-
-  AttemptId Attempt(size_t number) { return owners_.started.at(number).second; }
-
-  void Answer(const AttemptId& id, const std::string& body) {
-    entry_->OnAnswerHead(id, {200, {}, -1}, kLoad, now_);
-    entry_->OnAnswerChunk(id, 0, body, now_);
-    entry_->OnAnswerEnd(id, {1, body.size(), DigestOf(body, 0)}, kLoad, now_);
-  }
-
-  void Refuse(const AttemptId& id, std::error_code code, Certainty certainty) {
-    entry_->OnAnswerRefused(id, {code, certainty, "", {}}, kLoad, now_);
-  }
-
-  /// Completes enough reads for their latency percentile to be known.
-  void CompleteManyReads() {
-    for (int i = 0; i < 60; ++i) {
-      Begin("/reads/1");
-      now_ += milliseconds(10);
-      Answer(Attempt(0), "body");
-    }
-  }
-
-  double CounterValue(const std::string& line) {
-    const std::string text = metrics_->Exposition();
-    const size_t at = text.find(line + " ");
-    return at == std::string::npos
-               ? 0
-               : std::strtod(text.c_str() + at + line.size() + 1, nullptr);
-  }
-
-  const LoadReport kLoad{1, 0, 6, milliseconds(5), true};
-  Instant now_ = Instant(seconds(1000));
-  std::string received_;
-  CallHandle last_call_ = 0;
-  SentAttempts owners_;
-  RouteTableHolder routes_;
-  std::unique_ptr<Metrics> metrics_ = MakeMetrics();
-  std::unique_ptr<UpstreamChooser> chooser_ = MakeUpstreamChooser({});
-  std::unique_ptr<Entry> entry_ =
-      MakeEntry("e", 1, {owners_, routes_, *chooser_, *metrics_});
-};
-
 /// Calls last seconds, in which many versions may be put in use.
 TEST_F(AnEntry, KeepsNoReplacedVersionInMemoryForItsOpenCalls) {
   Begin("/reads/1");
--- a/src/owner/internal/job.h
+++ b/src/owner/internal/job.h
@@ -30,6 +30,7 @@
   Instant objective;  ///< When the latency objective ends; zero: none.
   JobStage stage = JobStage::kQueued;
   Digest fingerprint = 0;
+  Instant accepted_at;
   Instant entry_seen_at;  ///< When the entry last sent something about it.
   /// Why the attempt must not run; set while its claim is pending.
   std::error_code pending_refusal;
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -1,15 +1,15 @@
 #include "owner/owner.h"
 
-#include <map>
 #include <utility>
 
 #include "admission/admission_result_codes.h"
-#include "base/log.h"
+#include "calls/stop_limit.h"
 #include "claims/claim_codec.h"
 #include "claims/claims_result_codes.h"
 #include "owner/internal/answer_sender.h"
 #include "owner/internal/claim_writer.h"
-#include "owner/internal/job.h"
+#include "owner/internal/job_table.h"
+#include "owner/internal/run_reporter.h"
 #include "owner/internal/slot_gate.h"
 #include "owner/internal/upstream_death_detector.h"
 #include "routing/routing_result_codes.h"
@@ -29,9 +29,6 @@
 constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
 /// Longest answer of known length that is buffered until complete: one chunk.
 constexpr int64_t kMaxBufferedAnswerBytes = int64_t{64} * 1024;
-/// Limit of the log lines on failed runs. Refusals under load are counted but
-/// not logged here: the entry logs their code.
-constexpr uint32_t kLogLinesPerSecond = 10;
 /// Bytes of a kept answer set aside for its head.
 constexpr size_t kHeadReserveBytes = size_t{8} * 1024;
 
@@ -55,6 +52,7 @@
     if (attempt.objective != Duration{}) {
       job.objective = now + attempt.objective;
     }
+    job.accepted_at = now;
     job.entry_seen_at = now;
     job.fingerprint = FingerprintOf(attempt.request);
     if (auto refused = CheckStart(job, now)) {
@@ -67,9 +65,7 @@
       return;
     }
     sender_.OnAccepted(job);
-    const SlotRequestId id = ++last_id_;
-    by_attempt_[attempt.id] = id;
-    jobs_[id] = std::move(job);
+    const SlotRequestId id = jobs_.Add(std::move(job));
     if (attempt.NeedsClaim()) {
       RequestClaim(id);
     } else {
@@ -79,17 +75,16 @@
 
   void OnCredit(const EntryRef&, const AttemptId& attempt, uint64_t bytes,
                 Instant now) override {
-    auto found = by_attempt_.find(attempt);
-    if (found == by_attempt_.end()) return;
-    jobs_[found->second].entry_seen_at = now;
-    parts_.upstream.AddCredit(found->second, bytes);
+    const auto id = jobs_.IdOf(attempt);
+    if (!id.has_value()) return;
+    jobs_[*id].entry_seen_at = now;
+    parts_.upstream.AddCredit(*id, bytes);
   }
 
   void OnCancel(const EntryRef&, const AttemptId& attempt,
                 Instant now) override {
-    auto found = by_attempt_.find(attempt);
-    if (found != by_attempt_.end()) {
-      Cancel(found->second, now);
+    if (const auto id = jobs_.IdOf(attempt)) {
+      Cancel(*id, now);
     } else {
       sender_.Drop(attempt);
     }
@@ -98,8 +93,7 @@
   void OnEntryAlive(const std::vector<AttemptId>& attempts,
                     Instant now) override {
     for (const AttemptId& attempt : attempts) {
-      auto found = by_attempt_.find(attempt);
-      if (found != by_attempt_.end()) jobs_[found->second].entry_seen_at = now;
+      if (const auto id = jobs_.IdOf(attempt)) jobs_[*id].entry_seen_at = now;
     }
   }
 
@@ -123,28 +117,51 @@
     if (!upstream_.has_value()) RefuseHeld(AdmissionCode::kNotServing, now);
   }
 
+  void BeginStop(Instant end, Instant now) override {
+    stop_limit_.Set(end);
+    RefuseQueued(RoutingCode::kStopsTooSoon, end);
+    RefuseHeld(RoutingCode::kStopsTooSoon, now, end);
+    for (SlotRequestId id : jobs_.IdsAt(JobStage::kClaiming, end)) {
+      Job& job = jobs_[id];
+      if (!job.pending_refusal) {
+        job.pending_refusal = RoutingCode::kStopsTooSoon;
+      }
+    }
+  }
+
+  std::vector<UnfinishedRequest> CutOpenAttempts(Instant now) override {
+    std::vector<UnfinishedRequest> cut;
+    for (SlotRequestId id : jobs_.Ids()) {
+      const Job& job = jobs_[id];
+      if (job.stage == JobStage::kFinishing) {
+        SendFinishedAnswer(id);
+        continue;
+      }
+      if (!job.entry.empty()) {
+        cut.push_back({job.attempt.request.request_id, job.attempt.route,
+                       now - job.accepted_at, job.deadline - now});
+      }
+      sender_.SendRefusal(job, RoutingCode::kCutByStop, Certainty::kUnknown);
+      gate_.Remove(id);
+      RemoveJob(id);
+    }
+    return cut;
+  }
+
   void Drain(Instant now) override {
     draining_ = true;
     Apply(admission_->Drain(now), now);
   }
 
   bool HasAttempt(const AttemptId& attempt) const override {
-    return by_attempt_.contains(attempt) || sender_.HasQueued(attempt);
+    return jobs_.IdOf(attempt).has_value() || sender_.HasQueued(attempt);
   }
 
   bool Idle() const override {
-    return jobs_.empty() && sender_.Idle() && writer_.PendingCommands() == 0;
+    return jobs_.Empty() && sender_.Idle() && writer_.PendingCommands() == 0;
   }
 
-  OwnerUsage Usage() const override {
-    OwnerUsage usage;
-    for (const auto& [id, job] : jobs_) {
-      ++usage.jobs;
-      usage.request_bytes += job.attempt.request.body.size();
-      usage.answer_bytes += job.body.size() + job.encoded_answer.size();
-    }
-    return usage;
-  }
+  OwnerUsage Usage() const override { return jobs_.Usage(); }
 
   void OnRunHead(RunId run, const AnswerHead& head, Instant) override {
     Job* job = Find(run);
@@ -194,16 +211,7 @@
       RefuseNotRun(run, AdmissionCode::kNotServing);
       return;
     }
-    if (log_rate_limiter_.AllowLine(now)) {
-      Log(LogLevel::kInfo, "owner", "A run failed: " + failure.reason + ".",
-          {{"request", job->attempt.request.request_id},
-           {"upstream", job->attempt.upstream_id},
-           {"progress", std::to_string(static_cast<int>(failure.progress))},
-           {"version", std::to_string(job->attempt.version)},
-           {"ms", std::to_string((now - job->run_started).count() / 1000)},
-           {"lines_left_out",
-            std::to_string(log_rate_limiter_.TakeSuppressedCount())}});
-    }
+    reporter_.LogFailure(*job, failure, now);
     if (failure.progress == RunProgress::kRejected) {
       ReleaseSlot(run, now);
       RefuseNotRun(run, failure.other_upstream ? AdmissionCode::kNotServing
@@ -236,7 +244,7 @@
       if (!std::exchange(down_notified_, true)) {
         parts_.listener.OnUpstreamDown(*upstream_);
       }
-      RefuseQueued(AdmissionCode::kNotServing, now);
+      RefuseQueued(AdmissionCode::kNotServing);
     }
     if (death_detector_.Idle()) RefuseConnectionLost();
   }
@@ -266,6 +274,9 @@
     if (draining_ || UpstreamDrains()) {
       return make_error_code(AdmissionCode::kDraining);
     }
+    if (stop_limit_.EndsBefore(job.deadline)) {
+      return make_error_code(RoutingCode::kStopsTooSoon);
+    }
     if (!upstream_.has_value() || down_) {
       return make_error_code(AdmissionCode::kNotServing);
     }
@@ -419,9 +430,7 @@
   }
 
   void CheckJobs(Instant now) {
-    std::vector<SlotRequestId> ids;
-    for (const auto& [id, job] : jobs_) ids.push_back(id);
-    for (SlotRequestId id : ids) {
+    for (SlotRequestId id : jobs_.Ids()) {
       if (Job* job = Find(id)) CheckJob(id, *job, now);
     }
   }
@@ -452,23 +461,13 @@
 
   void ReportDeath(const std::vector<Digest>& running, Instant now) {
     parts_.metrics.CounterOf("upstream_deaths_total", "").Add();
-    Log(LogLevel::kWarning, "owner",
-        "The upstream died while " + std::to_string(running.size()) +
-            " requests ran.");
+    RunReporter::LogDeath(running.size());
     parts_.listener.OnSuspicions(
         upstream_->service, parts_.quarantine.OnUpstreamDeath(running, now));
   }
 
-  std::vector<SlotRequestId> IdsAt(JobStage stage) const {
-    std::vector<SlotRequestId> ids;
-    for (const auto& [id, job] : jobs_) {
-      if (job.stage == stage) ids.push_back(id);
-    }
-    return ids;
-  }
-
   void RefuseConnectionLost() {
-    for (SlotRequestId id : IdsAt(JobStage::kConnectionLost)) {
+    for (SlotRequestId id : jobs_.IdsAt(JobStage::kConnectionLost)) {
       const Job& job = jobs_[id];
       sender_.SendRefusal(job, RoutingCode::kAnswerBroken, Certainty::kUnknown,
                           job.connection_error);
@@ -476,16 +475,20 @@
     }
   }
 
-  void RefuseQueued(AdmissionCode code, Instant) {
-    for (SlotRequestId id : IdsAt(JobStage::kQueued)) {
+  /// Refuses the queued attempts whose deadline is later than `after`.
+  void RefuseQueued(const std::error_code& code, Instant after = {}) {
+    for (SlotRequestId id : jobs_.IdsAt(JobStage::kQueued, after)) {
       admission_->CancelQueued(id);
       RefuseNotRun(id, code);
     }
   }
 
-  /// Refuses attempts that have a slot but wait behind a suspect.
-  void RefuseHeld(AdmissionCode code, Instant now) {
-    const std::vector<SlotRequestId> held = IdsAt(JobStage::kAdmitted);
+  /// Refuses attempts that have a slot but wait behind a suspect, if their
+  /// deadline is later than `after`.
+  void RefuseHeld(const std::error_code& code, Instant now,
+                  Instant after = {}) {
+    const std::vector<SlotRequestId> held =
+        jobs_.IdsAt(JobStage::kAdmitted, after);
     // All at once, so that none starts when one before it is removed.
     for (SlotRequestId id : held) gate_.Remove(id);
     for (SlotRequestId id : held) {
@@ -529,17 +532,13 @@
   }
 
   void RemoveJob(SlotRequestId id) {
-    auto found = jobs_.find(id);
-    if (found == jobs_.end()) return;
-    sender_.OnRemoved(found->second);
-    by_attempt_.erase(found->second.attempt.id);
-    jobs_.erase(found);
+    const Job* job = Find(id);
+    if (job == nullptr) return;
+    sender_.OnRemoved(*job);
+    jobs_.Remove(id);
   }
 
-  Job* Find(SlotRequestId id) {
-    auto found = jobs_.find(id);
-    return found == jobs_.end() ? nullptr : &found->second;
-  }
+  Job* Find(SlotRequestId id) { return jobs_.Find(id); }
 
   OwnerParts parts_;
   ClaimWriter writer_;
@@ -548,10 +547,9 @@
   SlotGate gate_;
   UpstreamDeathDetector death_detector_;
   std::optional<UpstreamAnnouncement> upstream_;
-  std::map<SlotRequestId, Job> jobs_;
-  std::map<AttemptId, SlotRequestId> by_attempt_;
-  SlotRequestId last_id_ = 0;
-  LogRateLimiter log_rate_limiter_{kLogLinesPerSecond};
+  JobTable jobs_;
+  StopLimit stop_limit_;
+  RunReporter reporter_;
   bool draining_ = false;
   bool down_ = false;           ///< The upstream accepts no connections.
   bool down_notified_ = false;  ///< The listener was notified of it.
--- /dev/null
+++ b/src/owner/internal/run_reporter.cc
@@ -0,0 +1,25 @@
+#include "owner/internal/run_reporter.h"
+
+#include <string>
+
+namespace hibiscusglade {
+
+void RunReporter::LogFailure(const Job& job, const RunFailure& failure,
+                             Instant now) {
+  if (!log_rate_limiter_.AllowLine(now)) return;
+  Log(LogLevel::kInfo, "owner", "A run failed: " + failure.reason + ".",
+      {{"request", job.attempt.request.request_id},
+       {"upstream", job.attempt.upstream_id},
+       {"progress", std::to_string(static_cast<int>(failure.progress))},
+       {"version", std::to_string(job.attempt.version)},
+       {"ms", std::to_string((now - job.run_started).count() / 1000)},
+       {"lines_left_out",
+        std::to_string(log_rate_limiter_.TakeSuppressedCount())}});
+}
+
+void RunReporter::LogDeath(size_t running) {
+  Log(LogLevel::kWarning, "owner",
+      "The upstream died while " + std::to_string(running) + " requests ran.");
+}
+
+}  // namespace hibiscusglade
--- /dev/null
+++ b/src/owner/internal/run_reporter.h
@@ -0,0 +1,30 @@
+#ifndef HIBISCUSGLADE_OWNER_INTERNAL_RUN_REPORTER_H_
+#define HIBISCUSGLADE_OWNER_INTERNAL_RUN_REPORTER_H_
+
+#include <cstddef>
+
+#include "base/log.h"
+#include "calls/call_links.h"
+#include "owner/internal/job.h"
+
+namespace hibiscusglade {
+
+/// Writes the log lines of one owner. Refusals under load are counted but not
+/// logged here: the entry logs their code.
+class RunReporter {
+ public:
+  /// Logs a failed run, within a limit of lines per second.
+  void LogFailure(const Job& job, const RunFailure& failure, Instant now);
+
+  /// @param running requests that ran when the upstream died.
+  static void LogDeath(size_t running);
+
+ private:
+  static constexpr uint32_t kLogLinesPerSecond = 10;
+
+  LogRateLimiter log_rate_limiter_{kLogLinesPerSecond};
+};
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_OWNER_INTERNAL_RUN_REPORTER_H_
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -80,10 +80,19 @@
   virtual void SetUpstream(const std::optional<UpstreamAnnouncement>& upstream,
                            const AdmissionConfig& config, Instant now) = 0;
 
+  /// The daemon was told to stop. From now on attempts are refused as not run
+  /// if they could still run at `end`, waiting ones too. Those that fit run.
+  virtual void BeginStop(Instant end, Instant now) = 0;
+
   /// Refuses all attempts that have not started to run, and all new ones.
   /// Running ones finish.
   virtual void Drain(Instant now) = 0;
 
+  /// Ends all open attempts: with the answer that the upstream gave, or as
+  /// unknown.
+  /// @return those of other daemons' entries that got no answer.
+  virtual std::vector<UnfinishedRequest> CutOpenAttempts(Instant now) = 0;
+
   /// @return whether this owner has an attempt that is neither answered nor
   /// refused yet, or whose answer waits for the link.
   virtual bool HasAttempt(const AttemptId& attempt) const = 0;
--- a/src/requests/internal/call_codec.cc
+++ b/src/requests/internal/call_codec.cc
@@ -70,6 +70,20 @@
   return {static_cast<int>(in.status()), HeadersOf(in), in.content_length()};
 }
 
+void ToWire(const Refusal& refusal, wire::AnswerRefused& out) {
+  out.set_code(refusal.code.value());
+  out.set_certainty(static_cast<uint32_t>(refusal.certainty));
+  out.set_detail(refusal.detail);
+  out.set_retry_after_micros(
+      static_cast<uint64_t>(refusal.retry_after.count()));
+}
+
+Refusal FromWire(const wire::AnswerRefused& in) {
+  return {ResultCodeFromNumber(in.code()),
+          static_cast<Certainty>(in.certainty()), in.detail(),
+          Duration(static_cast<int64_t>(in.retry_after_micros()))};
+}
+
 void ToWire(const LoadReport& load, wire::LoadReport& out) {
   out.set_running(load.running);
   out.set_queued(load.queued);
--- a/src/requests/internal/call_codec.h
+++ b/src/requests/internal/call_codec.h
@@ -13,6 +13,9 @@
 void ToWire(const AnswerHead& head, wire::AnswerHead& out);
 AnswerHead FromWire(const wire::AnswerHead& in);
 
+void ToWire(const Refusal& refusal, wire::AnswerRefused& out);
+Refusal FromWire(const wire::AnswerRefused& in);
+
 void ToWire(const LoadReport& load, wire::LoadReport& out);
 LoadReport FromWire(const wire::LoadReport& in);
 
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -2,7 +2,8 @@
 
 #include <sys/epoll.h>
 
-#include <future>
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 #include <thread>
@@ -13,6 +14,7 @@
 #include "entry/entry.h"
 #include "owner/owner.h"
 #include "requests/internal/call_codec.h"
+#include "requests/internal/run_events_forwarder.h"
 #include "routing/upstream_chooser.h"
 #include "upstream/http_upstream_client.h"
 #include "wire/peer.pb.h"
@@ -87,6 +89,14 @@
     return {};
   }
 
+  void BeginStop(Instant end) override {
+    executor_.Post([this, end] {
+      const Instant now = clock_.Now();
+      entry_->BeginStop(end, now);
+      owner_->BeginStop(end, now);
+    });
+  }
+
   void Drain() override {
     executor_.Post([this] {
       entry_->Stop();
@@ -95,12 +105,22 @@
   }
 
   bool Idle() override {
-    auto promise = std::make_shared<std::promise<bool>>();
-    auto future = promise->get_future();
-    executor_.Post([this, promise] {
-      promise->set_value(entry_->Idle() && owner_->Idle());
+    return RunAndWait(executor_,
+                      [this] { return entry_->Idle() && owner_->Idle(); });
+  }
+
+  std::vector<UnfinishedRequest> CutOpenRequests() override {
+    return RunAndWait(executor_, [this] {
+      const Instant now = clock_.Now();
+      std::vector<UnfinishedRequest> cut = entry_->CutOpenCalls(now);
+      std::ranges::move(owner_->CutOpenAttempts(now), std::back_inserter(cut));
+      return cut;
     });
-    return future.get();
+  }
+
+  bool HasUnsentOutput() override {
+    return RunAndWait(executor_,
+                      [this] { return transport_->Usage().unsent_bytes > 0; });
   }
 
   void Stop() override {
@@ -237,12 +257,8 @@
                    const Refusal& refusal, const LoadReport& load) override {
     wire::Envelope message;
     wire::AnswerRefused* out = message.mutable_answer_refused();
+    ToWire(refusal, *out);
     out->set_attempt(attempt);
-    out->set_code(refusal.code.value());
-    out->set_certainty(static_cast<uint32_t>(refusal.certainty));
-    out->set_detail(refusal.detail);
-    out->set_retry_after_micros(
-        static_cast<uint64_t>(refusal.retry_after.count()));
     ToWire(load, *out->mutable_load());
     SendToEntry(entry, message);
   }
@@ -269,28 +285,6 @@
   }
 
  private:
-  /// Forwards run events to the owner, which is created after the client that
-  /// reports them.
-  struct RunEventsForwarder : public RunEvents {
-    void OnRunHead(RunId run, const AnswerHead& head, Instant now) override {
-      owner->OnRunHead(run, head, now);
-    }
-    void OnRunData(RunId run, std::string data, Instant now) override {
-      owner->OnRunData(run, std::move(data), now);
-    }
-    void OnRunEnd(RunId run, Instant now) override {
-      owner->OnRunEnd(run, now);
-    }
-    void OnRunFailed(RunId run, const RunFailure& failure,
-                     Instant now) override {
-      owner->OnRunFailed(run, failure, now);
-    }
-    void OnProbed(bool reachable, Instant now) override {
-      owner->OnProbed(reachable, now);
-    }
-    Owner* owner = nullptr;
-  };
-
   /// State of the link to one owner.
   struct LinkState {
     Instant received_at;
@@ -453,12 +447,8 @@
       }
       case wire::Envelope::kAnswerRefused: {
         const wire::AnswerRefused& in = message.answer_refused();
-        entry_->OnAnswerRefused(
-            in.attempt(),
-            {ResultCodeFromNumber(in.code()),
-             static_cast<Certainty>(in.certainty()), in.detail(),
-             Duration(static_cast<int64_t>(in.retry_after_micros()))},
-            FromWire(in.load()), now);
+        entry_->OnAnswerRefused(in.attempt(), FromWire(in), FromWire(in.load()),
+                                now);
         break;
       }
       default:
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/event_loop.h"
@@ -49,12 +50,22 @@
   virtual std::error_code Start(ClaimStore& claims,
                                 AnnouncementSink& announcements) = 0;
 
+  /// Refuses calls and attempts that could still run at `end` as not run.
+  virtual void BeginStop(Instant end) = 0;
+
   /// Refuses new calls and attempts as not run; open ones continue.
   virtual void Drain() = 0;
 
   /// @return whether no call and no attempt is open.
   virtual bool Idle() = 0;
 
+  /// Ends all open calls and attempts with a final answer.
+  /// @return those that were cut.
+  virtual std::vector<UnfinishedRequest> CutOpenRequests() = 0;
+
+  /// @return whether messages to peers wait to be sent.
+  virtual bool HasUnsentOutput() = 0;
+
   virtual void Stop() = 0;
 
   /// To be called on the request thread.
--- a/src/routing/internal/routing_result_codes.cc
+++ b/src/routing/internal/routing_result_codes.cc
@@ -27,6 +27,11 @@
     {4010, "owner-unreachable",
      "no connection to the daemon beside the upstream came about", 503,
      Certainty::kNotRun, "Check that instance and the links to it."},
+    {4011, "stops-too-soon", "the daemon stops before the request's deadline",
+     503, Certainty::kNotRun, "Send the request to another daemon."},
+    {4012, "cut-by-stop", "the daemon stopped before an answer", 504,
+     Certainty::kUnknown,
+     "Set stop_timeout_s to at least the longest timeout of a route."},
 };
 
 }  // namespace
--- a/src/routing/routing_result_codes.h
+++ b/src/routing/routing_result_codes.h
@@ -17,6 +17,8 @@
   kCallerDisconnected = 4008,
   kStopping = 4009,
   kOwnerUnreachable = 4010,
+  kStopsTooSoon = 4011,
+  kCutByStop = 4012,
 };
 
 const ResultCodeCategory& RoutingCategory();
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -260,7 +260,9 @@
   settings.stop_timeout_s = static_cast<uint32_t>(reader.Number(
       "stop_timeout_s",
       {1, 3600, 30, "s",
-       "Longest wait for running requests after the stop signal."}));
+       "Longest wait for running requests after the stop signal. Requests "
+       "whose deadline is later are refused from the signal on; final answers "
+       "to the rest take up to 500 ms more."}));
   settings.stop_notice_ms = static_cast<uint32_t>(
       reader.Number("stop_notice_ms",
                     {0, 60'000, 500, "ms",
--- a/tests/harness/mesh.cc
+++ b/tests/harness/mesh.cc
@@ -274,6 +274,7 @@
   if (instance.spec.replica) {
     settings["replica"] = {{"data_folder", DataFolder(instance.spec.instance)}};
   }
+  settings.update(json::parse(instance.spec.settings));
   std::ofstream file(folder_ + "/" + instance.spec.instance + ".jsonc");
   file << settings.dump(2) << "\n";
 }
--- a/tests/harness/mesh.h
+++ b/tests/harness/mesh.h
@@ -23,6 +23,7 @@
   int slots = 6;
   bool replica = false;
   std::vector<std::string> upstream_flags;
+  std::string settings = "{}";  ///< JSON object added to the daemon's settings.
 };
 
 /// Real daemons and stand-in upstreams on loopback addresses. Each instance has
