Show that a relay that falls silent counts as heard

A relay that has answered one ask counts as heard for the rest of the series of asks. When relays answer at first and are silent later in the same series, a daemon asks past its failure domain in one round of eight only.

--- a/src/distribution/tests/silent_peers_test.cc
+++ b/src/distribution/tests/silent_peers_test.cc
@@ -153,5 +153,20 @@
   }
 }
 
+/// The relays answer for a while without knowing anything newer.
+TEST(ADaemonWithSilentPeers, NoticesThatItsRelaysFallSilent) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    DaemonWithSilentPeers daemon(seed);
+    daemon.ReadLatest(0);
+    daemon.LetReplicaAnswer(false);
+    daemon.LetRelaysAnswer(true);
+    daemon.RunUntilVersionOne(milliseconds(1200));
+    daemon.LetReplicaAnswer(true);
+    daemon.LetRelaysAnswer(false);
+    EXPECT_LE(daemon.RunUntilVersionOne(seconds(60)), kInForce)
+        << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace hibiscusglade
