Show that a daemon that stops misses a drain

Since daemons tell their leave as the stop begins, nobody has them as a peer while they still handle requests, and updates reach them by the comparison of tables each 5 s only. Of three that have left, one does not know of an upstream's drain after 2 s.

--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -36,6 +36,22 @@
   }
 }
 
+TEST_F(TwelveInstancesInThreeDomains, LearnOfADrainWhileTheyStop) {
+  for (const char* name : {"a2", "b2", "c2"}) {
+    Send(name, nodes_[name]->Leave(now_));
+  }
+  Run(seconds(1));
+  nodes_["c3"]->OnAnnounce(
+      {"plots", "127.0.0.1:80", 6, 130, UpstreamState::kDraining}, now_);
+  Run(seconds(2));
+  for (const auto& [name, node] : nodes_) {
+    for (const InstanceRecord& record : node->Records()) {
+      if (record.instance != "c3") continue;
+      EXPECT_EQ(record.upstream_state, UpstreamState::kDraining) << name;
+    }
+  }
+}
+
 TEST_F(TwelveInstancesInThreeDomains, DeclareASilentOneDead) {
   nodes_.erase("b2");
   Run(seconds(12));
