Show that a relay in calm opens a connection to each daemon

A relay of a failure domain without a replica has confirmations by asks only, and asks another daemon of its domain and every second time one of another domain.

--- a/src/distribution/tests/confirmation_test.cc
+++ b/src/distribution/tests/confirmation_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 #include "distribution/internal/ask_schedule.h"
 #include "distribution/tests/ask_directories.h"
@@ -185,6 +186,13 @@
   ARelayWithoutConfirmations() {
     follower_->SetPeers({{"p1", "a", "p1", false}, {"r", "b", "r", false}});
   }
+
+  /// An ask opens a connection, which is kept for this time without use.
+  static constexpr seconds kIdleConnectionTimeout{60};
+  /// Beyond those to peers, of a daemon that may take 32 MB.
+  static constexpr size_t kMaxFurtherConnections = 40;
+
+  std::vector<std::string> many_;
 };
 
 TEST_F(ARelayWithoutConfirmations, AsksPastItsFailureDomainAtOnce) {
@@ -199,6 +207,25 @@
   EXPECT_EQ(AddressesOf(effects), std::vector<std::string>{"p1"});
 }
 
+/// Confirmations arrive as answers to asks only.
+TEST_F(ARelayWithoutConfirmations, AsksFewInstancesWhileTheyAnswer) {
+  for (int i = 0; i < 225; ++i) many_.push_back("d" + std::to_string(i));
+  FixedAskDirectory directory({{AskScope::kOwnDomain, many_},
+                               {AskScope::kReplicas, {"r1", "r2", "r3"}},
+                               {AskScope::kOtherDomains, many_}});
+  auto relay = Make("relay", false, now_, directory);
+  relay->SetPeers({{"p1", "a", "p1", false}, {"r", "b", "r", false}});
+  std::set<std::string> asked;
+  for (const Instant end = now_ + kIdleConnectionTimeout; now_ < end;
+       now_ += milliseconds(50)) {
+    for (const std::string& address : AddressesOf(relay->OnTick(now_))) {
+      asked.insert(address);
+      relay->OnMessage(address, NoticeOf(0, milliseconds(200)), now_);
+    }
+  }
+  EXPECT_LE(asked.size(), kMaxFurtherConnections);
+}
+
 class AReplicaOnARing : public AFollowerOnARing {
  protected:
   std::unique_ptr<VersionFollower> replica_ = Make("r", true, now_, directory_);
