Show that close confirmations are not passed on

A confirmation is compared with the last one received, not with the last one passed on. When each follows the one before within 150 ms, as from several replicas in a failure domain, only the first is passed on.

--- a/src/distribution/tests/confirmation_test.cc
+++ b/src/distribution/tests/confirmation_test.cc
@@ -110,6 +110,16 @@
   EXPECT_TRUE(follower_->OnMessage("z", notice, now_).send.empty());
 }
 
+TEST_F(AFollowerOnARing, PassesConfirmationsOnThatFollowEachOtherClosely) {
+  int passed_on = 0;
+  for (int i = 0; i < 100; ++i, now_ += milliseconds(100)) {
+    VersionNotice notice = NoticeOf(0, milliseconds(10));
+    notice.forward_to = 2;
+    passed_on += follower_->OnMessage("y", notice, now_).send.empty() ? 0 : 1;
+  }
+  EXPECT_GE(passed_on, 20);  // In ten seconds.
+}
+
 TEST_F(AFollowerOnARing, AsksNobodyWhileConfirmationsArrive) {
   for (int i = 0; i < 50; ++i, now_ += milliseconds(100)) {
     follower_->OnMessage("y", NoticeOf(0, milliseconds(50)), now_);
