Show that a pull without need is answered by the document

A daemon that is behind pulls from random peers. One that has the same version compresses and sends the whole document, without the limit of 10 pulls per half second, and the receiver drops it.

--- a/src/distribution/tests/version_follower_test.cc
+++ b/src/distribution/tests/version_follower_test.cc
@@ -365,5 +365,17 @@
   EXPECT_TRUE(std::holds_alternative<VersionPull>(sent.front().message));
 }
 
+TEST(AnUpToDatePull, IsNotAnsweredByADocument) {
+  EmptyAskDirectory directory;
+  const Instant now(std::chrono::seconds(1000));
+  auto follower = MakeVersionFollower({}, 1, now, directory);
+  follower->OnLatestRead(0, now, now);
+  const ConfigVersionPtr& version = follower->InUse();
+  const FollowerEffects effects = follower->OnMessage(
+      "y", VersionPull{version->number, version->digest}, now);
+  ASSERT_EQ(effects.send.size(), 1u);
+  EXPECT_EQ(std::get<VersionPullAnswer>(effects.send[0].message).whole, "");
+}
+
 }  // namespace
 }  // namespace hibiscusglade
