Count only informed relays when a domain may be cut off

What callers saw: requests sent to upstreams behind a cut for up to 10 s, when a relay of the own domain ended or stood still at the same time.

Cause: a failure domain counted as reachable while any relay's record didn't list it. The last record of a relay that has ended lists none until the relay is declared dead, and so does that of its successor for its first seconds.

Now only alive relays count that have been relays for the suspicion timeout, the domain timeout and 2 s: its daemon may learn that it is one only when the other is declared dead, and lists a domain after the domain timeout. While no relay is informed, all count as before. As the answer now changes with time, a change is reported on the tick.

--- a/src/membership/internal/domain_watch.h
+++ b/src/membership/internal/domain_watch.h
@@ -38,12 +38,22 @@
   /// forgotten. Returned once.
   std::vector<std::string> TakeExpired(Instant now);
 
+  /// @return whether an informed relay doesn't list the domain; while none is
+  /// informed, any relay.
   bool Reachable(const std::string& failure_domain) const;
 
   /// @return the known domains that aren't reachable.
   std::vector<std::string> Unreachable() const;
 
+  /// @return whether Unreachable() differs from that at the last call.
+  bool TakeChanged();
+
  private:
+  /// @return whether the relay is alive and has been one for long enough to
+  /// have listed a domain that doesn't answer it.
+  bool IsInformed(const InstanceRecord& relay) const;
+  void ObserveRelays(Instant now);
+
   const MembershipConfig& config_;
   const RecordTable& table_;
   const PeerView& view_;
@@ -51,6 +61,9 @@
   std::map<std::string, Instant> unreachable_since_;
   Instant next_expiry_;
   bool was_relay_ = false;
+  std::map<std::string, Instant> relay_since_;  ///< Of the own domain.
+  Instant observed_at_;
+  std::vector<std::string> last_unreachable_;
 };
 
 }  // namespace hibiscusglade
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -53,6 +53,7 @@
     ExpireSuspicions(now, effects);
     UpdateUnreachableDomains(now, effects);
     ForgetExpiredDomains(now, effects);
+    effects.changed |= domains_.TakeChanged();
     if (now >= next_probe_) SendProbes(now, effects);
     GossipVersionInUse(now);
     if (now >= next_gossip_) SendUpdates(now, effects);
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "membership/tests/simulated_mesh.h"
 
 namespace hibiscusglade {
@@ -307,6 +309,63 @@
   }
 }
 
+/// The relay that takes the place of the one that ended lists no domain before
+/// it has probed them for a while.
+TEST_F(TwelveInstancesInThreeDomains, KeepACutDomainWhileARelayIsReplaced) {
+  for (const size_t place : {0, 1}) {
+    std::vector<std::string> names = {"a1", "a2", "a3", "a4"};
+    std::sort(names.begin(), names.end(), [](const auto& a, const auto& b) {
+      return DigestOf(a) < DigestOf(b);
+    });
+    const std::string& relay = names[place];
+    nodes_.erase(relay);
+    cut_domains_ = {'c'};
+    Run(seconds(6));
+    for (int i = 0; i < 400; ++i) {
+      Run(milliseconds(50));
+      for (const auto& [name, node] : nodes_) {
+        if (name[0] != 'a') continue;
+        EXPECT_FALSE(node->DomainReachable("c")) << name << ", step " << i;
+        EXPECT_TRUE(node->DomainReachable("b")) << name << ", step " << i;
+      }
+    }
+    cut_domains_.clear();
+    Start(relay, 2);
+    Run(seconds(12));
+    for (const auto& [name, node] : nodes_) {
+      EXPECT_TRUE(node->DomainReachable("c")) << name;
+    }
+  }
+}
+
+/// One relay alone doesn't reach a domain, and the other one ends. When its
+/// successor has had the time to find out, it counts.
+TEST_F(TwelveInstancesInThreeDomains, ReportWhenADomainCountsAgain) {
+  std::vector<std::string> names = {"a1", "a2", "a3", "a4"};
+  std::sort(names.begin(), names.end(), [](const auto& a, const auto& b) {
+    return DigestOf(a) < DigestOf(b);
+  });
+  const std::string viewer = names[3];
+  for (const char* other : {"c1", "c2", "c3", "c4"}) {
+    cut_links_.insert({names[0], other});
+    cut_links_.insert({other, names[0]});
+  }
+  Run(seconds(6));
+  EXPECT_TRUE(nodes_.at(viewer)->DomainReachable("c"));
+  nodes_.erase(names[1]);
+  int flips = 0;
+  for (int i = 0; i < 500; ++i) {
+    const bool before = nodes_.at(viewer)->DomainReachable("c");
+    const int changes = changes_[viewer];
+    Run(milliseconds(50));
+    if (nodes_.at(viewer)->DomainReachable("c") == before) continue;
+    ++flips;
+    EXPECT_GT(changes_[viewer], changes) << i;
+  }
+  EXPECT_EQ(flips, 2);
+  EXPECT_TRUE(nodes_.at(viewer)->DomainReachable("c"));
+}
+
 /// Its peers have declared it dead while it was cut off, and don't include it
 /// any more in what they send.
 TEST_F(TwelveInstancesInThreeDomains, TakeBackAnInstanceSoonAfterItsCutEnds) {
--- a/src/membership/tests/simulated_mesh.h
+++ b/src/membership/tests/simulated_mesh.h
@@ -45,6 +45,7 @@
   }
 
   void Send(const std::string& from, const MembershipEffects& effects) {
+    if (effects.changed) ++changes_[from];
     for (const MembershipSend& sent : effects.send) {
       queue_.push_back({from, sent.address, sent.message});
     }
@@ -79,7 +80,8 @@
   std::deque<Message> queue_;
   std::set<std::pair<std::string, std::string>> cut_links_;
   std::set<char> cut_domains_;
-  std::set<std::string> dark_;  ///< Neither send nor receive.
+  std::map<std::string, int> changes_;  ///< Reported by each instance.
+  std::set<std::string> dark_;          ///< Neither send nor receive.
 };
 
 }  // namespace hibiscusglade
