Tell peers of a drain or leave before it is acknowledged

What callers saw: requests sent to an upstream that had left, when its daemon lost power right after it had acknowledged the leave, and a late announcement reached the daemon's next process.

Cause: peers, from which that process learns of the leave, were told on the next round of gossip, up to 50 ms after the acknowledgement.

The own record is now sent in the step that the drain or leave is handled in: at most three messages in the own domain, and one to each other domain at a relay. The usual rounds follow. That a peer has received the record is not waited for.

--- a/src/membership/internal/gossip_targets.cc
+++ b/src/membership/internal/gossip_targets.cc
@@ -39,10 +39,10 @@
 }
 
 std::string GossipTargets::ForComparison() {
-  std::vector<std::string> peers;
-  if (!view_.stands_in) peers = view_.own_domain_peers;
-  for (const auto& [domain, relays] : view_.other_domain_relays) {
-    peers.insert(peers.end(), relays.begin(), relays.end());
+  std::vector<std::string> peers = AllPeers(view_);
+  if (view_.stands_in && !view_.other_domain_relays.empty()) {
+    const size_t own = view_.own_domain_peers.size();
+    peers.erase(peers.begin(), peers.begin() + static_cast<ptrdiff_t>(own));
   }
   const bool to_seed =
       peers.empty() ||
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -19,14 +19,6 @@
 /// Of the instances left out of the view, so many are probed at a time.
 constexpr size_t kSilentProbes = 3;
 
-/// @return whether two records differ at most in sequence and version in use.
-bool DifferOnlyInVersion(const InstanceRecord& a, InstanceRecord b) {
-  b.sequence = a.sequence;
-  b.version_in_use = a.version_in_use;
-  b.version_digest = a.version_digest;
-  return a == b;
-}
-
 class MembershipImpl : public Membership {
  public:
   MembershipImpl(MembershipConfig config, uint64_t seed, Instant now)
@@ -130,14 +122,9 @@
 
   std::vector<InstanceRecord> Peers() const override {
     std::vector<InstanceRecord> peers;
-    for (const std::string& instance : view_.own_domain_peers) {
+    for (const std::string& instance : AllPeers(view_)) {
       peers.push_back(table_.Find(instance)->record);
     }
-    for (const auto& [domain, relays] : view_.other_domain_relays) {
-      for (const std::string& relay : relays) {
-        peers.push_back(table_.Find(relay)->record);
-      }
-    }
     return peers;
   }
 
@@ -163,6 +150,10 @@
   void PublishUpstream(Instant now, MembershipEffects& effects) {
     upstream_.Describe(self_);
     PublishOwnRecord(now, effects);
+    if (self_.upstream_state == UpstreamState::kNone ||
+        self_.upstream_state == UpstreamState::kDraining) {
+      SendOwnRecord(effects);
+    }
   }
 
   void PublishOwnRecord(Instant now, MembershipEffects& effects) {
@@ -286,8 +277,8 @@
 
   void OnAnswerFrom(const std::string& instance, Instant now) {
     const auto* stored = table_.Find(instance);
-    if (stored != nullptr)
-      domains_.OnAnswer(stored->record.failure_domain, now);
+    if (stored == nullptr) return;
+    domains_.OnAnswer(stored->record.failure_domain, now);
   }
 
   /// Answers a probe. A sender that isn't alive by its record here is sent that
@@ -322,7 +313,7 @@
   /// suspected. While nobody of the own domain is heard, probes all peers at
   /// once, to find somebody who answers.
   void HandleUnresponsive(Instant now, MembershipEffects& effects) {
-    const std::vector<std::string> peers = view_.own_domain_peers;
+    std::vector<std::string> peers = view_.own_domain_peers;
     bool any_added = false;
     for (const std::string& instance : detector_.TakeUnresponsive()) {
       const auto* stored = table_.Find(instance);
@@ -342,11 +333,10 @@
     if (!any_added) return;
     RebuildView(effects);
     if (HearsOwnDomain(now)) return;
+    peers.insert(peers.end(), view_.own_domain_peers.begin(),
+                 view_.own_domain_peers.end());
     for (const std::string& peer : peers) {
-      ProbeUnlessPending(peer, now, effects);
-    }
-    for (const std::string& peer : view_.own_domain_peers) {
-      ProbeUnlessPending(peer, now, effects);
+      if (!detector_.IsProbing(peer)) ProbeOwnDomain(peer, now, effects);
     }
   }
 
@@ -407,7 +397,7 @@
       auto next = silent_.upper_bound(last_silent_probed_);
       if (next == silent_.end()) next = silent_.begin();
       last_silent_probed_ = *next;
-      ProbeUnlessPending(*next, now, effects);
+      if (!detector_.IsProbing(*next)) ProbeOwnDomain(*next, now, effects);
     }
     for (const auto& [domain, relays] : view_.other_domain_relays) {
       detector_.Probe(targets_.Of(relays[random_.Below(relays.size())]), {},
@@ -415,11 +405,6 @@
     }
   }
 
-  void ProbeUnlessPending(const std::string& instance, Instant now,
-                          MembershipEffects& effects) {
-    if (!detector_.IsProbing(instance)) ProbeOwnDomain(instance, now, effects);
-  }
-
   void ProbeOwnDomain(const std::string& instance, Instant now,
                       MembershipEffects& effects) {
     std::vector<ProbeTarget> helpers;
@@ -445,6 +430,19 @@
     }
   }
 
+  /// Tells of a drain or leave, which is acknowledged after this step, without
+  /// waiting for the next round of gossip. This daemon's next process learns it
+  /// from peers only.
+  void SendOwnRecord(MembershipEffects& effects) {
+    std::vector<std::string> addresses = targets_.ForUpdates();
+    for (std::string& address : targets_.InOtherDomains()) {
+      addresses.push_back(std::move(address));
+    }
+    for (const std::string& address : addresses) {
+      effects.send.push_back({address, GossipMessage{{self_}, {}}});
+    }
+  }
+
   /// Starts a comparison of tables with one peer or seed.
   void SendComparison(Instant now, MembershipEffects& effects) {
     const bool alone = table_.All().size() == 1;
--- a/src/membership/internal/peer_view.cc
+++ b/src/membership/internal/peer_view.cc
@@ -75,4 +75,12 @@
   return view;
 }
 
+std::vector<std::string> AllPeers(const PeerView& view) {
+  std::vector<std::string> peers = view.own_domain_peers;
+  for (const auto& [domain, relays] : view.other_domain_relays) {
+    peers.insert(peers.end(), relays.begin(), relays.end());
+  }
+  return peers;
+}
+
 }  // namespace hibiscusglade
--- a/src/membership/internal/peer_view.h
+++ b/src/membership/internal/peer_view.h
@@ -36,6 +36,9 @@
                       const InstanceRecord& self,
                       const std::set<std::string>& silent);
 
+/// @return all peers in a view, those of the own domain first.
+std::vector<std::string> AllPeers(const PeerView& view);
+
 }  // namespace hibiscusglade
 
 #endif  // HIBISCUSGLADE_MEMBERSHIP_INTERNAL_PEER_VIEW_H_
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -237,6 +237,20 @@
   EXPECT_FALSE(Upstream().has_value());
 }
 
+TEST_F(ADaemonRestartedWhileItsUpstreamLeaves,
+       KeepsItDrainingWhenItEndedRightAfterTheAcknowledgement) {
+  UpstreamAnnouncement draining = *Upstream();
+  draining.state = UpstreamState::kDraining;
+  draining.sequence = 6;
+  Send("c3", nodes_["c3"]->OnAnnounce(draining, now_));
+  nodes_.erase("c3");
+  Run(milliseconds(500));
+  Start("c3", 2);
+  Run(milliseconds(500));
+  Announce(5, UpstreamState::kServing);
+  EXPECT_FALSE(Upstream().has_value());
+}
+
 /// The incarnation is the time of day at the start of the process. The clock
 /// was set back between the starts of two processes.
 TEST_F(TwelveInstancesInThreeDomains, TakeALaterProcessWhoseClockWasSetBack) {
--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -66,6 +66,14 @@
   return a.state > b.state;
 }
 
+/// @return whether two records differ at most in sequence and version in use.
+inline bool DifferOnlyInVersion(const InstanceRecord& a, InstanceRecord b) {
+  b.sequence = a.sequence;
+  b.version_in_use = a.version_in_use;
+  b.version_digest = a.version_digest;
+  return a == b;
+}
+
 /// An upstream's registration with its daemon, or a renewal of it.
 struct UpstreamAnnouncement {
   std::string service;
