Gossip the own record again only when a silent peer missed it

A daemon gossiped its own record again whenever an instance that it had left out of its view came back, also when the record had not changed meanwhile.

--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -158,6 +158,7 @@
 
   void PublishOwnRecord(Instant now, MembershipEffects& effects) {
     ++self_.sequence;
+    own_record_missed_ = !silent_.empty();
     StoreRecord(self_, now, effects);
     // The record may be unchanged although the upstream's address has changed,
     // which is not part of it.
@@ -305,8 +306,7 @@
     }
     if (silent_.erase(instance) == 0) return;
     RebuildView(effects);
-    // It has missed what was gossiped meanwhile.
-    updates_.Add(self_.instance);
+    if (std::exchange(own_record_missed_, false)) updates_.Add(self_.instance);
   }
 
   /// Leaves unresponsive instances out of the view, and marks them as
@@ -477,6 +477,7 @@
   /// they were last heard from.
   std::set<std::string> silent_;
   std::string last_silent_probed_;
+  bool own_record_missed_ = false;  ///< By the silent ones.
   Instant last_message_at_;
   Instant last_heard_own_domain_at_;
   bool version_pending_ = false;
