--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -49,6 +49,7 @@
     ExpireSuspicions(now, effects);
     UpdateUnreachableDomains(now, effects);
     ForgetExpiredDomains(now, effects);
+    effects.changed |= domains_.TakeChanged();
     if (now >= next_probe_) SendProbes(now, effects);
     GossipVersionInUse(now);
     if (now >= next_gossip_) SendUpdates(now, effects);
@@ -125,14 +126,9 @@
 
   std::vector<InstanceRecord> Peers() const override {
     std::vector<InstanceRecord> peers;
-    for (const std::string& instance : view_.own_domain_peers) {
+    for (const std::string& instance : AllPeers(view_)) {
       peers.push_back(table_.Find(instance)->record);
     }
-    for (const auto& [domain, relays] : view_.other_domain_relays) {
-      for (const std::string& relay : relays) {
-        peers.push_back(table_.Find(relay)->record);
-      }
-    }
     return peers;
   }
 
@@ -162,10 +158,15 @@
   void PublishUpstream(Instant now, MembershipEffects& effects) {
     upstream_.Describe(self_);
     PublishOwnRecord(now, effects);
+    if (self_.upstream_state == UpstreamState::kNone ||
+        self_.upstream_state == UpstreamState::kDraining) {
+      SendOwnRecord(effects);
+    }
   }
 
   void PublishOwnRecord(Instant now, MembershipEffects& effects) {
     ++self_.sequence;
+    own_record_missed_ = !silent_.empty();
     StoreRecord(self_, now, effects);
     // The record may be unchanged although the upstream's address has changed,
     // which is not part of it.
@@ -293,8 +294,8 @@
 
   void OnAnswerFrom(const std::string& instance, Instant now) {
     const auto* stored = table_.Find(instance);
-    if (stored != nullptr)
-      domains_.OnAnswer(stored->record.failure_domain, now);
+    if (stored == nullptr) return;
+    domains_.OnAnswer(stored->record.failure_domain, now);
   }
 
   /// Answers a probe. A sender that isn't alive by its record here is sent that
@@ -321,15 +322,14 @@
     }
     if (silent_.erase(instance) == 0) return;
     RebuildView(effects);
-    // It has missed what was gossiped meanwhile.
-    updates_.Add(self_.instance);
+    if (std::exchange(own_record_missed_, false)) updates_.Add(self_.instance);
   }
 
   /// Leaves unresponsive instances out of the view, and marks them as
   /// suspected. While nobody of the own domain is heard, probes all peers at
   /// once, to find somebody who answers.
   void HandleUnresponsive(Instant now, MembershipEffects& effects) {
-    const std::vector<std::string> peers = view_.own_domain_peers;
+    std::vector<std::string> peers = view_.own_domain_peers;
     bool any_added = false;
     for (const std::string& instance : detector_.TakeUnresponsive()) {
       const auto* stored = table_.Find(instance);
@@ -349,11 +349,10 @@
     if (!any_added) return;
     RebuildView(effects);
     if (HearsOwnDomain(now)) return;
+    peers.insert(peers.end(), view_.own_domain_peers.begin(),
+                 view_.own_domain_peers.end());
     for (const std::string& peer : peers) {
-      ProbeUnlessPending(peer, now, effects);
-    }
-    for (const std::string& peer : view_.own_domain_peers) {
-      ProbeUnlessPending(peer, now, effects);
+      if (!detector_.IsProbing(peer)) ProbeOwnDomain(peer, now, effects);
     }
   }
 
@@ -414,7 +413,7 @@
       auto next = silent_.upper_bound(last_silent_probed_);
       if (next == silent_.end()) next = silent_.begin();
       last_silent_probed_ = *next;
-      ProbeUnlessPending(*next, now, effects);
+      if (!detector_.IsProbing(*next)) ProbeOwnDomain(*next, now, effects);
     }
     for (const auto& [domain, relays] : view_.other_domain_relays) {
       detector_.Probe(targets_.Of(relays[random_.Below(relays.size())]), {},
@@ -422,11 +421,6 @@
     }
   }
 
-  void ProbeUnlessPending(const std::string& instance, Instant now,
-                          MembershipEffects& effects) {
-    if (!detector_.IsProbing(instance)) ProbeOwnDomain(instance, now, effects);
-  }
-
   void ProbeOwnDomain(const std::string& instance, Instant now,
                       MembershipEffects& effects) {
     std::vector<ProbeTarget> helpers;
@@ -452,6 +446,19 @@
     }
   }
 
+  /// Tells of a drain or leave, which is acknowledged after this step, without
+  /// waiting for the next round of gossip. This daemon's next process learns it
+  /// from peers only.
+  void SendOwnRecord(MembershipEffects& effects) {
+    std::vector<std::string> addresses = targets_.ForUpdates();
+    for (std::string& address : targets_.InOtherDomains()) {
+      addresses.push_back(std::move(address));
+    }
+    for (const std::string& address : addresses) {
+      effects.send.push_back({address, GossipMessage{{self_}, {}}});
+    }
+  }
+
   /// Starts a comparison of tables with one peer or seed.
   void SendComparison(Instant now, MembershipEffects& effects) {
     const bool alone = table_.All().size() == 1;
@@ -487,6 +494,7 @@
   /// they were last heard from.
   std::set<std::string> silent_;
   std::string last_silent_probed_;
+  bool own_record_missed_ = false;  ///< By the silent ones.
   Instant last_message_at_;
   Instant last_heard_own_domain_at_;
   bool version_pending_ = false;
