Compare tables often while a daemon stops

What callers saw: nothing yet; the leave told as a stop begins takes the daemon out of all rings, so that for up to 5 s only its own comparison each 5 s brought it records, and it may pass requests on to an upstream that has said that it leaves. Found by review.

Jittered intervals stood twice; they are one function of Random now.

--- a/src/base/random.h
+++ b/src/base/random.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <random>
 
+#include "base/clock.h"
+
 namespace hibiscusglade {
 
 /// Seeded source of random numbers for state machines, so that a test session
@@ -21,6 +23,12 @@
     return static_cast<double>(engine_() >> 11U) * 0x1.0p-53;
   }
 
+  /// @return a random duration between 0.5 and 1.5 times the interval.
+  Duration Jittered(Duration interval) {
+    const auto length = static_cast<uint64_t>(interval.count());
+    return Duration(static_cast<int64_t>(length / 2 + Below(length)));
+  }
+
   /// @return a number of 64 random bits.
   uint64_t Bits() { return engine_(); }
 
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -105,6 +105,7 @@
   MembershipEffects Leave(Instant now) override {
     MembershipEffects effects;
     self_.state = InstanceState::kLeft;
+    next_compare_ = now;
     PublishOwnRecord(now, effects);
     SendUpdates(now, effects);
     return effects;
@@ -403,7 +404,7 @@
   }
 
   void SendProbes(Instant now, MembershipEffects& effects) {
-    next_probe_ = now + Jittered(config_.probe_interval);
+    next_probe_ = now + random_.Jittered(config_.probe_interval);
     if (!view_.own_domain_peers.empty()) {
       ProbeOwnDomain(view_.own_domain_peers[next_probe_index_++ %
                                             view_.own_domain_peers.size()],
@@ -431,7 +432,7 @@
   }
 
   void SendUpdates(Instant now, MembershipEffects& effects) {
-    next_gossip_ = now + Jittered(config_.gossip_interval);
+    next_gossip_ = now + random_.Jittered(config_.gossip_interval);
     if (updates_.Empty()) return;
     const std::vector<std::string> targets = targets_.ForUpdates();
     if (targets.empty()) return;
@@ -459,25 +460,24 @@
     }
   }
 
+  Duration ComparisonInterval() const {
+    // Nobody sends updates to a daemon that leaves, and it still routes by
+    // them.
+    const bool alone =
+        table_.All().size() == 1 || self_.state == InstanceState::kLeft;
+    if (alone) return config_.gossip_interval;
+    return view_.stands_in ? config_.probe_interval : config_.compare_interval;
+  }
+
   /// Starts a comparison of tables with one peer or seed.
   void SendComparison(Instant now, MembershipEffects& effects) {
-    const bool alone = table_.All().size() == 1;
-    const Duration interval = alone             ? config_.gossip_interval
-                              : view_.stands_in ? config_.probe_interval
-                                                : config_.compare_interval;
-    next_compare_ = now + Jittered(interval);
+    next_compare_ = now + random_.Jittered(ComparisonInterval());
     const std::string address = targets_.ForComparison();
     if (address.empty()) return;
     effects.send.push_back(
         {address, {GossipMessage{{self_}, table_.BucketDigests()}}});
   }
 
-  /// @return a random duration between 0.5 and 1.5 times the interval.
-  Duration Jittered(Duration interval) {
-    const auto length = static_cast<uint64_t>(interval.count());
-    return Duration(static_cast<int64_t>(length / 2 + random_.Below(length)));
-  }
-
   MembershipConfig config_;
   InstanceRecord self_;
   Random random_;
