Bound how long a daemon that asks stays without an answer

Now a relay whose asks past the domain are not answered says so. Now an answer returns the time of its ask, and its age counts from that; notices of other kinds have no age. Its first round goes to replicas. - A pull without need was answered by the whole document (IsNotAnsweredByADocument). - Confirmations that follow each other closely were not passed on (PassesConfirmationsOnThatFollowEachOtherClosely).

AsksPastItsFailureDomainAtOnce expects the one ask of the first round now, and AsksInItsDomainTooWhenNobodyAnswers those of the second. The list of whom to ask is made when it is needed, not with each view.

--- a/src/control/internal/ask_targets.cc
+++ b/src/control/internal/ask_targets.cc
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/digest.h"
-
 namespace hibiscusglade {
 
-AskTargets::AskTargets(std::string own_address, std::string own_domain)
+AskTargets::AskTargets(std::string own_address, std::string own_domain,
+                       Refresh refresh)
     : own_address_(std::move(own_address)),
-      own_domain_(std::move(own_domain)) {}
+      own_domain_(std::move(own_domain)),
+      refresh_(std::move(refresh)) {}
 
 void AskTargets::SetInstances(const std::vector<InstanceRecord>& records,
                               const std::vector<std::string>& relays,
@@ -36,26 +36,25 @@
 }
 
 std::string AskTargets::Next(AskScope scope) {
-  // Least recently asked first. Equal ones are ordered differently at each
-  // daemon, so that not all ask the same instance.
-  const auto order = [this](const std::string& address) {
-    const auto found = last_turns_.find(address);
+  if (std::exchange(outdated_, false)) refresh_(*this);
+  // Least recently asked first.
+  const auto order = [this](const Addresses::value_type& candidate) {
+    const auto found = last_turns_.find(candidate.first);
     return std::pair(found == last_turns_.end() ? 0 : found->second,
-                     DigestOf(own_address_ + address));
+                     candidate.second);
   };
   const Addresses& candidates = addresses_[scope];
-  const auto next =
-      std::min_element(candidates.begin(), candidates.end(),
-                       [&order](const std::string& a, const std::string& b) {
-                         return order(a) < order(b);
-                       });
+  const auto next = std::min_element(
+      candidates.begin(), candidates.end(),
+      [&order](const auto& a, const auto& b) { return order(a) < order(b); });
   if (next == candidates.end()) return "";
-  last_turns_[*next] = ++turn_;
-  return *next;
+  last_turns_[next->first] = ++turn_;
+  return next->first;
 }
 
 void AskTargets::Add(AskScope scope, const std::string& address) {
-  if (address != own_address_) addresses_[scope].insert(address);
+  if (address == own_address_) return;
+  addresses_[scope].emplace(address, DigestOf(own_address_ + address));
 }
 
 void AskTargets::ForgetRemoved() {
--- a/src/control/internal/ask_targets.h
+++ b/src/control/internal/ask_targets.h
@@ -2,11 +2,12 @@
 #define HIBISCUSGLADE_CONTROL_INTERNAL_ASK_TARGETS_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
+#include "base/digest.h"
 #include "distribution/ask_directory.h"
 #include "membership/types/instance_record.h"
 
@@ -17,9 +18,16 @@
 /// whether they answer is found out by asking.
 class AskTargets : public AskDirectory {
  public:
+  /// Calls SetInstances(). Called before the next turn once the view has
+  /// changed.
+  using Refresh = std::function<void(AskTargets&)>;
+
   /// @param own_address control address of this daemon, which is never
   /// returned.
-  AskTargets(std::string own_address, std::string own_domain);
+  AskTargets(std::string own_address, std::string own_domain, Refresh refresh);
+
+  /// Marks the instances as out of date.
+  void OnViewChanged() { outdated_ = true; }
 
   /// Replaces the instances. Those that remain keep their turns.
   /// @param relays names of the relays of the own failure domain.
@@ -31,13 +39,16 @@
   std::string Next(AskScope scope) override;
 
  private:
-  using Addresses = std::set<std::string>;
+  /// With digests that order the addresses differently at each daemon.
+  using Addresses = std::map<std::string, Digest>;
 
   void Add(AskScope scope, const std::string& address);
   void ForgetRemoved();
 
   std::string own_address_;
   std::string own_domain_;
+  Refresh refresh_;
+  bool outdated_ = true;
   std::map<AskScope, Addresses> addresses_;
   /// Turn in which an address was last returned; absent: never.
   std::map<std::string, uint64_t> last_turns_;
--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -60,6 +60,10 @@
     to->set_wants_answer(m.wants_answer);
     to->set_forward_to(m.forward_to);
     to->set_relay(m.relay);
+    if (m.asked_at) {
+      to->set_asked_at_micros(
+          static_cast<uint64_t>(m.asked_at->time_since_epoch().count()));
+    }
   }
   void operator()(const VersionPull& m) const {
     auto* to = out.mutable_version_pull();
@@ -175,6 +179,10 @@
   notice.wants_answer = in.wants_answer();
   notice.forward_to = in.forward_to();
   notice.relay = in.relay();
+  if (in.has_asked_at_micros()) {
+    notice.asked_at =
+        Instant(Duration(static_cast<int64_t>(in.asked_at_micros())));
+  }
   return notice;
 }
 
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -59,7 +59,12 @@
         asks_(metrics.CounterOf("version_asks_total", "")),
         confirmations_(routes),
         instance_states_(config.identity.failure_domain),
-        ask_targets_(config.control_address, config.identity.failure_domain),
+        ask_targets_(config.control_address, config.identity.failure_domain,
+                     [this](AskTargets& targets) {
+                       targets.SetInstances(membership_->Records(),
+                                            membership_->Relays(),
+                                            SeedAddresses());
+                     }),
         transport_(
             MakeZmqTransport(config.identity, "control", clock, metrics)),
         group_client_(
@@ -87,7 +92,6 @@
     follower.replica = IsReplica();
     follower_ =
         MakeVersionFollower(follower, config_.seed + 1, now, ask_targets_);
-    UpdateAskTargets(membership_->Records());
     if (IsReplica()) {
       Member self{{config_.identity.instance, 0},
                   false,
@@ -450,10 +454,6 @@
     view_changed_ = true;
   }
 
-  void UpdateAskTargets(const std::vector<InstanceRecord>& records) {
-    ask_targets_.SetInstances(records, membership_->Relays(), SeedAddresses());
-  }
-
   void ApplyEffects(const FollowerEffects& effects) {
     for (const DistributionSend& sent : effects.send) {
       wire::Envelope message;
@@ -491,7 +491,7 @@
   void PublishView() {
     const std::vector<InstanceRecord> records = membership_->Records();
     UpdateKnownReplicas(records);
-    UpdateAskTargets(records);
+    ask_targets_.OnViewChanged();
     instance_states_.Report(records, clock_.Now());
     const ConfigVersionPtr& version = follower_->InUse();
     if (version == nullptr) return;
--- a/src/control/tests/ask_targets_test.cc
+++ b/src/control/tests/ask_targets_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace hibiscusglade {
 namespace {
 
@@ -24,7 +26,7 @@
     Update();
   }
 
-  void Update() { targets_.SetInstances(records_, {"a2"}, {"seed:1"}); }
+  void Update() { targets_.OnViewChanged(); }
 
   /// @return the next `count` targets of a scope.
   std::set<std::string> Next(AskScope scope, int count) {
@@ -36,7 +38,9 @@
   using Targets = std::set<std::string>;
 
   std::vector<InstanceRecord> records_;
-  AskTargets targets_{"a1:1", "a"};
+  AskTargets targets_{"a1:1", "a", [this](AskTargets& targets) {
+                        targets.SetInstances(records_, {"a2"}, {"seed:1"});
+                      }};
 };
 
 TEST_F(AskTargetsOfADaemon, AreNotTheDaemonItself) {
@@ -79,8 +83,8 @@
 }
 
 TEST_F(AskTargetsOfADaemon, AreEmptyWhenNobodyIsKnown) {
-  targets_.SetInstances({}, {}, {});
-  EXPECT_EQ(targets_.Next(AskScope::kOwnDomain), "");
+  AskTargets targets("a1:1", "a", [](AskTargets&) {});
+  EXPECT_EQ(targets.Next(AskScope::kOwnDomain), "");
 }
 
 }  // namespace
--- a/src/control/tests/control_codec_test.cc
+++ b/src/control/tests/control_codec_test.cc
@@ -85,7 +85,8 @@
 }
 
 TEST(AVersionNotice, IsReadAsItWasWritten) {
-  const VersionNotice notice{7, 8, std::chrono::milliseconds(9), true, 3, true};
+  const VersionNotice notice{7, 8,    std::chrono::milliseconds(9),    true,
+                             3, true, Instant(std::chrono::seconds(4))};
   wire::Envelope message;
   ToWire(notice, message);
   EXPECT_EQ(std::get<VersionNotice>(*DistributionFromWire(message)), notice);
--- a/src/distribution/internal/ask_schedule.h
+++ b/src/distribution/internal/ask_schedule.h
@@ -27,20 +27,30 @@
   bool Asking() const { return rounds_ > 0; }
 
   /// Records a notice of a relay of the own failure domain.
-  void OnRelayHeard() { relays_silent_ = false; }
+  void OnRelayHeard() {
+    relays_silent_ = false;
+    rounds_without_relay_ = 0;
+  }
 
   /// @return the scopes to ask in now; empty when no round is due.
   /// @param relay whether this daemon is a relay of its failure domain.
   std::vector<AskScope> NextRound(bool relay, Instant now);
 
  private:
+  /// Takes relays for silent that were heard from earlier in the series only.
+  void UpdateRelaysSilent();
+
   bool AsksPastDomain(bool relay);
 
+  /// @return the time until the next round.
+  Duration Interval(bool relay) const;
+
   Duration interval_;
   Random& random_;
   size_t rounds_ = 0;
-  size_t rounds_past_domain_ = 0;  ///< Over all series.
+  size_t rounds_past_domain_ = 0;
   bool relays_silent_ = true;
+  size_t rounds_without_relay_ = 0;
   Instant next_round_;
 };
 
--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -109,10 +109,12 @@
   /// Versions with longer patches are not sent to peers that may have them.
   static constexpr size_t kMaxUnsolicitedBytes = 1024;
   static constexpr Duration kPullCountWindow = std::chrono::milliseconds(500);
-  /// A confirmation that is newer by less than this is not passed on, as it
-  /// reached the daemon by a second path.
-  static constexpr Duration kMinConfirmationAdvance =
-      std::chrono::milliseconds(150);
+  /// A confirmation that is newer by less than this than the one passed on last
+  /// is not passed on, as it reached the daemon by a second path.
+  static constexpr Duration kMinAdvance = std::chrono::milliseconds(150);
+  /// A relay that has sent more asks past its failure domain since it was
+  /// answered from there does not speak for the domain.
+  static constexpr size_t kMaxUnansweredElsewhere = 2;
 
   /// That no version after `number` was committed at a time.
   struct Confirmation {
@@ -125,27 +127,30 @@
   /// daemons.
   void RequestLatest(Instant now, FollowerEffects& effects) {
     if (now < next_read_ || (floor_known_ && !config_.replica)) return;
-    next_read_ = now + (floor_known_ ? Jittered(config_.confirm_interval) / 2 +
-                                           config_.confirm_interval / 2
-                                     : Jittered(config_.floor_interval));
+    next_read_ =
+        now + (floor_known_ ? random_.Jittered(config_.confirm_interval) / 2 +
+                                  config_.confirm_interval / 2
+                            : random_.Jittered(config_.floor_interval));
     effects.read_latest = true;
   }
 
   void OnConfirmation(const Confirmation& confirmation, Instant now,
                       FollowerEffects& effects) {
     if (confirmation.number > history_.Latest()->number) {
-      // The first one is kept: a daemon that is always a little behind would
-      // reach none of the later ones.
-      if (!awaited_) awaited_ = confirmation;
+      // That of the first number is kept: a daemon that is always a little
+      // behind would reach none of the later ones.
+      if (!awaited_ || awaited_->number == confirmation.number) {
+        awaited_ = confirmation;
+      }
       return;
     }
-    const bool passes_on =
-        !confirmed_at_ ||
-        confirmation.as_of - *confirmed_at_ >= kMinConfirmationAdvance;
     if (!confirmed_at_ || confirmation.as_of > *confirmed_at_) {
       confirmed_at_ = confirmation.as_of;
     }
+    const bool passes_on =
+        !passed_on_ || confirmation.as_of - *passed_on_ >= kMinAdvance;
     if (!passes_on) return;
+    passed_on_ = confirmation.as_of;
     // A relay that had to ask has the confirmation from outside its domain.
     const size_t receivers = IsRelay() && asks_.Asking()
                                  ? OwnDomainPeers()
@@ -157,7 +162,8 @@
   /// the same way as PassOn() does with changes.
   void PassConfirmationOn(size_t most_peers, Instant now,
                           FollowerEffects& effects) const {
-    VersionNotice notice = LatestNotice(now);
+    VersionNotice notice = LatestNotice();
+    notice.age = Age(now);
     for (size_t distance_log = std::min(most_peers, OwnDomainPeers());
          distance_log-- > 0;) {
       notice.forward_to = static_cast<uint32_t>(distance_log);
@@ -177,9 +183,13 @@
       asks_.Reset();
       return;
     }
-    VersionNotice ask = LatestNotice(now);
+    VersionNotice ask = LatestNotice();
     ask.wants_answer = true;
+    ask.asked_at = now;
     for (AskScope scope : asks_.NextRound(IsRelay(), now)) {
+      if (scope == AskScope::kReplicas || scope == AskScope::kOtherDomains) {
+        ++unanswered_elsewhere_;
+      }
       const std::string address = directory_.Next(scope);
       if (!address.empty()) effects.send.push_back({address, ask});
     }
@@ -188,19 +198,33 @@
   void OnNotice(const std::string& from, const VersionNotice& notice,
                 Instant now, FollowerEffects& effects) {
     if (notice.same_domain && notice.relay) asks_.OnRelayHeard();
+    if (!notice.same_domain) unanswered_elsewhere_ = 0;
     if (notice.age) {
-      OnConfirmation({notice.number, now - *notice.age, notice.forward_to}, now,
-                     effects);
+      const Instant known_at = std::min(notice.asked_at.value_or(now), now);
+      OnConfirmation({notice.number, known_at - *notice.age, notice.forward_to},
+                     now, effects);
     }
     // The sender may be missing from its peers' views, so that none of them
     // notifies it of newer versions.
-    if (notice.number < history_.Latest()->number || notice.wants_answer) {
-      effects.send.push_back({from, LatestNotice(now)});
+    if (notice.wants_answer) {
+      effects.send.push_back({from, AnswerTo(notice, now)});
+    } else if (notice.number < history_.Latest()->number) {
+      effects.send.push_back({from, LatestNotice()});
     }
     newest_notified_ = std::max(newest_notified_, notice.number);
     if (notice.number <= history_.Latest()->number) return;
     if (!behind_since_) behind_since_ = now;
-    if (now >= next_pull_) Pull(from, now, effects);
+    // A random peer that is waited for may be silent; this one is not.
+    if (now < next_pull_ && !pulled_from_random_peer_) return;
+    Pull(from, now, effects);
+    pulled_from_random_peer_ = false;
+  }
+
+  VersionNotice AnswerTo(const VersionNotice& ask, Instant now) const {
+    VersionNotice answer = LatestNotice();
+    answer.age = Age(now);
+    answer.asked_at = ask.asked_at;
+    return answer;
   }
 
   /// Pulls from a random peer while a newer version is known to exist.
@@ -211,6 +235,7 @@
       return;
     }
     Pull(peers_[random_.Below(peers_.size())].address, now, effects);
+    pulled_from_random_peer_ = true;
   }
 
   void Pull(const std::string& address, Instant now, FollowerEffects& effects) {
@@ -227,8 +252,13 @@
       pulls_counted_until_ = now + kPullCountWindow;
       pulls_answered_ = 0;
     }
-    if (pull.have_number < history_.Latest()->number &&
-        ++pulls_answered_ > kMaxPullsPerWindow) {
+    if (pull.have_number >= history_.Latest()->number) {
+      VersionPullAnswer nothing_newer;
+      nothing_newer.number = history_.Latest()->number;
+      nothing_newer.digest = history_.Latest()->digest;
+      return nothing_newer;
+    }
+    if (++pulls_answered_ > kMaxPullsPerWindow) {
       VersionPullAnswer busy;
       busy.busy = true;
       return busy;
@@ -258,7 +288,7 @@
       return;
     }
     ++(answer.busy ? catch_up_.busy : catch_up_.unusable);
-    next_pull_ = now + Jittered(config_.pull_retry_pause);
+    next_pull_ = now + random_.Jittered(config_.pull_retry_pause);
   }
 
   void OnUnsolicited(const std::string& from, const VersionPullAnswer& answer,
@@ -302,26 +332,19 @@
     Activate(now, effects);
   }
 
-  void Notify(const DistributionPeer& peer, Instant now,
-              FollowerEffects& effects) const {
-    effects.send.push_back({peer.address, LatestNotice(now)});
+  void Notify(const DistributionPeer& peer, FollowerEffects& effects) const {
+    effects.send.push_back({peer.address, LatestNotice()});
   }
 
-  VersionNotice LatestNotice(Instant now) const {
+  VersionNotice LatestNotice() const {
     VersionNotice notice;
     notice.number = history_.Latest()->number;
     notice.digest = history_.Latest()->digest;
-    notice.age = Age(now);
-    notice.relay = IsRelay();
+    notice.relay =
+        IsRelay() && unanswered_elsewhere_ <= kMaxUnansweredElsewhere;
     return notice;
   }
 
-  /// @return a random duration of 0.5 to 1.5 intervals.
-  Duration Jittered(Duration interval) {
-    const auto length = static_cast<uint64_t>(interval.count());
-    return Duration(static_cast<int64_t>(length / 2 + random_.Below(length)));
-  }
-
   void Activate(Instant now, FollowerEffects& effects,
                 Origin origin = Origin::kPeer) {
     const ConfigVersionPtr& latest = history_.Latest();
@@ -333,7 +356,7 @@
     effects.catch_up = std::exchange(catch_up_, {});
     behind_since_.reset();
     if (newest_notified_ > latest->number) behind_since_ = now;
-    SendToPeers(ChangesSince(previous), origin, now, effects);
+    SendToPeers(ChangesSince(previous), origin, effects);
     if (awaited_ && awaited_->number <= latest->number) {
       OnConfirmation(*std::exchange(awaited_, std::nullopt), now, effects);
     }
@@ -375,7 +398,7 @@
   /// that the own replica has committed are sent through the failure domain
   /// first; peers of earlier releases, which can't read them, pull when
   /// notified.
-  void SendToPeers(VersionPullAnswer changes, Origin origin, Instant now,
+  void SendToPeers(VersionPullAnswer changes, Origin origin,
                    FollowerEffects& effects) const {
     const bool has_changes = !changes.steps.empty();
     const bool small = has_changes && IsSmall(changes);
@@ -387,7 +410,7 @@
       if (small) {
         effects.send.push_back({peer.address, changes});
       } else {
-        Notify(peer, now, effects);
+        Notify(peer, effects);
       }
     }
   }
@@ -412,9 +435,12 @@
   Instant next_read_;
 
   std::optional<Instant> confirmed_at_;  ///< As of which it was the latest.
+  std::optional<Instant> passed_on_;     ///< Time of the last one passed on.
   std::optional<Confirmation> awaited_;  ///< Of a version not received yet.
+  size_t unanswered_elsewhere_ = 0;      ///< Asks past the own domain.
   uint64_t newest_notified_ = 0;
   Instant next_pull_;
+  bool pulled_from_random_peer_ = false;  ///< Not from one that notified.
   std::optional<Instant> pulled_at_;  ///< Of the pull that has no answer yet.
   std::optional<Instant> behind_since_;
   CatchUp catch_up_;
--- a/src/distribution/tests/confirmation_test.cc
+++ b/src/distribution/tests/confirmation_test.cc
@@ -207,7 +207,13 @@
 
 TEST_F(ARelayWithoutConfirmations, AsksPastItsFailureDomainAtOnce) {
   EXPECT_EQ(AddressesOf(follower_->OnTick(now_)),
-            (std::vector<std::string>{"daemon", "replica"}));
+            std::vector<std::string>{"replica"});
+}
+
+TEST_F(ARelayWithoutConfirmations, AsksInItsDomainTooWhenNobodyAnswers) {
+  follower_->OnTick(now_);
+  EXPECT_EQ(AddressesOf(follower_->OnTick(now_ + milliseconds(300))),
+            (std::vector<std::string>{"daemon", "elsewhere"}));
 }
 
 TEST_F(ARelayWithoutConfirmations, PassesOnWhatItIsTold) {
--- a/src/distribution/types/distribution_types.h
+++ b/src/distribution/types/distribution_types.h
@@ -16,15 +16,18 @@
 struct VersionNotice {
   uint64_t number = 0;
   Digest digest = 0;
-  /// Time since a quorum confirmed that no later version was committed; absent
-  /// when the sender does not know.
+  /// In an answer or a confirmation: time since a quorum confirmed that no
+  /// later version was committed; absent when the sender does not know.
   std::optional<Duration> age = std::nullopt;
-  /// Whether the receiver is asked for its own notice. It answers when it knows
-  /// a later version or a more recent confirmation.
+  /// Whether the receiver is asked for its own notice.
   bool wants_answer = false;
   /// How many of the receiver's nearest peers to pass a confirmation on to.
   uint32_t forward_to = 0;
-  bool relay = false;  ///< The sender is a relay of its failure domain.
+  /// The sender is a relay of its failure domain and hears from others.
+  bool relay = false;
+  /// Time of an ask on the clock of who asks, which its answer returns: the age
+  /// in the answer counts from then, however long the two were under way.
+  std::optional<Instant> asked_at = std::nullopt;
   /// Whether the sender is in the receiver's failure domain; not on the wire.
   bool same_domain = false;
 
