Name the upstream that went down, not its announcement

What callers saw: requests were sent to an upstream that accepted no connections any more, until its lease ended.

Cause: the owner reports an upstream down by its copy of the announcement. A renewal changes nothing that the owner acts on, so the copy keeps the sequence of the first one. After a renewal the membership dropped the report as out of date, and peers went on to see the upstream as serving. Where the report was taken it renewed the lease of the dead upstream, and without start times a report on one that had been replaced put it back in the place of its successor.

The report now names the identity, id and start time, that went down. The membership lets just that one drain until it announces itself again, and leaves its lease as it is. The log tells what was decided.

Evidence: TakesADownReportThatIsOlderThanARenewal and DoesNotDrainTheOneThatReplacedTheOneReported failed before and pass; the tests of AnUpstreamReportedDown check the lease and later announcements.

Ruled out: sending each renewal to the owner, as the report could still be overtaken by one.

--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -182,10 +182,16 @@
   }
 
   void ReportDown(const UpstreamAnnouncement& upstream) override {
-    UpstreamAnnouncement draining = upstream;
-    draining.state = UpstreamState::kDraining;
-    executor_.Post([this, draining, posted_at = clock_.Now()] {
-      HandleAnnouncement(draining, posted_at);
+    executor_.Post([this, id = upstream.id, start = upstream.started_at_ms,
+                    posted_at = clock_.Now()] {
+      const MembershipEffects effects =
+          membership_->OnUpstreamDown(id, start, clock_.Now());
+      Log(LogLevel::kInfo, "control", "The local upstream was reported down.",
+          {{"upstream", id},
+           {"born", std::to_string(start)},
+           {"decision", effects.changed ? "drains" : "ignored"},
+           {"queued_ms", MillisText(clock_.Now() - posted_at)}});
+      ApplyEffects(effects);
     });
   }
 
--- a/src/control/tests/control_loop_test.cc
+++ b/src/control/tests/control_loop_test.cc
@@ -106,6 +106,14 @@
     std::filesystem::remove_all(folder_);
   }
 
+  /// Applies updates for a moment longer than the control thread needs.
+  void Settle() {
+    for (int i = 0; i < 60; ++i) {
+      requests_.ApplyUpdates();
+      std::this_thread::sleep_for(kPollInterval);
+    }
+  }
+
   static UpstreamAnnouncement Announcement(UpstreamState state,
                                            uint64_t sequence) {
     UpstreamAnnouncement upstream;
@@ -157,6 +165,25 @@
   EXPECT_EQ(requests_.State(), UpstreamState::kServing);
 }
 
+/// The owner's copy of the announcement is from before the renewal.
+TEST_F(ADaemonWithAnUpstream, TakesADownReportThatIsOlderThanARenewal) {
+  Start(milliseconds(100));
+  Announce(UpstreamState::kServing, 2).wait();
+  loop_->ReportDown(Announcement(UpstreamState::kServing, 1));
+  Settle();
+  EXPECT_EQ(requests_.State(), UpstreamState::kDraining);
+}
+
+TEST_F(ADaemonWithAnUpstream, DoesNotDrainTheOneThatReplacedTheOneReported) {
+  Start(milliseconds(100));
+  UpstreamAnnouncement next = Announcement(UpstreamState::kServing, 1);
+  next.id = "i-2";
+  loop_->Announce(next);
+  loop_->ReportDown(Announcement(UpstreamState::kServing, 1));
+  Settle();
+  EXPECT_EQ(requests_.State(), UpstreamState::kServing);
+}
+
 TEST_F(ADaemonWithAnUpstream, DrainsForAnOperatorBeforeItSaysSo) {
   Start(milliseconds(100));
   EXPECT_FALSE(loop_->DrainUpstream());
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -81,6 +81,13 @@
     return effects;
   }
 
+  MembershipEffects OnUpstreamDown(const std::string& id, int64_t started_at_ms,
+                                   Instant now) override {
+    MembershipEffects effects;
+    if (upstream_.MarkDown(id, started_at_ms)) PublishUpstream(now, effects);
+    return effects;
+  }
+
   MembershipEffects OnUpstreamLeft(const std::string& id, int64_t started_at_ms,
                                    Instant now) override {
     MembershipEffects effects;
--- a/src/membership/internal/upstream_registration.cc
+++ b/src/membership/internal/upstream_registration.cc
@@ -43,6 +43,17 @@
   return !renews;
 }
 
+bool UpstreamRegistration::MarkDown(const std::string& id,
+                                    int64_t started_at_ms) {
+  if (!upstream_.has_value() || id != upstream_->id ||
+      started_at_ms != upstream_->started_at_ms ||
+      upstream_->state == UpstreamState::kDraining) {
+    return false;
+  }
+  upstream_->state = UpstreamState::kDraining;
+  return true;
+}
+
 bool UpstreamRegistration::Leave(const std::string& id, int64_t started_at_ms,
                                  Instant now) {
   const bool is_current =
--- a/src/membership/internal/upstream_registration.h
+++ b/src/membership/internal/upstream_registration.h
@@ -24,6 +24,10 @@
   /// @return whether anything changed that peers or the owner act on.
   bool Announce(const UpstreamAnnouncement& upstream, Instant now);
 
+  /// As Membership::OnUpstreamDown().
+  /// @return whether anything changed that peers or the owner act on.
+  bool MarkDown(const std::string& id, int64_t started_at_ms);
+
   /// As Membership::OnUpstreamLeft().
   /// @return whether anything changed that peers or the owner act on.
   bool Leave(const std::string& id, int64_t started_at_ms, Instant now);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -110,6 +110,13 @@
   virtual MembershipEffects OnAnnounce(const UpstreamAnnouncement& upstream,
                                        Instant now) = 0;
 
+  /// Counts the local upstream as draining, as it no longer accepts
+  /// connections, until it announces itself again. Doesn't renew its lease, and
+  /// does nothing when that upstream incarnation isn't registered.
+  virtual MembershipEffects OnUpstreamDown(const std::string& id,
+                                           int64_t started_at_ms,
+                                           Instant now) = 0;
+
   /// Removes the local upstream, which has deregistered or whose lease has
   /// expired. Does not remove another upstream incarnation that has replaced
   /// it. Announcements of the one that left are ignored from then on.
--- a/src/membership/tests/announcement_test.cc
+++ b/src/membership/tests/announcement_test.cc
@@ -40,6 +40,35 @@
   std::unique_ptr<Membership> membership_;
 };
 
+class AnUpstreamReportedDown : public AnUpstreamBesideADaemon {
+ protected:
+  AnUpstreamReportedDown() {
+    Announce("i-1", 1000, 5);
+    now_ += seconds(3);
+    membership_->OnUpstreamDown("i-1", 1000, now_);
+  }
+};
+
+TEST_F(AnUpstreamReportedDown, DrainsUntilItAnnouncesItselfAgain) {
+  EXPECT_EQ(State(), UpstreamState::kDraining);
+  Announce("i-1", 1000, 4);
+  EXPECT_EQ(State(), UpstreamState::kDraining);
+  Announce("i-1", 1000, 6);
+  EXPECT_EQ(State(), UpstreamState::kServing);
+}
+
+TEST_F(AnUpstreamReportedDown, IsGoneWhenItsLeaseEnds) {
+  now_ += seconds(2);
+  membership_->OnTick(now_);
+  EXPECT_EQ(Id(), "");
+}
+
+TEST_F(AnUpstreamReportedDown, IsNotTakenForALaterIncarnation) {
+  Announce("i-1", 2000, 1);
+  membership_->OnUpstreamDown("i-1", 1000, now_);
+  EXPECT_EQ(State(), UpstreamState::kServing);
+}
+
 class ALateAnnouncement : public AnUpstreamBesideADaemon {};
 
 TEST_F(ALateAnnouncement, OfAnEarlierIncarnationIsIgnored) {
