Log whether an announcement was taken

The line "The local upstream announced a new id or state" was written for announcements that the membership then ignored as well, so that the log of a daemon showed a drained or departed upstream as serving.

It is now written after the decision and for those that were taken only. Ignored ones are counted by announcements_ignored_total and logged at most once a second.

--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr MetricInfo kMetrics[] = {
+    {"announcements_ignored_total", "counter", "",
+     "Announcements that were out of date, or not of the upstream expected "
+     "beside this daemon.",
+     "When it keeps growing: compare the upstream's service, address and clock "
+     "with the settings."},
     {"call_refusals_total", "counter", "code", "Calls that the entry refused.",
      "Look the code up in RESULT_CODES."},
     {"call_seconds", "summary", "",
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -57,6 +57,8 @@
         listener_(listener),
         turn_seconds_(metrics.HistogramOf("control_turn_seconds", "")),
         asks_(metrics.CounterOf("version_asks_total", "")),
+        ignored_announcements_(
+            metrics.CounterOf("announcements_ignored_total", "")),
         confirmations_(routes),
         instance_states_(config.identity.failure_domain),
         ask_targets_(config.control_address, config.identity.failure_domain),
@@ -426,18 +428,45 @@
   void HandleAnnouncement(const UpstreamAnnouncement& upstream,
                           Instant posted_at) {
     const auto previous = membership_->LocalUpstream();
-    if (!previous.has_value() || previous->id != upstream.id ||
-        previous->state != upstream.state) {
-      Log(LogLevel::kInfo, "control",
-          "The local upstream announced a new id or state.",
-          {{"upstream", upstream.id},
-           {"service", upstream.service},
-           {"state", std::to_string(static_cast<int>(upstream.state))},
-           {"born", std::to_string(upstream.started_at_ms)},
-           {"sequence", std::to_string(upstream.sequence)},
-           {"queued_ms", MillisText(clock_.Now() - posted_at)}});
+    const MembershipEffects effects =
+        membership_->OnAnnounce(upstream, clock_.Now());
+    if (membership_->LocalUpstream() != upstream) {
+      ReportIgnored(upstream, previous);
+    } else if (!previous.has_value() || previous->id != upstream.id ||
+               previous->started_at_ms != upstream.started_at_ms ||
+               previous->state != upstream.state) {
+      LogAnnouncement("The local upstream announced a new id or state.",
+                      upstream,
+                      {{"queued_ms", MillisText(clock_.Now() - posted_at)}});
     }
-    ApplyEffects(membership_->OnAnnounce(upstream, clock_.Now()));
+    ApplyEffects(effects);
+  }
+
+  /// Counts and logs an announcement that is out of date or not of the upstream
+  /// that is expected here.
+  void ReportIgnored(const UpstreamAnnouncement& upstream,
+                     const std::optional<UpstreamAnnouncement>& registered) {
+    ignored_announcements_.Add();
+    if (!ignored_lines_.AllowLine(clock_.Now())) return;
+    LogAnnouncement(
+        "An announcement was ignored as out of date or not expected.", upstream,
+        {{"address", upstream.address},
+         {"registered", registered.has_value() ? registered->id : ""},
+         {"lines_left_out",
+          std::to_string(ignored_lines_.TakeSuppressedCount())}});
+  }
+
+  static void LogAnnouncement(const std::string& text,
+                              const UpstreamAnnouncement& upstream,
+                              const LogFields& more) {
+    LogFields fields = {
+        {"upstream", upstream.id},
+        {"service", upstream.service},
+        {"state", std::to_string(static_cast<int>(upstream.state))},
+        {"born", std::to_string(upstream.started_at_ms)},
+        {"sequence", std::to_string(upstream.sequence)}};
+    fields.insert(fields.end(), more.begin(), more.end());
+    Log(LogLevel::kInfo, "control", text, fields);
   }
 
   void ApplyEffects(const MembershipEffects& effects) {
@@ -742,6 +771,7 @@
   LocalUpstreamListener& listener_;
   LatencyHistogram& turn_seconds_;
   Counter& asks_;
+  Counter& ignored_announcements_;
   ConfirmationReporter confirmations_;
   InstanceStateReporter instance_states_;
   Executor executor_;
@@ -761,6 +791,7 @@
   Duration apply_time_{};  ///< Spent on the last answer of a peer.
   LogRateLimiter long_turns_{1};
   LogRateLimiter unreadable_records_{1};
+  LogRateLimiter ignored_lines_{1};
   bool latest_read_pending_ = false;
   bool reads_history_ = false;
   bool view_changed_ = false;  ///< Handled at the end of a loop iteration.
--- a/src/control/tests/control_loop_test.cc
+++ b/src/control/tests/control_loop_test.cc
@@ -184,6 +184,17 @@
   EXPECT_EQ(requests_.State(), UpstreamState::kServing);
 }
 
+TEST_F(ADaemonWithAnUpstream, CountsTheAnnouncementsThatItIgnores) {
+  const std::string line = "hibiscusglade_announcements_ignored_total ";
+  Start(milliseconds(100));
+  Announce(UpstreamState::kServing, 2).wait();
+  EXPECT_NE(loop_->MetricsText().find(line + "0"), std::string::npos);
+  Announce(UpstreamState::kDraining, 1).wait();
+  Settle();
+  EXPECT_NE(loop_->MetricsText().find(line + "1"), std::string::npos);
+  EXPECT_EQ(requests_.State(), UpstreamState::kServing);
+}
+
 TEST_F(ADaemonWithAnUpstream, DrainsForAnOperatorBeforeItSaysSo) {
   Start(milliseconds(100));
   EXPECT_FALSE(loop_->DrainUpstream());
