Show that an owner goes on sending to an upstream that took the address

An upstream that rejects a request because another one was expected tells that the announced one has gone. The owner refuses that attempt as not serving, but keeps the announcement until its lease ends, up to 5 s, and reports that it serves with nothing running, so that it looks least loaded. An entry takes such refusals as free and tries elsewhere outside of its retry budget, although the upstream was reached. A probe doesn't tell either: it checks only that the address accepts connections.

The test fails: the attempt after the rejection is sent to the upstream as well.

--- a/src/owner/tests/owner_drain_test.cc
+++ b/src/owner/tests/owner_drain_test.cc
@@ -118,5 +118,23 @@
   EXPECT_EQ(harness_.recorder.refused.at("next"), Certainty::kNotRun);
 }
 
+/// The address of the upstream has been taken by another one, which rejects
+/// what it is sent.
+TEST(AnOwnerWhoseUpstreamWasReplaced, SendsNothingToTheOtherOne) {
+  ClaimLedger ledger;
+  OwnerHarness harness("o1", ledger);
+  RunFailure rejected;
+  rejected.progress = RunProgress::kRejected;
+  rejected.other_upstream = true;
+  harness.Start("first", "", true);
+  harness.owner->OnRunFailed(1, rejected, harness.clock.now);
+  harness.recorder.started.clear();
+  harness.Wait(milliseconds(100));
+  harness.Start("second", "", true, "another");
+  EXPECT_TRUE(harness.recorder.started.empty());
+  EXPECT_EQ(harness.recorder.refused.at("first"), Certainty::kNotRun);
+  EXPECT_TRUE(harness.recorder.refused.contains("second"));
+}
+
 }  // namespace
 }  // namespace hibiscusglade
