End the announcement of an upstream that was replaced

What callers saw: one request after the other was sent to an upstream that had taken the address of another one and rejected them all, for up to 5 s, and each was tried elsewhere outside of the retry budget.

Cause: the owner refused the attempt as not serving, but kept the announcement and reported that it serves with nothing running, so that it looked least loaded. Entries take "not serving" as free, as no upstream was reached; here one was.

After such a rejection the owner ends the announcement that the run was sent by: it refuses what waits and what comes, reports that it doesn't serve, and has peers told. Renewals of the same id and start time don't bring it back, another id or start time does. An upstream without an id can't be told from its successor; its address is probed instead.

Ruled out: the code 5009, as the entry doesn't try a nested call again after it and its advice is about load; treating it as a lost connection, as a probe finds that the address accepts connections.

--- a/src/admission/admission_result_codes.h
+++ b/src/admission/admission_result_codes.h
@@ -16,6 +16,7 @@
   kWrongService = 5007,
   kShed = 5008,
   kRejected = 5009,
+  kReplaced = 5010,
 };
 
 const ResultCodeCategory& AdmissionCategory();
--- a/src/admission/internal/admission_result_codes.cc
+++ b/src/admission/internal/admission_result_codes.cc
@@ -22,6 +22,9 @@
      Certainty::kNotRun, "Add upstreams, or raise the class's priority."},
     {5009, "rejected", "the upstream itself turned the request away", 503,
      Certainty::kNotRun, "See why the upstream sheds load."},
+    {5010, "replaced", "another upstream uses the address now", 503,
+     Certainty::kNotRun,
+     "Nothing; requests go to it once it announces itself."},
 };
 
 }  // namespace
--- a/src/entry/internal/attempt_policy.cc
+++ b/src/entry/internal/attempt_policy.cc
@@ -39,7 +39,8 @@
   return refusal.certainty == Certainty::kNotRun &&
          (IsTargetUnavailable(refusal.code) ||
           IsCapacityRefusal(refusal.code) ||
-          refusal.code == AdmissionCode::kRejected);
+          refusal.code == AdmissionCode::kRejected ||
+          refusal.code == AdmissionCode::kReplaced);
 }
 
 std::string_view AttemptDecisionName(AttemptDecision decision) {
@@ -100,7 +101,10 @@
       call.owners_tried < call.max_owner_tries) {
     return AttemptDecision::kAllowed;
   }
-  if (call.depth > 0) return AttemptDecision::kDepth;
+  // An upstream that was replaced refuses few requests, so that no depth of
+  // calls multiplies them.
+  const bool replaced = not_run && refusal.code == AdmissionCode::kReplaced;
+  if (call.depth > 0 && !replaced) return AttemptDecision::kDepth;
   return budgets_[call.service].retries.TryTake() ? AttemptDecision::kAllowed
                                                   : AttemptDecision::kBudget;
 }
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -199,6 +199,25 @@
   EXPECT_GE(retried, 20);
 }
 
+/// An upstream was reached, though another one than expected.
+TEST_F(AnEntry, SpendsTheBudgetOnRetriesAfterAnUpstreamWasReplaced) {
+  int retried = 0;
+  int nested = 0;
+  for (int i = 0; i < 200; ++i) {
+    const uint32_t depth = i % 2;
+    now_ += milliseconds(50);
+    Begin("/tags/1", depth);
+    Refuse(Attempt(0), AdmissionCode::kReplaced, Certainty::kNotRun);
+    if (owners_.started.size() < 2) continue;
+    ++retried;
+    nested += depth == 0 ? 0 : 1;
+    Answer(Attempt(1), "tag");
+  }
+  EXPECT_GT(nested, 0);
+  EXPECT_LE(retried, 23);  // A tenth of the calls (20) and the burst (3).
+  EXPECT_GE(retried, 20);
+}
+
 TEST(ARetryBudget, AllowsNothingAtZeroPercent) {
   RetryBudget budget(0);
   budget.OnRequest();
--- a/src/owner/internal/job.h
+++ b/src/owner/internal/job.h
@@ -35,7 +35,8 @@
   std::error_code pending_refusal;
   bool suspect = false;  ///< Must run alone.
   Instant run_started;
-  std::string connection_error;  ///< Why the connection was lost.
+  int64_t upstream_started_at_ms = 0;  ///< Of the upstream that it runs at.
+  std::string connection_error;        ///< Why the connection was lost.
   uint64_t chunks = 0;
   uint64_t bytes = 0;
   Digest digest = 0;
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -114,19 +114,10 @@
 
   void SetUpstream(const std::optional<UpstreamAnnouncement>& upstream,
                    const AdmissionConfig& config, Instant now) override {
-    if (upstream.has_value() && !IsCurrent(*upstream)) {
-      // What is known of the one before says nothing about this one.
-      down_ = false;
-      down_notified_ = false;
-      probe_outdated_ = probing_;
-    }
-    upstream_ = upstream;
-    AdmissionConfig limits = config;
-    limits.slots = upstream.has_value() ? upstream->slots : 0;
-    limits.draining = UpstreamDrains();
-    Apply(admission_->Configure(limits, now), now);
-    if (UpstreamDrains()) RefuseHeld(AdmissionCode::kDraining, now);
-    if (!upstream_.has_value()) RefuseHeld(AdmissionCode::kNotServing, now);
+    limits_ = config;
+    const bool replaced = upstream.has_value() && IsReplaced(*upstream);
+    if (upstream.has_value() && !replaced) replaced_.reset();
+    UseUpstream(replaced ? std::nullopt : upstream, now);
   }
 
   void Drain(Instant now) override {
@@ -211,8 +202,9 @@
             std::to_string(log_rate_limiter_.TakeSuppressedCount())}});
     }
     if (failure.progress == RunProgress::kRejected) {
+      if (failure.other_upstream) EndAnnouncementOf(*job, now);
       ReleaseSlot(run, now);
-      RefuseNotRun(run, failure.other_upstream ? AdmissionCode::kNotServing
+      RefuseNotRun(run, failure.other_upstream ? AdmissionCode::kReplaced
                                                : AdmissionCode::kRejected);
       return;
     }
@@ -250,6 +242,53 @@
            upstream.address == upstream_->address;
   }
 
+  /// @return whether an announcement is of the upstream that was last found to
+  /// be replaced.
+  bool IsReplaced(const UpstreamAnnouncement& upstream) const {
+    return replaced_.has_value() && upstream.id == replaced_->id &&
+           upstream.started_at_ms == replaced_->started_at_ms;
+  }
+
+  void UseUpstream(const std::optional<UpstreamAnnouncement>& upstream,
+                   Instant now) {
+    if (upstream.has_value() && !IsCurrent(*upstream)) {
+      // What is known of the one before says nothing about this one.
+      down_ = false;
+      down_notified_ = false;
+      probe_outdated_ = probing_;
+    }
+    upstream_ = upstream;
+    AdmissionConfig limits = limits_;
+    limits.slots = upstream.has_value() ? upstream->slots : 0;
+    limits.draining = UpstreamDrains();
+    Apply(admission_->Configure(limits, now), now);
+    if (UpstreamDrains()) RefuseHeld(AdmissionCode::kDraining, now);
+    if (!upstream_.has_value()) RefuseHeld(AdmissionCode::kNotServing, now);
+  }
+
+  /// Ends the announcement of the upstream that a run was sent to, as another
+  /// one answers at its address. Only an announcement of another id or start
+  /// time takes its place.
+  void EndAnnouncementOf(const Job& job, Instant now) {
+    if (!upstream_.has_value() || job.attempt.upstream_id != upstream_->id ||
+        job.upstream_started_at_ms != upstream_->started_at_ms) {
+      return;
+    }
+    Log(LogLevel::kWarning, "owner",
+        "Another upstream uses the announced address.",
+        {{"upstream", upstream_->id},
+         {"address", upstream_->address},
+         {"born", std::to_string(upstream_->started_at_ms)}});
+    if (upstream_->id.empty()) {
+      // A later announcement can't be told from that one: ask the address.
+      SetReachable(false, now);
+      return;
+    }
+    replaced_ = upstream_;
+    parts_.listener.OnUpstreamDown(*upstream_);
+    UseUpstream(std::nullopt, now);
+  }
+
   void SetReachable(bool reachable, Instant now) {
     down_ = !reachable;
     if (reachable) down_notified_ = false;
@@ -534,6 +573,7 @@
     job.run_started = now;
     job.attempt.remaining = job.deadline - now;
     job.attempt.upstream_id = upstream_->id;
+    job.upstream_started_at_ms = upstream_->started_at_ms;
     parts_.upstream.Start(id, upstream_->address, job.attempt);
   }
 
@@ -566,6 +606,10 @@
   SlotGate gate_;
   UpstreamDeathDetector death_detector_;
   std::optional<UpstreamAnnouncement> upstream_;
+  /// The upstream whose announcement was ended, as another one answers at its
+  /// address.
+  std::optional<UpstreamAnnouncement> replaced_;
+  AdmissionConfig limits_;
   std::map<SlotRequestId, Job> jobs_;
   std::map<AttemptId, SlotRequestId> by_attempt_;
   SlotRequestId last_id_ = 0;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -26,7 +26,8 @@
   virtual void OnSuspicions(const std::string& service,
                             const std::vector<QuarantineNotice>& notices) = 0;
 
-  /// The upstream no longer accepts connections.
+  /// The upstream no longer accepts connections, or another one uses its
+  /// address.
   virtual void OnUpstreamDown(const UpstreamAnnouncement& upstream) = 0;
 };
 
--- a/src/owner/tests/owner_drain_test.cc
+++ b/src/owner/tests/owner_drain_test.cc
@@ -74,12 +74,13 @@
     harness_.Wait(milliseconds(10));
   }
 
-  void Announce(const std::string& id) {
+  void Announce(const std::string& id, int64_t started_at_ms = 1000) {
     UpstreamAnnouncement upstream;
     upstream.service = "orders";
     upstream.slots = 4;
     upstream.state = UpstreamState::kServing;
     upstream.id = id;
+    upstream.started_at_ms = started_at_ms;
     harness_.owner->SetUpstream(upstream, {}, harness_.clock.now);
   }
 
@@ -112,6 +113,61 @@
   EXPECT_TRUE(harness_.recorder.started.contains(2));
 }
 
+class AnOwnerToldOfAReplacement : public AnOwnerWhoseUpstreamIsReplaced {
+ protected:
+  AnOwnerToldOfAReplacement() {
+    Announce("i-2");
+    harness_.Start("running", "", true);
+    harness_.Start("other", "", true, "another");
+    for (int i = 0; i < 3; ++i) harness_.Start("q" + std::to_string(i), "");
+    Reject(2);
+  }
+
+  /// The upstream at the address says that it isn't the one expected.
+  void Reject(RunId run) {
+    harness_.owner->OnRunFailed(
+        run, {RunProgress::kRejected, false, "rejected", true},
+        harness_.clock.now);
+  }
+
+  bool Serves(const std::string& attempt) {
+    harness_.Start(attempt, "", true, attempt);
+    return !harness_.recorder.refused.contains(attempt);
+  }
+};
+
+TEST_F(AnOwnerToldOfAReplacement, SaysThatTheUpstreamWasReached) {
+  EXPECT_TRUE(Logged("running refused 5010 not-run"));
+  EXPECT_TRUE(Logged("upstream is down"));
+}
+
+TEST_F(AnOwnerToldOfAReplacement, SaysThatItDoesNotServe) {
+  EXPECT_FALSE(harness_.recorder.load.serving);
+  harness_.Wait(milliseconds(500));
+  EXPECT_FALSE(Serves("late"));
+  EXPECT_FALSE(harness_.recorder.load.serving);
+}
+
+TEST_F(AnOwnerToldOfAReplacement, IgnoresRenewalsOfTheOneThatWasReplaced) {
+  Announce("i-2");
+  EXPECT_FALSE(Serves("renewed"));
+  harness_.owner->SetUpstream(std::nullopt, {}, harness_.clock.now);
+  Announce("i-2");
+  EXPECT_FALSE(Serves("registered again"));
+}
+
+TEST_F(AnOwnerToldOfAReplacement, TakesTheNextOne) {
+  Announce("i-3");
+  EXPECT_TRUE(Serves("next"));
+  Reject(3);  // Was sent to i-2.
+  EXPECT_TRUE(Serves("another"));
+}
+
+TEST_F(AnOwnerToldOfAReplacement, TakesALaterStartOfTheSameId) {
+  Announce("i-2", 2000);
+  EXPECT_TRUE(Serves("next"));
+}
+
 TEST_F(AnOwnerWhoseUpstreamIsReplaced, KeepsItsStateOnARenewal) {
   Announce("i-1");
   harness_.Start("next", "", true);
--- a/src/owner/tests/owner_fixture.h
+++ b/src/owner/tests/owner_fixture.h
@@ -76,7 +76,8 @@
     Note(attempt + " end after " + std::to_string(end.bytes) + " bytes");
   }
   void SendRefused(const EntryRef&, const AttemptId& attempt,
-                   const Refusal& refusal, const LoadReport&) override {
+                   const Refusal& refusal, const LoadReport& report) override {
+    load = report;
     refused[attempt] = refusal.certainty;
     Note(attempt + " refused " + std::to_string(refusal.code.value()) + " " +
          std::string(CertaintyName(refusal.certainty)));
@@ -113,6 +114,7 @@
   std::string log;
   std::map<RunId, CallAttempt> started;
   std::map<AttemptId, Certainty> refused;
+  LoadReport load;  ///< Of the last refusal.
 };
 
 /// An owner with its fakes. Several owners may share one ledger.
