Show that an upstream of another domain is left out for good

Five failures in a row eject an upstream; they may be five attempts that were open when a daemon stood still or a link was lost. Only an answer ends that, and only upstreams of the own failure domain are probed. One of another domain stays ejected at this entry for as long as any other upstream may be chosen.

The test fails: in 60 s of spilling over, none of 6,000 choices takes the upstream, which may have been healthy all the time.

--- a/src/routing/tests/upstream_chooser_test.cc
+++ b/src/routing/tests/upstream_chooser_test.cc
@@ -170,6 +170,22 @@
   EXPECT_EQ(chooser_->Counts().reinstatements, 1u);
 }
 
+/// A daemon stood still, and the attempts that were open at it failed together.
+TEST_F(AnEntryInDomainA, TriesAnotherDomainsUpstreamAgainAfterItFailed) {
+  Build(2, 2);
+  for (int i = 0; i < 5; ++i) {
+    chooser_->OnEnded("b2", AttemptOutcome::kFailed, {}, now_);
+  }
+  int choices = 0;
+  for (int i = 0; i < 6000; ++i) {
+    now_ += milliseconds(10);
+    // Its own domain has a queue, so that half of the requests spill over.
+    for (const char* own : {"a0", "a1"}) Report(own, 6, 12, milliseconds(20));
+    choices += targets_[Choose()->index].instance == "b2" ? 1 : 0;
+  }
+  EXPECT_GT(choices, 0);
+}
+
 TEST_F(AnEntryInDomainA, NeverEjectsMoreThanTheCap) {
   Build(6, 0);
   for (const char* instance : {"a0", "a1"}) {
