Let failures of an upstream expire

What callers saw: requests refused or queued while an upstream of another failure domain, which had failed five attempts at some time before, got none.

Cause: a count of failures in a row ended with an answer only. Ejected upstreams get no requests but probes, and only those of the own failure domain are probed. Failures hours apart counted as in a row as well.

Failures now count for 10 s after the last one. After that an ejected upstream is taken back with the usual ramp; until it has answered, or has not failed for another 10 s, one failure ejects it again. An upstream whose probes fail stays ejected.

Ruled out: probing other failure domains, as all entries would send requests over their links whether or not they need to.

--- a/src/routing/internal/outlier_detector.cc
+++ b/src/routing/internal/outlier_detector.cc
@@ -22,6 +22,9 @@
 constexpr double kReinstateSlowness = 1.5;     ///< Multiple of the median.
 constexpr double kReinstatedLoadShare = 0.25;  ///< At the start of the ramp.
 constexpr uint32_t kEjectFailures = 5;         ///< Consecutive.
+/// Failures count for this long after the last one. Only upstreams of the own
+/// failure domain are probed, so that nothing else reinstates the others.
+constexpr Duration kFailureLifetime = seconds(10);
 constexpr size_t kMinCompared = 2;
 constexpr size_t kPercentScale = 100;
 constexpr size_t kPercentRounding = 50;  ///< To round to the nearest.
@@ -36,9 +39,13 @@
 }
 
 void OutlierDetector::OnOutcome(const std::string& instance,
-                                AttemptOutcome outcome, Instant) {
+                                AttemptOutcome outcome, Instant now) {
   Health& health = health_[instance];
-  if (outcome == AttemptOutcome::kFailed) ++health.consecutive_failures;
+  if (outcome == AttemptOutcome::kFailed) {
+    ExpireFailures(health, now);
+    ++health.consecutive_failures;
+    health.last_failure_at = now;
+  }
   if (outcome == AttemptOutcome::kAnswered) health.consecutive_failures = 0;
 }
 
@@ -54,6 +61,7 @@
   std::vector<Health*> outliers;
   for (const UpstreamTarget& upstream : upstreams) {
     Health& health = health_[upstream.instance];
+    ExpireFailures(health, now);
     const bool healthy = health.slowness < kReinstateSlowness &&
                          health.consecutive_failures < kEjectFailures;
     if (health.ejected && healthy) Reinstate(health, now);
@@ -145,6 +153,17 @@
   }
 }
 
+void OutlierDetector::ExpireFailures(Health& health, Instant now) {
+  if (now < health.last_failure_at + kFailureLifetime) return;
+  if (health.consecutive_failures < kEjectFailures) {
+    health.consecutive_failures = 0;
+    return;
+  }
+  // It may still fail: until it answers, the next failure ejects it again.
+  health.consecutive_failures = kEjectFailures - 1;
+  health.last_failure_at = now;
+}
+
 void OutlierDetector::Eject(Health& health, Instant now) {
   health.ejected = true;
   health.last_probe_at = now;
--- a/src/routing/internal/outlier_detector.h
+++ b/src/routing/internal/outlier_detector.h
@@ -59,6 +59,7 @@
   struct Health {
     std::map<std::string, ServiceTime> times;
     uint32_t consecutive_failures = 0;
+    Instant last_failure_at;
     bool ejected = false;
     Instant last_probe_at;
     uint32_t choices_since_probe = 0;
@@ -68,6 +69,7 @@
 
   void MeasureSlowness(const std::vector<UpstreamTarget>& upstreams,
                        Instant now);
+  static void ExpireFailures(Health& health, Instant now);
   void Eject(Health& health, Instant now);
   void Reinstate(Health& health, Instant now);
 
--- a/src/routing/tests/upstream_chooser_test.cc
+++ b/src/routing/tests/upstream_chooser_test.cc
@@ -48,6 +48,17 @@
     }
   }
 
+  void Fail(const std::string& instance) {
+    chooser_->OnEnded(instance, AttemptOutcome::kFailed, {}, now_);
+  }
+
+  /// @return upstreams ejected so far, after a comparison that is due.
+  uint64_t CountEjections() {
+    now_ += milliseconds(60);
+    Choose();
+    return chooser_->Counts().ejections;
+  }
+
   /// Makes several choices.
   /// @return how many of them picked the instance.
   int CountChoicesOf(const std::string& instance, int choices) {
@@ -186,6 +197,37 @@
   EXPECT_GT(choices, 0);
 }
 
+TEST_F(AnEntryInDomainA, EjectsAnUpstreamThatGoesOnFailingAfterOneMore) {
+  Build(2, 2);
+  for (int i = 0; i < 5; ++i) Fail("b2");
+  EXPECT_EQ(CountEjections(), 1u);
+  now_ += seconds(10);
+  EXPECT_EQ(CountEjections(), 1u);
+  EXPECT_EQ(chooser_->Counts().reinstatements, 1u);
+  Fail("b2");
+  EXPECT_EQ(CountEjections(), 2u);
+}
+
+TEST_F(AnEntryInDomainA, ForgetsFailuresThatAreLongPast) {
+  Build(2, 2);
+  for (int i = 0; i < 9; ++i) {
+    now_ += seconds(10);
+    Fail("b2");
+  }
+  EXPECT_EQ(CountEjections(), 0u);
+}
+
+/// What probes find keeps an upstream of its own domain ejected.
+TEST_F(AnEntryInDomainA, KeepsAnUpstreamEjectedWhoseProbesFail) {
+  Build(4, 0);
+  for (int i = 0; i < 5; ++i) Fail("a2");
+  for (int i = 0; i < 6000; ++i) {
+    now_ += milliseconds(10);
+    if (targets_[Choose()->index].instance == "a2") Fail("a2");
+  }
+  EXPECT_EQ(chooser_->Counts().ejections, 1u);
+}
+
 TEST_F(AnEntryInDomainA, NeverEjectsMoreThanTheCap) {
   Build(6, 0);
   for (const char* instance : {"a0", "a1"}) {
