Judge an upstream's next incarnation anew

What callers saw: after a daemon was started again, its upstream got few or no requests for failures and slowness of the earlier process; until an answer or, by now, for 10 s.

Cause: failures and service times were kept by the name of the instance.

They are dropped when the instance's incarnation in the route table changes; an ejected upstream is taken back with the usual ramp.

Evidence: StartsAnewWithAnUpstreamsNextIncarnation failed before and passes.

--- a/src/routing/internal/outlier_detector.cc
+++ b/src/routing/internal/outlier_detector.cc
@@ -61,6 +61,7 @@
   std::vector<Health*> outliers;
   for (const UpstreamTarget& upstream : upstreams) {
     Health& health = health_[upstream.instance];
+    NoteIncarnation(health, upstream.incarnation, now);
     ExpireFailures(health, now);
     const bool healthy = health.slowness < kReinstateSlowness &&
                          health.consecutive_failures < kEjectFailures;
@@ -153,6 +154,19 @@
   }
 }
 
+void OutlierDetector::NoteIncarnation(Health& health, uint64_t incarnation,
+                                      Instant now) {
+  if (health.incarnation == incarnation) return;
+  // An outcome may be known before the incarnation.
+  const bool is_first = health.incarnation == 0;
+  health.incarnation = incarnation;
+  if (is_first) return;
+  health.times.clear();
+  health.consecutive_failures = 0;
+  health.slowness = 1;
+  if (health.ejected) Reinstate(health, now);
+}
+
 void OutlierDetector::ExpireFailures(Health& health, Instant now) {
   if (now < health.last_failure_at + kFailureLifetime) return;
   if (health.consecutive_failures < kEjectFailures) {
--- a/src/routing/internal/outlier_detector.h
+++ b/src/routing/internal/outlier_detector.h
@@ -58,6 +58,7 @@
 
   struct Health {
     std::map<std::string, ServiceTime> times;
+    uint64_t incarnation = 0;
     uint32_t consecutive_failures = 0;
     Instant last_failure_at;
     bool ejected = false;
@@ -69,6 +70,8 @@
 
   void MeasureSlowness(const std::vector<UpstreamTarget>& upstreams,
                        Instant now);
+  /// What is known of an earlier process says nothing about the next one.
+  void NoteIncarnation(Health& health, uint64_t incarnation, Instant now);
   static void ExpireFailures(Health& health, Instant now);
   void Eject(Health& health, Instant now);
   void Reinstate(Health& health, Instant now);
--- a/src/routing/tests/upstream_chooser_test.cc
+++ b/src/routing/tests/upstream_chooser_test.cc
@@ -217,6 +217,19 @@
   EXPECT_EQ(CountEjections(), 0u);
 }
 
+TEST_F(AnEntryInDomainA, StartsAnewWithAnUpstreamsNextIncarnation) {
+  Build(2, 2);
+  for (UpstreamTarget& target : targets_) target.incarnation = 1;
+  EXPECT_EQ(CountEjections(), 0u);
+  for (int i = 0; i < 5; ++i) Fail("b2");
+  EXPECT_EQ(CountEjections(), 1u);
+  targets_[2].incarnation = 2;
+  EXPECT_EQ(CountEjections(), 1u);
+  EXPECT_EQ(chooser_->Counts().reinstatements, 1u);
+  Fail("b2");
+  EXPECT_EQ(CountEjections(), 1u);
+}
+
 /// What probes find keeps an upstream of its own domain ejected.
 TEST_F(AnEntryInDomainA, KeepsAnUpstreamEjectedWhoseProbesFail) {
   Build(4, 0);
