Count a lost link as one failure of an upstream

What callers saw: requests went to fewer upstreams after a single link was lost.

Cause: each attempt that was open on the link counted as a failure in a row, so that one loss with five open attempts ejected the upstream.

The first of them counts now, the others end without an outcome for the upstream. Five losses in a row still eject it.

Evidence: CountsALostLinkAsOneFailureOfTheUpstream failed before, with an ejection after the first loss, and passes.

--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -162,9 +162,13 @@
 
   void OnOwnerLost(const std::string& owner, bool reached,
                    Instant now) override {
+    // One failure, however many attempts were open.
+    AttemptOutcome outcome = AttemptOutcome::kFailed;
     for (const AttemptId& id : OpenAttempts(owner)) {
       if (reached) {
-        OnAttemptUnknown(id, now);
+        HandleFailedAttempt(
+            id, RefusalOf(RoutingCode::kOwnerLost, Certainty::kUnknown), now,
+            std::exchange(outcome, AttemptOutcome::kCancelled));
       } else {
         HandleFailedAttempt(
             id, RefusalOf(RoutingCode::kOwnerUnreachable, Certainty::kNotRun),
@@ -361,8 +365,10 @@
     }
   }
 
+  /// @param outcome of an attempt that may have run.
   void HandleFailedAttempt(const AttemptId& id, const Refusal& refusal,
-                           Instant now) {
+                           Instant now,
+                           AttemptOutcome outcome = AttemptOutcome::kFailed) {
     const OpenAttempt* attempt = calls_.FindAttempt(id);
     if (attempt == nullptr) return;
     const CallHandle handle = attempt->call;
@@ -374,9 +380,7 @@
     } else if (not_run) {
       parts_.chooser.OnRefused(attempt->instance, request_class, now);
     }
-    EndAttempt(
-        id, not_run ? AttemptOutcome::kRefusedNotRun : AttemptOutcome::kFailed,
-        now);
+    EndAttempt(id, not_run ? AttemptOutcome::kRefusedNotRun : outcome, now);
     if (call.answering == id && call.held.has_value()) call.DropHeldAnswer();
     call.RecordRefusal(refusal);
     const bool tries_several_owners = call.limits.max_owner_tries > 1;
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -168,6 +168,18 @@
   EXPECT_EQ(CounterValue("retries_denied_total{reason=\"not_repeatable\"}"), 1);
 }
 
+/// Attempts that were open when a link was lost failed for one reason.
+TEST_F(AnEntry, CountsALostLinkAsOneFailureOfTheUpstream) {
+  for (int i = 0; i < 30; ++i) Begin("/tags/1");
+  for (int lost = 1; lost <= 5; ++lost) {
+    ASSERT_GE(entry_->OpenAttempts("x").size(), 5u);
+    entry_->OnOwnerLost("x", true, now_);
+    now_ += milliseconds(100);
+    for (int i = 0; i < 30; ++i) Begin("/tags/1");
+    EXPECT_EQ(chooser_->Counts().ejections, lost < 5 ? 0u : 1u) << lost;
+  }
+}
+
 TEST_F(AnEntry, SaysUnknownIfAnyAttemptMayHaveRun) {
   Begin("/reads/1");
   entry_->OnOwnerLost(owners_.started[0].first, true, now_);
