Show that a shorter route timeout makes calls count as late

An entry estimates how long a caller has waited from the longest timeout of the route's calls in the last two windows of 5 s, each limited to the timeout of its route. After a version has shortened that timeout, the longest one is from before, and each first try counts as a retry. Such a call is refused instead of queued when no slot is free.

The test fails: with a timeout shortened from 1000 to 400 ms, a caller that allows 800 ms as before gets an objective of -100 ms instead of 300 ms.

--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -65,7 +65,9 @@
 
 class AnEntry : public testing::Test {
  protected:
-  AnEntry() {
+  AnEntry() { PublishVersion(1, kDocument); }
+
+  void PublishVersion(uint64_t number, const std::string& document) {
     std::vector<InstanceRecord> records;
     for (const char* name : {"x", "y", "z"}) {
       InstanceRecord record;
@@ -77,7 +79,7 @@
     }
     std::vector<SettingsFault> faults;
     routes_.Publish(std::make_shared<const RouteTable>(
-        MakeConfigVersion(1, 0, kDocument, "", faults), records));
+        MakeConfigVersion(number, number - 1, document, "", faults), records));
   }
 
   void Begin(const std::string& target, uint32_t depth = 0,
@@ -294,6 +296,20 @@
   EXPECT_EQ(owners_.objective, milliseconds(300));
 }
 
+/// Callers that allow 800 ms were taken for ones that had waited for 400 ms.
+TEST_F(AnEntry, KeepsTheObjectiveWhenAVersionShortensTheRouteTimeout) {
+  Begin("/reads/1", 0, milliseconds(800));
+  EXPECT_EQ(owners_.objective, milliseconds(300));
+  std::string document = kDocument;
+  const std::string timeout = "\"timeout_ms\": 1000";
+  document.replace(document.find(timeout), timeout.size(),
+                   "\"timeout_ms\": 400");
+  PublishVersion(2, document);
+  now_ += milliseconds(100);
+  Begin("/reads/1", 0, milliseconds(800));
+  EXPECT_EQ(owners_.objective, milliseconds(300));
+}
+
 /// At the demand peak of a quoting site, with catalogue reads at three times
 /// the upstreams' capacity, seven of eight requests are refused. While all
 /// owners are full, the entry must refuse calls itself instead of sending each
