Compare callers' timeouts as they were stated

What callers saw: after a version had shortened a route's timeout, calls were refused at once instead of queued for up to 10 s, as their objective seemed to be over.

Cause: timeouts were kept as limited by the route's timeout of their time. A caller with the same timeout as before seemed to allow less than the callers before it, and so to be on a late retry.

They are kept as stated now and limited by the route's present timeout when they are compared.

Evidence: KeepsTheObjectiveWhenAVersionShortensTheRouteTimeout failed before, with an objective of -100 ms, and passes with 300 ms; IgnoresCallerTimeoutsBeyondTheRouteTimeout and the others pass as before.

--- a/src/entry/internal/caller_wait_estimator.h
+++ b/src/entry/internal/caller_wait_estimator.h
@@ -22,9 +22,10 @@
  public:
   /// @param timeout remaining time that the caller allows; zero when it does
   /// not state any.
+  /// @param limit the route's timeout, beyond which no caller's has an effect.
   /// @return estimated time since the caller's first try.
   Duration EstimatePriorWait(const std::string& route, Duration timeout,
-                             Instant now) {
+                             Duration limit, Instant now) {
     if (timeout <= Duration{}) return {};
     LongestTimeout& longest = longest_timeouts_[route];
     if (now >= longest.window_start + kWindow) {
@@ -32,7 +33,9 @@
       longest.window_start = now;
     }
     longest.current = std::max(longest.current, timeout);
-    return std::max(longest.current, longest.previous) - timeout;
+    // The limit may have changed since, so the longest ones are kept as stated.
+    return std::min(std::max(longest.current, longest.previous), limit) -
+           std::min(timeout, limit);
   }
 
  private:
@@ -41,7 +44,8 @@
   /// takes effect within two windows.
   static constexpr Duration kWindow = std::chrono::seconds(5);
 
-  /// Longest timeouts of one route in the current and the previous window.
+  /// Longest timeouts stated by callers of one route in the current and the
+  /// previous window.
   struct LongestTimeout {
     Duration current{};
     Duration previous{};
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -67,11 +67,8 @@
       call.answer_deadline =
           std::min(call.answer_deadline, now + call.request.timeout);
     }
-    // A caller's timeout has no effect beyond the timeout of its route.
-    const Duration allowed =
-        std::min(call.request.timeout, call.route->timeout);
-    const Duration prior_wait =
-        wait_estimator_.EstimatePriorWait(call.route->name, allowed, now);
+    const Duration prior_wait = wait_estimator_.EstimatePriorWait(
+        call.route->name, call.request.timeout, call.route->timeout, now);
     call.objective = now + call.route->objective - prior_wait;
     policy_.OnCall(call.service, call.limits);
     SendAttempt(handle, calls_.Add(handle, std::move(call)), false, now);
