--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -44,6 +44,18 @@
   EXPECT_EQ(CounterValue("retries_denied_total{reason=\"not_repeatable\"}"), 1);
 }
 
+/// Attempts that were open when a link was lost failed for one reason.
+TEST_F(AnEntry, CountsALostLinkAsOneFailureOfTheUpstream) {
+  for (int i = 0; i < 30; ++i) Begin("/tags/1");
+  for (int lost = 1; lost <= 5; ++lost) {
+    ASSERT_GE(entry_->OpenAttempts("x").size(), 5u);
+    entry_->OnOwnerLost("x", true, now_);
+    now_ += milliseconds(100);
+    for (int i = 0; i < 30; ++i) Begin("/tags/1");
+    EXPECT_EQ(chooser_->Counts().ejections, lost < 5 ? 0u : 1u) << lost;
+  }
+}
+
 TEST_F(AnEntry, SaysUnknownIfAnyAttemptMayHaveRun) {
   Begin("/reads/1");
   entry_->OnOwnerLost(owners_.started[0].first, true, now_);
@@ -75,6 +87,25 @@
   EXPECT_GE(retried, 20);
 }
 
+/// An upstream was reached, though another one than expected.
+TEST_F(AnEntry, SpendsTheBudgetOnRetriesAfterAnUpstreamWasReplaced) {
+  int retried = 0;
+  int nested = 0;
+  for (int i = 0; i < 200; ++i) {
+    const uint32_t depth = i % 2;
+    now_ += milliseconds(50);
+    Begin("/tags/1", depth);
+    Refuse(Attempt(0), AdmissionCode::kReplaced, Certainty::kNotRun);
+    if (owners_.started.size() < 2) continue;
+    ++retried;
+    nested += depth == 0 ? 0 : 1;
+    Answer(Attempt(1), "tag");
+  }
+  EXPECT_GT(nested, 0);
+  EXPECT_LE(retried, 23);  // A tenth of the calls (20) and the burst (3).
+  EXPECT_GE(retried, 20);
+}
+
 TEST(ARetryBudget, AllowsNothingAtZeroPercent) {
   RetryBudget budget(0);
   budget.OnRequest();
--- a/src/routing/internal/outlier_detector.h
+++ b/src/routing/internal/outlier_detector.h
@@ -58,7 +58,9 @@
 
   struct Health {
     std::map<std::string, ServiceTime> times;
+    uint64_t incarnation = 0;
     uint32_t consecutive_failures = 0;
+    Instant last_failure_at;
     bool ejected = false;
     Instant last_probe_at;
     uint32_t choices_since_probe = 0;
@@ -68,6 +70,9 @@
 
   void MeasureSlowness(const std::vector<UpstreamTarget>& upstreams,
                        Instant now);
+  /// What is known of an earlier process says nothing about the next one.
+  void NoteIncarnation(Health& health, uint64_t incarnation, Instant now);
+  static void ExpireFailures(Health& health, Instant now);
   void Eject(Health& health, Instant now);
   void Reinstate(Health& health, Instant now);
 
