Eject no upstream for its first slow answers

What was seen: on a loaded machine the entry w ejected an upstream (upstream_ejections_total 1) although none was slowed (AServiceOfFour.LeavesOutAnUpstreamThatIsSlowWhileItsReportIsGood). An upstream that is ejected gets only probes, and returns at a quarter of its load.

Cause: the owner reports the median of its last nine service times, from the first request on. The median of one request is that request's time. In the traced run the first request to y took 38.261 ms (x, w and z: 10.348 to 10.423 ms, medians of nine); 9 ms after its report y was compared, found 3.68 times slower, and ejected.

Fix: a load report also carries how many requests its median covers; the median of fewer than five ejects no upstream. With five, three of them must have been slow. Other uses of the time are unchanged, as is the return of an ejected upstream: probes are rare, so one suffices. A report without the number, from an older daemon, counts as before. Consecutive reports were ruled out as a criterion: each request is reported twice, with its head and its end.

--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -106,10 +106,13 @@
   }
 
   LoadReport Load(const std::string& request_class) const override {
+    const ServiceEstimate& estimate = EstimateOf(request_class);
     return {static_cast<uint32_t>(running_.size()),
-            static_cast<uint32_t>(queue_.size()), shares_.Slots(),
-            EstimateOf(request_class).Median(),
-            !Draining() && config_.slots > 0};
+            static_cast<uint32_t>(queue_.size()),
+            shares_.Slots(),
+            estimate.Median(),
+            !Draining() && config_.slots > 0,
+            static_cast<uint32_t>(estimate.MedianSamples())};
   }
 
  private:
--- a/src/admission/internal/service_estimate.h
+++ b/src/admission/internal/service_estimate.h
@@ -19,6 +19,8 @@
     count_ = std::min(count_ + 1, kSamples);
   }
 
+  size_t Count() const { return count_; }
+
   /// @return the sample that the given percentage of samples does not exceed;
   /// zero while there are no samples.
   Duration Percentile(size_t percent) const {
@@ -55,6 +57,9 @@
   /// @return zero while there are no samples.
   Duration Median() const { return median_; }
 
+  /// @return the number of samples that the median covers.
+  size_t MedianSamples() const { return median_samples_.Count(); }
+
   /// @return the time that five in six requests do not exceed; zero while there
   /// are no samples.
   Duration HighPercentile() const { return high_; }
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "admission/admission_result_codes.h"
 #include "admission/quarantine.h"
 #include "tests/golden/golden.h"
@@ -36,6 +38,16 @@
             std::vector<SlotRequestId>{2});
 }
 
+TEST_F(AnUpstreamWithOneSlot, ReportsHowManyRequestsItsMedianCovers) {
+  EXPECT_EQ(admission_->Load("short").service_samples, 0u);
+  for (SlotRequestId id = 1; id <= 12; ++id) {
+    Request(id);
+    admission_->OnFinished(id, std::chrono::milliseconds(10), now_);
+    EXPECT_EQ(admission_->Load("short").service_samples,
+              std::min<size_t>(id, 9));
+  }
+}
+
 TEST_F(AnUpstreamWithOneSlot, RefusesWhatWaitedTooLong) {
   Request(1);
   Request(2);
--- a/src/calls/types/call_types.h
+++ b/src/calls/types/call_types.h
@@ -97,6 +97,9 @@
   /// without the queue; zero while unknown.
   Duration service_time{};
   bool serving = false;  ///< Whether the upstream accepts requests.
+  /// Number of requests that service_time is the median of; zero in a report of
+  /// a daemon that does not send it.
+  uint32_t service_samples = 0;
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
--- a/src/requests/internal/call_codec.cc
+++ b/src/requests/internal/call_codec.cc
@@ -76,11 +76,13 @@
   out.set_slots(load.slots);
   out.set_service_micros(static_cast<uint32_t>(load.service_time.count()));
   out.set_state(load.serving ? 1 : 0);
+  out.set_service_samples(load.service_samples);
 }
 
 LoadReport FromWire(const wire::LoadReport& in) {
-  return {in.running(), in.queued(), in.slots(), Duration(in.service_micros()),
-          in.state() == 1};
+  return {in.running(),    in.queued(),
+          in.slots(),      Duration(in.service_micros()),
+          in.state() == 1, in.service_samples()};
 }
 
 void ToWire(const QuarantineNotice& notice, wire::QuarantineNotice& out) {
--- a/src/routing/internal/outlier_detector.cc
+++ b/src/routing/internal/outlier_detector.cc
@@ -22,6 +22,8 @@
 constexpr double kReinstateSlowness = 1.5;     ///< Multiple of the median.
 constexpr double kReinstatedLoadShare = 0.25;  ///< At the start of the ramp.
 constexpr uint32_t kEjectFailures = 5;         ///< Consecutive.
+/// The median of fewer samples is that of one or two stragglers.
+constexpr uint32_t kMinEjectSamples = 5;
 constexpr size_t kMinCompared = 2;
 constexpr size_t kPercentScale = 100;
 constexpr size_t kPercentRounding = 50;  ///< To round to the nearest.
@@ -30,9 +32,10 @@
 
 void OutlierDetector::OnServiceTime(const std::string& instance,
                                     const std::string& request_class,
-                                    Duration service_time, Instant now) {
+                                    Duration service_time, uint32_t samples,
+                                    Instant now) {
   if (service_time <= Duration{}) return;
-  health_[instance].times[request_class] = {service_time, now};
+  health_[instance].times[request_class] = {service_time, samples, now};
 }
 
 void OutlierDetector::OnOutcome(const std::string& instance,
@@ -134,6 +137,10 @@
       auto measured = health.times.find(name);
       if (measured == health.times.end()) continue;
       if (now >= measured->second.at + kServiceTimeLifetime) continue;
+      const uint32_t samples = measured->second.samples;
+      const bool few_samples = samples > 0 && samples < kMinEjectSamples;
+      // Probes are rare, so a single one suffices for a reinstatement.
+      if (few_samples && !health.ejected) continue;
       const bool exceeds_median = measured->second.time > median + kMinExcess;
       const double slowness =
           exceeds_median ? static_cast<double>(measured->second.time.count()) /
--- a/src/routing/internal/outlier_detector.h
+++ b/src/routing/internal/outlier_detector.h
@@ -19,9 +19,11 @@
  public:
   /// @param service_time median time in the upstream, as reported by its owner;
   /// excludes the wait in the owner's queue.
+  /// @param samples number of requests that it is the median of; zero when the
+  /// owner does not report it.
   void OnServiceTime(const std::string& instance,
                      const std::string& request_class, Duration service_time,
-                     Instant now);
+                     uint32_t samples, Instant now);
   void OnOutcome(const std::string& instance, AttemptOutcome outcome,
                  Instant now);
 
@@ -53,6 +55,7 @@
  private:
   struct ServiceTime {
     Duration time{};
+    uint32_t samples = 0;
     Instant at;
   };
 
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -159,7 +159,8 @@
       load.sampled_at = now;
     }
     outlier_detector_.OnServiceTime(instance, request_class,
-                                    report.service_time, now);
+                                    report.service_time, report.service_samples,
+                                    now);
   }
 
   EjectionCounts Counts() const override { return outlier_detector_.Counts(); }
--- a/src/routing/tests/upstream_chooser_test.cc
+++ b/src/routing/tests/upstream_chooser_test.cc
@@ -40,6 +40,13 @@
                      {running, queued, 6, service_time, serving}, now_);
   }
 
+  /// Reports the median service time of few or many requests.
+  void ReportMedian(const std::string& instance, Duration service_time,
+                    uint32_t samples) {
+    chooser_->OnLoad(instance, "short", {0, 0, 6, service_time, true, samples},
+                     now_);
+  }
+
   /// Reports a service time of 100 ms for `slow` and of 10 ms for the others.
   void ReportAll(const std::string& slow) {
     for (const UpstreamTarget& target : targets_) {
@@ -170,6 +177,30 @@
   EXPECT_EQ(chooser_->Counts().reinstatements, 1u);
 }
 
+/// Seen on a busy machine, with upstreams that all need 10 ms: the first
+/// request to one of them took 38 ms.
+TEST_F(AnEntryInDomainA, EjectsNoUpstreamForItsFirstSlowAnswers) {
+  Build(4, 0);
+  for (uint32_t samples = 1; samples <= 4; ++samples) {
+    for (const char* instance : {"a0", "a1", "a3"}) {
+      ReportMedian(instance, milliseconds(10), samples);
+    }
+    ReportMedian("a2", milliseconds(38), samples);
+    now_ += milliseconds(60);
+    Choose();
+    EXPECT_EQ(chooser_->Counts().ejections, 0u) << samples;
+  }
+  ReportMedian("a2", milliseconds(38), 5);
+  now_ += milliseconds(60);
+  Choose();
+  EXPECT_EQ(chooser_->Counts().ejections, 1u);
+  // One probe of the restarted upstream is enough to reinstate it.
+  ReportMedian("a2", milliseconds(10), 1);
+  now_ += milliseconds(60);
+  Choose();
+  EXPECT_EQ(chooser_->Counts().reinstatements, 1u);
+}
+
 TEST_F(AnEntryInDomainA, NeverEjectsMoreThanTheCap) {
   Build(6, 0);
   for (const char* instance : {"a0", "a1"}) {
