--- a/src/distribution/tests/confirmation_test.cc
+++ b/src/distribution/tests/confirmation_test.cc
@@ -5,8 +5,8 @@
 
 #include "distribution/internal/ask_schedule.h"
 #include "distribution/tests/ask_directories.h"
+#include "distribution/tests/versions.h"
 #include "distribution/version_follower.h"
-#include "versions/config_reader.h"
 
 namespace hibiscusglade {
 namespace {
@@ -14,15 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-ConfigVersionPtr VersionOne() {
-  std::vector<SettingsFault> faults;
-  const std::string patch =
-      R"([{"op":"add","path":"/services/plots","value":{}}])";
-  return MakeConfigVersion(
-      1, 0, *ApplyPatch(EmptyConfigVersion()->text, patch, faults), patch,
-      faults);
-}
-
 /// A daemon of failure domain "a" with a peer at distance 1, 2 and 4.
 class AFollowerOnARing : public testing::Test {
  protected:
--- a/src/distribution/tests/cut_off_relays_test.cc
+++ b/src/distribution/tests/cut_off_relays_test.cc
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "distribution/tests/ask_directories.h"
+#include "distribution/tests/versions.h"
 #include "distribution/version_follower.h"
-#include "versions/config_reader.h"
 
 namespace hibiscusglade {
 namespace {
@@ -21,15 +21,6 @@
 constexpr milliseconds kInForce{2000};
 constexpr size_t kRelays = 2;
 
-ConfigVersionPtr VersionOne() {
-  std::vector<SettingsFault> faults;
-  const std::string patch =
-      R"([{"op":"add","path":"/services/plots","value":{}}])";
-  return MakeConfigVersion(
-      1, 0, *ApplyPatch(EmptyConfigVersion()->text, patch, faults), patch,
-      faults);
-}
-
 /// A failure domain without a replica. Its relays run and are reached by the
 /// other daemons, but reach nobody outside; the others do. The replica "5" in
 /// another domain answers.
--- a/src/distribution/tests/silent_daemons_property_test.cc
+++ b/src/distribution/tests/silent_daemons_property_test.cc
@@ -5,8 +5,8 @@
 #include <set>
 
 #include "distribution/tests/ask_directories.h"
+#include "distribution/tests/versions.h"
 #include "distribution/version_follower.h"
-#include "versions/config_reader.h"
 
 namespace hibiscusglade {
 namespace {
@@ -30,15 +30,6 @@
 /// two failure domains are asked in turn.
 constexpr seconds kInForceFromAnyDaemon{45};
 
-ConfigVersionPtr VersionOne() {
-  std::vector<SettingsFault> faults;
-  const std::string patch =
-      R"([{"op":"add","path":"/services/plots","value":{}}])";
-  return MakeConfigVersion(
-      1, 0, *ApplyPatch(EmptyConfigVersion()->text, patch, faults), patch,
-      faults);
-}
-
 /// A mesh of three failure domains with a replica each. Views do not change:
 /// silent daemons remain peers and relays. An address is the daemon's number.
 class SimulatedMesh {
--- a/src/distribution/tests/silent_peers_test.cc
+++ b/src/distribution/tests/silent_peers_test.cc
@@ -6,8 +6,8 @@
 
 #include "base/random.h"
 #include "distribution/tests/ask_directories.h"
+#include "distribution/tests/versions.h"
 #include "distribution/version_follower.h"
-#include "versions/config_reader.h"
 
 namespace hibiscusglade {
 namespace {
@@ -24,15 +24,6 @@
 /// A change must be in force within this time.
 constexpr milliseconds kInForce{2000};
 
-ConfigVersionPtr VersionOne() {
-  std::vector<SettingsFault> faults;
-  const std::string patch =
-      R"([{"op":"add","path":"/services/plots","value":{}}])";
-  return MakeConfigVersion(
-      1, 0, *ApplyPatch(EmptyConfigVersion()->text, patch, faults), patch,
-      faults);
-}
-
 /// A daemon of failure domain "a" that is no relay. Its three peers are silent.
 class DaemonWithSilentPeers {
  public:
