Split silence, hearing and suspicions out of the membership

Moved to classes of their own: - SilentInstances: instances of the own domain that don't answer, and which of them are probed next; - Hearing: when this daemon last heard from others, and with that whether it may accuse them; - SuspicionTimers: since when instances are suspected.

Nothing changes in behaviour. In two places the code isn't moved as it was: ExpireSuspicions() asks MayAccuse() once before its loop, as nothing in the collecting loop changed the result, and SendProbes() chooses the silent ones before it probes them, as a probe doesn't change the choice.

Checked: membership_test passes (53 tests, and 5 times shuffled).

--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -1,25 +1,24 @@
 #include "membership/membership.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "base/random.h"
 #include "membership/internal/domain_watch.h"
 #include "membership/internal/failure_detector.h"
 #include "membership/internal/gossip_targets.h"
+#include "membership/internal/hearing.h"
 #include "membership/internal/passed_on_records.h"
 #include "membership/internal/peer_view.h"
 #include "membership/internal/record_table.h"
+#include "membership/internal/silent_instances.h"
+#include "membership/internal/suspicion_timers.h"
 #include "membership/internal/update_queue.h"
 #include "membership/internal/upstream_registration.h"
 
 namespace hibiscusglade {
 namespace {
 
-/// Of the instances left out of the view, so many are probed at a time.
-constexpr size_t kSilentProbes = 3;
-
 class MembershipImpl : public Membership {
  public:
   MembershipImpl(MembershipConfig config, uint64_t seed, Instant now)
@@ -30,6 +29,7 @@
         domains_(config_, table_, view_),
         targets_(config_, table_, view_, random_),
         upstream_(config_),
+        hearing_(config_),
         next_gossip_(now),
         next_compare_(now),
         next_probe_(now) {
@@ -61,7 +61,7 @@
                               const MembershipMessage& message,
                               Instant now) override {
     MembershipEffects effects;
-    last_message_at_ = now;
+    hearing_.OnMessage(now);
     if (const auto* gossip = std::get_if<GossipMessage>(&message)) {
       OnGossip(from, *gossip, now, effects);
     } else if (const auto* probe = std::get_if<ProbeMessage>(&message)) {
@@ -174,7 +174,7 @@
 
   void PublishOwnRecord(Instant now, MembershipEffects& effects) {
     ++self_.sequence;
-    own_record_missed_ = !silent_.empty();
+    own_record_missed_ = !silent_.Empty();
     StoreRecord(self_, now, effects);
     // The record may be unchanged although the upstream's address has changed,
     // which is not part of it.
@@ -192,17 +192,13 @@
         stored != nullptr && stored->record.incarnation != record.incarnation;
     const bool returns =
         (restarted || record.state > InstanceState::kSuspected) &&
-        silent_.erase(record.instance) != 0;
+        silent_.Remove(record.instance);
     effects.changed |=
         stored == nullptr || !DifferOnlyInVersion(stored->record, record);
     table_.Put(record, now);
     updates_.Add(record.instance);
     domains_.OnRecord(record.failure_domain, now);
-    if (record.state == InstanceState::kSuspected) {
-      suspected_since_.emplace(record.instance, now);
-    } else {
-      suspected_since_.erase(record.instance);
-    }
+    suspicions_.OnRecord(record, now);
     if (state_changed || returns) RebuildView(effects);
   }
 
@@ -213,7 +209,7 @@
       records.push_back(&stored.record);
     }
     const bool stood_in = view_.stands_in;
-    view_ = MakePeerView(records, self_, silent_);
+    view_ = MakePeerView(records, self_, silent_.All());
     // Nobody in other domains knows that this daemon stands in.
     if (view_.stands_in && !stood_in) next_compare_ = Instant{};
   }
@@ -326,9 +322,9 @@
     const auto* stored = table_.Find(instance);
     if (stored != nullptr &&
         stored->record.failure_domain == self_.failure_domain) {
-      last_heard_own_domain_at_ = now;
+      hearing_.OnOwnDomain(now);
     }
-    if (silent_.erase(instance) == 0) return;
+    if (!silent_.Remove(instance)) return;
     RebuildView(effects);
     if (std::exchange(own_record_missed_, false)) updates_.Add(self_.instance);
   }
@@ -346,8 +342,9 @@
           stored->record.failure_domain != self_.failure_domain) {
         continue;
       }
-      any_added |= silent_.insert(instance).second;
-      if (stored->record.state != InstanceState::kAlive || !MayAccuse(now)) {
+      any_added |= silent_.Add(instance);
+      if (stored->record.state != InstanceState::kAlive ||
+          !hearing_.MayAccuse(view_.stands_in, now)) {
         continue;
       }
       InstanceRecord suspected = stored->record;
@@ -356,7 +353,7 @@
     }
     if (!any_added) return;
     RebuildView(effects);
-    if (HearsOwnDomain(now)) return;
+    if (hearing_.HearsOwnDomain(now)) return;
     peers.insert(peers.end(), view_.own_domain_peers.begin(),
                  view_.own_domain_peers.end());
     for (const std::string& peer : peers) {
@@ -364,28 +361,12 @@
     }
   }
 
-  bool HearsOwnDomain(Instant now) const {
-    return now - last_heard_own_domain_at_ <= config_.probe_interval;
-  }
-
-  /// @return whether others may be suspected and declared dead: not while no
-  /// messages arrive at all, nor while other domains are heard only because
-  /// this daemon stands in as a relay. The fault is then most likely here.
-  bool MayAccuse(Instant now) const {
-    return now - last_message_at_ <= config_.probe_interval &&
-           (!view_.stands_in || HearsOwnDomain(now));
-  }
-
   void ExpireSuspicions(Instant now, MembershipEffects& effects) {
-    std::vector<InstanceRecord> expired;
-    for (const auto& [instance, since] : suspected_since_) {
-      const InstanceRecord& record = table_.Find(instance)->record;
-      if (now - since > config_.suspicion_timeout && MayAccuse(now) &&
-          record.failure_domain == self_.failure_domain) {
-        expired.push_back(record);
-      }
-    }
-    for (InstanceRecord& record : expired) {
+    if (!hearing_.MayAccuse(view_.stands_in, now)) return;
+    for (const std::string& instance :
+         suspicions_.Expired(now, config_.suspicion_timeout)) {
+      InstanceRecord record = table_.Find(instance)->record;
+      if (record.failure_domain != self_.failure_domain) continue;
       record.state = InstanceState::kDead;
       StoreRecord(record, now, effects);
     }
@@ -403,9 +384,7 @@
   void ForgetExpiredDomains(Instant now, MembershipEffects& effects) {
     for (const std::string& domain : domains_.TakeExpired(now)) {
       table_.RemoveDomain(domain);
-      std::erase_if(suspected_since_, [this](const auto& item) {
-        return table_.Find(item.first) == nullptr;
-      });
+      suspicions_.Retain(table_);
       RebuildView(effects);
     }
   }
@@ -417,11 +396,10 @@
                                             view_.own_domain_peers.size()],
                      now, effects);
     }
-    for (size_t i = 0; i < std::min(kSilentProbes, silent_.size()); ++i) {
-      auto next = silent_.upper_bound(last_silent_probed_);
-      if (next == silent_.end()) next = silent_.begin();
-      last_silent_probed_ = *next;
-      if (!detector_.IsProbing(*next)) ProbeOwnDomain(*next, now, effects);
+    for (const std::string& instance : silent_.NextToProbe()) {
+      if (!detector_.IsProbing(instance)) {
+        ProbeOwnDomain(instance, now, effects);
+      }
     }
     for (const auto& [domain, relays] : view_.other_domain_relays) {
       detector_.Probe(targets_.Of(relays[random_.Below(relays.size())]), {},
@@ -495,15 +473,11 @@
   DomainWatch domains_;
   GossipTargets targets_;
   UpstreamRegistration upstream_;
+  Hearing hearing_;
   UpdateQueue updates_;
-  std::map<std::string, Instant> suspected_since_;
-  /// Instances of the own domain that didn't answer, nor through helpers, since
-  /// they were last heard from.
-  std::set<std::string> silent_;
-  std::string last_silent_probed_;
+  SuspicionTimers suspicions_;
+  SilentInstances silent_;
   bool own_record_missed_ = false;  ///< By the silent ones.
-  Instant last_message_at_;
-  Instant last_heard_own_domain_at_;
   bool version_pending_ = false;
   Instant next_version_gossip_;
   Instant next_gossip_;
