Split the watch of the upstream and the ends of jobs out of the owner

Moved to classes of their own: - UpstreamWatch: what is known of the upstream beside the owner (its announcement, the replaced one, whether it is down, drains or may have died, the probe under way), with the probes and notices to the listener; - JobCloser: how jobs end (revocation or result in the ledger, the answer or refusal, removal from the table).

Nothing changes in behaviour. Where UseUpstream() and SetReachable() did both, the watch now changes its state first and the owner then configures admission or refuses what is queued, in the same order as before. This relies on the listener not calling the owner back while it is notified; the daemon's listener posts or sends.

Checked: owner_test passes (42 tests, and 5 times shuffled).

--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -4,14 +4,14 @@
 
 #include "admission/admission_result_codes.h"
 #include "calls/stop_limit.h"
-#include "claims/claim_codec.h"
 #include "claims/claims_result_codes.h"
 #include "owner/internal/answer_sender.h"
 #include "owner/internal/claim_writer.h"
+#include "owner/internal/job_closer.h"
 #include "owner/internal/job_table.h"
 #include "owner/internal/run_reporter.h"
 #include "owner/internal/slot_gate.h"
-#include "owner/internal/upstream_death_detector.h"
+#include "owner/internal/upstream_watch.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
@@ -25,8 +25,6 @@
 constexpr Duration kEntryTimeout = std::chrono::seconds(3);
 /// Longest wait for the ledger to store an answer; it is sent anyway then.
 constexpr Duration kFinishTimeout = std::chrono::milliseconds(500);
-/// Interval between probes of an upstream that is down.
-constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
 /// Longest answer of known length that is buffered until complete: one chunk.
 constexpr int64_t kMaxBufferedAnswerBytes = int64_t{64} * 1024;
 /// Bytes of a kept answer set aside for its head.
@@ -38,9 +36,12 @@
       : parts_(parts),
         writer_(std::move(instance), parts.claims, parts.clock),
         sender_(parts.entries, parts.metrics, parts.clock, parts.link_mbps,
-                parts.link_traffic, [this](const std::string& request_class) {
+                parts.link_traffic,
+                [this](const std::string& request_class) {
                   return Load(request_class);
-                }) {}
+                }),
+        closer_(jobs_, writer_, sender_),
+        upstream_(parts_) {}
 
   void OnStart(const EntryRef& entry, const CallAttempt& attempt,
                Instant now) override {
@@ -101,17 +102,16 @@
     Apply(admission_->OnTick(now), now);
     CheckJobs(now);
     sender_.SendQueued(now);
-    if (suspects_.empty()) suspects_ = death_detector_.TakeSuspects(now);
-    if (suspects_.empty() && death_detector_.Idle()) RefuseConnectionLost();
-    CheckUpstream(now);
+    upstream_.FindSuspects(now);
+    if (!upstream_.MayHaveDied()) closer_.RefuseConnectionLost();
+    upstream_.SendProbe(now);
   }
 
   void SetUpstream(const std::optional<UpstreamAnnouncement>& upstream,
                    const AdmissionConfig& config, Instant now) override {
     limits_ = config;
-    const bool replaced = upstream.has_value() && IsReplaced(*upstream);
-    if (upstream.has_value() && !replaced) replaced_.reset();
-    UseUpstream(replaced ? std::nullopt : upstream, now);
+    upstream_.Set(upstream);
+    ConfigureAdmission(now);
   }
 
   void BeginStop(Instant end, Instant now) override {
@@ -131,7 +131,7 @@
     for (SlotRequestId id : jobs_.Ids()) {
       const Job& job = jobs_[id];
       if (job.stage == JobStage::kFinishing) {
-        SendFinishedAnswer(id);
+        closer_.SendFinishedAnswer(id);
         continue;
       }
       if (!job.entry.empty()) {
@@ -140,7 +140,7 @@
       }
       sender_.SendRefusal(job, RoutingCode::kCutByStop, Certainty::kUnknown);
       gate_.Remove(id);
-      RemoveJob(id);
+      closer_.Remove(id);
     }
     return cut;
   }
@@ -185,9 +185,10 @@
     Job* job = Find(run);
     if (job == nullptr) return;
     parts_.quarantine.OnRunSurvived(job->fingerprint, now);
-    death_detector_.OnRunEnded(run);
+    upstream_.OnRunEnded(run);
     if (job->attempt.NeedsClaim()) {
-      FinishClaim(run, now);
+      closer_.FinishClaim(run, now);
+      ReleaseSlot(run, now);
       return;
     }
     if (!job->streaming) {
@@ -196,31 +197,31 @@
     }
     sender_.SendEnd(*job);
     ReleaseSlot(run, now);
-    RemoveJob(run);
+    closer_.Remove(run);
   }
 
   void OnRunFailed(RunId run, const RunFailure& failure, Instant now) override {
     Job* job = Find(run);
     if (job == nullptr) return;
     if (failure.progress == RunProgress::kNotSent) {
-      if (failure.connection_lost) down_ = true;
+      if (failure.connection_lost) upstream_.OnConnectionRefused();
       ReleaseSlot(run, now);
-      RefuseNotRun(run, AdmissionCode::kNotServing);
+      closer_.RefuseNotRun(run, AdmissionCode::kNotServing);
       return;
     }
     reporter_.LogFailure(*job, failure, now);
     if (failure.progress == RunProgress::kRejected) {
       if (failure.other_upstream) EndAnnouncementOf(*job, now);
       ReleaseSlot(run, now);
-      RefuseNotRun(run, failure.other_upstream ? AdmissionCode::kReplaced
-                                               : AdmissionCode::kRejected);
+      closer_.RefuseNotRun(run, failure.other_upstream
+                                    ? AdmissionCode::kReplaced
+                                    : AdmissionCode::kRejected);
       return;
     }
     if (failure.connection_lost) {
       // The refusal waits for the death check: a retry elsewhere must not
       // arrive before the suspicion has been sent to the other owners.
-      death_detector_.OnConnectionLost(run, job->fingerprint, gate_.Running(),
-                                       now);
+      upstream_.OnConnectionLost(run, job->fingerprint, gate_.Running(), now);
       job->stage = JobStage::kConnectionLost;
       job->connection_error = failure.reason;
       ReleaseSlot(run, now);
@@ -229,87 +230,40 @@
     sender_.SendRefusal(*job, RoutingCode::kAnswerBroken, Certainty::kUnknown,
                         failure.reason);
     ReleaseSlot(run, now);
-    RemoveJob(run);
+    closer_.Remove(run);
   }
 
   void OnProbed(bool reachable, Instant now) override {
-    probing_ = false;
-    const std::vector<Digest> suspects = std::exchange(suspects_, {});
-    if (!reachable && upstream_.has_value() && !suspects.empty()) {
-      ReportDeath(suspects, now);
+    if (upstream_.OnProbed(reachable, now)) {
+      RefuseQueued(AdmissionCode::kNotServing);
     }
-    if (!std::exchange(probe_outdated_, false)) SetReachable(reachable);
-    if (death_detector_.Idle()) RefuseConnectionLost();
+    if (!upstream_.MayHaveDied()) closer_.RefuseConnectionLost();
   }
 
  private:
-  /// @return whether an announcement is of the upstream that is in use.
-  bool IsCurrent(const UpstreamAnnouncement& upstream) const {
-    return upstream_.has_value() && upstream.id == upstream_->id &&
-           upstream.started_at_ms == upstream_->started_at_ms &&
-           upstream.address == upstream_->address;
-  }
-
-  /// @return whether an announcement is of the upstream that was last found to
-  /// be replaced.
-  bool IsReplaced(const UpstreamAnnouncement& upstream) const {
-    return replaced_.has_value() && upstream.id == replaced_->id &&
-           upstream.started_at_ms == replaced_->started_at_ms;
-  }
-
-  void UseUpstream(const std::optional<UpstreamAnnouncement>& upstream,
-                   Instant now) {
-    if (upstream.has_value() && !IsCurrent(*upstream)) {
-      // What is known of the one before says nothing about this one.
-      down_ = false;
-      down_notified_ = false;
-      probe_outdated_ = probing_;
-    }
-    upstream_ = upstream;
+  /// Applies the limits, and the state of the upstream in use.
+  void ConfigureAdmission(Instant now) {
+    const auto& upstream = upstream_.Current();
     AdmissionConfig limits = limits_;
     limits.slots = upstream.has_value() ? upstream->slots : 0;
-    limits.draining = UpstreamDrains();
+    limits.draining = upstream_.Drains();
     Apply(admission_->Configure(limits, now), now);
-    if (UpstreamDrains()) RefuseHeld(AdmissionCode::kDraining, now);
-    if (!upstream_.has_value()) RefuseHeld(AdmissionCode::kNotServing, now);
+    if (upstream_.Drains()) RefuseHeld(AdmissionCode::kDraining, now);
+    if (!upstream.has_value()) RefuseHeld(AdmissionCode::kNotServing, now);
   }
 
-  /// Ends the announcement of the upstream that a run was sent to, as another
-  /// one answers at its address. Only an announcement of another id or start
-  /// time takes its place.
   void EndAnnouncementOf(const Job& job, Instant now) {
-    if (!upstream_.has_value() || job.attempt.upstream_id != upstream_->id ||
-        job.upstream_started_at_ms != upstream_->started_at_ms) {
-      return;
-    }
-    Log(LogLevel::kWarning, "owner",
-        "Another upstream uses the announced address.",
-        {{"upstream", upstream_->id},
-         {"address", upstream_->address},
-         {"born", std::to_string(upstream_->started_at_ms)}});
-    if (upstream_->id.empty()) {
-      // A later announcement can't be told from that one: ask the address.
-      SetReachable(false);
-      return;
-    }
-    replaced_ = upstream_;
-    parts_.listener.OnUpstreamDown(*upstream_);
-    UseUpstream(std::nullopt, now);
-  }
-
-  void SetReachable(bool reachable) {
-    down_ = !reachable;
-    if (reachable) down_notified_ = false;
-    if (!down_ || !upstream_.has_value()) return;
-    if (!std::exchange(down_notified_, true)) {
-      parts_.listener.OnUpstreamDown(*upstream_);
+    if (!upstream_.EndAnnouncementOf(job)) return;
+    if (upstream_.Current().has_value()) {
+      RefuseQueued(AdmissionCode::kNotServing);
+    } else {
+      ConfigureAdmission(now);
     }
-    RefuseQueued(AdmissionCode::kNotServing);
   }
 
   LoadReport Load(const std::string& request_class) const {
     LoadReport load = admission_->Load(request_class);
-    load.serving = load.serving && !down_ && !UpstreamDrains();
+    load.serving = load.serving && !upstream_.Down() && !upstream_.Drains();
     return load;
   }
 
@@ -321,23 +275,18 @@
            job.head.content_length <= kMaxBufferedAnswerBytes;
   }
 
-  bool UpstreamDrains() const {
-    return upstream_.has_value() &&
-           upstream_->state == UpstreamState::kDraining;
-  }
-
   std::optional<std::error_code> CheckStart(Job& job, Instant now) {
     const CallAttempt& attempt = job.attempt;
-    if (draining_ || UpstreamDrains()) {
+    if (draining_ || upstream_.Drains()) {
       return make_error_code(AdmissionCode::kDraining);
     }
     if (stop_limit_.EndsBefore(job.deadline)) {
       return make_error_code(RoutingCode::kStopsTooSoon);
     }
-    if (!upstream_.has_value() || down_) {
+    if (!upstream_.Current().has_value() || upstream_.Down()) {
       return make_error_code(AdmissionCode::kNotServing);
     }
-    if (upstream_->service != attempt.service) {
+    if (upstream_.Current()->service != attempt.service) {
       return make_error_code(AdmissionCode::kWrongService);
     }
     if (attempt.NeedsClaim() && attempt.request.idempotency_key.empty()) {
@@ -378,7 +327,7 @@
     Job* job = Find(id);
     if (job == nullptr) return;
     if (outcome.error == ClaimsCode::kLedgerUnresponsive) {
-      RefuseNotRun(id, ClaimsCode::kLedgerUnresponsive);
+      closer_.RefuseNotRun(id, ClaimsCode::kLedgerUnresponsive);
       return;
     }
     if (!outcome.error) {
@@ -386,73 +335,13 @@
         job->pending_refusal = AdmissionCode::kDeadlineTooNear;
       }
       if (job->pending_refusal) {
-        RefuseNotRun(id, job->pending_refusal);
+        closer_.RefuseNotRun(id, job->pending_refusal);
       } else {
         RequestSlot(id, now);
       }
       return;
     }
-    if (outcome.error == ClaimsCode::kAlreadyDone) {
-      sender_.SendKeptAnswer(*job, outcome.kept_answer);
-    } else {
-      const ResultCodeInfo* info = FindResultCode(outcome.error);
-      sender_.SendRefusal(
-          *job, outcome.error,
-          info == nullptr ? Certainty::kUnknown : info->certainty);
-    }
-    RemoveJob(id);
-  }
-
-  void FinishClaim(SlotRequestId id, Instant now) {
-    Job& job = jobs_[id];
-    job.stage = JobStage::kFinishing;
-    job.answer_completed = now;
-    if (!job.streaming) {
-      job.encoded_answer =
-          EncodeKeptAnswer({job.head, std::exchange(job.body, {})});
-    }
-    // Send the answer after the ledger has stored it, so that a resend of the
-    // request gets the same answer.
-    writer_.Finish(job, job.encoded_answer,
-                   [this, id](const ClaimOutcome&) { SendFinishedAnswer(id); });
-    ReleaseSlot(id, now);
-  }
-
-  /// Sends the answer of a request that ran, whether the ledger stored it or
-  /// not.
-  void SendFinishedAnswer(SlotRequestId id) {
-    Job* job = Find(id);
-    if (job == nullptr) return;
-    if (job->streaming) {
-      sender_.SendEnd(*job);
-    } else {
-      sender_.SendKeptAnswer(*job, job->encoded_answer);
-    }
-    RemoveJob(id);
-  }
-
-  /// Refuses an attempt that did not run. An attempt that needs a claim is
-  /// reported as not run only after the ledger has revoked its claim.
-  void RefuseNotRun(SlotRequestId id, const std::error_code& code,
-                    Duration retry_after = {}) {
-    Job& job = jobs_[id];
-    if (!job.attempt.NeedsClaim()) {
-      sender_.SendRefusal(job, code, Certainty::kNotRun, "", retry_after);
-      RemoveJob(id);
-      return;
-    }
-    job.stage = JobStage::kRevoking;
-    writer_.Revoke(job, [this, id, code](const ClaimOutcome& outcome) {
-      Job* revoked = Find(id);
-      if (revoked == nullptr) return;
-      if (outcome.error) {
-        sender_.SendRefusal(*revoked, ClaimsCode::kLedgerUnresponsive,
-                            Certainty::kUnknown);
-      } else {
-        sender_.SendRefusal(*revoked, code, Certainty::kNotRun);
-      }
-      RemoveJob(id);
-    });
+    closer_.EndUnclaimed(id, outcome);
   }
 
   void Cancel(SlotRequestId id, Instant now) {
@@ -465,10 +354,10 @@
         break;
       case JobStage::kQueued:
         admission_->CancelQueued(id);
-        RefuseNotRun(id, caller_disconnected);
+        closer_.RefuseNotRun(id, caller_disconnected);
         break;
       case JobStage::kAdmitted:
-        RefuseNotRun(id, caller_disconnected);
+        closer_.RefuseNotRun(id, caller_disconnected);
         ReleaseSlot(id, now);
         break;
       case JobStage::kRunning:
@@ -476,7 +365,7 @@
         // answer for a resend.
         if (!job.attempt.repeatable) break;
         parts_.upstream.Cancel(id);
-        RemoveJob(id);
+        closer_.Remove(id);
         ReleaseSlot(id, now);
         break;
       case JobStage::kConnectionLost:
@@ -500,35 +389,11 @@
                !job.pending_refusal) {
       job.pending_refusal = AdmissionCode::kDeadlineTooNear;
     } else if (job.stage == JobStage::kAdmitted && past_deadline) {
-      RefuseNotRun(id, AdmissionCode::kWaitedTooLong);
+      closer_.RefuseNotRun(id, AdmissionCode::kWaitedTooLong);
       ReleaseSlot(id, now);
     } else if (job.stage == JobStage::kFinishing &&
                now - job.answer_completed >= kFinishTimeout) {
-      SendFinishedAnswer(id);
-    }
-  }
-
-  void CheckUpstream(Instant now) {
-    if (probing_ || !upstream_.has_value()) return;
-    if (suspects_.empty() && (!down_ || now < next_probe_)) return;
-    probing_ = true;
-    next_probe_ = now + kProbeInterval;
-    parts_.upstream.Probe(upstream_->address);
-  }
-
-  void ReportDeath(const std::vector<Digest>& running, Instant now) {
-    parts_.metrics.CounterOf("upstream_deaths_total", "").Add();
-    RunReporter::LogDeath(running.size());
-    parts_.listener.OnSuspicions(
-        upstream_->service, parts_.quarantine.OnUpstreamDeath(running, now));
-  }
-
-  void RefuseConnectionLost() {
-    for (SlotRequestId id : jobs_.IdsAt(JobStage::kConnectionLost)) {
-      const Job& job = jobs_[id];
-      sender_.SendRefusal(job, RoutingCode::kAnswerBroken, Certainty::kUnknown,
-                          job.connection_error);
-      RemoveJob(id);
+      closer_.SendFinishedAnswer(id);
     }
   }
 
@@ -536,7 +401,7 @@
   void RefuseQueued(const std::error_code& code, Instant after = {}) {
     for (SlotRequestId id : jobs_.IdsAt(JobStage::kQueued, after)) {
       admission_->CancelQueued(id);
-      RefuseNotRun(id, code);
+      closer_.RefuseNotRun(id, code);
     }
   }
 
@@ -549,7 +414,7 @@
     // All at once, so that none starts when one before it is removed.
     for (SlotRequestId id : held) gate_.Remove(id);
     for (SlotRequestId id : held) {
-      RefuseNotRun(id, code);
+      closer_.RefuseNotRun(id, code);
       ReleaseSlot(id, now);
     }
   }
@@ -565,7 +430,7 @@
     }
     for (const SlotRefusal& refusal : effects.refused) {
       if (Find(refusal.id) == nullptr) continue;
-      RefuseNotRun(refusal.id, refusal.code, refusal.retry_after);
+      closer_.RefuseNotRun(refusal.id, refusal.code, refusal.retry_after);
     }
     for (SlotRequestId id : gate_.TakeReady()) StartRun(id, now);
   }
@@ -575,9 +440,10 @@
     job.stage = JobStage::kRunning;
     job.run_started = now;
     job.attempt.remaining = job.deadline - now;
-    job.attempt.upstream_id = upstream_->id;
-    job.upstream_started_at_ms = upstream_->started_at_ms;
-    parts_.upstream.Start(id, upstream_->address, job.attempt);
+    const UpstreamAnnouncement& upstream = *upstream_.Current();
+    job.attempt.upstream_id = upstream.id;
+    job.upstream_started_at_ms = upstream.started_at_ms;
+    parts_.upstream.Start(id, upstream.address, job.attempt);
   }
 
   /// Releases the slot of a run, whether or not it has started.
@@ -589,36 +455,20 @@
     Apply(admission_->OnFinished(id, service_time, now), now);
   }
 
-  void RemoveJob(SlotRequestId id) {
-    const Job* job = Find(id);
-    if (job == nullptr) return;
-    sender_.OnRemoved(*job);
-    jobs_.Remove(id);
-  }
-
   Job* Find(SlotRequestId id) { return jobs_.Find(id); }
 
   OwnerParts parts_;
+  JobTable jobs_;
   ClaimWriter writer_;
   AnswerSender sender_;
+  JobCloser closer_;
+  UpstreamWatch upstream_;
   std::unique_ptr<Admission> admission_ = MakeAdmission();
   SlotGate gate_;
-  UpstreamDeathDetector death_detector_;
-  std::optional<UpstreamAnnouncement> upstream_;
-  /// The upstream whose announcement was ended, as another one answers at its
-  /// address.
-  std::optional<UpstreamAnnouncement> replaced_;
   AdmissionConfig limits_;
-  JobTable jobs_;
   StopLimit stop_limit_;
   RunReporter reporter_;
   bool draining_ = false;
-  bool down_ = false;           ///< The upstream accepts no connections.
-  bool down_notified_ = false;  ///< The listener was notified of it.
-  bool probing_ = false;
-  bool probe_outdated_ = false;  ///< The probe is of the upstream before.
-  Instant next_probe_;
-  std::vector<Digest> suspects_;  ///< Of a death that a probe must confirm.
 };
 
 }  // namespace
