--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -35,10 +35,6 @@
 /// signal.
 constexpr int kSettingsPollMs = 2000;
 
-int64_t MillisOf(Duration time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<uint64_t>(device()) << 32U) | device();
@@ -60,8 +56,8 @@
   for (size_t i = 0; i < std::min(cut.size(), kMaxNamedRequests); ++i) {
     const UnfinishedRequest& request = cut[i];
     names += (i == 0 ? "" : ";") + request.request_id + "," + request.route +
-             ",ran_ms:" + std::to_string(MillisOf(request.running)) +
-             ",left_ms:" + std::to_string(MillisOf(request.remaining));
+             ",ran_ms:" + MillisText(request.running) +
+             ",left_ms:" + MillisText(request.remaining);
   }
   Log(LogLevel::kWarning, "app", "The stop cut open requests.",
       {{"count", std::to_string(cut.size())},
