Bound what an answer sends outside its head and body

Cause: one upstream that ended a chunked answer with trailer lines without end took its daemon from 24 to 482 MB in 5 s: libcurl keeps every trailer field of a run until it ends, and libcurl limits heads only. An extension of a chunk without end is read and dropped, with a core busy until the deadline. Callers could send such extensions for as long as they liked as well; their trailers were bounded already.

Change: FramingLimit bounds the trailer of an answer (16 KiB) and the bytes in a row that are neither head, trailer nor body (64 KiB); the run then fails with its reason in the owner's log line, counts as a broken answer, and its connection closes. Receive buffers of connections to the upstream are bounded, as nobody reads a kept one. A caller's body in chunks may bring as many bytes of framing in a row as a head may have, then 431. The client's run, its open connections and the limit have files of their own.

Ruled out: heads, interim heads and bytes that are no answer without end (502 at once, tests from before), bodies without end (credit), one trailer line without end (libcurl ends it).

Result: on the former code the test of trailer fields and the one of an extension fail (the runs do not end within 5 s), and so does the caller's; the tests of one trailer line and of a regular trailer pass before and after.

--- a/src/caller/internal/request_parser.cc
+++ b/src/caller/internal/request_parser.cc
@@ -51,9 +51,16 @@
   if (state_ == ParseState::kFailed || state_ == ParseState::kComplete) {
     return state_;
   }
+  const size_t body_bytes = parsed_.request.body.size();
+  const bool was_in_body = state_ == ParseState::kInBody;
   const size_t read =
       http_parser_execute(&parser_, &Settings(), bytes.data(), bytes.size());
   bytes.remove_prefix(read);
+  const bool only_framing = was_in_body && state_ == ParseState::kInBody &&
+                            parsed_.request.body.size() == body_bytes;
+  framing_bytes_ = only_framing ? framing_bytes_ + read : 0;
+  // The library drops extensions of chunks, however long they are.
+  if (framing_bytes_ > limits_.max_head_bytes) Fail(CallerCode::kHeadTooLarge);
   const http_errno error = HTTP_PARSER_ERRNO(&parser_);
   if (error == HPE_OK || state_ == ParseState::kFailed) return state_;
   if (error == HPE_PAUSED) {
--- a/src/caller/internal/request_parser.h
+++ b/src/caller/internal/request_parser.h
@@ -92,6 +92,7 @@
   bool head_done_ = false;
   bool expects_continue_ = false;
   uint64_t head_bytes_ = 0;
+  uint64_t framing_bytes_ = 0;  ///< Of the body, since its last byte.
 };
 
 }  // namespace hibiscusglade
--- a/src/caller/tests/caller_connection_test.cc
+++ b/src/caller/tests/caller_connection_test.cc
@@ -44,7 +44,16 @@
 
 class CallerConnectionTest : public testing::Test {
  protected:
-  CallerConnectionTest() {
+  CallerConnectionTest() { Reconnect(); }
+  ~CallerConnectionTest() override {
+    connection_.reset();
+    if (caller_ >= 0) close(caller_);
+  }
+
+  /// Replaces the connection by a new one.
+  void Reconnect() {
+    connection_.reset();
+    if (caller_ >= 0) close(caller_);
     int ends[2];
     EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
     caller_ = ends[0];
@@ -60,10 +69,6 @@
     limits_.idle_timeout = std::chrono::seconds(15);
     connection_->Start();
   }
-  ~CallerConnectionTest() override {
-    connection_.reset();
-    if (caller_ >= 0) close(caller_);
-  }
 
   void Send(const std::string& bytes) {
     send(caller_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -228,6 +233,32 @@
   EXPECT_NE(Received().find("Connection: close"), std::string::npos);
 }
 
+class ABodyInChunks : public CallerConnectionTest {
+ protected:
+  static constexpr char kHead[] =
+      "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+};
+
+TEST_F(ABodyInChunks, MayHaveExtensionsAndATrailer) {
+  Send(kHead);
+  Send("1;x=y\r\na\r\n0\r\nX-Field: value\r\n\r\n");
+  EXPECT_EQ(calls_.begun, std::vector<std::string>{"/1"});
+}
+
+// Guards against a connection that is read, for nothing, for as long as its
+// caller sends.
+TEST_F(ABodyInChunks, IsRefusedForAnExtensionOrATrailerWithoutEnd) {
+  for (const char* begin : {"1;x=", "0\r\nX-Field: "}) {
+    SCOPED_TRACE(begin);
+    Reconnect();
+    Send(kHead);
+    Send(begin);
+    for (int i = 0; i < 5; ++i) Send(std::string(500, 'a'));
+    EXPECT_TRUE(calls_.begun.empty());
+    EXPECT_TRUE(Received().starts_with("HTTP/1.1 431 "));
+  }
+}
+
 class InvalidInput : public CallerConnectionTest {};
 
 TEST_F(InvalidInput, IsRefusedWithTheStatusOfItsFault) {
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -6,16 +6,16 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <functional>
 #include <map>
 #include <string_view>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "calls/field_values.h"
 #include "upstream/internal/answer_head.h"
+#include "upstream/internal/open_connections.h"
+#include "upstream/internal/upstream_run.h"
 
 namespace hibiscusglade {
 namespace {
@@ -24,37 +24,15 @@
 /// keep-alive timeout.
 constexpr long kDefaultKeepAliveSeconds = 4;
 constexpr uint32_t kMaxKeepAliveSeconds = 118;  // libcurl's own limit.
+/// Limits what an upstream can store in this machine's memory on a connection
+/// that nobody reads.
+constexpr int kReceiveBufferBytes = 256 << 10U;
 
-/// One run or probe; used on the client's thread only.
-struct Run {
-  RunId id = 0;
-  CURL* easy = nullptr;
-  curl_slist* fields = nullptr;
-  CallAttempt attempt;
-  AnswerHead head;
-  AnswerHeadKind head_kind = AnswerHeadKind::kAnswer;
-  bool in_head = false;  ///< A status line was received, but not its end.
-  bool head_received = false;
-  bool sent = false;             ///< Sending the request has begun.
-  bool found_bytes = false;      ///< Its connection had bytes of nobody.
-  int64_t remaining_credit = 0;  ///< Bytes of the body that may still be read.
-  bool paused = false;           ///< Reading is paused for lack of credit.
-  bool is_probe = false;
-  curl_socket_t opened_socket = CURL_SOCKET_BAD;  ///< For this run.
-  Instant deadline;
+/// A run or probe of a client.
+struct Run : UpstreamRun {
   class Client* client = nullptr;
 };
 
-/// Both ends of a connection: local address and port, remote address and port.
-using ConnectionEnds = std::tuple<std::string, int, std::string, int>;
-
-/// @return whether bytes wait on a socket, or it was closed.
-bool HasBytes(curl_socket_t socket) {
-  char byte = 0;
-  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
-         (errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 class Client : public UpstreamClient {
  public:
   Client(const UpstreamClientConfig& config, RunEvents& events, EventLoop& loop,
@@ -134,12 +112,17 @@
 
  private:
   /// Callback of libcurl: changes the events that a socket is watched for.
-  static int OnSocket(CURL*, curl_socket_t socket, int what, void* cls, void*) {
+  static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* cls,
+                      void*) {
     auto* self = static_cast<Client*>(cls);
     if (what == CURL_POLL_REMOVE) {
       self->loop_.Unwatch(socket);
+      self->run_of_socket_.erase(socket);
       return 0;
     }
+    Run* run = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &run);
+    if (run != nullptr) self->run_of_socket_[socket] = run->id;
     const bool in = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
     const bool out = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
     self->loop_.Watch(socket, (in ? EPOLLIN : 0U) | (out ? EPOLLOUT : 0U),
@@ -150,7 +133,7 @@
                         if ((events & (EPOLLERR | EPOLLHUP)) != 0) {
                           mask |= CURL_CSELECT_ERR | CURL_CSELECT_IN;
                         }
-                        self->RunSocketAction(socket, mask);
+                        self->HandleSocket(socket, mask);
                       });
     return 0;
   }
@@ -169,6 +152,24 @@
     return 0;
   }
 
+  void HandleSocket(curl_socket_t socket, int mask) {
+    Run* run = (mask & CURL_CSELECT_IN) != 0 ? FindRunOf(socket) : nullptr;
+    if (run == nullptr || run->framing.OnRead(socket)) {
+      RunSocketAction(socket, mask);
+    } else {
+      run->fault = "its framing has no end";
+      Finish(*run, CURLE_WRITE_ERROR);
+    }
+  }
+
+  /// @return the run that a socket is watched for; nullptr when there is none.
+  Run* FindRunOf(curl_socket_t socket) {
+    const auto found = run_of_socket_.find(socket);
+    if (found == run_of_socket_.end()) return nullptr;
+    const auto run = runs_.find(found->second);
+    return run == runs_.end() ? nullptr : run->second.get();
+  }
+
   void RunSocketAction(curl_socket_t socket, int mask) {
     int running = 0;
     curl_multi_socket_action(multi_, socket, mask, &running);
@@ -258,13 +259,14 @@
     auto* run = static_cast<Run*>(cls);
     run->opened_socket = socket(
         address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    setsockopt(run->opened_socket, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+               sizeof(kReceiveBufferBytes));
     return run->opened_socket;
   }
 
   static int OnCloseSocket(void* cls, curl_socket_t socket) {
     auto* self = static_cast<Client*>(cls);
-    std::erase_if(self->connections_,
-                  [&](const auto& entry) { return entry.second == socket; });
+    self->connections_.Remove(socket);
     return close(socket);
   }
 
@@ -289,12 +291,9 @@
   /// @return whether the next bytes on a run's connection can be its answer.
   /// libcurl reuses connections on which bytes of nobody wait.
   bool IsClean(const Run& run, const ConnectionEnds& ends) {
-    if (!IsReused(run)) {
-      connections_[ends] = run.opened_socket;
-      return true;
-    }
-    const auto found = connections_.find(ends);
-    return found != connections_.end() && !HasBytes(found->second);
+    if (IsReused(run)) return connections_.IsClean(ends);
+    connections_.Add(ends, run.opened_socket);
+    return true;
   }
 
   /// Starts a run again, on a new connection, of which nothing was sent.
@@ -318,7 +317,12 @@
 
   static size_t OnHeaderLine(char* data, size_t size, size_t count, void* cls) {
     auto* run = static_cast<Run*>(cls);
-    if (run->head_received) return size * count;  // A trailer.
+    run->framing.OnProgress();
+    if (run->head_received) {
+      if (run->framing.AddTrailer(size * count)) return size * count;
+      run->fault = "its trailer has no end";
+      return 0;
+    }
     std::string_view line(data, size * count);
     if (line.ends_with('\n')) line.remove_suffix(1);
     if (line.ends_with('\r')) line.remove_suffix(1);
@@ -392,6 +396,7 @@
 
   static size_t OnBody(char* data, size_t size, size_t count, void* cls) {
     auto* run = static_cast<Run*>(cls);
+    run->framing.OnProgress();
     if (run->remaining_credit <= 0) {
       run->paused = true;
       return CURL_WRITEFUNC_PAUSE;
@@ -438,29 +443,6 @@
     runs_.erase(id);
   }
 
-  static RunFailure FailureOf(const Run& run, CURLcode result) {
-    const bool other = run.head_kind == AnswerHeadKind::kOtherUpstream;
-    if (other || run.head_kind == AnswerHeadKind::kNotRun) {
-      return {RunProgress::kRejected, false, "the upstream rejected it", other};
-    }
-    if (run.head_kind == AnswerHeadKind::kMismatched) {
-      return {RunProgress::kSent, false, "not an answer to the request"};
-    }
-    RunProgress progress = RunProgress::kNotSent;
-    if (run.sent) progress = RunProgress::kSent;
-    if (run.head_received) progress = RunProgress::kAnswering;
-    // libcurl reports success when the connection is closed within the head.
-    if (result == CURLE_OK) {
-      return {progress, true, "the head of its answer broke off"};
-    }
-    // OnBeforeSend() aborts when a reused connection was lost.
-    const bool lost =
-        result == CURLE_COULDNT_CONNECT || result == CURLE_SEND_ERROR ||
-        result == CURLE_RECV_ERROR || result == CURLE_GOT_NOTHING ||
-        result == CURLE_PARTIAL_FILE || result == CURLE_ABORTED_BY_CALLBACK;
-    return {progress, lost, curl_easy_strerror(result)};
-  }
-
   void Release(Run& run) {
     curl_multi_remove_handle(multi_, run.easy);
     if (run.is_probe) {
@@ -483,7 +465,8 @@
   EventLoop::TimerId timer_ = 0;
   std::vector<CURL*> idle_handles_;  ///< To be reused.
   std::map<RunId, std::unique_ptr<Run>> runs_;
-  std::map<ConnectionEnds, curl_socket_t> connections_;  ///< Open ones.
+  std::map<curl_socket_t, RunId> run_of_socket_;  ///< Of watched sockets.
+  OpenConnections connections_;
   long keep_alive_s_ = kDefaultKeepAliveSeconds;
   RunId last_probe_ = 0;  ///< Probes' ids count down from the largest RunId.
 };
--- /dev/null
+++ b/src/upstream/internal/upstream_run.cc
@@ -0,0 +1,29 @@
+#include "upstream/internal/upstream_run.h"
+
+namespace hibiscusglade {
+
+RunFailure FailureOf(const UpstreamRun& run, CURLcode result) {
+  const bool other = run.head_kind == AnswerHeadKind::kOtherUpstream;
+  if (other || run.head_kind == AnswerHeadKind::kNotRun) {
+    return {RunProgress::kRejected, false, "the upstream rejected it", other};
+  }
+  if (run.head_kind == AnswerHeadKind::kMismatched) {
+    return {RunProgress::kSent, false, "not an answer to the request"};
+  }
+  RunProgress progress = RunProgress::kNotSent;
+  if (run.sent) progress = RunProgress::kSent;
+  if (run.head_received) progress = RunProgress::kAnswering;
+  if (!run.fault.empty()) return {progress, false, run.fault};
+  // libcurl reports success when the connection is closed within the head.
+  if (result == CURLE_OK) {
+    return {progress, true, "the head of its answer broke off"};
+  }
+  // OnBeforeSend() aborts when a reused connection was lost.
+  const bool lost =
+      result == CURLE_COULDNT_CONNECT || result == CURLE_SEND_ERROR ||
+      result == CURLE_RECV_ERROR || result == CURLE_GOT_NOTHING ||
+      result == CURLE_PARTIAL_FILE || result == CURLE_ABORTED_BY_CALLBACK;
+  return {progress, lost, curl_easy_strerror(result)};
+}
+
+}  // namespace hibiscusglade
--- a/src/upstream/tests/endless_answer_test.cc
+++ b/src/upstream/tests/endless_answer_test.cc
@@ -2,7 +2,7 @@
 #include <thread>
 #include <utility>
 
-#include "upstream/tests/run_fixture.h"
+#include "upstream/tests/scripted_upstream.h"
 
 namespace hibiscusglade {
 namespace {
@@ -91,6 +91,40 @@
   ExpectFailure(upstream, RunProgress::kSent);
 }
 
+constexpr char kChunkedHead[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards against a trailer that is kept in memory until the caller closes.
+TEST_F(ARun, FailsWhenATrailerHasFieldsWithoutEnd) {
+  AnEndlessUpstream upstream(std::string(kChunkedHead) + "1\r\na\r\n0\r\n",
+                             "X-Field: value\r\n");
+  ExpectFailure(upstream, RunProgress::kAnswering);
+  EXPECT_EQ(failure_->reason, "its trailer has no end");
+}
+
+TEST_F(ARun, FailsWhenATrailerFieldHasNoEnd) {
+  AnEndlessUpstream upstream(
+      std::string(kChunkedHead) + "1\r\na\r\n0\r\nX-Field: ",
+      std::string(1000, 'a'));
+  ExpectFailure(upstream, RunProgress::kAnswering);
+}
+
+// Guards against a core that is busy with bytes of no use until the deadline.
+TEST_F(ARun, FailsWhenTheExtensionOfAChunkHasNoEnd) {
+  AnEndlessUpstream upstream(std::string(kChunkedHead) + "1;x=",
+                             std::string(1000, 'a'));
+  ExpectFailure(upstream, RunProgress::kAnswering);
+}
+
+TEST_F(ARun, MayHaveATrailer) {
+  AScriptedUpstream upstream({{{std::string(kChunkedHead) +
+                                "1;x=y\r\na\r\n0\r\nX-Field: value\r\n\r\n"}}});
+  Start(upstream.Address());
+  ASSERT_TRUE(Finished());
+  EXPECT_TRUE(ended_);
+  EXPECT_EQ(body_, "a");
+}
+
 TEST_F(ARun, IsNotRunAtOnceWhenARejectionHasNoEnd) {
   AnEndlessUpstream upstream(
       std::string("HTTP/1.1 503 Busy\r\n") + kNotRun + ": 1\r\n\r\n",
