--- a/src/admission/admission_result_codes.h
+++ b/src/admission/admission_result_codes.h
@@ -17,6 +17,7 @@
   kShed = 5008,
   kRejected = 5009,
   kReplaced = 5010,
+  kBodyBroken = 5011,
 };
 
 const ResultCodeCategory& AdmissionCategory();
--- a/src/admission/internal/admission_result_codes.cc
+++ b/src/admission/internal/admission_result_codes.cc
@@ -25,6 +25,8 @@
     {5010, "replaced", "another upstream uses the address now", 503,
      Certainty::kNotRun,
      "Nothing; requests go to it once it announces itself."},
+    {5011, "body-broken", "the request's body did not arrive in order", 503,
+     Certainty::kNotRun, "Report it: daemons of the mesh disagree."},
 };
 
 }  // namespace
--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -13,6 +13,12 @@
      "beside this daemon.",
      "When it keeps growing: compare the upstream's service, address and clock "
      "with the settings."},
+    {"body_missing_bytes", "gauge", "",
+     "Bytes of requests' bodies that were taken and have not arrived.",
+     "When it stays high: add instances of the service."},
+    {"body_refusals_total", "counter", "",
+     "Attempts refused because their bodies would arrive too late.",
+     "When it grows: add instances of the service."},
     {"call_refusals_total", "counter", "code", "Calls that the entry refused.",
      "Look the code up in RESULT_CODES."},
     {"call_seconds", "summary", "",
--- a/src/caller/caller_result_codes.h
+++ b/src/caller/caller_result_codes.h
@@ -14,6 +14,7 @@
   kMalformed = 7005,
   kHeadTooLarge = 7006,
   kHeadTooSlow = 7007,
+  kBodyMemoryFull = 7008,
 };
 
 const ResultCodeCategory& CallerCategory();
--- a/src/caller/internal/caller_connection.cc
+++ b/src/caller/internal/caller_connection.cc
@@ -23,6 +23,8 @@
 /// refused caller is still sending would reset the connection, and the caller
 /// could lose the answer.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+/// Long enough for some of the bodies that are held to be served.
+constexpr Duration kBodyMemoryRetryAfter = std::chrono::milliseconds(500);
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// @return whether requests of a method may be begun before earlier ones are
@@ -59,6 +61,7 @@
 
 CallerConnection::~CallerConnection() {
   *alive_ = false;
+  parts_.body_memory.OnChange(body_bytes_, 0);
   for (const auto& exchange : exchanges_) exchange->on_output = nullptr;
   parts_.loop.Unwatch(descriptor_);
   close(descriptor_);
@@ -142,6 +145,11 @@
     if (state == ParseState::kInBody) wait_start_ = parts_.clock.Now();
     if (state == ParseState::kComplete) EnqueueRequest();
     if (state == ParseState::kFailed) RefuseInput(parser_.Error());
+    CountBodyBytes();
+    if (parser_.State() == ParseState::kInBody &&
+        parts_.body_memory.IsFullFor(body_bytes_)) {
+      RefuseInput(CallerCode::kBodyMemoryFull, kBodyMemoryRetryAfter);
+    }
   }
 }
 
@@ -149,6 +157,7 @@
   ParsedRequest parsed = parser_.TakeRequest();
   parser_.SetLimits(parts_.limits().request);
   CallRequest& request = parsed.request;
+  const size_t body_bytes = request.body.size();
   if (request.caller.empty()) request.caller = caller_;
   request.origin_service = parts_.origin_service;
   if (request.request_id.empty()) request.request_id = parts_.next_id();
@@ -157,13 +166,16 @@
   auto exchange = std::make_shared<Exchange>(
       std::move(request), parts_.dialect, keep_alive, parsed.accepts_chunked);
   exchange->on_output = [this] { ScheduleWrite(); };
+  exchange->body_bytes = body_bytes;
   exchanges_.push_back(std::move(exchange));
   BeginEligible();
 }
 
 /// Answers an invalid or late request with an error and discards further input.
-void CallerConnection::RefuseInput(CallerCode code) {
+void CallerConnection::RefuseInput(CallerCode code, Duration retry_after) {
   input_ended_ = true;
+  parser_.TakeRequest();  // Frees what was read of its body.
+  CountBodyBytes();
   const std::error_code error = code;
   parts_.count_refusal(error);
   auto exchange =
@@ -171,7 +183,15 @@
   exchange->on_output = [this] { ScheduleWrite(); };
   exchange->begun = true;
   exchanges_.push_back(exchange);
-  exchange->PutRefusal({error, Certainty::kNotRun, error.message(), {}});
+  exchange->PutRefusal(
+      {error, Certainty::kNotRun, error.message(), retry_after});
+}
+
+/// Counts what the request that is read and those not answered hold.
+void CallerConnection::CountBodyBytes() {
+  size_t bytes = parser_.BodyBytes();
+  for (const auto& exchange : exchanges_) bytes += exchange->body_bytes;
+  parts_.body_memory.OnChange(std::exchange(body_bytes_, bytes), bytes);
 }
 
 /// Begins the oldest request, and those that follow it while all may run in
@@ -260,6 +280,7 @@
     return;
   }
   exchanges_.pop_front();
+  if (front->body_bytes > 0) CountBodyBytes();
   front->on_output = nullptr;
   wait_start_ = parts_.clock.Now();
   if (!front->KeepsAlive()) {
--- a/src/caller/internal/caller_connection.h
+++ b/src/caller/internal/caller_connection.h
@@ -9,6 +9,7 @@
 
 #include "base/event_loop.h"
 #include "caller/caller_gateway.h"
+#include "caller/internal/body_memory.h"
 #include "caller/internal/exchange.h"
 #include "caller/internal/request_parser.h"
 
@@ -57,6 +58,7 @@
     EventLoop& loop;
     const Clock& clock;
     CallHandler& handler;
+    BodyMemory& body_memory;
     const CallerDialect& dialect;
     const std::string& origin_service;
     std::function<ConnectionLimits()> limits;
@@ -92,7 +94,8 @@
   void Read();
   void Parse(std::string_view bytes);
   void EnqueueRequest();
-  void RefuseInput(CallerCode code);
+  void RefuseInput(CallerCode code, Duration retry_after = {});
+  void CountBodyBytes();
   void BeginEligible();
   void Begin(const std::shared_ptr<Exchange>& exchange);
   void ScheduleWrite();
@@ -111,8 +114,9 @@
   Parts parts_;
   RequestParser parser_;
   std::deque<std::shared_ptr<Exchange>> exchanges_;  ///< Oldest first.
-  std::string unparsed_;  ///< Input received beyond kMaxExchanges requests.
-  Instant wait_start_;    ///< Start of the wait that CheckTimeouts() bounds.
+  std::string unparsed_;   ///< Input received beyond kMaxExchanges requests.
+  Instant wait_start_;     ///< Start of the wait that CheckTimeouts() bounds.
+  size_t body_bytes_ = 0;  ///< Counted in the body memory.
   bool closing_ = false;
   bool input_ended_ = false;  ///< Further input is discarded.
   bool lingering_ = false;    ///< Shut down for sending; awaits the caller.
--- a/src/caller/internal/caller_gateway.cc
+++ b/src/caller/internal/caller_gateway.cc
@@ -21,6 +21,7 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr uint32_t kLogLinesPerSecond = 10;
+constexpr size_t kMaxBodyBytes = size_t{16} << 20U;
 constexpr Duration kTimeoutCheckInterval = std::chrono::milliseconds(250);
 
 class Gateway : public CallerGateway {
@@ -95,6 +96,7 @@
     return {loop_,
             clock_,
             handler_,
+            body_memory_,
             config_.dialect,
             config_.origin_service,
             [this] { return Limits(); },
@@ -167,6 +169,7 @@
   CallHandler& handler_;
   const RouteTableHolder& routes_;
   Metrics& metrics_;
+  BodyMemory body_memory_{kMaxBodyBytes};
   int listener_ = -1;
   EventLoop::TimerId check_timer_ = 0;
   std::map<int, std::unique_ptr<CallerConnection>> connections_;
--- a/src/caller/internal/caller_result_codes.cc
+++ b/src/caller/internal/caller_result_codes.cc
@@ -18,6 +18,9 @@
      Certainty::kNotRun, "Send less, or raise max_request_header_bytes."},
     {7007, "head-too-slow", "the head of the request did not come in time", 408,
      Certainty::kNotRun, "Look for a slow caller or network."},
+    {7008, "body-memory-full", "callers' bodies occupy all memory for them",
+     503, Certainty::kNotRun,
+     "Look for callers that send slowly; spread uploads over instances."},
 };
 
 }  // namespace
--- a/src/caller/internal/exchange.h
+++ b/src/caller/internal/exchange.h
@@ -51,6 +51,7 @@
 
   CallHandle call = 0;
   bool begun = false;
+  size_t body_bytes = 0;  ///< Of the request.
   /// Called when there is output or the answer ends; empty once the connection
   /// no longer sends it.
   std::function<void()> on_output;
--- a/src/caller/internal/request_parser.h
+++ b/src/caller/internal/request_parser.h
@@ -53,6 +53,9 @@
 
   ParseState State() const { return state_; }
 
+  /// @return bytes of the body that were read of the request being read.
+  size_t BodyBytes() const { return parsed_.request.body.size(); }
+
   /// @return the request; the state must be kComplete.
   ParsedRequest TakeRequest();
 
--- a/src/caller/tests/caller_connection_test.cc
+++ b/src/caller/tests/caller_connection_test.cc
@@ -60,9 +60,10 @@
     connection_ = std::make_unique<CallerConnection>(
         ends[1], "10.0.0.9",
         CallerConnection::Parts{
-            loop_, clock_, calls_, DefaultCallerDialect(), origin_,
-            [this] { return limits_; }, [] { return std::string("r1"); },
-            [this](int) { ended_ = true; }, [](const std::error_code&) {},
+            loop_, clock_, calls_, body_memory_, DefaultCallerDialect(),
+            origin_, [this] { return limits_; },
+            [] { return std::string("r1"); }, [this](int) { ended_ = true; },
+            [](const std::error_code&) {},
             [this](const CutRequests& cut) { cut_ = cut; }});
     limits_.request = {1000, 1000};
     limits_.head_timeout = std::chrono::seconds(3);
@@ -94,6 +95,7 @@
   SteadyClock clock_;
   EventLoop loop_{clock_};
   FakeCallHandler calls_;
+  BodyMemory body_memory_{600};
   std::string origin_ = "orders";
   ConnectionLimits limits_;
   bool ended_ = false;
@@ -259,6 +261,43 @@
   }
 }
 
+class ALargeBody : public CallerConnectionTest {
+ protected:
+  static constexpr char kHead[] =
+      "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n";
+};
+
+TEST_F(ALargeBody, IsHeldFromItsFirstByteToTheEndOfItsAnswer) {
+  Send(kHead + std::string(400, 'a'));
+  EXPECT_EQ(body_memory_.Bytes(), 400u);
+  Send(std::string(500, 'a'));
+  EXPECT_EQ(body_memory_.Bytes(), 900u);
+  EXPECT_EQ(calls_.begun, std::vector<std::string>{"/1"});
+  calls_.Answer("/1", "kept");
+  EXPECT_TRUE(Received().starts_with("HTTP/1.1 200 "));
+  EXPECT_EQ(body_memory_.Bytes(), 0u);
+}
+
+// Guards against callers that together send more than the memory holds.
+TEST_F(ALargeBody, IsRefusedAsNotRunWhenOthersFillTheMemory) {
+  body_memory_.OnChange(0, 500);
+  Send(kHead + std::string(100, 'a'));
+  EXPECT_EQ(Received(), "");
+  Send("a");
+  const std::string answer = Received();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_NE(answer.find("X-Outcome: not-run"), std::string::npos);
+  EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+  EXPECT_TRUE(calls_.begun.empty());
+  EXPECT_EQ(body_memory_.Bytes(), 500u);
+}
+
+TEST_F(ALargeBody, IsForgottenWhenItsCallerLeaves) {
+  Send(kHead + std::string(400, 'a'));
+  Reconnect();
+  EXPECT_EQ(body_memory_.Bytes(), 0u);
+}
+
 class InvalidInput : public CallerConnectionTest {};
 
 TEST_F(InvalidInput, IsRefusedWithTheStatusOfItsFault) {
@@ -274,7 +313,7 @@
     ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
     CallerConnection connection(
         ends[1], "c",
-        {loop_, clock_, calls_, DefaultCallerDialect(), origin_,
+        {loop_, clock_, calls_, body_memory_, DefaultCallerDialect(), origin_,
          [this] { return limits_; }, [] { return std::string("r"); },
          [](int) {}, [](const std::error_code&) {}, [](const CutRequests&) {}});
     connection.Start();
--- a/src/calls/call_links.h
+++ b/src/calls/call_links.h
@@ -18,6 +18,11 @@
   virtual void Credit(const std::string& owner, const AttemptId& attempt,
                       uint64_t bytes) = 0;
   virtual void Cancel(const std::string& owner, const AttemptId& attempt) = 0;
+
+  /// Sends a piece of an offered body, as the owner has granted.
+  /// @param offset of the piece in the body.
+  virtual void SendBody(const std::string& owner, const AttemptId& attempt,
+                        uint64_t offset, std::string data) = 0;
 };
 
 /// Identifies the entry that sent an attempt, to address answers to it.
@@ -36,6 +41,10 @@
                        const AnswerEnd& end, const LoadReport& load) = 0;
   virtual void SendRefused(const EntryRef& entry, const AttemptId& attempt,
                            const Refusal& refusal, const LoadReport& load) = 0;
+
+  /// Grants an entry to send the bytes of an offered body before `until`.
+  virtual void SendGrant(const EntryRef& entry, const AttemptId& attempt,
+                         uint64_t until) = 0;
 };
 
 /// Identifies one run at the local upstream.
--- a/src/calls/types/call_types.h
+++ b/src/calls/types/call_types.h
@@ -61,6 +61,10 @@
   /// before the entry grants more credit.
   uint64_t credit_bytes = 0;
   uint64_t version = 0;  ///< Configuration version in use at the entry.
+  /// Size of the request's body when the request doesn't contain it, but is
+  /// offered: the owner grants the pieces in which it is sent. Zero: the
+  /// request is whole.
+  uint64_t offered_bytes = 0;
   /// Id of the upstream incarnation that the owner sends to; set by the owner.
   std::string upstream_id;
 
@@ -100,6 +104,9 @@
   /// Number of requests that service_time is the median of; zero in a report of
   /// a daemon that does not send it.
   uint32_t service_samples = 0;
+  /// Whether the owner takes requests whose bodies are offered; older daemons
+  /// don't.
+  bool takes_offers = false;
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -50,6 +50,9 @@
   virtual void OnAnswerRefused(const AttemptId& attempt, const Refusal& refusal,
                                const LoadReport& load, Instant now) = 0;
 
+  /// An owner lets the bytes of an offered body before `until` be sent.
+  virtual void OnBodyGranted(const AttemptId& attempt, uint64_t until) = 0;
+
   /// The link to an owner is unresponsive, lost or was replaced: its open
   /// attempts end as unknown.
   /// @param owner request address of the owner.
--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSGLADE_ENTRY_INTERNAL_CALL_TABLE_H_
 #define HIBISCUSGLADE_ENTRY_INTERNAL_CALL_TABLE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -17,6 +18,8 @@
   std::string owner;
   Instant sent;
   bool is_hedge = false;
+  bool offered = false;    ///< The body is sent as the owner grants it.
+  uint64_t body_sent = 0;  ///< Bytes of an offered body.
 };
 
 /// The calls and attempts that are open at one entry.
@@ -38,6 +41,26 @@
     return found == attempts_.end() ? nullptr : &found->second;
   }
 
+  OpenAttempt* FindAttempt(const AttemptId& id) {
+    auto found = attempts_.find(id);
+    return found == attempts_.end() ? nullptr : &found->second;
+  }
+
+  /// @return whether an upstream may have run the request of a call, or be
+  /// running it. No owner runs a request before its body is whole.
+  bool MayHaveRun(const OpenCall& call) const {
+    if (call.FailedAsUnknown()) return true;
+    return std::ranges::any_of(call.open_attempts, [&](const AttemptId& id) {
+      const OpenAttempt& attempt = attempts_.at(id);
+      return !attempt.offered || HasWholeBody(attempt);
+    });
+  }
+
+  /// @return whether all of an offered body was sent.
+  bool HasWholeBody(const OpenAttempt& attempt) const {
+    return attempt.body_sent == calls_.at(attempt.call).request.body.size();
+  }
+
   void AddAttempt(const AttemptId& id, OpenAttempt attempt) {
     calls_[attempt.call].open_attempts.insert(id);
     attempts_[id] = std::move(attempt);
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -7,6 +7,7 @@
 #include "base/digest.h"
 #include "calls/stop_limit.h"
 #include "entry/internal/attempt_policy.h"
+#include "entry/internal/body_sender.h"
 #include "entry/internal/call_reporter.h"
 #include "entry/internal/call_table.h"
 #include "entry/internal/caller_wait_estimator.h"
@@ -16,10 +17,6 @@
 namespace hibiscusglade {
 namespace {
 
-constexpr int64_t kMaxHeldAnswerBytes = int64_t{64} * 1024;
-/// Longest time that an answer of unknown length is held. It may be a stream
-/// of events that its caller reads one by one.
-constexpr Duration kMaxHoldTime = std::chrono::milliseconds(250);
 /// A daemon that has just started receives the version within some hundred
 /// milliseconds.
 constexpr Duration kNoVersionRetryAfter = std::chrono::milliseconds(300);
@@ -34,8 +31,8 @@
 class EntryImpl : public Entry {
  public:
   EntryImpl(std::string instance, uint64_t incarnation, const EntryParts& parts)
-      : attempt_id_prefix_(std::move(instance) + "/" +
-                           std::to_string(incarnation) + "/"),
+      : instance_(std::move(instance)),
+        attempt_id_prefix_(instance_ + "/" + std::to_string(incarnation) + "/"),
         parts_(parts),
         reporter_(parts.metrics),
         share_picker_(DigestOf(attempt_id_prefix_)) {}
@@ -91,7 +88,7 @@
     call->answering = id;
     parts_.chooser.OnAdmitted(attempt.instance, call->route->request_class);
     CancelOpen(*call, now);
-    if (IsHeld(head)) {
+    if (HeldAnswer::Holds(head)) {
       call->held = HeldAnswer{head, {}, now};
     } else {
       call->stream->OnHead(head);
@@ -108,15 +105,7 @@
       AbandonAnswer(id, now);
       return;
     }
-    ++call.next_chunk;
-    call.bytes += data.size();
-    call.digest = DigestOf(data, call.digest);
-    if (call.held.has_value()) {
-      call.held->body += data;
-      if (call.held->body.size() > kMaxHeldAnswerBytes) ForwardHeld(call);
-    } else {
-      call.stream->OnData(std::move(data));
-    }
+    call.Receive(std::move(data));
   }
 
   void OnAnswerEnd(const AttemptId& id, const AnswerEnd& end,
@@ -135,7 +124,7 @@
     if (call->tried.size() > 1) {
       reporter_.LogOutcome(*call, {}, "run", now);
     }
-    if (call->held.has_value()) ForwardHeld(*call);
+    if (call->held.has_value()) call->ForwardHeld();
     call->stream->OnEnd();
     parts_.metrics.HistogramOf("call_seconds", "").Record(now - call->began);
     calls_.Remove(handle);
@@ -143,8 +132,25 @@
 
   void OnAnswerRefused(const AttemptId& id, const Refusal& refusal,
                        const LoadReport& load, Instant now) override {
-    if (RecordLoadAndFindCall(id, load, now) == nullptr) return;
-    HandleFailedAttempt(id, refusal, now);
+    OpenCall* call = RecordLoadAndFindCall(id, load, now);
+    if (call == nullptr) return;
+    const OpenAttempt attempt = *calls_.FindAttempt(id);
+    if (!attempt.offered || load.takes_offers ||
+        refusal.code != AdmissionCode::kWrongService) {
+      HandleFailedAttempt(id, refusal, now);
+      return;
+    }
+    // An older daemon: it gets the body with the request.
+    EndAttempt(id, AttemptOutcome::kCancelled, now);
+    StartAttempt(*call, attempt.call, {attempt.instance, attempt.owner}, false,
+                 false, now);
+  }
+
+  void OnBodyGranted(const AttemptId& id, uint64_t until) override {
+    OpenAttempt* attempt = calls_.FindAttempt(id);
+    if (attempt == nullptr || !attempt->offered) return;
+    SendGranted(id, calls_.Find(attempt->call)->request.body, until, *attempt,
+                parts_.owners);
   }
 
   void OnOwnerLost(const std::string& owner, bool reached,
@@ -153,9 +159,12 @@
     AttemptOutcome outcome = AttemptOutcome::kFailed;
     for (const AttemptId& id : OpenAttempts(owner)) {
       if (reached) {
+        const Refusal refusal = OwnerLostRefusal(id);
+        const bool unknown = refusal.certainty == Certainty::kUnknown;
         HandleFailedAttempt(
-            id, RefusalOf(RoutingCode::kOwnerLost, Certainty::kUnknown), now,
-            std::exchange(outcome, AttemptOutcome::kCancelled));
+            id, refusal, now,
+            unknown ? std::exchange(outcome, AttemptOutcome::kCancelled)
+                    : outcome);
       } else {
         HandleFailedAttempt(
             id, RefusalOf(RoutingCode::kOwnerUnreachable, Certainty::kNotRun),
@@ -165,8 +174,7 @@
   }
 
   void OnAttemptUnknown(const AttemptId& id, Instant now) override {
-    HandleFailedAttempt(
-        id, RefusalOf(RoutingCode::kOwnerLost, Certainty::kUnknown), now);
+    HandleFailedAttempt(id, OwnerLostRefusal(id), now);
   }
 
   void OnTick(Instant now) override {
@@ -221,28 +229,9 @@
   }
 
  private:
-  /// @return whether an answer is forwarded only once it is complete, or has
-  /// been held for too long. Short answers are, so that another attempt or an
-  /// error can replace one that breaks off; a partly forwarded one ends the
-  /// caller's connection.
-  static bool IsHeld(const AnswerHead& head) {
-    return head.content_length <= kMaxHeldAnswerBytes;
-  }
-
-  static void ForwardHeld(OpenCall& call) {
-    HeldAnswer held = std::move(*call.held);
-    call.held.reset();
-    call.stream->OnHead(held.head);
-    call.stream->OnData(std::move(held.body));
-  }
-
   void ForwardHeldTooLong(CallHandle handle, Instant now) {
     OpenCall* call = calls_.Find(handle);
-    if (call != nullptr && call->held.has_value() &&
-        call->held->head.content_length < 0 &&
-        now - call->held->since >= kMaxHoldTime) {
-      ForwardHeld(*call);
-    }
+    if (call != nullptr && call->HeldTooLong(now)) call->ForwardHeld();
   }
 
   /// A part of an attempt's answer is missing.
@@ -293,9 +282,12 @@
       return;
     }
     const std::vector<UpstreamTarget>& candidates = *call.upstreams;
-    const ChoiceRequest request{candidates, call.service,
-                                call.route->request_class, call.tried,
-                                call.limits.max_ejected_percent};
+    const ChoiceRequest request{candidates,
+                                call.service,
+                                call.route->request_class,
+                                call.tried,
+                                call.limits.max_ejected_percent,
+                                call.request.body.size()};
     auto choice = parts_.chooser.Choose(request, now);
     if (!choice.has_value()) {
       if (is_hedge) return;
@@ -310,13 +302,37 @@
     reporter_.CountChoice(choice->reason);
     if (is_hedge) reporter_.Count("hedges_total", "sent");
     const UpstreamTarget& target = candidates[choice->index];
-    const AttemptId id = attempt_id_prefix_ + std::to_string(++last_attempt_);
     ++call.attempts;
     call.tried.insert(target.instance);
+    StartAttempt(call, handle, {target.instance, target.owner_address},
+                 is_hedge, call.HasLargeBody() && target.instance != instance_,
+                 now);
+  }
+
+  /// An instance, and the request address of its owner.
+  struct AttemptTarget {
+    std::string instance;
+    std::string owner;
+  };
+
+  void StartAttempt(OpenCall& call, CallHandle handle,
+                    const AttemptTarget& target, bool is_hedge, bool offered,
+                    Instant now) {
+    const AttemptId id = attempt_id_prefix_ + std::to_string(++last_attempt_);
     calls_.AddAttempt(
-        id, {handle, target.instance, target.owner_address, now, is_hedge});
+        id, {handle, target.instance, target.owner, now, is_hedge, offered});
     parts_.chooser.OnSent(target.instance, now);
-    parts_.owners.Start(target.owner_address, call.NewAttempt(id, now));
+    parts_.owners.Start(target.owner, call.NewAttempt(id, offered, now));
+  }
+
+  /// @return the refusal of an attempt whose owner knows nothing of it, or is
+  /// lost. A request whose body is not whole was not run.
+  Refusal OwnerLostRefusal(const AttemptId& id) const {
+    const OpenAttempt* attempt = calls_.FindAttempt(id);
+    const bool not_run = attempt != nullptr && attempt->offered &&
+                         !calls_.HasWholeBody(*attempt);
+    return RefusalOf(RoutingCode::kOwnerLost,
+                     not_run ? Certainty::kNotRun : Certainty::kUnknown);
   }
 
   /// @return the refusal of a call for which no upstream may be chosen.
@@ -353,7 +369,7 @@
     const Duration delay = policy_.HedgeDelay(call.route->name);
     if (now - call.began < delay) return;
     call.hedged = true;
-    const AttemptDecision decision = policy_.DecideHedge(ProgressOf(call));
+    const AttemptDecision decision = policy_.DecideHedge(call.Progress());
     if (decision == AttemptDecision::kAllowed) {
       SendAttempt(handle, call, true, now);
     } else {
@@ -392,7 +408,7 @@
       return;
     }
     const AttemptDecision decision =
-        policy_.DecideRetry(ProgressOf(call), refusal);
+        policy_.DecideRetry(call.Progress(), refusal);
     if (decision == AttemptDecision::kAllowed) {
       reporter_.Count("retries_total", refusal.code);
       SendAttempt(handle, call, false, now);
@@ -403,16 +419,6 @@
     calls_.Remove(handle);
   }
 
-  static CallProgress ProgressOf(const OpenCall& call) {
-    return {*call.route,
-            call.service,
-            call.request.depth,
-            call.attempts,
-            static_cast<uint32_t>(call.tried.size()),
-            call.limits.max_owner_tries,
-            call.HeadForwarded()};
-  }
-
   void FinishBroken(CallHandle handle, Instant now) {
     Finish(handle, RefusalOf(RoutingCode::kAnswerBroken, Certainty::kUnknown),
            now);
@@ -421,8 +427,8 @@
   void FinishUnanswered(CallHandle handle, const OpenCall& call,
                         RoutingCode code, Instant now) {
     Finish(handle,
-           RefusalOf(code, call.MayHaveRun() ? Certainty::kUnknown
-                                             : Certainty::kNotRun),
+           RefusalOf(code, calls_.MayHaveRun(call) ? Certainty::kUnknown
+                                                   : Certainty::kNotRun),
            now);
   }
 
@@ -477,6 +483,7 @@
     }
   }
 
+  std::string instance_;
   std::string attempt_id_prefix_;
   EntryParts parts_;
   CallReporter reporter_;
--- a/src/entry/internal/open_call.cc
+++ b/src/entry/internal/open_call.cc
@@ -1,17 +1,65 @@
 #include "entry/internal/open_call.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hibiscusglade {
 namespace {
 
 constexpr uint64_t kInitialCreditBytes = 256 * 1024;
+constexpr int64_t kMaxHeldAnswerBytes = int64_t{64} * 1024;
+/// Longest time that an answer of unknown length is held. It may be a stream
+/// of events that its caller reads one by one.
+constexpr Duration kMaxHoldTime = std::chrono::milliseconds(250);
+constexpr size_t kMaxUnofferedBytes = size_t{16} * 1024;
 /// Time past the timeout of its route in which an answer that has begun to
 /// arrive may end.
 constexpr Duration kAnswerGrace = std::chrono::milliseconds(120);
 
 }  // namespace
 
+bool HeldAnswer::Holds(const AnswerHead& head) {
+  return head.content_length <= kMaxHeldAnswerBytes;
+}
+
+bool HeldAnswer::IsTooLarge() const {
+  return static_cast<int64_t>(body.size()) > kMaxHeldAnswerBytes;
+}
+
+CallProgress OpenCall::Progress() const {
+  return {*route,
+          service,
+          request.depth,
+          attempts,
+          static_cast<uint32_t>(tried.size()),
+          limits.max_owner_tries,
+          HeadForwarded()};
+}
+
+bool OpenCall::HeldTooLong(Instant now) const {
+  return held.has_value() && held->head.content_length < 0 &&
+         now - held->since >= kMaxHoldTime;
+}
+
+void OpenCall::Receive(std::string data) {
+  ++next_chunk;
+  bytes += data.size();
+  digest = DigestOf(data, digest);
+  if (!held.has_value()) {
+    stream->OnData(std::move(data));
+    return;
+  }
+  held->body += data;
+  if (held->IsTooLarge()) ForwardHeld();
+}
+
+void OpenCall::ForwardHeld() {
+  HeldAnswer forwarded = std::move(*held);
+  held.reset();
+  stream->OnHead(forwarded.head);
+  stream->OnData(std::move(forwarded.body));
+}
+
 void OpenCall::SetDeadlines(Instant now) {
   Duration timeout = route->timeout;
   if (request.timeout > Duration{}) {
@@ -24,16 +72,19 @@
   }
 }
 
-bool OpenCall::MayHaveRun() const {
-  return !open_attempts.empty() ||
-         (last_refusal.has_value() &&
-          last_refusal->certainty != Certainty::kNotRun);
+bool OpenCall::HasLargeBody() const {
+  return request.body.size() > kMaxUnofferedBytes;
 }
 
-CallAttempt OpenCall::NewAttempt(const AttemptId& id, Instant now) const {
+CallAttempt OpenCall::NewAttempt(const AttemptId& id, bool offered,
+                                 Instant now) const {
   CallAttempt attempt;
   attempt.id = id;
   attempt.request = request;
+  if (offered) {
+    attempt.offered_bytes = request.body.size();
+    attempt.request.body.clear();
+  }
   attempt.service = service;
   attempt.route = route->name;
   attempt.request_class = route->request_class;
--- a/src/entry/internal/open_call.h
+++ b/src/entry/internal/open_call.h
@@ -9,6 +9,7 @@
 
 #include "base/digest.h"
 #include "calls/call_handler.h"
+#include "entry/internal/attempt_policy.h"
 #include "routing/types/route_table.h"
 
 namespace hibiscusglade {
@@ -19,6 +20,15 @@
   std::string body;
   Instant since;  ///< When the head arrived.
 
+  /// @return whether an answer is forwarded only once it is complete, or has
+  /// been held for too long. Short answers are, so that another attempt or an
+  /// error can replace one that breaks off; a partly forwarded one ends the
+  /// caller's connection.
+  static bool Holds(const AnswerHead& head);
+
+  /// @return whether more was received than is held of one answer.
+  bool IsTooLarge() const;
+
   friend bool operator==(const HeldAnswer&, const HeldAnswer&) = default;
 };
 
@@ -59,14 +69,34 @@
 
   bool HeadForwarded() const { return !answering.empty() && !held; }
 
+  /// @return what the decision about another attempt depends on.
+  CallProgress Progress() const;
+
+  /// @return whether what is held must be forwarded though more may come.
+  bool HeldTooLong(Instant now) const;
+
+  /// Holds or forwards the next chunk of the answer.
+  void Receive(std::string data);
+
+  /// Forwards what is held of an answer.
+  void ForwardHeld();
+
   /// Sets the deadlines by the route's timeout and the caller's.
   void SetDeadlines(Instant now);
 
-  /// @return whether an upstream may have run the request, or be running it.
-  bool MayHaveRun() const;
+  /// @return whether an attempt failed with an unknown outcome.
+  bool FailedAsUnknown() const {
+    return last_refusal.has_value() &&
+           last_refusal->certainty != Certainty::kNotRun;
+  }
+
+  /// @return whether the body is offered to owners of other instances before it
+  /// is sent. A short one takes the link for less time than the round trip.
+  bool HasLargeBody() const;
 
+  /// @param offered whether the attempt offers the body.
   /// @return an attempt at the call, to be sent at time `now`.
-  CallAttempt NewAttempt(const AttemptId& id, Instant now) const;
+  CallAttempt NewAttempt(const AttemptId& id, bool offered, Instant now) const;
 
   /// Forgets what was received of an answer that was not forwarded.
   void DropHeldAnswer() {
--- a/src/entry/tests/entry_fixture.h
+++ b/src/entry/tests/entry_fixture.h
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -32,12 +33,20 @@
   void Start(const std::string& owner, const CallAttempt& attempt) override {
     started.push_back({owner, attempt.id});
     objective = attempt.objective;
+    last = attempt;
   }
   void Credit(const std::string&, const AttemptId&, uint64_t) override {}
   void Cancel(const std::string&, const AttemptId& attempt) override {
     cancelled.push_back(attempt);
   }
+  void SendBody(const std::string&, const AttemptId& attempt, uint64_t offset,
+                std::string data) override {
+    EXPECT_EQ(offset, bodies[attempt].size());
+    bodies[attempt] += data;
+  }
   std::vector<std::pair<std::string, AttemptId>> started;
+  CallAttempt last;
+  std::map<AttemptId, std::string> bodies;  ///< Sent as granted.
   std::vector<AttemptId> cancelled;
   Duration objective{};  ///< Of the last attempt.
 };
--- a/src/owner/internal/job.cc
+++ b/src/owner/internal/job.cc
@@ -1,6 +1,33 @@
 #include "owner/internal/job.h"
 
 namespace hibiscusglade {
+namespace {
+
+/// Longest answer of known length that is buffered until complete: one chunk.
+constexpr int64_t kMaxBufferedAnswerBytes = int64_t{64} * 1024;
+
+}  // namespace
+
+bool Job::HasShortAnswer() const {
+  return head.content_length >= 0 &&
+         head.content_length <= kMaxBufferedAnswerBytes;
+}
+
+Job MakeJob(const EntryRef& entry, const CallAttempt& attempt, Instant now) {
+  Job job;
+  job.entry = entry;
+  job.attempt = attempt;
+  job.deadline = now + attempt.remaining;
+  if (attempt.objective != Duration{}) {
+    job.objective = now + attempt.objective;
+  }
+  job.accepted_at = now;
+  job.entry_seen_at = now;
+  if (attempt.offered_bytes == 0) {
+    job.fingerprint = FingerprintOf(attempt.request);
+  }
+  return job;
+}
 
 Digest FingerprintOf(const CallRequest& request) {
   Digest digest = DigestOf(request.method);
--- a/src/owner/internal/job.h
+++ b/src/owner/internal/job.h
@@ -13,6 +13,7 @@
 namespace hibiscusglade {
 
 enum class JobStage {
+  kReceiving,       ///< Its body is on the way.
   kClaiming,        ///< Waits for the ledger to grant the claim.
   kQueued,          ///< Waits for a slot.
   kAdmitted,        ///< Has a slot; SlotGate decides when it starts.
@@ -46,8 +47,17 @@
   std::string body;            ///< Answer body received while not streaming.
   std::string encoded_answer;  ///< Sent once the ledger has stored it.
   Instant answer_completed;    ///< When the upstream's answer was complete.
+
+  /// @return whether the answer is sent only once it is complete. Short answers
+  /// are, so that the request can be retried elsewhere if the answer breaks
+  /// off.
+  bool HasShortAnswer() const;
 };
 
+/// @return a job that begins now. It has a fingerprint unless its body is
+/// offered.
+Job MakeJob(const EntryRef& entry, const CallAttempt& attempt, Instant now);
+
 /// @return a digest of method, target, body and idempotency key, by which
 /// repetitions of a request are recognised.
 Digest FingerprintOf(const CallRequest& request);
--- a/src/owner/internal/job_closer.cc
+++ b/src/owner/internal/job_closer.cc
@@ -11,6 +11,7 @@
 void JobCloser::RefuseNotRun(SlotRequestId id, const std::error_code& code,
                              Duration retry_after) {
   Job& job = jobs_[id];
+  receiver_.Remove(job);
   if (!job.attempt.NeedsClaim()) {
     sender_.SendRefusal(job, code, Certainty::kNotRun, "", retry_after);
     Remove(id);
@@ -80,6 +81,7 @@
 void JobCloser::Remove(SlotRequestId id) {
   const Job* job = jobs_.Find(id);
   if (job == nullptr) return;
+  receiver_.Remove(*job);
   sender_.OnRemoved(*job);
   jobs_.Remove(id);
 }
--- a/src/owner/internal/job_closer.h
+++ b/src/owner/internal/job_closer.h
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "owner/internal/answer_sender.h"
+#include "owner/internal/body_receiver.h"
 #include "owner/internal/claim_writer.h"
 #include "owner/internal/job_table.h"
 
@@ -15,8 +16,9 @@
 class JobCloser {
  public:
   /// All parameters must outlive this object.
-  JobCloser(JobTable& jobs, ClaimWriter& writer, AnswerSender& sender)
-      : jobs_(jobs), writer_(writer), sender_(sender) {}
+  JobCloser(JobTable& jobs, ClaimWriter& writer, AnswerSender& sender,
+            BodyReceiver& receiver)
+      : jobs_(jobs), writer_(writer), sender_(sender), receiver_(receiver) {}
 
   /// Refuses an attempt that did not run. An attempt that needs a claim is
   /// reported as not run only after the ledger has revoked its claim.
@@ -45,6 +47,7 @@
   JobTable& jobs_;
   ClaimWriter& writer_;
   AnswerSender& sender_;
+  BodyReceiver& receiver_;
 };
 
 }  // namespace hibiscusglade
--- a/src/owner/internal/link_budget.h
+++ b/src/owner/internal/link_budget.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "calls/types/call_types.h"
+#include "owner/internal/link_rate.h"
 
 namespace hibiscusglade {
 
@@ -31,7 +32,7 @@
   /// @param megabits_per_second rate of the link in 10^6 bit/s; 0: unknown.
   explicit LinkBudget(double megabits_per_second);
 
-  bool Limited() const { return bytes_per_second_ > 0; }
+  bool Limited() const { return rate_.Limited(); }
 
   /// Decides whether the answer to a new attempt can cross the link in time.
   /// An answer that would miss its objective delays all that are queued behind
@@ -58,7 +59,9 @@
   /// Charges what the daemon sent besides the answers of OnSent(): requests of
   /// its entry, refusals, the control plane.
   /// @param total_bytes all bytes that the daemon has sent since its start.
-  void OnTraffic(uint64_t total_bytes, Instant now);
+  void OnTraffic(uint64_t total_bytes, Instant now) {
+    rate_.OnTraffic(total_bytes, now);
+  }
 
   /// An answer has ended or was dropped.
   void Release(const AttemptId& attempt);
@@ -70,29 +73,19 @@
   bool IsShort(const AttemptId& attempt) const;
 
   /// @return whether the next piece of a queued answer may be sent.
-  bool MaySend(Instant now);
+  bool MaySend(Instant now) { return rate_.MaySend(now); }
 
   /// @return the size of one piece of a queued answer, in bytes.
-  size_t PieceBytes() const;
+  size_t PieceBytes() const { return rate_.PieceBytes(); }
 
   /// @return bytes that the link still has to carry.
   uint64_t BacklogBytes() const;
 
  private:
   double ExpectedBytes(const std::string& request_class) const;
-  Duration TransferTime(double bytes) const;
-  void AddAllowance(Instant now);
   void SetReserved(const AttemptId& attempt, double bytes);
 
-  double bytes_per_second_;  ///< Of the daemon's bytes.
-  double burst_bytes_;
-  double allowance_bytes_;  ///< Below zero: sent ahead of the rate.
-  Instant allowance_at_;
-  uint64_t total_bytes_ = 0;    ///< Sent by the daemon until traffic_at_.
-  uint64_t charged_bytes_ = 0;  ///< Of answers, since traffic_at_.
-  Instant traffic_at_;
-  /// Moving average of what the daemon sends besides answers.
-  double other_bytes_per_second_ = 0;
+  LinkRate rate_;
   double reserved_total_ = 0;
   std::map<AttemptId, double> reserved_;        ///< Bytes.
   std::map<std::string, double> answer_bytes_;  ///< Moving average by class.
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -3,30 +3,26 @@
 #include <utility>
 
 #include "admission/admission_result_codes.h"
-#include "calls/stop_limit.h"
 #include "claims/claims_result_codes.h"
 #include "owner/internal/answer_sender.h"
+#include "owner/internal/body_receiver.h"
 #include "owner/internal/claim_writer.h"
 #include "owner/internal/job_closer.h"
 #include "owner/internal/job_table.h"
 #include "owner/internal/run_reporter.h"
 #include "owner/internal/slot_gate.h"
+#include "owner/internal/start_check.h"
 #include "owner/internal/upstream_watch.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
 
-/// Claim commands that may wait for the ledger at the same time. Further ones
-/// would be answered after their callers' deadlines and need a revocation each.
-constexpr size_t kMaxPendingCommands = 64;
 /// An attempt is cancelled when its entry has sent nothing about it for this
 /// long. Entries ping every 500 ms.
 constexpr Duration kEntryTimeout = std::chrono::seconds(3);
 /// Longest wait for the ledger to store an answer; it is sent anyway then.
 constexpr Duration kFinishTimeout = std::chrono::milliseconds(500);
-/// Longest answer of known length that is buffered until complete: one chunk.
-constexpr int64_t kMaxBufferedAnswerBytes = int64_t{64} * 1024;
 /// Bytes of a kept answer set aside for its head.
 constexpr size_t kHeadReserveBytes = size_t{8} * 1024;
 
@@ -40,38 +36,59 @@
                 [this](const std::string& request_class) {
                   return Load(request_class);
                 }),
-        closer_(jobs_, writer_, sender_),
-        upstream_(parts_) {}
+        receiver_(parts.entries, parts.metrics, parts.link_mbps,
+                  parts.link_received),
+        closer_(jobs_, writer_, sender_, receiver_),
+        upstream_(parts_),
+        start_check_(upstream_, writer_, parts.quarantine) {}
 
   void OnStart(const EntryRef& entry, const CallAttempt& attempt,
                Instant now) override {
     if (HasAttempt(attempt.id)) return;
-    Job job;
-    job.entry = entry;
-    job.attempt = attempt;
-    job.deadline = now + attempt.remaining;
-    if (attempt.objective != Duration{}) {
-      job.objective = now + attempt.objective;
-    }
-    job.accepted_at = now;
-    job.entry_seen_at = now;
-    job.fingerprint = FingerprintOf(attempt.request);
-    if (auto refused = CheckStart(job, now)) {
+    Job job = MakeJob(entry, attempt, now);
+    const bool offered = attempt.offered_bytes > 0;
+    if (auto refused = start_check_.ReasonToRefuse(job, now)) {
       sender_.SendRefusal(job, *refused, Certainty::kNotRun);
       return;
     }
-    if (auto wait = sender_.WaitForRoom(job, now)) {
+    const LoadReport load = Load(attempt.request_class);
+    auto wait = sender_.WaitForRoom(job, now);
+    if (offered && !wait) wait = receiver_.WaitForRoom(job, load, now);
+    if (wait.has_value()) {
       sender_.SendRefusal(job, AdmissionCode::kQueueFull, Certainty::kNotRun,
                           "", *wait);
       return;
     }
     sender_.OnAccepted(job);
     const SlotRequestId id = jobs_.Add(std::move(job));
-    if (attempt.NeedsClaim()) {
-      RequestClaim(id);
+    if (offered) {
+      jobs_[id].stage = JobStage::kReceiving;
+      receiver_.Accept(jobs_[id], load);
+      receiver_.SendGrants(now);
     } else {
-      RequestSlot(id, now);
+      Proceed(id, now);
+    }
+  }
+
+  void OnBodyPiece(const AttemptId& attempt, uint64_t offset,
+                   const std::string& data, Instant now) override {
+    const auto id = jobs_.IdOf(attempt);
+    if (!id.has_value()) return;
+    Job& job = jobs_[*id];
+    if (job.stage != JobStage::kReceiving) return;
+    job.entry_seen_at = now;
+    const PieceResult result = receiver_.OnPiece(job, offset, data);
+    if (result == PieceResult::kMisplaced) {
+      closer_.RefuseNotRun(*id, AdmissionCode::kBodyBroken);
+    } else if (result == PieceResult::kComplete) {
+      job.fingerprint = FingerprintOf(job.attempt.request);
+      if (auto refused = start_check_.ReasonToRefuse(job, now)) {
+        closer_.RefuseNotRun(*id, *refused);
+      } else {
+        Proceed(*id, now);
+      }
     }
+    receiver_.SendGrants(now);
   }
 
   void OnCredit(const EntryRef&, const AttemptId& attempt, uint64_t bytes,
@@ -102,6 +119,7 @@
     Apply(admission_->OnTick(now), now);
     CheckJobs(now);
     sender_.SendQueued(now);
+    receiver_.SendGrants(now);
     upstream_.FindSuspects(now);
     if (!upstream_.MayHaveDied()) closer_.RefuseConnectionLost();
     upstream_.SendProbe(now);
@@ -115,7 +133,7 @@
   }
 
   void BeginStop(Instant end, Instant now) override {
-    stop_limit_.Set(end);
+    start_check_.BeginStop(end);
     RefuseQueued(RoutingCode::kStopsTooSoon, end);
     RefuseHeld(RoutingCode::kStopsTooSoon, now, end);
     for (SlotRequestId id : jobs_.IdsAt(JobStage::kClaiming, end)) {
@@ -146,7 +164,8 @@
   }
 
   void Drain(Instant now) override {
-    draining_ = true;
+    start_check_.Drain();
+    RefuseReceiving(AdmissionCode::kDraining);
     Apply(admission_->Drain(now), now);
   }
 
@@ -164,7 +183,8 @@
     Job* job = Find(run);
     if (job == nullptr) return;
     job->head = head;
-    if (!job->attempt.NeedsClaim() && !IsBuffered(*job)) sender_.SendHead(*job);
+    if (!job->attempt.NeedsClaim() && !job->HasShortAnswer())
+      sender_.SendHead(*job);
   }
 
   void OnRunData(RunId run, std::string data, Instant) override {
@@ -248,8 +268,13 @@
     limits.slots = upstream.has_value() ? upstream->slots : 0;
     limits.draining = upstream_.Drains();
     Apply(admission_->Configure(limits, now), now);
-    if (upstream_.Drains()) RefuseHeld(AdmissionCode::kDraining, now);
-    if (!upstream.has_value()) RefuseHeld(AdmissionCode::kNotServing, now);
+    if (upstream_.Drains()) {
+      RefuseReceiving(AdmissionCode::kDraining);
+      RefuseHeld(AdmissionCode::kDraining, now);
+    } else if (!upstream.has_value()) {
+      RefuseReceiving(AdmissionCode::kNotServing);
+      RefuseHeld(AdmissionCode::kNotServing, now);
+    }
   }
 
   void EndAnnouncementOf(const Job& job, Instant now) {
@@ -264,44 +289,17 @@
   LoadReport Load(const std::string& request_class) const {
     LoadReport load = admission_->Load(request_class);
     load.serving = load.serving && !upstream_.Down() && !upstream_.Drains();
+    load.takes_offers = true;
     return load;
   }
 
-  /// @return whether the answer is sent only once it is complete. Short answers
-  /// are, so that the request can be retried elsewhere if the answer breaks
-  /// off.
-  static bool IsBuffered(const Job& job) {
-    return job.head.content_length >= 0 &&
-           job.head.content_length <= kMaxBufferedAnswerBytes;
-  }
-
-  std::optional<std::error_code> CheckStart(Job& job, Instant now) {
-    const CallAttempt& attempt = job.attempt;
-    if (draining_ || upstream_.Drains()) {
-      return make_error_code(AdmissionCode::kDraining);
-    }
-    if (stop_limit_.EndsBefore(job.deadline)) {
-      return make_error_code(RoutingCode::kStopsTooSoon);
-    }
-    if (!upstream_.Current().has_value() || upstream_.Down()) {
-      return make_error_code(AdmissionCode::kNotServing);
-    }
-    if (upstream_.Current()->service != attempt.service) {
-      return make_error_code(AdmissionCode::kWrongService);
-    }
-    if (attempt.NeedsClaim() && attempt.request.idempotency_key.empty()) {
-      return make_error_code(ClaimsCode::kMissingKey);
-    }
-    if (attempt.NeedsClaim() &&
-        writer_.PendingCommands() >= kMaxPendingCommands) {
-      return make_error_code(AdmissionCode::kQueueFull);
-    }
-    const QuarantineDecision decision =
-        parts_.quarantine.Decide(job.fingerprint, now);
-    if (decision == QuarantineDecision::kRefuse) {
-      return make_error_code(AdmissionCode::kQuarantined);
+  /// The request of a job is whole.
+  void Proceed(SlotRequestId id, Instant now) {
+    if (jobs_[id].attempt.NeedsClaim()) {
+      RequestClaim(id);
+    } else {
+      RequestSlot(id, now);
     }
-    return std::nullopt;
   }
 
   void RequestSlot(SlotRequestId id, Instant now) {
@@ -352,6 +350,9 @@
       case JobStage::kClaiming:
         job.pending_refusal = caller_disconnected;
         break;
+      case JobStage::kReceiving:
+        closer_.RefuseNotRun(id, caller_disconnected);
+        break;
       case JobStage::kQueued:
         admission_->CancelQueued(id);
         closer_.RefuseNotRun(id, caller_disconnected);
@@ -388,6 +389,8 @@
     } else if (job.stage == JobStage::kClaiming && past_deadline &&
                !job.pending_refusal) {
       job.pending_refusal = AdmissionCode::kDeadlineTooNear;
+    } else if (job.stage == JobStage::kReceiving && past_deadline) {
+      closer_.RefuseNotRun(id, AdmissionCode::kDeadlineTooNear);
     } else if (job.stage == JobStage::kAdmitted && past_deadline) {
       closer_.RefuseNotRun(id, AdmissionCode::kWaitedTooLong);
       ReleaseSlot(id, now);
@@ -397,8 +400,18 @@
     }
   }
 
-  /// Refuses the queued attempts whose deadline is later than `after`.
+  /// Refuses the attempts whose bodies are on their way, if their deadline is
+  /// later than `after`.
+  void RefuseReceiving(const std::error_code& code, Instant after = {}) {
+    for (SlotRequestId id : jobs_.IdsAt(JobStage::kReceiving, after)) {
+      closer_.RefuseNotRun(id, code);
+    }
+  }
+
+  /// Refuses the attempts that have no slot yet, if their deadline is later
+  /// than `after`.
   void RefuseQueued(const std::error_code& code, Instant after = {}) {
+    RefuseReceiving(code, after);
     for (SlotRequestId id : jobs_.IdsAt(JobStage::kQueued, after)) {
       admission_->CancelQueued(id);
       closer_.RefuseNotRun(id, code);
@@ -461,14 +474,14 @@
   JobTable jobs_;
   ClaimWriter writer_;
   AnswerSender sender_;
+  BodyReceiver receiver_;
   JobCloser closer_;
   UpstreamWatch upstream_;
+  StartCheck start_check_;
   std::unique_ptr<Admission> admission_ = MakeAdmission();
   SlotGate gate_;
   AdmissionConfig limits_;
-  StopLimit stop_limit_;
   RunReporter reporter_;
-  bool draining_ = false;
 };
 
 }  // namespace
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -46,6 +46,9 @@
   /// Counters of the bytes that this daemon sends over the link, for whatever
   /// purpose; answers get what those leave.
   std::vector<const Counter*> link_traffic = {};
+  /// Counters of the bytes that this daemon receives over the link; offered
+  /// bodies get what those leave.
+  std::vector<const Counter*> link_received = {};
 };
 
 /// What an owner holds.
@@ -64,6 +67,11 @@
   virtual void OnStart(const EntryRef& entry, const CallAttempt& attempt,
                        Instant now) = 0;
 
+  /// An entry has sent a piece of a body that it had offered.
+  /// @param offset of the piece in the body.
+  virtual void OnBodyPiece(const AttemptId& attempt, uint64_t offset,
+                           const std::string& data, Instant now) = 0;
+
   /// An entry can receive more bytes of an attempt's answer.
   virtual void OnCredit(const EntryRef& entry, const AttemptId& attempt,
                         uint64_t bytes, Instant now) = 0;
--- a/src/owner/tests/owner_fixture.h
+++ b/src/owner/tests/owner_fixture.h
@@ -82,6 +82,11 @@
     Note(attempt + " refused " + std::to_string(refusal.code.value()) + " " +
          std::string(CertaintyName(refusal.certainty)));
   }
+  void SendGrant(const EntryRef&, const AttemptId& attempt,
+                 uint64_t until) override {
+    granted[attempt] = until;
+    Note(attempt + " may send up to " + std::to_string(until));
+  }
   void Start(RunId run, const std::string&,
              const CallAttempt& attempt) override {
     started[run] = attempt;
@@ -114,6 +119,7 @@
   std::string log;
   std::map<RunId, CallAttempt> started;
   std::map<AttemptId, Certainty> refused;
+  std::map<AttemptId, uint64_t> granted;
   LoadReport load;  ///< Of the last refusal.
 };
 
--- a/src/requests/internal/call_codec.cc
+++ b/src/requests/internal/call_codec.cc
@@ -13,7 +13,12 @@
   const CallRequest& request = attempt.request;
   out.set_attempt(attempt.id);
   out.set_request_id(request.request_id);
-  out.set_service(attempt.service);
+  if (attempt.offered_bytes > 0) {
+    out.set_offered_service(attempt.service);
+    out.set_offered_bytes(attempt.offered_bytes);
+  } else {
+    out.set_service(attempt.service);
+  }
   out.set_route(attempt.route);
   out.set_request_class(attempt.request_class);
   out.set_method(request.method);
@@ -50,7 +55,9 @@
   attempt.request.origin_service = in.origin_service();
   attempt.claimed = !in.unclaimed();
   attempt.objective = Duration(static_cast<int64_t>(in.objective_micros()));
-  attempt.service = in.service();
+  attempt.offered_bytes = in.offered_bytes();
+  attempt.service =
+      in.offered_bytes() > 0 ? in.offered_service() : in.service();
   attempt.route = in.route();
   attempt.request_class = in.request_class();
   attempt.repeatable = in.repeatable();
@@ -91,12 +98,14 @@
   out.set_service_micros(static_cast<uint32_t>(load.service_time.count()));
   out.set_state(load.serving ? 1 : 0);
   out.set_service_samples(load.service_samples);
+  out.set_takes_offers(load.takes_offers);
 }
 
 LoadReport FromWire(const wire::LoadReport& in) {
-  return {in.running(),    in.queued(),
-          in.slots(),      Duration(in.service_micros()),
-          in.state() == 1, in.service_samples()};
+  return {in.running(),     in.queued(),
+          in.slots(),       Duration(in.service_micros()),
+          in.state() == 1,  in.service_samples(),
+          in.takes_offers()};
 }
 
 void ToWire(const QuarantineNotice& notice, wire::QuarantineNotice& out) {
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <map>
-#include <set>
 #include <thread>
 #include <utility>
 
@@ -14,6 +12,7 @@
 #include "entry/entry.h"
 #include "owner/owner.h"
 #include "requests/internal/call_codec.h"
+#include "requests/internal/link_watch.h"
 #include "requests/internal/run_events_forwarder.h"
 #include "routing/upstream_chooser.h"
 #include "upstream/http_upstream_client.h"
@@ -26,8 +25,6 @@
 constexpr Duration kLinkCheckInterval = std::chrono::milliseconds(50);
 /// Used while no call or attempt is open that could reach its deadline.
 constexpr Duration kIdleTickInterval = std::chrono::milliseconds(100);
-constexpr Duration kPingInterval = std::chrono::milliseconds(500);
-constexpr Duration kUnresponsiveAfter = std::chrono::milliseconds(1500);
 
 class RequestLoopImpl : public RequestLoop,
                         OwnerLink,
@@ -71,7 +68,10 @@
          *this,
          config_.link_mbps,
          {&metrics_.CounterOf("peer_sent_bytes_total", "plane=\"request\""),
-          &metrics_.CounterOf("peer_sent_bytes_total", "plane=\"control\"")}});
+          &metrics_.CounterOf("peer_sent_bytes_total", "plane=\"control\"")},
+         {&metrics_.CounterOf("peer_received_bytes_total", "plane=\"request\""),
+          &metrics_.CounterOf("peer_received_bytes_total",
+                              "plane=\"control\"")}});
     run_events_.owner = owner_.get();
     std::error_code error = transport_->Listen(config_.listen_address);
     if (error) return error;
@@ -220,6 +220,16 @@
     Send(owner, message);
   }
 
+  void SendBody(const std::string& owner, const AttemptId& attempt,
+                uint64_t offset, std::string data) override {
+    wire::Envelope message;
+    wire::BodyPiece* piece = message.mutable_body_piece();
+    piece->set_attempt(attempt);
+    piece->set_offset(offset);
+    piece->set_data(std::move(data));
+    Send(owner, message);
+  }
+
   // EntryLink.
   void SendHead(const EntryRef& entry, const AttemptId& attempt,
                 const AnswerHead& head, const LoadReport& load) override {
@@ -263,6 +273,14 @@
     SendToEntry(entry, message);
   }
 
+  void SendGrant(const EntryRef& entry, const AttemptId& attempt,
+                 uint64_t until) override {
+    wire::Envelope message;
+    message.mutable_body_grant()->set_attempt(attempt);
+    message.mutable_body_grant()->set_until(until);
+    SendToEntry(entry, message);
+  }
+
   // OwnerListener.
   void OnSuspicions(const std::string& service,
                     const std::vector<QuarantineNotice>& notices) override {
@@ -285,13 +303,6 @@
   }
 
  private:
-  /// State of the link to one owner.
-  struct LinkState {
-    Instant received_at;
-    Instant pinged_at;
-    uint64_t last_ping_sequence = 0;
-  };
-
   static ChooserConfig ChooserConfigOf(const RequestLoopConfig& config) {
     ChooserConfig choice = config.choice;
     choice.instance = config.identity.instance;
@@ -321,9 +332,7 @@
   }
 
   void Send(const std::string& owner, wire::Envelope& message) {
-    auto [link, is_new] = links_.try_emplace(owner);
-    const Instant now = clock_.Now();
-    if (is_new) link->second = {now, now, 0};
+    links_.OnSent(owner, clock_.Now());
     transport_->Send(owner, message);
   }
 
@@ -335,55 +344,41 @@
     loop_.Defer([this, message] { OnAnswer(message, clock_.Now()); });
   }
 
-  /// Pings owners with open attempts and replaces unresponsive links; drops the
-  /// state of links without open attempts.
+  /// Pings owners with open attempts and replaces unresponsive links.
   void CheckLinks(Instant now) {
-    for (auto item = links_.begin(); item != links_.end();) {
-      LinkState& link = item->second;
-      const std::vector<AttemptId> open = entry_->OpenAttempts(item->first);
-      if (open.empty()) {
-        item = links_.erase(item);
-        continue;
-      }
-      if (now - link.received_at > kUnresponsiveAfter) {
-        const std::string owner = item->first;
-        Log(LogLevel::kWarning, "requests",
-            "The link to " + owner + " is unresponsive and is replaced.");
-        metrics_.CounterOf("silent_links_total", "").Add();
-        transport_->Reset(owner);
-        item = links_.erase(item);
-        loop_.Defer(
-            [this, owner] { entry_->OnOwnerLost(owner, true, clock_.Now()); });
-        continue;
-      }
-      if (now - link.pinged_at >= kPingInterval) Ping(item->first, open, now);
-      ++item;
+    const LinkFindings findings = links_.Check(
+        [this](const std::string& owner) {
+          return entry_->OpenAttempts(owner);
+        },
+        now);
+    for (const std::string& owner : findings.unresponsive) {
+      Log(LogLevel::kWarning, "requests",
+          "The link to " + owner + " is unresponsive and is replaced.");
+      metrics_.CounterOf("silent_links_total", "").Add();
+      transport_->Reset(owner);
+      loop_.Defer(
+          [this, owner] { entry_->OnOwnerLost(owner, true, clock_.Now()); });
+    }
+    for (const LinkPingDue& due : findings.pings) {
+      wire::Envelope message;
+      wire::LinkPing* ping = message.mutable_link_ping();
+      ping->set_sequence(due.sequence);
+      for (const AttemptId& attempt : due.attempts) ping->add_attempts(attempt);
+      transport_->Send(due.owner, message);
     }
   }
 
   void OnLinkLost(const std::string& owner, bool reached) {
-    links_.erase(owner);
+    links_.Remove(owner);
     if (entry_->OpenAttempts(owner).empty()) return;
     metrics_.CounterOf("lost_links_total", "").Add();
     entry_->OnOwnerLost(owner, reached, clock_.Now());
   }
 
-  void Ping(const std::string& owner, const std::vector<AttemptId>& open,
-            Instant now) {
-    LinkState& link = links_[owner];
-    link.pinged_at = now;
-    wire::Envelope message;
-    wire::LinkPing* ping = message.mutable_link_ping();
-    ping->set_sequence(++link.last_ping_sequence);
-    for (const AttemptId& attempt : open) ping->add_attempts(attempt);
-    transport_->Send(owner, message);
-  }
-
   void OnPeerMessage(const std::string& from, const ReturnPath& path,
                      const wire::Envelope& message) {
     const Instant now = clock_.Now();
-    auto link = links_.find(from);
-    if (link != links_.end()) link->second.received_at = now;
+    links_.OnReceived(from, now);
     switch (message.body_case()) {
       case wire::Envelope::kCallStart:
         owner_->OnStart(path, FromWire(message.call_start()), now);
@@ -395,6 +390,11 @@
       case wire::Envelope::kCallCancel:
         owner_->OnCancel(path, message.call_cancel().attempt(), now);
         break;
+      case wire::Envelope::kBodyPiece:
+        owner_->OnBodyPiece(message.body_piece().attempt(),
+                            message.body_piece().offset(),
+                            message.body_piece().data(), now);
+        break;
       case wire::Envelope::kLinkPing:
         owner_->OnEntryAlive({message.link_ping().attempts().begin(),
                               message.link_ping().attempts().end()},
@@ -451,6 +451,10 @@
                                 now);
         break;
       }
+      case wire::Envelope::kBodyGrant:
+        entry_->OnBodyGranted(message.body_grant().attempt(),
+                              message.body_grant().until());
+        break;
       default:
         break;
     }
@@ -470,7 +474,7 @@
   std::unique_ptr<UpstreamClient> upstream_;
   std::unique_ptr<Owner> owner_;
   AnnouncementSink* announcements_ = nullptr;
-  std::map<std::string, LinkState> links_;
+  LinkWatch links_;
   CallHandle last_call_ = 0;
   Instant next_tick_;
   Instant next_link_check_;
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -26,9 +26,9 @@
 /// Expected wait in the own domain above which the round trip to another domain
 /// pays off.
 constexpr Duration kMinSpillOverWait = milliseconds(10);
-/// Links between failure domains are costly, so a large answer (an archive of
-/// 90 KB) justifies a longer wait in the own domain. The limit is a fraction of
-/// common latency objectives.
+/// Links between failure domains are costly, so a large body (an archive of
+/// 90 KB, in a request or an answer) justifies a longer wait in the own domain.
+/// The limit is a fraction of common latency objectives.
 constexpr int64_t kBytesPerExtraWaitMs = 1000;
 constexpr Duration kMaxSpillOverWait = milliseconds(100);
 constexpr double kSizeSmoothing = 0.05;
@@ -228,14 +228,15 @@
     std::sort(among.begin(), among.end());
   }
 
-  /// A large answer of this instance's own upstream crosses no link, so that it
+  /// A large body from or to this instance's own upstream crosses no link, so
+  /// that it
   /// leaves the link to answers for other instances.
   /// @return the own upstream among the candidates if it has room for a request
-  /// with a large answer.
+  /// with a large body.
   std::optional<size_t> FindOwnInstance(const ChoiceRequest& request,
                                         const std::vector<size_t>& own,
                                         Instant now) {
-    if (!HasLargeAnswer(request)) return std::nullopt;
+    if (!HasLargeBody(request)) return std::nullopt;
     for (size_t i : own) {
       const std::string& instance = request.candidates[i].instance;
       if (instance != config_.instance) continue;
@@ -247,16 +248,16 @@
     return std::nullopt;
   }
 
-  bool HasLargeAnswer(const ChoiceRequest& request) const {
+  bool HasLargeBody(const ChoiceRequest& request) const {
     return SpillOverWait(request) >= 2 * kMinSpillOverWait;
   }
 
   bool Saturated(const ChoiceRequest& request, const std::vector<size_t>& among,
                  Instant now) {
     const Duration spill_over_wait = SpillOverWait(request);
-    // For a large answer, an attempt that the own domain may refuse costs
+    // For a large body, an attempt that the own domain may refuse costs
     // little compared with the transfer from another domain.
-    const bool is_large = HasLargeAnswer(request);
+    const bool is_large = HasLargeBody(request);
     return std::all_of(among.begin(), among.end(), [&](size_t i) {
       const UpstreamTarget& target = request.candidates[i];
       const UpstreamLoad& load = LoadOf(target.instance);
@@ -277,9 +278,11 @@
   Duration SpillOverWait(const ChoiceRequest& request) const {
     const auto size =
         answer_bytes_.find({request.service, request.request_class});
-    if (size == answer_bytes_.end()) return kMinSpillOverWait;
-    const auto extra_ms =
-        static_cast<int64_t>(size->second) / kBytesPerExtraWaitMs;
+    const double answer_bytes = size == answer_bytes_.end() ? 0 : size->second;
+    const int64_t extra_ms =
+        static_cast<int64_t>(answer_bytes +
+                             static_cast<double>(request.body_bytes)) /
+        kBytesPerExtraWaitMs;
     return std::min(kMaxSpillOverWait,
                     kMinSpillOverWait + milliseconds(extra_ms));
   }
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -24,6 +24,7 @@
   std::string request_class;
   const std::set<std::string>& tried;  ///< Instances tried for this call.
   uint32_t max_ejected_percent = 0;
+  uint64_t body_bytes = 0;  ///< Of the request.
 };
 
 /// Why an upstream was chosen.
@@ -31,7 +32,7 @@
   kOwnDomain,    ///< The usual case.
   kSpillOver,    ///< Own domain saturated, slower or without candidates.
   kProbe,        ///< Checks whether an ejected upstream has recovered.
-  kOwnInstance,  ///< A large answer that then crosses no link.
+  kOwnInstance,  ///< A large body that then crosses no link.
 };
 
 struct Choice {
