Keep the hedge budget when the retry budget denies a hedge

Operators see fewer hedges than the budget allows after a time in which the retry budget was empty. Cause: the hedge was deducted before the retry budget was asked. The decision now asks both before it deducts from either. The same cause was looked for at the other uses of TryTake(): only retries, which have one budget. Attempts of an entry are started from the record that the table keeps, which takes fewer parameters.

--- a/src/entry/internal/attempt_policy.cc
+++ b/src/entry/internal/attempt_policy.cc
@@ -120,7 +120,8 @@
   // A hedge is deducted from the retry budget as well, so that retries and
   // hedges together stay within the retry percentage.
   Budgets& budgets = budgets_[call.service];
-  return budgets.hedges.TryTake() && budgets.retries.TryTake()
+  return budgets.hedges.MayTake() && budgets.retries.TryTake() &&
+                 budgets.hedges.TryTake()
              ? AttemptDecision::kAllowed
              : AttemptDecision::kBudget;
 }
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -142,8 +142,7 @@
     }
     // An older daemon: it gets the body with the request.
     EndAttempt(id, AttemptOutcome::kCancelled, now);
-    StartAttempt(*call, attempt.call, {attempt.instance, attempt.owner}, false,
-                 false, now);
+    StartAttempt(*call, {attempt.call, attempt.instance, attempt.owner, now});
   }
 
   void OnBodyGranted(const AttemptId& id, uint64_t until) override {
@@ -304,25 +303,17 @@
     const UpstreamTarget& target = candidates[choice->index];
     ++call.attempts;
     call.tried.insert(target.instance);
-    StartAttempt(call, handle, {target.instance, target.owner_address},
-                 is_hedge, call.HasLargeBody() && target.instance != instance_,
-                 now);
+    StartAttempt(call,
+                 {handle, target.instance, target.owner_address, now, is_hedge,
+                  call.HasLargeBody() && target.instance != instance_});
   }
 
-  /// An instance, and the request address of its owner.
-  struct AttemptTarget {
-    std::string instance;
-    std::string owner;
-  };
-
-  void StartAttempt(OpenCall& call, CallHandle handle,
-                    const AttemptTarget& target, bool is_hedge, bool offered,
-                    Instant now) {
+  void StartAttempt(OpenCall& call, const OpenAttempt& attempt) {
     const AttemptId id = attempt_id_prefix_ + std::to_string(++last_attempt_);
-    calls_.AddAttempt(
-        id, {handle, target.instance, target.owner, now, is_hedge, offered});
-    parts_.chooser.OnSent(target.instance, now);
-    parts_.owners.Start(target.owner, call.NewAttempt(id, offered, now));
+    calls_.AddAttempt(id, attempt);
+    parts_.chooser.OnSent(attempt.instance, attempt.sent);
+    parts_.owners.Start(attempt.owner,
+                        call.NewAttempt(id, attempt.offered, attempt.sent));
   }
 
   /// @return the refusal of an attempt whose owner knows nothing of it, or is
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -21,11 +21,14 @@
   /// Deducts one extra attempt.
   /// @return false when the budget is exhausted, and always at zero percent.
   bool TryTake() {
-    if (percent_ == 0 || balance_ < 1.0) return false;
+    if (!MayTake()) return false;
     balance_ -= 1.0;
     return true;
   }
 
+  /// @return whether TryTake() would deduct one.
+  bool MayTake() const { return percent_ > 0 && balance_ >= 1.0; }
+
   void SetPercent(uint32_t percent) { percent_ = percent; }
 
  private:
