Tell callers of claimed requests when to come back

Callers of a request with a claim that found the queue full were told "not run" without Retry-After. Cause: the refusal waits for the claim's revocation, and the wait was not passed on to it. Evidence: SaysWhenToComeBackOnceTheClaimIsRevoked fails on the former code. The other refusals that wait, of lost connections and of unanswered ledgers, have no time to tell.

--- a/src/owner/internal/job_closer.cc
+++ b/src/owner/internal/job_closer.cc
@@ -18,14 +18,15 @@
     return;
   }
   job.stage = JobStage::kRevoking;
-  writer_.Revoke(job, [this, id, code](const ClaimOutcome& outcome) {
+  writer_.Revoke(job, [this, id, code,
+                       retry_after](const ClaimOutcome& outcome) {
     Job* revoked = jobs_.Find(id);
     if (revoked == nullptr) return;
     if (outcome.error) {
       sender_.SendRefusal(*revoked, ClaimsCode::kLedgerUnresponsive,
                           Certainty::kUnknown);
     } else {
-      sender_.SendRefusal(*revoked, code, Certainty::kNotRun);
+      sender_.SendRefusal(*revoked, code, Certainty::kNotRun, "", retry_after);
     }
     Remove(id);
   });
--- a/src/owner/tests/owner_fixture.h
+++ b/src/owner/tests/owner_fixture.h
@@ -79,6 +79,7 @@
                    const Refusal& refusal, const LoadReport& report) override {
     load = report;
     refused[attempt] = refusal.certainty;
+    retry_after[attempt] = refusal.retry_after;
     Note(attempt + " refused " + std::to_string(refusal.code.value()) + " " +
          std::string(CertaintyName(refusal.certainty)));
   }
@@ -119,6 +120,7 @@
   std::string log;
   std::map<RunId, CallAttempt> started;
   std::map<AttemptId, Certainty> refused;
+  std::map<AttemptId, Duration> retry_after;  ///< Of refusals.
   std::map<AttemptId, uint64_t> granted;
   LoadReport load;  ///< Of the last refusal.
 };
--- a/src/owner/tests/owner_session_test.cc
+++ b/src/owner/tests/owner_session_test.cc
@@ -9,6 +9,39 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+class AnOwnerWithClaims : public testing::Test {
+ protected:
+  ClaimLedger ledger_;
+  OwnerHarness harness_{"o1", ledger_, 1};
+};
+
+// Guards against callers that are told "not run" without a time to come back.
+TEST_F(AnOwnerWithClaims, SaysWhenToComeBackOnceTheClaimIsRevoked) {
+  for (int i = 0; i < 6; ++i) {
+    const std::string number = std::to_string(i);
+    harness_.Start("a" + number, "k" + number);
+    harness_.store.DeliverNext(Delivery::kAnswered);
+  }
+  ASSERT_EQ(harness_.store.pending.size(), 1u);  // The queue holds four.
+  harness_.store.DeliverNext(Delivery::kAnswered);
+  EXPECT_EQ(harness_.recorder.refused.at("a5"), Certainty::kNotRun);
+  EXPECT_GT(harness_.recorder.retry_after.at("a5"), Duration{});
+}
+
+// Guards against an answer of one chunk that is streamed before it is whole,
+// and can't be replaced by another attempt when it breaks off.
+TEST_F(AnOwnerWithClaims, HoldsAnyShortAnswerThatMayBeRepeated) {
+  constexpr int64_t kBytes = 60 * 1024;
+  harness_.Start("a1", "", true);
+  harness_.owner->OnRunHead(1, {200, {}, kBytes}, harness_.clock.now);
+  harness_.owner->OnRunData(1, std::string(kBytes - 1, 'a'),
+                            harness_.clock.now);
+  EXPECT_EQ(harness_.recorder.log.find("head"), std::string::npos);
+  harness_.owner->OnRunFailed(1, {RunProgress::kAnswering, false, "broke off"},
+                              harness_.clock.now);
+  EXPECT_EQ(harness_.recorder.refused.at("a1"), Certainty::kUnknown);
+}
+
 class AnOwnersSession : public testing::Test {
  protected:
   void Step(const std::string& text) { harness_.recorder.log += text + "\n"; }
