Hold short repeatable answers until they are whole

A repeatable answer of 56 to 64 KiB that broke off ended its caller's transfer, where shorter ones are tried elsewhere. Cause: the limit of the ledger, which keeps 8 KiB for the head, was applied to requests without a claim too, so that such an answer was streamed when its last block came. The entry's limit (64 KiB) was right.

--- a/src/owner/internal/job.cc
+++ b/src/owner/internal/job.cc
@@ -1,10 +1,14 @@
 #include "owner/internal/job.h"
 
+#include "claims/types/claim_types.h"
+
 namespace hibiscusglade {
 namespace {
 
 /// Longest answer of known length that is buffered until complete: one chunk.
 constexpr int64_t kMaxBufferedAnswerBytes = int64_t{64} * 1024;
+/// Bytes of a kept answer set aside for its head.
+constexpr size_t kHeadReserveBytes = size_t{8} * 1024;
 
 }  // namespace
 
@@ -13,6 +17,12 @@
          head.content_length <= kMaxBufferedAnswerBytes;
 }
 
+bool Job::HasTooMuchToHold() const {
+  return attempt.NeedsClaim()
+             ? body.size() + kHeadReserveBytes > kMaxKeptAnswerBytes
+             : static_cast<int64_t>(body.size()) > kMaxBufferedAnswerBytes;
+}
+
 Job MakeJob(const EntryRef& entry, const CallAttempt& attempt, Instant now) {
   Job job;
   job.entry = entry;
--- a/src/owner/internal/job.h
+++ b/src/owner/internal/job.h
@@ -52,6 +52,10 @@
   /// are, so that the request can be retried elsewhere if the answer breaks
   /// off.
   bool HasShortAnswer() const;
+
+  /// @return whether the body received so far must be streamed: too much to
+  /// buffer or, with a claim, to keep in the ledger.
+  bool HasTooMuchToHold() const;
 };
 
 /// @return a job that begins now. It has a fingerprint unless its body is
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -23,8 +23,6 @@
 constexpr Duration kEntryTimeout = std::chrono::seconds(3);
 /// Longest wait for the ledger to store an answer; it is sent anyway then.
 constexpr Duration kFinishTimeout = std::chrono::milliseconds(500);
-/// Bytes of a kept answer set aside for its head.
-constexpr size_t kHeadReserveBytes = size_t{8} * 1024;
 
 class OwnerImpl : public Owner {
  public:
@@ -195,8 +193,7 @@
       return;
     }
     job->body += data;
-    if (job->body.size() + kHeadReserveBytes <= kMaxKeptAnswerBytes) return;
-    // Too large to buffer and to keep in the ledger: stream it.
+    if (!job->HasTooMuchToHold()) return;
     sender_.SendHead(*job);
     sender_.SendData(*job, std::exchange(job->body, {}));
   }
