Don't run calls that were held up past their caller's time

Callers: an order was run seconds after its caller had been told that the time had passed.

Cause: a call tells how much time it has left, and the owner counts from its arrival. What a cut link holds, or the socket of a daemon that stands still, arrives with its whole time before it; the cancel waits behind the call.

Change: a call carries the sender's clock since its machine's start; the owner takes off what it took longer than the fastest of its connection lately (LinkDelay). A link that is replaced is reset, so that its bytes are dropped.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -23,6 +23,10 @@
 
   /// @return the wall-clock time, in microseconds since 1970-01-01 UTC.
   virtual int64_t UnixMicros() const = 0;
+
+  /// @return time since the start of the machine. Time for which the machine
+  /// was suspended counts, other than with Now().
+  virtual Duration SinceBoot() const { return Now().time_since_epoch(); }
 };
 
 /// The clocks of the operating system.
@@ -30,6 +34,7 @@
  public:
   Instant Now() const override;
   int64_t UnixMicros() const override;
+  Duration SinceBoot() const override;
 };
 
 }  // namespace hibiscusglade
--- a/src/base/internal/steady_clock.cc
+++ b/src/base/internal/steady_clock.cc
@@ -1,3 +1,5 @@
+#include <time.h>
+
 #include "base/clock.h"
 
 namespace hibiscusglade {
@@ -12,4 +14,14 @@
   return std::chrono::duration_cast<Duration>(since_epoch).count();
 }
 
+Duration SteadyClock::SinceBoot() const {
+  timespec time{};
+  if (clock_gettime(CLOCK_BOOTTIME, &time) != 0) {
+    return Now().time_since_epoch();
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
 }  // namespace hibiscusglade
--- a/src/peer/internal/tcp_transport.cc
+++ b/src/peer/internal/tcp_transport.cc
@@ -112,6 +112,10 @@
   void Reset(const std::string& address) override {
     auto found = outgoing_.find(address);
     if (found == outgoing_.end()) return;
+    // What the peer has not received must not reach it later.
+    const linger reset{1, 0};
+    setsockopt(found->second->descriptor, SOL_SOCKET, SO_LINGER, &reset,
+               sizeof(reset));
     CloseSocket(*found->second);
     outgoing_.erase(found);
   }
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -11,7 +11,9 @@
 #include "base/log.h"
 #include "entry/entry.h"
 #include "owner/owner.h"
+#include "requests/internal/answer_messages.h"
 #include "requests/internal/call_codec.h"
+#include "requests/internal/link_delay.h"
 #include "requests/internal/link_watch.h"
 #include "requests/internal/run_events_forwarder.h"
 #include "routing/upstream_chooser.h"
@@ -192,6 +194,8 @@
     }
     wire::Envelope message;
     ToWire(attempt, *message.mutable_call_start());
+    message.mutable_call_start()->set_sent_at_micros(
+        static_cast<uint64_t>(clock_.SinceBoot().count()));
     Send(owner, message);
   }
 
@@ -341,7 +345,8 @@
       transport_->Reply(entry, message);
       return;
     }
-    loop_.Defer([this, message] { OnAnswer(message, clock_.Now()); });
+    loop_.Defer(
+        [this, message] { PassToEntry(message, *entry_, clock_.Now()); });
   }
 
   /// Pings owners with open attempts and replaces unresponsive links.
@@ -381,7 +386,7 @@
     links_.OnReceived(from, now);
     switch (message.body_case()) {
       case wire::Envelope::kCallStart:
-        owner_->OnStart(path, FromWire(message.call_start()), now);
+        OnCallStart(path, message.call_start(), now);
         break;
       case wire::Envelope::kCallCredit:
         owner_->OnCredit(path, message.call_credit().attempt(),
@@ -411,10 +416,19 @@
         quarantine_->OnNotice(FromWire(message.quarantine_notice()), now);
         break;
       default:
-        OnAnswer(message, now);
+        PassToEntry(message, *entry_, now);
     }
   }
 
+  void OnCallStart(const ReturnPath& path, const wire::CallStart& start,
+                   Instant now) {
+    CallAttempt attempt = FromWire(start);
+    delay_.Discount(path,
+                    Duration(static_cast<int64_t>(start.sent_at_micros())),
+                    clock_.SinceBoot(), attempt);
+    owner_->OnStart(path, attempt, now);
+  }
+
   void SendPong(const ReturnPath& path, const wire::LinkPing& ping) {
     wire::Envelope message;
     wire::LinkPong* pong = message.mutable_link_pong();
@@ -425,41 +439,6 @@
     transport_->Reply(path, message);
   }
 
-  void OnAnswer(const wire::Envelope& message, Instant now) {
-    switch (message.body_case()) {
-      case wire::Envelope::kAnswerHead: {
-        const wire::AnswerHead& in = message.answer_head();
-        entry_->OnAnswerHead(in.attempt(), FromWire(in), FromWire(in.load()),
-                             now);
-        break;
-      }
-      case wire::Envelope::kAnswerChunk:
-        entry_->OnAnswerChunk(message.answer_chunk().attempt(),
-                              message.answer_chunk().sequence(),
-                              message.answer_chunk().data(), now);
-        break;
-      case wire::Envelope::kAnswerEnd: {
-        const wire::AnswerEnd& in = message.answer_end();
-        entry_->OnAnswerEnd(in.attempt(),
-                            {in.chunks(), in.bytes(), in.digest()},
-                            FromWire(in.load()), now);
-        break;
-      }
-      case wire::Envelope::kAnswerRefused: {
-        const wire::AnswerRefused& in = message.answer_refused();
-        entry_->OnAnswerRefused(in.attempt(), FromWire(in), FromWire(in.load()),
-                                now);
-        break;
-      }
-      case wire::Envelope::kBodyGrant:
-        entry_->OnBodyGranted(message.body_grant().attempt(),
-                              message.body_grant().until());
-        break;
-      default:
-        break;
-    }
-  }
-
   RequestLoopConfig config_;
   const Clock& clock_;
   Metrics& metrics_;
@@ -475,6 +454,7 @@
   std::unique_ptr<Owner> owner_;
   AnnouncementSink* announcements_ = nullptr;
   LinkWatch links_;
+  LinkDelay delay_;
   CallHandle last_call_ = 0;
   Instant next_tick_;
   Instant next_link_check_;
