--- a/tests/processes/uploads_test.cc
+++ b/tests/processes/uploads_test.cc
@@ -1,6 +1,12 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <csignal>
+#include <list>
 #include <thread>
 
+#include "tests/harness/process_cost.h"
 #include "tests/processes/claims_mesh.h"
 
 namespace hibiscusglade {
@@ -11,6 +17,43 @@
 constexpr size_t kUploadBytes = 60'000;
 constexpr char kLinkOf20Mbps[] = R"({"link_mbps": 20})";
 
+/// A caller that sends a part of a body and then nothing.
+class StalledCaller {
+ public:
+  /// @param ip of the daemon.
+  StalledCaller(const std::string& ip, size_t body_bytes, size_t sent_bytes) {
+    socket_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kCallerPort);
+    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    EXPECT_EQ(connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                      sizeof(address)),
+              0);
+    const std::string bytes =
+        "POST /deposits/stalled HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+        std::to_string(body_bytes) + "\r\n\r\n" + std::string(sent_bytes, 'a');
+    send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  ~StalledCaller() { close(socket_); }
+  StalledCaller(const StalledCaller&) = delete;
+  StalledCaller& operator=(const StalledCaller&) = delete;
+
+  /// @return what the daemon has answered so far.
+  std::string Received() const {
+    std::string answer(4096, ' ');
+    const ssize_t count =
+        recv(socket_, answer.data(), answer.size(), MSG_DONTWAIT);
+    answer.resize(count > 0 ? static_cast<size_t>(count) : 0);
+    return answer;
+  }
+
+ private:
+  static constexpr uint16_t kCallerPort = 7000;
+
+  int socket_ = -1;
+};
+
 /// A mesh whose only upstream has a slow link.
 class AMeshThatTakesUploads : public ClaimsMesh {
  protected:
@@ -78,6 +121,36 @@
   EXPECT_EQ(mesh_.Daemon("z").Wait(20'000), 0);
 }
 
+/// Guards against callers that stop midway on many connections and fill the
+/// memory of a daemon.
+TEST_F(AMeshThatTakesUploads, ServesOthersWhileCallersStopMidway) {
+  PutFirstVersionInForce(1);
+  const double resident_kb = ProcessResidentKb(mesh_.Daemon("y").Pid());
+  std::list<StalledCaller> callers;
+  for (int i = 0; i < 40; ++i) {
+    callers.emplace_back(mesh_.IpOf("y"), 1'000'000, 900'000);
+  }
+  EXPECT_TRUE(Mesh::Eventually(
+      [this] {
+        return mesh_.Metric("y", "caller_refusals_total{code=\"7008\"}") >= 20;
+      },
+      seconds(10)));
+  EXPECT_EQ(SendHttp("GET", mesh_.CallerUrl("y") + "/catalogue/1").status, 200);
+  EXPECT_EQ(Upload("z", 1).status, 200);
+  EXPECT_LT(ProcessResidentKb(mesh_.Daemon("y").Pid()), resident_kb + 48'000);
+  int refused = 0;
+  for (const StalledCaller& caller : callers) {
+    const std::string answer = caller.Received();
+    if (answer.empty()) continue;
+    ++refused;
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_NE(answer.find("X-Outcome: not-run"), std::string::npos) << answer;
+  }
+  EXPECT_GE(refused, 20);
+  callers.clear();
+  EXPECT_EQ(Upload("y", 2).status, 200);
+}
+
 /// The owner dies while bodies are on their way: no upload runs twice, and what
 /// is said not to have run has not.
 TEST_F(AMeshThatTakesUploads, TellsTheTruthWhenTheOwnerDies) {
