--- a/src/owner/internal/body_grants.h
+++ b/src/owner/internal/body_grants.h
@@ -32,8 +32,8 @@
 
 /// Decides which bodies of requests travel over the incoming side of this
 /// instance's link, and when. Answers the load of callers that upload more than
-/// the link carries: a body that were sent unasked would delay all that arrives
-/// here, be refused late, and cross the link to a second owner again. What is
+/// the link carries: a body that is sent unasked delays all that arrives
+/// here, is refused late, and crosses the link to a second owner again. What is
 /// taken arrives in time, one body after the other, the earliest objective
 /// first; what isn't is refused before any of it was sent. As in
 /// receiver-driven transports such as Homa (Montazeri et al., SIGCOMM 2018).
--- a/src/owner/internal/body_receiver.h
+++ b/src/owner/internal/body_receiver.h
@@ -1,8 +1,10 @@
 #ifndef HIBISCUSGLADE_OWNER_INTERNAL_BODY_RECEIVER_H_
 #define HIBISCUSGLADE_OWNER_INTERNAL_BODY_RECEIVER_H_
 
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/metrics.h"
