Show that a deregistration is forgotten when all processes are killed

Cause: which upstreams have left is kept in the daemons' memory only, and learned from peers after a restart.

--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -14,6 +14,7 @@
 /// @return the exit status of the case's script.
 int CrashingRequest(const CaseSettings& settings);
 int FirstConfiguration(const CaseSettings& settings);
+int ForgottenLeave(const CaseSettings& settings);
 int LargeBody(const CaseSettings& settings);
 int PipelinedDownload(const CaseSettings& settings);
 
--- a/review/standin/fleet.cc
+++ b/review/standin/fleet.cc
@@ -156,6 +156,7 @@
   const std::string start = std::to_string(RecordStart());
   const std::string garble_every = std::to_string(machine.garble_every);
   const std::string flag = GarbleFlag();
+  const std::string leave = LeaveFlag(machine);
   machine.server_down_ms = 0;
   Record("server " + id + " started");
   machine.server = fork();
@@ -164,7 +165,8 @@
     execl("/proc/self/exe", "standin", "server", RecordPath().c_str(),
           start.c_str(), machine.ip.c_str(), app_port.c_str(),
           control_port.c_str(), machine.service.c_str(), machine.zone.c_str(),
-          id.c_str(), garble_every.c_str(), flag.c_str(), nullptr);
+          id.c_str(), garble_every.c_str(), flag.c_str(), leave.c_str(),
+          nullptr);
     _exit(127);
   }
 }
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -63,6 +63,10 @@
 
   /// @return a file in the folder; see ServerSettings::garble_flag.
   std::string GarbleFlag() const { return folder_ + "/garble"; }
+  /// @return see ServerSettings::leave_flag.
+  std::string LeaveFlag(const Machine& machine) const {
+    return folder_ + "/leave-" + machine.name;
+  }
 
   std::vector<Machine>& Machines() { return machines_; }
   const Ports& AllPorts() const { return ports_; }
@@ -93,6 +97,10 @@
   /// `garble_every`th of its answers above 100,000 bytes halfway; 0: none.
   int garble_every = 0;
   std::string garble_flag;
+  /// Once this file exists, the server deregisters, without having said that it
+  /// drains. It goes on serving for some seconds, then it ends. Its last
+  /// check-in arrives a second time, 4 s late.
+  std::string leave_flag;
   int64_t heartbeat_ms = 1500;
 };
 
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int kCannotRun = 2;
-constexpr int kServerArguments = 12;
+constexpr int kServerArguments = 13;
 
 int ServerMain(char** argv) {
   review::ContinueRecord(argv[2], std::atoll(argv[3]));
@@ -23,6 +23,7 @@
   settings.id = argv[9];
   settings.garble_every = std::atoi(argv[10]);
   settings.garble_flag = argv[11];
+  settings.leave_flag = argv[12];
   review::RunServer(settings);
 }
 
@@ -52,6 +53,7 @@
   if (name == "first_configuration") {
     status = review::FirstConfiguration(settings);
   }
+  if (name == "forgotten_leave") status = review::ForgottenLeave(settings);
   std::printf("%s: %s\n", name.c_str(),
               status == 0   ? "the rule held"
               : status == 1 ? "the rule was broken"
--- a/review/standin/server.cc
+++ b/review/standin/server.cc
@@ -36,20 +36,48 @@
  private:
   void Announce() {
     constexpr int kAnswerMs = 1000;
-    for (int64_t sequence = 1;; ++sequence) {
-      const std::string body =
-          "{\"service\":\"" + settings_.service + "\",\"address\":\"" +
-          settings_.ip + ":" + std::to_string(settings_.app_port) +
-          "\",\"zone\":\"" + settings_.zone +
-          "\",\"version\":\"v1\",\"slots\":" + std::to_string(settings_.slots) +
-          ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":" +
-          std::to_string(sequence) + ",\"born\":" + std::to_string(born_) + "}";
-      Call(
-          settings_.ip, settings_.control_port,
-          JsonCall("POST", "/-/instances/" + settings_.id + "/heartbeat", body),
-          kAnswerMs);
-      SleepMs(settings_.heartbeat_ms);
+    int64_t next = NowMs();
+    for (int64_t sequence = 1; access(settings_.leave_flag.c_str(), F_OK) != 0;
+         SleepMs(20)) {
+      if (NowMs() < next) continue;
+      next = NowMs() + settings_.heartbeat_ms;
+      check_in_ = CheckIn(sequence++);
+      Call(settings_.ip, settings_.control_port, check_in_, kAnswerMs);
     }
+    Leave();
+  }
+
+  void Leave() {
+    constexpr int kAnswerMs = 1000;
+    constexpr int64_t kLateMs = 4000;
+    constexpr int64_t kServesOnMs = 9500;
+    const int status =
+        Call(settings_.ip, settings_.control_port,
+             JsonCall("POST", "/-/instances/" + settings_.id + "/deregister",
+                      "{\"born\":" + std::to_string(born_) + "}"),
+             kAnswerMs);
+    Record("deregistered " + settings_.id + ": " + std::to_string(status));
+    SleepMs(kLateMs);
+    const int late =
+        Call(settings_.ip, settings_.control_port, check_in_, kAnswerMs);
+    Record("a late check-in of " + settings_.id +
+           " arrived: " + std::to_string(late));
+    SleepMs(kServesOnMs - kLateMs);
+    Record("server " + settings_.id + " ends");
+    _exit(0);
+  }
+
+  std::string CheckIn(int64_t sequence) const {
+    return JsonCall(
+        "POST", "/-/instances/" + settings_.id + "/heartbeat",
+        "{\"service\":\"" + settings_.service + "\",\"address\":\"" +
+            settings_.ip + ":" + std::to_string(settings_.app_port) +
+            "\",\"zone\":\"" + settings_.zone +
+            "\",\"version\":\"v1\",\"slots\":" +
+            std::to_string(settings_.slots) +
+            ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":" +
+            std::to_string(sequence) + ",\"born\":" + std::to_string(born_) +
+            "}");
   }
 
   void Serve(int fd) {
@@ -135,6 +163,7 @@
 
   ServerSettings settings_;
   int64_t born_;
+  std::string check_in_;  ///< The last one.
   std::mutex mutex_;
   std::condition_variable slot_free_;
   std::atomic<int> archives_ = 0;
