--- a/review/standin/first_configuration.cc
+++ b/review/standin/first_configuration.cc
@@ -101,7 +101,7 @@
   Record(fleet.AllReady() ? "all daemons beside servers say that they are ready"
                           : "a daemon beside a server is not ready");
   wait_until(kKillMs);
-  std::thread core([&fleet, &settings] {
+  std::thread core([&fleet, &settings, &wait_until] {
     if (!settings.trouble) return;
     for (Machine& machine : fleet.Machines()) {
       if (machine.service.empty()) fleet.KillDaemon(machine);
@@ -110,6 +110,8 @@
     for (Machine& machine : fleet.Machines()) {
       if (machine.service.empty()) fleet.StartDaemon(machine);
     }
+    // Processes end with the thread that has started them.
+    wait_until(kEndMs);
   });
   bool configured = false;
   std::thread operators([&] {
