Keep the review's stand-ins beside its cases' folders

Cause: a folder of review/ is a case. Change: the sources of the stand-ins lie in review/ itself; nothing else changes.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++20 -O2 -Wall -Wextra -pthread -I. review/standin/*.cc -o target/review/standin
+g++ -std=c++20 -O2 -Wall -Wextra -pthread -I. review/*.cc -o target/review/standin
--- a/review/standin/cases.h
+++ b/review/cases.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_REVIEW_STANDIN_CASES_H_
-#define HIBISCUSGLADE_REVIEW_STANDIN_CASES_H_
+#ifndef HIBISCUSGLADE_REVIEW_CASES_H_
+#define HIBISCUSGLADE_REVIEW_CASES_H_
 
 #include <string>
 
@@ -20,4 +20,4 @@
 
 }  // namespace review
 
-#endif  // HIBISCUSGLADE_REVIEW_STANDIN_CASES_H_
+#endif  // HIBISCUSGLADE_REVIEW_CASES_H_
--- a/review/standin/crashing_request.cc
+++ b/review/crashing_request.cc
@@ -5,9 +5,9 @@
 #include <thread>
 #include <vector>
 
-#include "review/standin/cases.h"
-#include "review/standin/fleet.h"
-#include "review/standin/net.h"
+#include "review/cases.h"
+#include "review/fleet.h"
+#include "review/net.h"
 
 namespace review {
 namespace {
--- a/review/standin/fleet.cc
+++ b/review/fleet.cc
@@ -1,4 +1,4 @@
-#include "review/standin/fleet.h"
+#include "review/fleet.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -10,7 +10,7 @@
 #include <fstream>
 #include <utility>
 
-#include "review/standin/net.h"
+#include "review/net.h"
 
 namespace review {
 namespace {
--- a/review/standin/fleet.h
+++ b/review/fleet.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_REVIEW_STANDIN_FLEET_H_
-#define HIBISCUSGLADE_REVIEW_STANDIN_FLEET_H_
+#ifndef HIBISCUSGLADE_REVIEW_FLEET_H_
+#define HIBISCUSGLADE_REVIEW_FLEET_H_
 
 #include <sys/types.h>
 
@@ -111,4 +111,4 @@
 
 }  // namespace review
 
-#endif  // HIBISCUSGLADE_REVIEW_STANDIN_FLEET_H_
+#endif  // HIBISCUSGLADE_REVIEW_FLEET_H_
--- a/review/standin/main.cc
+++ b/review/main.cc
@@ -3,9 +3,9 @@
 #include <cstdlib>
 #include <string>
 
-#include "review/standin/cases.h"
-#include "review/standin/fleet.h"
-#include "review/standin/net.h"
+#include "review/cases.h"
+#include "review/fleet.h"
+#include "review/net.h"
 
 namespace {
 
--- a/review/standin/net.cc
+++ b/review/net.cc
@@ -1,4 +1,4 @@
-#include "review/standin/net.h"
+#include "review/net.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/standin/net.h
+++ b/review/net.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_REVIEW_STANDIN_NET_H_
-#define HIBISCUSGLADE_REVIEW_STANDIN_NET_H_
+#ifndef HIBISCUSGLADE_REVIEW_NET_H_
+#define HIBISCUSGLADE_REVIEW_NET_H_
 
 #include <cstdint>
 #include <map>
@@ -64,4 +64,4 @@
 
 }  // namespace review
 
-#endif  // HIBISCUSGLADE_REVIEW_STANDIN_NET_H_
+#endif  // HIBISCUSGLADE_REVIEW_NET_H_
--- a/review/standin/server.cc
+++ b/review/server.cc
@@ -8,8 +8,8 @@
 #include <thread>
 #include <utility>
 
-#include "review/standin/fleet.h"
-#include "review/standin/net.h"
+#include "review/fleet.h"
+#include "review/net.h"
 
 namespace review {
 namespace {
