Record an upstream's leave on a majority before it is acknowledged

Cause: only memories held the leave, the daemon's own and those of its peers. The started daemon's log has "The local upstream announced a new id or state" for the late announcement. Class: an acknowledgement that only processes' memories hold; the same was true of drains, and of leaves of earlier incarnations.

Change: a drain or deregistration that names an incarnation (id, start) takes effect at once as before, and is acknowledged once a majority of the replicas has it in the log of the versions group. A started daemon reads the leaves recorded for it with the same confirmed read as its floor, before it has a version to serve by, and ignores what is older, also when it came first. Log lines say why a late announcement was ignored or believed.

Ruled out: a second announcement before a started daemon believes (1.5 s out of use for all, two late ones break it), asking the upstream (it answers 200 while it leaves), confirmation by a peer (killed, too).

--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -43,6 +43,10 @@
     {"instances", "gauge", "state",
      "Instances that this daemon knows, by state.",
      "Check suspected and dead instances and the network to them."},
+    {"leaves_unrecorded_total", "counter", "",
+     "Leaves of the local upstream that the replicas did not record in time, "
+     "so that they were not acknowledged.",
+     "When it rises: see whether a majority of the replicas is reachable."},
     {"link_backlog_bytes", "gauge", "",
      "Bytes of answers that the link of this instance still has to carry.",
      "When it stays high: add instances of the service."},
--- a/src/control/internal/announcement_reporter.cc
+++ b/src/control/internal/announcement_reporter.cc
@@ -28,21 +28,39 @@
       previous->started_at_ms != upstream.started_at_ms ||
       previous->state != upstream.state) {
     LogAnnouncement("The local upstream announced a new id or state.", upstream,
-                    {{"queued_ms", MillisText(clock_.Now() - posted_at)}});
+                    {{"queued_ms", MillisText(clock_.Now() - posted_at)},
+                     {"leaves_read", leaves_read_ ? "1" : "0"}});
   }
 }
 
 void AnnouncementReporter::ReportIgnored(
-    const UpstreamAnnouncement& upstream,
+    const UpstreamAnnouncement& upstream, IgnoredReason reason,
     const std::optional<UpstreamAnnouncement>& registered) {
   ignored_announcements_.Add();
   if (!ignored_lines_.AllowLine(clock_.Now())) return;
   LogAnnouncement("An announcement was ignored as out of date or not expected.",
                   upstream,
-                  {{"address", upstream.address},
+                  {{"reason", NameOf(reason)},
+                   {"address", upstream.address},
                    {"registered", registered.has_value() ? registered->id : ""},
                    {"lines_left_out",
                     std::to_string(ignored_lines_.TakeSuppressedCount())}});
 }
 
+void AnnouncementReporter::ReportLeavesRead(
+    const std::vector<UpstreamLeave>& leaves,
+    const std::optional<UpstreamAnnouncement>& previous,
+    const std::optional<UpstreamAnnouncement>& registered) {
+  leaves_read_ = true;
+  const char* decision = "-";
+  if (previous.has_value()) {
+    decision = registered.has_value() ? "kept" : "removed";
+  }
+  Log(LogLevel::kInfo, "control", "The recorded leaves were read.",
+      {{"count", std::to_string(leaves.size())},
+       {"last", leaves.empty() ? "" : leaves.back().id},
+       {"registered", previous.has_value() ? previous->id : ""},
+       {"decision", decision}});
+}
+
 }  // namespace hibiscusglade
--- a/src/control/internal/announcement_reporter.h
+++ b/src/control/internal/announcement_reporter.h
@@ -2,10 +2,12 @@
 #define HIBISCUSGLADE_CONTROL_INTERNAL_ANNOUNCEMENT_REPORTER_H_
 
 #include <optional>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "membership/types/upstream_leave.h"
 #include "upstream/announcement_api.h"
 
 namespace hibiscusglade {
@@ -28,13 +30,21 @@
 
   /// Counts and logs an announcement that is out of date or not of the upstream
   /// that is expected here.
-  void ReportIgnored(const UpstreamAnnouncement& upstream,
+  void ReportIgnored(const UpstreamAnnouncement& upstream, IgnoredReason reason,
                      const std::optional<UpstreamAnnouncement>& registered);
 
+  /// Logs what the replicas have recorded for earlier processes of this daemon.
+  /// @param previous upstream that was registered before.
+  /// @param registered upstream that is still registered.
+  void ReportLeavesRead(const std::vector<UpstreamLeave>& leaves,
+                        const std::optional<UpstreamAnnouncement>& previous,
+                        const std::optional<UpstreamAnnouncement>& registered);
+
  private:
   const Clock& clock_;
   Counter& ignored_announcements_;
   LogRateLimiter ignored_lines_{1};
+  bool leaves_read_ = false;
 };
 
 }  // namespace hibiscusglade
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -7,7 +7,6 @@
 #include "base/log.h"
 #include "consensus/consensus_codec.h"
 #include "consensus/consensus_result_codes.h"
-#include "control/internal/announcement_reporter.h"
 #include "control/internal/ask_targets.h"
 #include "control/internal/confirmation_reporter.h"
 #include "control/internal/control_codec.h"
@@ -23,6 +22,7 @@
 #include "control/internal/replica_host.h"
 #include "control/internal/turn_reporter.h"
 #include "control/internal/unreadable_record_reporter.h"
+#include "control/internal/upstream_announcements.h"
 #include "distribution/version_follower.h"
 #include "membership/membership.h"
 #include "wire/peer.pb.h"
@@ -46,7 +46,6 @@
         metrics_(metrics),
         routes_(routes),
         listener_(listener),
-        announcements_(clock, metrics),
         turns_(clock, metrics),
         unreadable_records_(clock),
         confirmations_(routes),
@@ -69,10 +68,23 @@
             [this](const std::string& address, const GroupRequest& request) {
               messenger_.SendGroupRequest(address, request);
             }),
-        follower_(clock, metrics, messenger_, group_client_,
-                  [this](const ConfigVersionPtr& version, Instant now) {
-                    OnActivated(version, now);
-                  }),
+        follower_(
+            clock, metrics, messenger_, group_client_,
+            [this](const ConfigVersionPtr& version, Instant now) {
+              OnActivated(version, now);
+            },
+            [this](const std::vector<UpstreamLeave>& leaves) {
+              announcements_.OnLeavesRead(leaves);
+            }),
+        announcements_(
+            config.identity.instance, clock, metrics,
+            [this](std::string command, ReplicaCallback done) {
+              group_client_.Submit(GroupId::kVersions, std::move(command),
+                                   false, clock_.Now(), std::move(done));
+            },
+            [this](const MembershipEffects& effects) {
+              ApplyEffects(effects);
+            }),
         operator_calls_(executor_, group_client_, clock),
         replica_host_(
             [this](GroupId group, const std::string& address,
@@ -89,6 +101,7 @@
     const Instant now = clock_.Now();
     membership_ =
         MakeMembership(MembershipSettings(config_), config_.seed, now);
+    announcements_.Start(*membership_);
     FollowerConfig follower;
     follower.instance = config_.identity.instance;
     follower.failure_domain = config_.identity.failure_domain;
@@ -133,11 +146,7 @@
   void BeginStop() override {
     readiness_.BeginStop();
     executor_.Post([this] {
-      auto upstream = membership_->LocalUpstream();
-      if (upstream.has_value()) {
-        upstream->state = UpstreamState::kDraining;
-        HandleAnnouncement(*upstream, clock_.Now());
-      }
+      announcements_.DrainLocalUpstream();
       // Peers choose others for what they pass on well before it ends.
       ApplyEffects(membership_->Leave(clock_.Now()));
     });
@@ -166,38 +175,22 @@
 
   // AnnouncementSink.
   bool Announce(const UpstreamAnnouncement& upstream) override {
-    return RunUntilInEffect([this, upstream, posted_at = clock_.Now()] {
-      UpstreamAnnouncement announcement = upstream;
-      if (readiness_.Stopping() || draining_) {
-        announcement.state = UpstreamState::kDraining;
-      }
-      HandleAnnouncement(announcement, posted_at);
-    });
+    return RunUntilInEffect(
+        [this, upstream, posted_at = clock_.Now()](LeaveRecorder::Done done) {
+          announcements_.OnAnnounce(upstream, posted_at, std::move(done));
+        });
   }
 
   bool Deregister(const std::string& id, int64_t started_at_ms) override {
-    return RunUntilInEffect([this, id, started_at_ms] {
-      const auto upstream = membership_->LocalUpstream();
-      Log(LogLevel::kInfo, "control", "An upstream deregistered.",
-          {{"upstream", id},
-           {"born", std::to_string(started_at_ms)},
-           {"registered", upstream.has_value() ? upstream->id : ""}});
-      ApplyEffects(
-          membership_->OnUpstreamLeft(id, started_at_ms, clock_.Now()));
-    });
+    return RunUntilInEffect(
+        [this, id, started_at_ms](LeaveRecorder::Done done) {
+          announcements_.OnDeregister(id, started_at_ms, std::move(done));
+        });
   }
 
   void ReportDown(const UpstreamAnnouncement& upstream) override {
-    executor_.Post([this, id = upstream.id, start = upstream.started_at_ms,
-                    posted_at = clock_.Now()] {
-      const MembershipEffects effects =
-          membership_->OnUpstreamDown(id, start, clock_.Now());
-      Log(LogLevel::kInfo, "control", "The local upstream was reported down.",
-          {{"upstream", id},
-           {"born", std::to_string(start)},
-           {"decision", effects.changed ? "drains" : "ignored"},
-           {"queued_ms", MillisText(clock_.Now() - posted_at)}});
-      ApplyEffects(effects);
+    executor_.Post([this, upstream, posted_at = clock_.Now()] {
+      announcements_.OnReportedDown(upstream, posted_at);
     });
   }
 
@@ -259,12 +252,9 @@
   std::string MetricsText() override { return metrics_.Exposition(); }
 
   bool DrainUpstream() override {
-    return RunUntilInEffect([this] {
-      draining_ = true;
-      auto upstream = membership_->LocalUpstream();
-      if (!upstream.has_value()) return;
-      upstream->state = UpstreamState::kDraining;
-      HandleAnnouncement(*upstream, clock_.Now());
+    return RunUntilInEffect([this](const LeaveRecorder::Done& done) {
+      announcements_.DrainLocalUpstream();
+      done(true);
     });
   }
 
@@ -305,20 +295,6 @@
     replica_host_.OnTick(now);
   }
 
-  /// @param posted_at when the announcement was queued for this thread.
-  void HandleAnnouncement(const UpstreamAnnouncement& upstream,
-                          Instant posted_at) {
-    const auto previous = membership_->LocalUpstream();
-    const MembershipEffects effects =
-        membership_->OnAnnounce(upstream, clock_.Now());
-    if (membership_->LocalUpstream() != upstream) {
-      announcements_.ReportIgnored(upstream, previous);
-    } else {
-      announcements_.ReportAccepted(upstream, previous, posted_at);
-    }
-    ApplyEffects(effects);
-  }
-
   void ApplyEffects(const MembershipEffects& effects) {
     for (const MembershipSend& sent : effects.send) {
       wire::Envelope message;
@@ -423,18 +399,21 @@
     replica_host_.Submit(request, now, answer);
   }
 
-  /// Runs a function on the control thread and waits until what it changed is
-  /// in effect for requests.
-  /// @return whether it was in effect before the configured timeout.
-  bool RunUntilInEffect(std::function<void()> work) {
-    auto promise = std::make_shared<std::promise<void>>();
+  /// Runs a function on the control thread and waits until it has called what
+  /// it is given, and what it changed is in effect for requests.
+  /// @return whether it was given true, before the configured timeout.
+  bool RunUntilInEffect(std::function<void(LeaveRecorder::Done)> work) {
+    auto promise = std::make_shared<std::promise<bool>>();
     auto future = promise->get_future();
     executor_.Post([this, promise, work = std::move(work)] {
-      work();
-      awaiting_effect_.emplace_back([promise] { promise->set_value(); });
+      work([this, promise](bool recorded) {
+        awaiting_effect_.emplace_back(
+            [promise, recorded] { promise->set_value(recorded); });
+      });
     });
     return future.wait_for(config_.in_effect_timeout) ==
-           std::future_status::ready;
+               std::future_status::ready &&
+           future.get();
   }
 
   ControlConfig config_;
@@ -442,7 +421,6 @@
   Metrics& metrics_;
   RouteTableHolder& routes_;
   LocalUpstreamListener& listener_;
-  AnnouncementReporter announcements_;
   TurnReporter turns_;
   UnreadableRecordReporter unreadable_records_;
   ConfirmationReporter confirmations_;
@@ -453,6 +431,7 @@
   PeerMessenger messenger_;
   GroupClient group_client_;
   FollowerDriver follower_;
+  UpstreamAnnouncements announcements_;
   OperatorCalls operator_calls_;
   ReplicaHost replica_host_;
   std::unique_ptr<Membership> membership_;
@@ -461,7 +440,6 @@
 
   Instant next_tick_;
   bool view_changed_ = false;  ///< Handled at the end of a loop iteration.
-  bool draining_ = false;
   bool exit_requested_ = false;
   Readiness readiness_;
   std::thread thread_;
--- a/src/control/internal/follower_driver.cc
+++ b/src/control/internal/follower_driver.cc
@@ -7,23 +7,26 @@
 
 namespace hibiscusglade {
 
-FollowerDriver::FollowerDriver(const Clock& clock, Metrics& metrics,
-                               PeerMessenger& messenger,
-                               GroupClient& group_client,
-                               ActivationListener listener)
+FollowerDriver::FollowerDriver(
+    const Clock& clock, Metrics& metrics, PeerMessenger& messenger,
+    GroupClient& group_client, ActivationListener listener,
+    LatestNumberReader::LeavesListener leaves_listener)
     : clock_(clock),
       asks_(metrics.CounterOf("version_asks_total", "")),
       messenger_(messenger),
-      latest_number_(group_client, clock,
-                     [this](uint64_t number, Instant begun_at) {
-                       apply_time_ = {};
-                       ApplyEffects(follower_->OnLatestRead(number, begun_at,
-                                                            clock_.Now()));
-                     }),
+      latest_number_(
+          group_client, clock,
+          [this](uint64_t number, Instant begun_at) {
+            apply_time_ = {};
+            ApplyEffects(
+                follower_->OnLatestRead(number, begun_at, clock_.Now()));
+          },
+          std::move(leaves_listener)),
       listener_(std::move(listener)) {}
 
 void FollowerDriver::Start(const FollowerConfig& config, uint64_t seed,
                            Instant now, AskDirectory& directory) {
+  latest_number_.SetInstance(config.instance);
   follower_ = MakeVersionFollower(config, seed, now, directory);
 }
 
--- a/src/control/internal/follower_driver.h
+++ b/src/control/internal/follower_driver.h
@@ -23,8 +23,10 @@
   using ActivationListener =
       std::function<void(const ConfigVersionPtr& version, Instant now)>;
 
+  /// @param leaves_listener called once, before a first version comes into use.
   FollowerDriver(const Clock& clock, Metrics& metrics, PeerMessenger& messenger,
-                 GroupClient& group_client, ActivationListener listener);
+                 GroupClient& group_client, ActivationListener listener,
+                 LatestNumberReader::LeavesListener leaves_listener);
 
   /// Makes the follower. Must be called before the other methods, except for
   /// OnAccepted().
--- a/src/control/internal/latest_number_reader.cc
+++ b/src/control/internal/latest_number_reader.cc
@@ -3,6 +3,17 @@
 #include "wire/storage.pb.h"
 
 namespace hibiscusglade {
+namespace {
+
+std::vector<UpstreamLeave> LeavesIn(const wire::VersionQueryAnswer& answer) {
+  std::vector<UpstreamLeave> leaves;
+  for (const wire::UpstreamLeave& in : answer.leaves()) {
+    leaves.push_back({in.upstream(), in.started_at_ms(), in.sequence()});
+  }
+  return leaves;
+}
+
+}  // namespace
 
 void LatestNumberReader::Read() {
   if (pending_) return;
@@ -13,6 +24,7 @@
   query.set_kind(history ? wire::VersionQuery::HISTORY
                          : wire::VersionQuery::LATEST_NUMBER);
   query.set_most(1);
+  query.set_leaves_of(leaves_of_);
   const Instant begun_at = clock_.Now();
   group_client_.Submit(
       GroupId::kVersions, query.SerializeAsString(), true, begun_at,
@@ -22,6 +34,10 @@
         if (result.error || !answer.ParseFromString(result.result)) return;
         reads_history_ = !history && !answer.found();
         if (reads_history_) return;
+        if (!leaves_of_.empty()) {
+          leaves_of_.clear();
+          leaves_listener_(LeavesIn(answer));
+        }
         listener_(answer.versions().empty() ? 0 : answer.versions(0).number(),
                   begun_at);
       });
--- a/src/control/internal/latest_number_reader.h
+++ b/src/control/internal/latest_number_reader.h
@@ -3,15 +3,20 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "control/internal/group_client.h"
+#include "membership/types/upstream_leave.h"
 
 namespace hibiscusglade {
 
 /// Reads the number of the latest version from the leader, one read at a time.
-/// Used on the control thread only.
+/// The first one that is answered also brings the leaves that were recorded for
+/// this daemon before it started: it needs both before it serves. Used on the
+/// control thread only.
 class LatestNumberReader {
  public:
   /// Called with the result of a read that succeeded.
@@ -19,11 +24,18 @@
   /// @param begun_at when the read began.
   using Listener = std::function<void(uint64_t number, Instant begun_at)>;
 
+  /// Called once, before the first call of the Listener.
+  using LeavesListener = std::function<void(std::vector<UpstreamLeave>)>;
+
   LatestNumberReader(GroupClient& group_client, const Clock& clock,
-                     Listener listener)
+                     Listener listener, LeavesListener leaves_listener)
       : group_client_(group_client),
         clock_(clock),
-        listener_(std::move(listener)) {}
+        listener_(std::move(listener)),
+        leaves_listener_(std::move(leaves_listener)) {}
+
+  /// @param instance whose recorded leaves the first read asks for.
+  void SetInstance(std::string instance) { leaves_of_ = std::move(instance); }
 
   /// Begins a read. Has no effect while another one is unanswered.
   void Read();
@@ -32,6 +44,8 @@
   GroupClient& group_client_;
   const Clock& clock_;
   Listener listener_;
+  LeavesListener leaves_listener_;
+  std::string leaves_of_;  ///< Empty once they have been read.
   bool pending_ = false;
   bool reads_history_ = false;  ///< Whether the next read asks for a history.
 };
--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -79,23 +79,27 @@
 
   MembershipEffects OnAnnounce(const UpstreamAnnouncement& upstream,
                                Instant now) override {
-    MembershipEffects effects;
-    if (upstream_.Announce(upstream, now)) PublishUpstream(now, effects);
-    return effects;
+    return PublishIf(upstream_.Announce(upstream, now), now);
   }
 
   MembershipEffects OnUpstreamDown(const std::string& id, int64_t started_at_ms,
                                    Instant now) override {
-    MembershipEffects effects;
-    if (upstream_.MarkDown(id, started_at_ms)) PublishUpstream(now, effects);
-    return effects;
+    return PublishIf(upstream_.MarkDown(id, started_at_ms), now);
   }
 
   MembershipEffects OnUpstreamLeft(const std::string& id, int64_t started_at_ms,
                                    Instant now) override {
-    MembershipEffects effects;
-    if (upstream_.Leave(id, started_at_ms, now)) PublishUpstream(now, effects);
-    return effects;
+    return PublishIf(upstream_.Leave(id, started_at_ms, now), now);
+  }
+
+  MembershipEffects OnLeavesRead(std::vector<UpstreamLeave> leaves,
+                                 Instant now) override {
+    return PublishIf(upstream_.AdoptRecorded(std::move(leaves), now), now);
+  }
+
+  std::optional<IgnoredReason> WhyIgnored(const UpstreamAnnouncement& upstream,
+                                          Instant now) const override {
+    return upstream_.WhyIgnored(upstream, now);
   }
 
   void SetVersionInUse(uint64_t number, Digest digest, Instant now) override {
@@ -163,6 +167,12 @@
     PublishOwnRecord(now, effects);
   }
 
+  MembershipEffects PublishIf(bool upstream_changed, Instant now) {
+    MembershipEffects effects;
+    if (upstream_changed) PublishUpstream(now, effects);
+    return effects;
+  }
+
   void PublishUpstream(Instant now, MembershipEffects& effects) {
     upstream_.Describe(self_);
     PublishOwnRecord(now, effects);
@@ -267,8 +277,9 @@
   void MergeOwnRecord(const InstanceRecord& record, Instant now,
                       MembershipEffects& effects) {
     if (record.incarnation != self_.incarnation) {
-      const bool newer = Overtake(record);
-      if (upstream_.ContinueFrom(record, now) || newer) {
+      const bool overtakes = MustOvertake(self_, record);
+      if (overtakes) self_.incarnation = record.incarnation + 1;
+      if (upstream_.ContinueFrom(record, now) || overtakes) {
         PublishUpstream(now, effects);
       }
       return;
@@ -280,22 +291,6 @@
     PublishOwnRecord(now, effects);
   }
 
-  /// Raises the own incarnation above that of an earlier process, which was
-  /// started before the clock was set back. Leaves an alive process at another
-  /// address alone: two processes of one name would overtake each other
-  /// without end.
-  /// @return whether the incarnation was raised.
-  bool Overtake(const InstanceRecord& record) {
-    const bool may_run_elsewhere =
-        record.state <= InstanceState::kSuspected &&
-        record.control_address != self_.control_address;
-    if (record.incarnation < self_.incarnation || may_run_elsewhere) {
-      return false;
-    }
-    self_.incarnation = record.incarnation + 1;
-    return true;
-  }
-
   void OnAnswerFrom(const std::string& instance, Instant now) {
     const auto* stored = table_.Find(instance);
     if (stored == nullptr) return;
--- a/src/membership/internal/upstream_registration.cc
+++ b/src/membership/internal/upstream_registration.cc
@@ -1,7 +1,6 @@
 #include "membership/internal/upstream_registration.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace hibiscusglade {
@@ -11,9 +10,6 @@
 constexpr size_t kMaxDeparted = 16;
 /// Time between two checks of a lease above which this process has stood still.
 constexpr Duration kPause = std::chrono::seconds(1);
-/// Sequence of an upstream incarnation that has left: all its announcements are
-/// out of date.
-constexpr uint64_t kAfterLeave = std::numeric_limits<uint64_t>::max();
 
 /// @return whether `b` only renews the lease of `a`: nothing differs that peers
 /// or the owner act on.
@@ -32,7 +28,7 @@
 
 bool UpstreamRegistration::Announce(const UpstreamAnnouncement& upstream,
                                     Instant now) {
-  if (IsStale(upstream, now) || !IsExpected(upstream)) return false;
+  if (WhyIgnored(upstream, now).has_value()) return false;
   lease_expires_at_ = now + lease_;
   order_expires_at_ = now + lease_;
   last_start_ms_ = upstream.started_at_ms;
@@ -56,9 +52,7 @@
 
 bool UpstreamRegistration::Leave(const std::string& id, int64_t started_at_ms,
                                  Instant now) {
-  const bool is_current =
-      upstream_.has_value() && (id.empty() || id == upstream_->id) &&
-      (started_at_ms == 0 || started_at_ms == upstream_->started_at_ms);
+  const bool is_current = IsMeant(upstream_, id, started_at_ms);
   const int64_t start = is_current ? upstream_->started_at_ms : started_at_ms;
   // Also one that is not known here: the daemon may have been restarted.
   if (!id.empty()) Remember({id, start, now + lease_});
@@ -93,10 +87,16 @@
   last_start_ms_ = started_at_ms;
   last_sequence_ = earlier.upstream_sequence;
   order_expires_at_ = now + lease_;
-  if (upstream_.has_value() && IsStale(*upstream_, now)) upstream_.reset();
+  RemoveIfStale(now);
   return true;
 }
 
+bool UpstreamRegistration::AdoptRecorded(std::vector<UpstreamLeave> leaves,
+                                         Instant now) {
+  recorded_ = std::move(leaves);
+  return RemoveIfStale(now);
+}
+
 void UpstreamRegistration::Describe(InstanceRecord& self) const {
   self.upstream_state = UpstreamState::kNone;
   if (upstream_.has_value()) {
@@ -127,6 +127,24 @@
   return true;
 }
 
+bool UpstreamRegistration::RemoveIfStale(Instant now) {
+  if (!upstream_.has_value() || !WhyIgnored(*upstream_, now).has_value()) {
+    return false;
+  }
+  upstream_.reset();
+  return true;
+}
+
+bool UpstreamRegistration::IsRecordedLeave(
+    const UpstreamAnnouncement& upstream) const {
+  return std::any_of(recorded_.begin(), recorded_.end(),
+                     [&](const UpstreamLeave& leave) {
+                       return leave.id == upstream.id &&
+                              leave.started_at_ms == upstream.started_at_ms &&
+                              upstream.sequence < leave.sequence;
+                     });
+}
+
 bool UpstreamRegistration::HasLeft(const UpstreamAnnouncement& upstream,
                                    Instant now) const {
   return std::any_of(
@@ -138,16 +156,23 @@
       });
 }
 
-bool UpstreamRegistration::IsStale(const UpstreamAnnouncement& upstream,
-                                   Instant now) const {
-  if (HasLeft(upstream, now)) return true;
+std::optional<IgnoredReason> UpstreamRegistration::WhyIgnored(
+    const UpstreamAnnouncement& upstream, Instant now) const {
+  if (!IsExpected(upstream)) return IgnoredReason::kUnexpected;
+  if (IsRecordedLeave(upstream)) return IgnoredReason::kLeaveRecorded;
+  if (HasLeft(upstream, now)) return IgnoredReason::kLeft;
   const bool order_expired = now >= order_expires_at_;
   if (upstream.started_at_ms != last_start_ms_) {
-    return upstream.started_at_ms < last_start_ms_ && !order_expired;
+    if (upstream.started_at_ms > last_start_ms_ || order_expired) {
+      return std::nullopt;
+    }
+    return IgnoredReason::kEarlierStart;
   }
-  if (upstream.started_at_ms == 0 && order_expired) return false;
-  return (last_id_.empty() || upstream.id == last_id_) &&
-         upstream.sequence < last_sequence_;
+  if (upstream.started_at_ms == 0 && order_expired) return std::nullopt;
+  const bool is_earlier = (last_id_.empty() || upstream.id == last_id_) &&
+                          upstream.sequence < last_sequence_;
+  if (!is_earlier) return std::nullopt;
+  return IgnoredReason::kEarlierSequence;
 }
 
 bool UpstreamRegistration::IsExpected(
--- a/src/membership/internal/upstream_registration.h
+++ b/src/membership/internal/upstream_registration.h
@@ -5,10 +5,12 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "membership/membership.h"
 #include "membership/types/instance_record.h"
+#include "membership/types/upstream_leave.h"
 
 namespace hibiscusglade {
 
@@ -42,6 +44,14 @@
   /// @return whether anything changed that peers or the owner act on.
   bool ContinueFrom(const InstanceRecord& earlier, Instant now);
 
+  /// As Membership::OnLeavesRead().
+  /// @return whether the upstream was removed.
+  bool AdoptRecorded(std::vector<UpstreamLeave> leaves, Instant now);
+
+  /// As Membership::WhyIgnored().
+  std::optional<IgnoredReason> WhyIgnored(const UpstreamAnnouncement& upstream,
+                                          Instant now) const;
+
   /// Writes the upstream, or what is remembered of the last one, into this
   /// daemon's record.
   void Describe(InstanceRecord& self) const;
@@ -64,11 +74,12 @@
   /// @return whether it is news.
   bool AdoptDeparted(const std::string& id, int64_t started_at_ms);
 
-  bool HasLeft(const UpstreamAnnouncement& upstream, Instant now) const;
+  /// Removes the upstream when its last announcement is out of date by what was
+  /// learned since.
+  bool RemoveIfStale(Instant now);
 
-  /// @return whether an announcement is of an earlier upstream incarnation, of
-  /// one that has left, or older than the last one of the same incarnation.
-  bool IsStale(const UpstreamAnnouncement& upstream, Instant now) const;
+  bool IsRecordedLeave(const UpstreamAnnouncement& upstream) const;
+  bool HasLeft(const UpstreamAnnouncement& upstream, Instant now) const;
 
   bool IsExpected(const UpstreamAnnouncement& upstream) const;
 
@@ -86,6 +97,10 @@
   std::string last_id_;
   uint64_t last_sequence_ = 0;
   std::deque<Departed> departed_;  ///< Oldest first.
+  /// Read from the replicas. Each is of one start exactly: the clock may have
+  /// been set back since, and a later start under the same id must not be taken
+  /// for it.
+  std::vector<UpstreamLeave> recorded_;
 };
 
 }  // namespace hibiscusglade
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "membership/types/instance_record.h"
+#include "membership/types/upstream_leave.h"
 
 namespace hibiscusglade {
 
@@ -127,6 +128,17 @@
                                            int64_t started_at_ms,
                                            Instant now) = 0;
 
+  /// Takes in the leaves that the replicas have recorded for this daemon, which
+  /// its earlier processes acknowledged. Removes the local upstream when it has
+  /// registered by an announcement from before its leave.
+  virtual MembershipEffects OnLeavesRead(std::vector<UpstreamLeave> leaves,
+                                         Instant now) = 0;
+
+  /// @return why OnAnnounce() would ignore an announcement; nullopt when it
+  /// would not.
+  virtual std::optional<IgnoredReason> WhyIgnored(
+      const UpstreamAnnouncement& upstream, Instant now) const = 0;
+
   /// Sets the version in use that this daemon gossips in its record.
   virtual void SetVersionInUse(uint64_t number, Digest digest, Instant now) = 0;
 
--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -112,6 +112,17 @@
          earlier.incarnation < later.incarnation;
 }
 
+/// @return whether a daemon has to raise its incarnation above that of an
+/// earlier process, which was started before the clock was set back. Not above
+/// that of an alive process at another address: two processes of one name would
+/// overtake each other without end.
+inline bool MustOvertake(const InstanceRecord& self,
+                         const InstanceRecord& other) {
+  const bool may_run_elsewhere = other.state <= InstanceState::kSuspected &&
+                                 other.control_address != self.control_address;
+  return other.incarnation >= self.incarnation && !may_run_elsewhere;
+}
+
 /// @return whether a record is to be sent before others, as no more requests
 /// must be sent there: its daemon leaves or its upstream drains.
 inline bool IsUrgent(const InstanceRecord& record) {
--- a/src/upstream/announcement_api.h
+++ b/src/upstream/announcement_api.h
@@ -14,11 +14,13 @@
   /// The upstream registers, renews its announcement, or changes its state.
   /// Waits until the announcement is in effect: from then on requests are
   /// admitted according to it, none to an upstream that drains.
-  /// @return whether it was in effect within a time limit; otherwise it must
-  /// not be acknowledged.
+  /// A drain is also recorded by the replicas.
+  /// @return whether it was in effect, and recorded, within a time limit;
+  /// otherwise it must not be acknowledged.
   virtual bool Announce(const UpstreamAnnouncement& upstream) = 0;
 
-  /// The upstream has deregistered.
+  /// The upstream has deregistered. Waits until that is in effect and recorded
+  /// by the replicas.
   /// @param id of the upstream incarnation that left; empty: the registered
   /// one, whatever its id.
   /// @param started_at_ms wall-clock time at which it started; 0: not given.
--- a/src/upstream/internal/upstream_result_codes.cc
+++ b/src/upstream/internal/upstream_result_codes.cc
@@ -8,10 +8,11 @@
      404, Certainty::kNotApplicable, "Check method and path."},
     {8002, "malformed-announcement", "the announcement has faults", 400,
      Certainty::kNotApplicable, "Correct every reported fault."},
-    {8003, "not-in-effect", "the announcement is not in effect yet", 503,
+    {8003, "not-in-effect",
+     "the announcement is not in effect yet, or the leave is not recorded", 503,
      Certainty::kNotApplicable,
      "Send it again. When it persists: check the daemon's load and "
-     "control_turn_seconds."},
+     "control_turn_seconds; for a leave, leaves_unrecorded_total."},
 };
 
 }  // namespace
--- a/src/versions/internal/version_ledger.cc
+++ b/src/versions/internal/version_ledger.cc
@@ -6,6 +6,7 @@
 
 #include "base/compression.h"
 #include "versions/config_reader.h"
+#include "versions/internal/leave_table.h"
 #include "versions/versions_result_codes.h"
 #include "wire/storage.pb.h"
 
@@ -56,7 +57,9 @@
 };
 
 VersionLedger::VersionLedger(Listener listener)
-    : listener_(std::move(listener)), latest_(EmptyConfigVersion()) {
+    : listener_(std::move(listener)),
+      latest_(EmptyConfigVersion()),
+      leaves_(std::make_unique<LeaveTable>()) {
   versions_.push_back(
       {0, 0, latest_->digest, "[]", latest_->text, "", "", 0, ""});
 }
@@ -70,6 +73,9 @@
     verdict.set_code(NumberOf(VersionsCode::kDamagedCommand));
     return verdict.SerializeAsString();
   }
+  if (command.has_leave()) {
+    return ApplyLeave(command.leave()).SerializeAsString();
+  }
   if (command.patch_id().empty()) {
     verdict.set_code(NumberOf(VersionsCode::kMissingPatchId));
     return verdict.SerializeAsString();
@@ -100,6 +106,17 @@
   return verdict.SerializeAsString();
 }
 
+wire::PatchVerdict VersionLedger::ApplyLeave(const wire::UpstreamLeave& leave) {
+  wire::PatchVerdict verdict;
+  verdict.set_latest(Latest()->number);
+  if (leave.instance().empty() || leave.upstream().empty()) {
+    verdict.set_code(NumberOf(VersionsCode::kDamagedCommand));
+    return verdict;
+  }
+  leaves_->Record(leave);
+  return verdict;
+}
+
 VersionLedger::RecordedVerdict VersionLedger::ApplyProposal(
     const wire::PatchCommand& command) {
   RecordedVerdict recorded;
@@ -302,6 +319,11 @@
     if (with_text) out->set_source(version.source);
     answer.set_found(true);
   };
+  if (!query.leaves_of().empty()) {
+    for (wire::UpstreamLeave& leave : leaves_->Of(query.leaves_of())) {
+      *answer.add_leaves() = std::move(leave);
+    }
+  }
   switch (query.kind()) {
     case wire::VersionQuery::LATEST:
       add(versions_.back(), true);
@@ -356,6 +378,9 @@
     out->set_patch_digest(recorded.patch_digest);
     *out->mutable_verdict() = recorded.verdict;
   }
+  for (wire::UpstreamLeave& leave : leaves_->All()) {
+    *snapshot.add_leaves() = std::move(leave);
+  }
   return snapshot.SerializeAsString();
 }
 
@@ -371,6 +396,10 @@
   for (const wire::StoredVerdict& in : snapshot.verdicts()) {
     RecordVerdict(in.patch_id(), {in.patch_digest(), in.verdict()});
   }
+  *leaves_ = LeaveTable();
+  for (const wire::UpstreamLeave& leave : snapshot.leaves()) {
+    leaves_->Record(leave);
+  }
   listener_(Latest());
   return true;
 }
--- a/src/versions/version_ledger.h
+++ b/src/versions/version_ledger.h
@@ -18,15 +18,20 @@
 namespace wire {
 class PatchCommand;
 class PatchVerdict;
+class UpstreamLeave;
 class VersionQuery;
 class VersionQueryAnswer;
 class VersionsSnapshot;
 }  // namespace wire
 
-/// Replicated state of the versions group: the accepted versions and the
-/// verdicts on proposals. A proposal is a patch, which gets the next number, or
-/// a whole document with a number above the latest that its proposer chose.
-/// Commands are wire::PatchCommand, results wire::PatchVerdict, reads
+class LeaveTable;
+
+/// Replicated state of the versions group: the accepted versions, the verdicts
+/// on proposals and the last leaves of upstreams. A proposal is a patch, which
+/// gets the next number, or a whole document with a number above the latest
+/// that its proposer chose. A leave is recorded before it is acknowledged to
+/// the upstream, so that a daemon knows it also after all processes were
+/// killed. Commands are wire::PatchCommand, results wire::PatchVerdict, reads
 /// wire::VersionQuery and wire::VersionQueryAnswer.
 class VersionLedger : public ReplicatedState {
  public:
@@ -61,6 +66,7 @@
   };
   struct RecordedVerdict;
 
+  wire::PatchVerdict ApplyLeave(const wire::UpstreamLeave& leave);
   RecordedVerdict ApplyProposal(const wire::PatchCommand& command);
   ConfigVersionPtr BuildFromPatch(const wire::PatchCommand& command,
                                   std::vector<SettingsFault>& faults,
@@ -90,6 +96,7 @@
   std::map<std::string, RecordedVerdict> verdicts_;
   std::deque<std::string> verdict_order_;
   size_t verdict_bytes_ = 0;
+  std::unique_ptr<LeaveTable> leaves_;
 };
 
 }  // namespace hibiscusglade
--- a/tests/tools/standin_upstream.cc
+++ b/tests/tools/standin_upstream.cc
@@ -37,6 +37,8 @@
 DEFINE_int32(cold_factor, 1, "factor on service times during cold_ms");
 DEFINE_int32(straggler_every, 0, "every n-th request is a straggler; 0: none");
 DEFINE_int32(straggler_factor, 1, "how many times longer a straggler runs");
+DEFINE_string(echo_field, "", "header field of requests that answers repeat");
+DEFINE_string(receipt_field, "", "header field added to answers");
 DEFINE_int32(max_connections, 130, "connections accepted at the same time");
 
 namespace hibiscusglade {
@@ -175,6 +177,14 @@
         &Standin::FreeTransfer);
     MHD_add_response_header(response, "Content-Type", "text/plain");
     MHD_add_response_header(response, "Accept-Ranges", "bytes");
+    if (!FLAGS_echo_field.empty()) {
+      MHD_add_response_header(
+          response, FLAGS_echo_field.c_str(),
+          HeaderField(connection, FLAGS_echo_field.c_str()).c_str());
+    }
+    if (!FLAGS_receipt_field.empty()) {
+      MHD_add_response_header(response, FLAGS_receipt_field.c_str(), "standin");
+    }
     unsigned status = MHD_HTTP_OK;
     if (first > 0) {
       status = MHD_HTTP_PARTIAL_CONTENT;
