--- a/src/versions/internal/leave_table.cc
+++ b/src/versions/internal/leave_table.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr size_t kMaxInstances = 10000;
-constexpr size_t kMaxLeavesOfInstance = 8;
+constexpr size_t kMaxLeavesOfInstance = 4;
 
 bool IsSameIncarnation(const wire::UpstreamLeave& a,
                        const wire::UpstreamLeave& b) {
