--- a/src/membership/types/upstream_leave.h
+++ b/src/membership/types/upstream_leave.h
@@ -39,7 +39,7 @@
 
 /// @return the leave that a deregistration tells of; nullopt when the upstream
 /// can't be told from a later start under its id.
-/// @param id empty: of the local upstream.
+/// @param id empty: not given.
 /// @param started_at_ms 0: not given.
 inline std::optional<UpstreamLeave> LeaveOf(
     const std::optional<UpstreamAnnouncement>& local, const std::string& id,
