Compare leaves and announcements by one predicate

Cause: the recorder and the registration each compared id and start of a leave with those of an announcement by hand, and a method of three lines chose the leave to record.

Change: IsOf() in upstream_leave.h serves both; the method is gone, OnAnnounce() says when a leave is recorded. No change of behaviour, no test changed.

--- a/src/control/internal/leave_recorder.cc
+++ b/src/control/internal/leave_recorder.cc
@@ -71,8 +71,7 @@
 }
 
 bool LeaveRecorder::IsInForce(const UpstreamLeave& leave) const {
-  return !last_serving_.has_value() || leave.id != last_serving_->id ||
-         leave.started_at_ms != last_serving_->started_at_ms ||
+  return !last_serving_.has_value() || !IsOf(leave, *last_serving_) ||
          leave.sequence > last_serving_->sequence;
 }
 
--- a/src/control/internal/upstream_announcements.cc
+++ b/src/control/internal/upstream_announcements.cc
@@ -22,7 +22,8 @@
   UpstreamAnnouncement announcement = upstream;
   if (draining_) announcement.state = UpstreamState::kDraining;
   const auto ignored = Handle(announcement, posted_at);
-  Record(LeaveToRecord(upstream, ignored), std::move(done));
+  const bool is_expected = ignored != IgnoredReason::kUnexpected;
+  Record(is_expected ? LeaveIn(upstream) : std::nullopt, std::move(done));
 }
 
 void UpstreamAnnouncements::OnDeregister(const std::string& id,
@@ -82,13 +83,6 @@
   return std::nullopt;
 }
 
-std::optional<UpstreamLeave> UpstreamAnnouncements::LeaveToRecord(
-    const UpstreamAnnouncement& upstream,
-    const std::optional<IgnoredReason>& ignored) const {
-  if (ignored == IgnoredReason::kUnexpected) return std::nullopt;
-  return LeaveIn(upstream);
-}
-
 void UpstreamAnnouncements::Record(const std::optional<UpstreamLeave>& leave,
                                    LeaveRecorder::Done done) {
   if (leave.has_value()) {
--- a/src/control/internal/upstream_announcements.h
+++ b/src/control/internal/upstream_announcements.h
@@ -2,6 +2,7 @@
 #define HIBISCUSGLADE_CONTROL_INTERNAL_UPSTREAM_ANNOUNCEMENTS_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,12 +54,8 @@
   std::optional<IgnoredReason> Handle(const UpstreamAnnouncement& upstream,
                                       Instant posted_at);
 
-  /// @return the leave that has to be recorded before the announcement is
-  /// acknowledged, if any.
-  std::optional<UpstreamLeave> LeaveToRecord(
-      const UpstreamAnnouncement& upstream,
-      const std::optional<IgnoredReason>& ignored) const;
-
+  /// Has a leave recorded before it is acknowledged; without one, there is
+  /// nothing to wait for.
   void Record(const std::optional<UpstreamLeave>& leave,
               LeaveRecorder::Done done);
 
--- a/src/membership/internal/upstream_registration.cc
+++ b/src/membership/internal/upstream_registration.cc
@@ -137,12 +137,10 @@
 
 bool UpstreamRegistration::IsRecordedLeave(
     const UpstreamAnnouncement& upstream) const {
-  return std::any_of(recorded_.begin(), recorded_.end(),
-                     [&](const UpstreamLeave& leave) {
-                       return leave.id == upstream.id &&
-                              leave.started_at_ms == upstream.started_at_ms &&
-                              upstream.sequence < leave.sequence;
-                     });
+  return std::any_of(
+      recorded_.begin(), recorded_.end(), [&](const UpstreamLeave& leave) {
+        return IsOf(leave, upstream) && upstream.sequence < leave.sequence;
+      });
 }
 
 bool UpstreamRegistration::HasLeft(const UpstreamAnnouncement& upstream,
--- a/src/membership/types/upstream_leave.h
+++ b/src/membership/types/upstream_leave.h
@@ -28,6 +28,13 @@
   return a.id == b.id && a.started_at_ms == b.started_at_ms;
 }
 
+/// @return whether a leave is of the incarnation that announces itself.
+inline bool IsOf(const UpstreamLeave& leave,
+                 const UpstreamAnnouncement& upstream) {
+  return leave.id == upstream.id &&
+         leave.started_at_ms == upstream.started_at_ms;
+}
+
 /// @return whether a deregistration is of the local upstream.
 /// @param id empty matches any.
 /// @param started_at_ms 0 matches any.
