Add the seams for customers, limits, rollouts and room

Change: the document's types hold customers with digests of keys and open routes; calls carry the customer's name and priority, never the key; records hold the version of the upstream's software; the log and the confirmations have room for rollouts. The route table finds a key's customer, a service's rollout and the daemons of a failure domain.

Nothing fills the new fields yet.

--- a/src/calls/types/call_types.h
+++ b/src/calls/types/call_types.h
@@ -2,6 +2,7 @@
 #define HIBISCUSGLADE_CALLS_TYPES_CALL_TYPES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -37,6 +38,13 @@
   /// Service of the upstream beside the entry; set by the entry.
   std::string origin_service;
   std::string idempotency_key;
+  /// Key that the caller presented; empty: none, or several. Erased once the
+  /// customer is known, and never sent to another process.
+  std::string access_key;
+  /// Header fields with which it was presented. They are ordinary fields, and
+  /// forwarded, only where the configuration requires no keys.
+  std::vector<HeaderField> key_fields;
+  std::string customer;  ///< Name of the key's customer; set by the entry.
 
   friend bool operator==(const CallRequest&, const CallRequest&) = default;
 };
@@ -65,6 +73,8 @@
   /// offered: the owner grants the pieces in which it is sent. Zero: the
   /// request is whole.
   uint64_t offered_bytes = 0;
+  /// Priority of the customer, in place of that of the request's class.
+  std::optional<uint32_t> priority;
   /// Id of the upstream incarnation that the owner sends to; set by the owner.
   std::string upstream_id;
 
--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -105,6 +105,7 @@
   out.set_upstream_state(static_cast<uint32_t>(record.upstream_state));
   out.set_upstream_started_at_ms(record.upstream_started_at_ms);
   out.set_upstream_sequence(record.upstream_sequence);
+  out.set_upstream_version(record.upstream_version);
   out.set_version_in_use(record.version_in_use);
   out.set_version_digest(record.version_digest);
   out.set_replica(record.replica);
@@ -133,6 +134,7 @@
   record.upstream_state = static_cast<UpstreamState>(in.upstream_state());
   record.upstream_started_at_ms = in.upstream_started_at_ms();
   record.upstream_sequence = in.upstream_sequence();
+  record.upstream_version = in.upstream_version();
   record.version_in_use = in.version_in_use();
   record.version_digest = in.version_digest();
   record.replica = in.replica();
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -8,26 +8,17 @@
 #include "calls/stop_limit.h"
 #include "entry/internal/attempt_policy.h"
 #include "entry/internal/body_sender.h"
+#include "entry/internal/call_intake.h"
 #include "entry/internal/call_reporter.h"
 #include "entry/internal/call_table.h"
-#include "entry/internal/caller_wait_estimator.h"
 #include "routing/routing_result_codes.h"
-#include "routing/share_picker.h"
 
 namespace hibiscusglade {
 namespace {
 
-/// A daemon that has just started receives the version within some hundred
-/// milliseconds.
-constexpr Duration kNoVersionRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kMinRetryPause = std::chrono::milliseconds(10);
 constexpr uint64_t kJitterSteps = 8;
 
-Refusal RefusalOf(RoutingCode code, Certainty certainty) {
-  const std::error_code error = code;
-  return {error, certainty, error.message(), {}};
-}
-
 class EntryImpl : public Entry {
  public:
   EntryImpl(std::string instance, uint64_t incarnation, const EntryParts& parts)
@@ -35,7 +26,7 @@
         attempt_id_prefix_(instance_ + "/" + std::to_string(incarnation) + "/"),
         parts_(parts),
         reporter_(parts.metrics),
-        share_picker_(DigestOf(attempt_id_prefix_)) {}
+        intake_(parts.routes, stop_limit_, DigestOf(attempt_id_prefix_)) {}
 
   void Begin(CallHandle handle, CallRequest request,
              std::unique_ptr<CallerStream> stream, Instant now) override {
@@ -43,20 +34,10 @@
     call.request = std::move(request);
     call.stream = std::move(stream);
     call.began = now;
-    if (auto refused = FindRoute(call)) {
-      Refusal refusal = RefusalOf(*refused, Certainty::kNotRun);
-      if (*refused == RoutingCode::kNoVersion) {
-        refusal.retry_after = kNoVersionRetryAfter;
-      } else if (*refused == RoutingCode::kStopping) {
-        refusal.retry_after = stop_limit_.RetryAfter(now);
-      }
-      Refuse(call, refusal, now);
+    if (const auto refusal = intake_.Open(call, now)) {
+      Refuse(call, *refusal, now);
       return;
     }
-    call.SetDeadlines(now);
-    const Duration prior_wait = wait_estimator_.EstimatePriorWait(
-        call.route->name, call.request.timeout, call.route->timeout, now);
-    call.objective = now + call.route->objective - prior_wait;
     policy_.OnCall(call.service, call.limits);
     SendAttempt(handle, calls_.Add(handle, std::move(call)), false, now);
   }
@@ -204,7 +185,7 @@
     }
   }
 
-  void Stop() override { stopping_ = true; }
+  void Stop() override { intake_.Stop(); }
 
   std::vector<UnfinishedRequest> CutOpenCalls(Instant now) override {
     std::vector<UnfinishedRequest> cut;
@@ -246,22 +227,6 @@
         id, RefusalOf(RoutingCode::kAnswerBroken, Certainty::kUnknown), now);
   }
 
-  std::optional<RoutingCode> FindRoute(OpenCall& call) {
-    const RouteTablePtr table = parts_.routes.Current();
-    if (table != nullptr) call.version = table->VersionNumber();
-    call.confirmed_ago = parts_.routes.ConfirmationAge(call.began);
-    if (stopping_) return RoutingCode::kStopping;
-    if (table == nullptr) return RoutingCode::kNoVersion;
-    const RouteConfig* route = table->Match(
-        call.request.host, call.request.method, call.request.target);
-    if (route == nullptr) return RoutingCode::kNoRoute;
-    call.route = *route;
-    call.limits = table->Document().limits;
-    call.service = share_picker_.PickService(*route);
-    call.upstreams = table->UpstreamsOf(call.service);
-    return std::nullopt;
-  }
-
   /// Passes the load report of an answer to the chooser.
   /// @return the call of the attempt; nullptr when the attempt is not open.
   OpenCall* RecordLoadAndFindCall(const AttemptId& id, const LoadReport& load,
@@ -479,12 +444,10 @@
   EntryParts parts_;
   CallReporter reporter_;
   AttemptPolicy policy_;
-  CallerWaitEstimator wait_estimator_;
-  SharePicker share_picker_;
   CallTable calls_;
   uint64_t last_attempt_ = 0;
   StopLimit stop_limit_;
-  bool stopping_ = false;
+  CallIntake intake_;
 };
 
 }  // namespace
--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -79,6 +79,8 @@
   int64_t upstream_started_at_ms = 0;
   /// Announcements of that incarnation with a lower sequence are out of date.
   uint64_t upstream_sequence = 0;
+  /// Version of the upstream's software; empty: unknown.
+  std::string upstream_version;
   uint64_t version_in_use = 0;
   Digest version_digest = 0;
   bool replica = false;
@@ -142,6 +144,7 @@
   uint64_t sequence = 0;      ///< Raised with each announcement; 0: unknown.
   /// Time for which runs stay slow after the upstream's start.
   Duration cold_remaining{};
+  std::string software_version;  ///< Of the upstream; empty: unknown.
 
   friend bool operator==(const UpstreamAnnouncement&,
                          const UpstreamAnnouncement&) = default;
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -13,6 +13,7 @@
 #include "owner/internal/slot_gate.h"
 #include "owner/internal/start_check.h"
 #include "owner/internal/upstream_watch.h"
+#include "owner/internal/waiting_jobs.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
@@ -132,14 +133,9 @@
 
   void BeginStop(Instant end, Instant now) override {
     start_check_.BeginStop(end);
-    RefuseQueued(RoutingCode::kStopsTooSoon, end);
+    waiting_.RefuseQueued(RoutingCode::kStopsTooSoon, end);
     RefuseHeld(RoutingCode::kStopsTooSoon, now, end);
-    for (SlotRequestId id : jobs_.IdsAt(JobStage::kClaiming, end)) {
-      Job& job = jobs_[id];
-      if (!job.pending_refusal) {
-        job.pending_refusal = RoutingCode::kStopsTooSoon;
-      }
-    }
+    waiting_.RefuseClaiming(RoutingCode::kStopsTooSoon, end);
   }
 
   std::vector<UnfinishedRequest> CutOpenAttempts(Instant now) override {
@@ -163,7 +159,7 @@
 
   void Drain(Instant now) override {
     start_check_.Drain();
-    RefuseReceiving(AdmissionCode::kDraining);
+    waiting_.RefuseReceiving(AdmissionCode::kDraining);
     Apply(admission_->Drain(now), now);
   }
 
@@ -252,7 +248,7 @@
 
   void OnProbed(bool reachable, Instant now) override {
     if (upstream_.OnProbed(reachable, now)) {
-      RefuseQueued(AdmissionCode::kNotServing);
+      waiting_.RefuseQueued(AdmissionCode::kNotServing);
     }
     if (!upstream_.MayHaveDied()) closer_.RefuseConnectionLost();
   }
@@ -266,10 +262,10 @@
     limits.draining = upstream_.Drains();
     Apply(admission_->Configure(limits, now), now);
     if (upstream_.Drains()) {
-      RefuseReceiving(AdmissionCode::kDraining);
+      waiting_.RefuseReceiving(AdmissionCode::kDraining);
       RefuseHeld(AdmissionCode::kDraining, now);
     } else if (!upstream.has_value()) {
-      RefuseReceiving(AdmissionCode::kNotServing);
+      waiting_.RefuseReceiving(AdmissionCode::kNotServing);
       RefuseHeld(AdmissionCode::kNotServing, now);
     }
   }
@@ -277,7 +273,7 @@
   void EndAnnouncementOf(const Job& job, Instant now) {
     if (!upstream_.EndAnnouncementOf(job)) return;
     if (upstream_.Current().has_value()) {
-      RefuseQueued(AdmissionCode::kNotServing);
+      waiting_.RefuseQueued(AdmissionCode::kNotServing);
     } else {
       ConfigureAdmission(now);
     }
@@ -304,7 +300,8 @@
     job.stage = JobStage::kQueued;
     Apply(admission_->OnRequest(
               {id, job.attempt.request_class, job.attempt.request.caller,
-               job.deadline, job.objective, Duration{}},
+               job.deadline, job.objective, Duration{},
+               job.attempt.request.customer, job.attempt.priority},
               now),
           now);
   }
@@ -397,34 +394,11 @@
     }
   }
 
-  /// Refuses the attempts whose bodies are on their way, if their deadline is
-  /// later than `after`.
-  void RefuseReceiving(const std::error_code& code, Instant after = {}) {
-    for (SlotRequestId id : jobs_.IdsAt(JobStage::kReceiving, after)) {
-      closer_.RefuseNotRun(id, code);
-    }
-  }
-
-  /// Refuses the attempts that have no slot yet, if their deadline is later
-  /// than `after`.
-  void RefuseQueued(const std::error_code& code, Instant after = {}) {
-    RefuseReceiving(code, after);
-    for (SlotRequestId id : jobs_.IdsAt(JobStage::kQueued, after)) {
-      admission_->CancelQueued(id);
-      closer_.RefuseNotRun(id, code);
-    }
-  }
-
   /// Refuses attempts that have a slot but wait behind a suspect, if their
   /// deadline is later than `after`.
   void RefuseHeld(const std::error_code& code, Instant now,
                   Instant after = {}) {
-    const std::vector<SlotRequestId> held =
-        jobs_.IdsAt(JobStage::kAdmitted, after);
-    // All at once, so that none starts when one before it is removed.
-    for (SlotRequestId id : held) gate_.Remove(id);
-    for (SlotRequestId id : held) {
-      closer_.RefuseNotRun(id, code);
+    for (SlotRequestId id : waiting_.RefuseHeld(code, after)) {
       ReleaseSlot(id, now);
     }
   }
@@ -477,6 +451,7 @@
   StartCheck start_check_;
   std::unique_ptr<Admission> admission_ = MakeAdmission();
   SlotGate gate_;
+  WaitingJobs waiting_{jobs_, *admission_, gate_, closer_};
   AdmissionConfig limits_;
   RunReporter reporter_;
 };
--- a/src/requests/internal/call_codec.cc
+++ b/src/requests/internal/call_codec.cc
@@ -34,6 +34,8 @@
   out.set_caller(request.caller);
   out.set_host(request.host);
   out.set_origin_service(request.origin_service);
+  out.set_customer(request.customer);
+  out.set_customer_priority(attempt.priority ? *attempt.priority + 1 : 0);
   out.set_unclaimed(!attempt.claimed);
   // In the message, 0 means no objective: one that has passed is sent as 1 us.
   out.set_objective_micros(
@@ -53,6 +55,8 @@
   attempt.request.idempotency_key = in.idempotency_key();
   attempt.request.host = in.host();
   attempt.request.origin_service = in.origin_service();
+  attempt.request.customer = in.customer();
+  if (in.customer_priority() > 0) attempt.priority = in.customer_priority() - 1;
   attempt.claimed = !in.unclaimed();
   attempt.objective = Duration(static_cast<int64_t>(in.objective_micros()));
   attempt.offered_bytes = in.offered_bytes();
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "entry/entry.h"
 #include "owner/owner.h"
+#include "peer/request_part.h"
 #include "requests/internal/answer_messages.h"
 #include "requests/internal/call_codec.h"
 #include "requests/internal/link_delay.h"
@@ -329,6 +330,7 @@
       next_tick_ = now + kTickInterval;
       entry_->OnTick(now);
       owner_->OnTick(now);
+      for (RequestPart* part : parts_) part->OnTick(now);
       if (now < next_link_check_) continue;
       next_link_check_ = now + kLinkCheckInterval;
       CheckLinks(now);
@@ -416,10 +418,19 @@
         quarantine_->OnNotice(FromWire(message.quarantine_notice()), now);
         break;
       default:
-        PassToEntry(message, *entry_, now);
+        if (!PassToPart(from, path, message, now)) {
+          PassToEntry(message, *entry_, now);
+        }
     }
   }
 
+  bool PassToPart(const std::string& from, const ReturnPath& path,
+                  const wire::Envelope& message, Instant now) {
+    return std::ranges::any_of(parts_, [&](RequestPart* part) {
+      return part->OnPeerMessage(from, path, message, now);
+    });
+  }
+
   void OnCallStart(const ReturnPath& path, const wire::CallStart& start,
                    Instant now) {
     CallAttempt attempt = FromWire(start);
@@ -452,6 +463,8 @@
   RunEventsForwarder run_events_;
   std::unique_ptr<UpstreamClient> upstream_;
   std::unique_ptr<Owner> owner_;
+  /// Parts with messages of their own. None so far.
+  std::vector<RequestPart*> parts_;
   AnnouncementSink* announcements_ = nullptr;
   LinkWatch links_;
   LinkDelay delay_;
--- /dev/null
+++ b/src/routing/domain_coordinator.h
@@ -0,0 +1,33 @@
+#ifndef HIBISCUSGLADE_ROUTING_DOMAIN_COORDINATOR_H_
+#define HIBISCUSGLADE_ROUTING_DOMAIN_COORDINATOR_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hibiscusglade {
+
+/// A daemon that may coordinate others of its failure domain.
+struct DomainDaemon {
+  std::string instance;
+  std::string failure_domain;
+  std::string request_address;
+  uint64_t incarnation = 0;
+  std::string service;  ///< Of its upstream; empty while none is known.
+
+  friend bool operator==(const DomainDaemon&, const DomainDaemon&) = default;
+};
+
+/// Chooses the coordinator of a matter in a failure domain by rendezvous
+/// hashing: daemons that know the same daemons choose the same one, and one
+/// that comes or goes changes the choice for few matters.
+/// @param daemons of one failure domain.
+/// @param matter such as "limits".
+/// @return nullptr when there is no daemon.
+const DomainDaemon* ChooseCoordinator(const std::vector<DomainDaemon>& daemons,
+                                      std::string_view matter);
+
+}  // namespace hibiscusglade
+
+#endif  // HIBISCUSGLADE_ROUTING_DOMAIN_COORDINATOR_H_
--- a/src/routing/internal/route_table.cc
+++ b/src/routing/internal/route_table.cc
@@ -17,7 +17,12 @@
 
 RouteTable::RouteTable(ConfigVersionPtr version,
                        const std::vector<InstanceRecord>& records)
-    : version_(std::move(version)) {
+    : RouteTable(std::move(version), MeshView{records, {}}) {}
+
+RouteTable::RouteTable(ConfigVersionPtr version, MeshView view)
+    : version_(std::move(version)),
+      rollouts_(std::move(view.rollouts)),
+      customers_(version_->document) {
   std::map<std::string, std::vector<UpstreamTarget>> upstreams;
   for (const auto& [name, service] : version_->document.services) {
     upstreams[name];
@@ -30,7 +35,8 @@
                    [](const RouteConfig* a, const RouteConfig* b) {
                      return a->path_prefix.size() > b->path_prefix.size();
                    });
-  for (const InstanceRecord& record : records) {
+  for (const InstanceRecord& record : view.records) {
+    AddDaemon(record);
     auto service = upstreams.find(record.service);
     const bool accepts_requests =
         record.state == InstanceState::kAlive &&
@@ -39,7 +45,10 @@
     if (service == upstreams.end() || !accepts_requests) continue;
     service->second.push_back({record.instance, record.failure_domain,
                                record.request_address, record.slots,
-                               record.incarnation});
+                               record.incarnation, record.upstream_version});
+  }
+  for (auto& [domain, daemons] : daemons_) {
+    std::ranges::sort(daemons, {}, &DomainDaemon::instance);
   }
   for (auto& [name, targets] : upstreams) {
     std::sort(targets.begin(), targets.end(),
@@ -51,6 +60,32 @@
   }
 }
 
+void RouteTable::AddDaemon(const InstanceRecord& record) {
+  std::vector<DomainDaemon>& daemons = daemons_[record.failure_domain];
+  if (record.state > InstanceState::kSuspected) return;
+  daemons.push_back({record.instance, record.failure_domain,
+                     record.request_address, record.incarnation,
+                     record.service});
+}
+
+const Rollout* RouteTable::RolloutOf(const std::string& service) const {
+  const auto found = rollouts_.find(service);
+  return found == rollouts_.end() ? nullptr : &found->second;
+}
+
+const std::vector<DomainDaemon>& RouteTable::DaemonsOf(
+    const std::string& failure_domain) const {
+  static const std::vector<DomainDaemon> none;
+  const auto found = daemons_.find(failure_domain);
+  return found == daemons_.end() ? none : found->second;
+}
+
+std::vector<std::string> RouteTable::FailureDomains() const {
+  std::vector<std::string> names;
+  for (const auto& [name, daemons] : daemons_) names.push_back(name);
+  return names;
+}
+
 const RouteConfig* RouteTable::Match(std::string_view host,
                                      std::string_view method,
                                      std::string_view target) const {
--- a/src/versions/types/config_document.h
+++ b/src/versions/types/config_document.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/digest.h"
+#include "base/key_digest.h"
 #include "base/settings_reader.h"
 
 namespace hibiscusglade {
@@ -57,6 +58,7 @@
   /// can safely resend it through any daemon.
   bool claimed = true;
   bool hedge = false;
+  bool open = false;  ///< Takes requests without a customer's key.
   Duration timeout{};
   Duration objective{};  ///< Latency objective of a call.
   uint32_t max_attempts = 1;
@@ -64,6 +66,21 @@
   friend bool operator==(const RouteConfig&, const RouteConfig&) = default;
 };
 
+/// A customer, whose requests are recognised by its keys.
+struct CustomerConfig {
+  std::string name;
+  /// Digests of its keys, see base/key_digest.h; the document never holds
+  /// a key itself.
+  std::vector<KeyDigest> keys;
+  /// Takes precedence over the priority of a request's class.
+  std::optional<uint32_t> priority;
+  uint32_t rate_per_s = 0;  ///< Requests through all daemons; 0: no limit.
+  uint32_t burst = 0;       ///< Requests beyond the rate that may come at once.
+
+  friend bool operator==(const CustomerConfig&,
+                         const CustomerConfig&) = default;
+};
+
 /// Limits of the whole mesh.
 struct LimitsConfig {
   uint32_t retry_budget_percent = 0;  ///< Retries per hundred requests.
@@ -88,6 +105,9 @@
   std::map<std::string, ServiceConfig> services;
   std::map<std::string, ClassConfig> classes;
   std::map<std::string, RouteConfig> routes;
+  std::map<std::string, CustomerConfig> customers;
+  /// Whether requests on routes that are not open need a customer's key.
+  bool keys_required = false;
   LimitsConfig limits;
 
   friend bool operator==(const ConfigDocument&,
