Read customers and open routes from documents

Cause: the document's types hold customers, but the reader read over them: a document with customers was refused for an unknown field.

Change: customers, open routes and keys_required are read, and a change of one customer is parsed as a change of that element. Keys are required while the field customers is there, also when it is empty: removing the last customer lets in nobody.

--- a/src/base/internal/settings_reader.cc
+++ b/src/base/internal/settings_reader.cc
@@ -57,6 +57,11 @@
   return joined;
 }
 
+/// @return the part of a fault that quotes a value, unless it is secret.
+std::string Found(const json& value, const TextSpec& spec) {
+  return spec.secret ? std::string() : ", found " + value.dump();
+}
+
 bool IsAllowed(const TextSpec& spec, const std::string& text) {
   return spec.allowed.empty() ||
          std::find(spec.allowed.begin(), spec.allowed.end(), text) !=
@@ -293,7 +298,7 @@
     return texts;
   }
   if (!value->is_array()) {
-    Fault(name, "expected an array of texts, found " + value->dump());
+    Fault(name, "expected an array of texts" + Found(*value, spec));
     return texts;
   }
   for (size_t i = 0; i < value->size(); ++i) {
@@ -310,7 +315,7 @@
          "expected a text" +
              (spec.allowed.empty() ? std::string()
                                    : " out of " + Joined(spec.allowed)) +
-             ", found " + text.dump()});
+             Found(text, spec)});
   }
   return texts;
 }
--- a/src/base/settings_reader.h
+++ b/src/base/settings_reader.h
@@ -45,6 +45,7 @@
   std::string_view text;
   bool required = false;
   std::vector<std::string_view> allowed = {};  ///< Empty allows any string.
+  bool secret = false;  ///< Faults don't quote what was found.
 };
 
 /// Reads one JSON object field by field. Collects the faults of all fields
--- a/src/versions/internal/config_reader.cc
+++ b/src/versions/internal/config_reader.cc
@@ -105,6 +105,8 @@
       reader.Text("class", {"", "Class of the requests.", true});
   route.repeatable = reader.Flag("repeatable", false,
                                  "Whether a request may run more than once.");
+  route.open =
+      reader.Flag("open", false, "Whether requests need no key of a customer.");
   route.hedge = reader.Flag(
       "hedge", false, "Whether a slow call is hedged with a second attempt.");
   route.timeout = milliseconds(reader.Number(
@@ -250,9 +252,20 @@
              [&](const std::string& name, SettingsReader& item) {
                document.routes[name] = ReadRoute(name, item);
              });
+  reader.Map("customers", "Customers by name.",
+             [&](const std::string& name, SettingsReader& item) {
+               document.customers[name] = ReadCustomer(name, item);
+             });
+  // The presence of the field counts: were it the number of customers, the
+  // removal of the last one would let in everybody.
+  document.keys_required =
+      reader.Flag("keys_required", reader.Has("customers"),
+                  "Whether routes that are not open need a customer's key. "
+                  "Default: whether there is a field customers.");
   SettingsReader limits = reader.Object("limits", "Limits of the mesh.");
   document.limits = ReadLimits(limits);
   CheckReferences(document, reader);
+  CheckKeys(document.customers, reader);
   return document;
 }
 
--- a/src/versions/internal/document_editor.cc
+++ b/src/versions/internal/document_editor.cc
@@ -16,9 +16,11 @@
 constexpr char kServices[] = "services";
 constexpr char kClasses[] = "classes";
 constexpr char kRoutes[] = "routes";
+constexpr char kCustomers[] = "customers";
 
 bool IsCollection(const std::string& field) {
-  return field == kServices || field == kClasses || field == kRoutes;
+  return field == kServices || field == kClasses || field == kRoutes ||
+         field == kCustomers;
 }
 
 /// @return the key of a field or element as it stands before its value.
@@ -196,6 +198,8 @@
     valid = Replace(name, value, ReadService, changed_elements_.services);
   } else if (field == kClasses) {
     valid = Replace(name, value, ReadClass, changed_elements_.classes);
+  } else if (field == kCustomers) {
+    valid = Replace(name, value, ReadCustomer, changed_elements_.customers);
   } else {
     valid = Replace(name, value, ReadRoute, changed_elements_.routes);
   }
@@ -258,18 +262,24 @@
 /// not fit together.
 std::optional<ConfigDocument> DocumentEditor::DocumentWithChanges() {
   ConfigDocument document = base_->document;
+  bool keys_changed = false;
   for (const auto& [field, name] : changed_) {
     const bool exists = fields_.at(field).elements.contains(name);
     if (field == kServices) {
       MoveElement(name, exists, changed_elements_.services, document.services);
     } else if (field == kClasses) {
       MoveElement(name, exists, changed_elements_.classes, document.classes);
+    } else if (field == kCustomers) {
+      keys_changed = true;
+      MoveElement(name, exists, changed_elements_.customers,
+                  document.customers);
     } else {
       MoveElement(name, exists, changed_elements_.routes, document.routes);
     }
   }
   SettingsReader references = SettingsReader::FromValue(json::object());
   CheckReferences(document, references);
+  if (keys_changed) CheckKeys(document.customers, references);
   if (!references.Faults().empty()) return std::nullopt;
   return document;
 }
--- a/src/versions/tests/document_editor_test.cc
+++ b/src/versions/tests/document_editor_test.cc
@@ -16,6 +16,7 @@
   "services": {"plots": {}, "tags": {"max_queue": 5}},
   "classes": {"short": {}, "a/b": {"priority": 3}},
   "limits": {},
+  "customers": {"acme": {"keys": ["00000000000000000000000000000001"]}},
   "routes": {
     "r0": {"path_prefix": "/0/", "service": "plots", "class": "short"},
     "r1": {"path_prefix": "/1/", "class": "a/b",
@@ -37,10 +38,13 @@
       "/routes/r1/shares/0/weight", "/routes/r1/shares/-", "/routes/none/x",
       "/classes/a~1b", "/classes/a~1b/priority", "/classes/~2",
       "/services/tags", "/services/tags/max_queue", "/services/-",
+      "/customers/acme", "/customers/acme/keys/0", "/customers/acme/burst",
+      "/customers/new", "/customers", "/keys_required",
       "/limits/max_owner_tries", "/limits", "/routes", "/other", "", "routes");
   const auto value = *rc::gen::element<std::string>(
-      "7", "{}", "null", "\"text\"", R"({"max_queue": 7})",
-      R"({"service": "tags", "weight": 4})",
+      "7", "{}", "null", "\"text\"",
+      R"({"keys": ["00000000000000000000000000000001"]})",
+      R"({"max_queue": 7})", R"({"service": "tags", "weight": 4})",
       R"({"path_prefix": "/n/", "service": "tags", "class": "short"})",
       R"({"path_prefix": "/n/", "service": "gone", "class": "short"})");
   json operation = {{"op", kind}, {"path", path}};
