Find out which customer a request is from

Cause: keys in requests went on to every upstream, and requests ran whether or not anybody held their key.

Change: both dialects take the key of an Authorization field (scheme Bearer) out of a request, drop the field that names a customer, and set it for the upstream. CallIntake finds the customer by the version in force when the request begins: 401 with 4013 (no key, several) or 4014 (unknown), not run, no pause; a daemon without a version answers 503 first, a target without a route 404 as before, so that nothing new is learned of routes. The key is erased before anything else sees the request; a customer's priority travels with the attempt. Where no keys are required, nothing is looked up and Authorization is an ordinary field.

The HTTP library takes a space before the colon of a header field as part of its name, and the field was forwarded so; "Tenant-Id : x" could name a customer at a lenient upstream. Such requests are refused with 400.

A first form of the caller's test took a folded Authorization for no key; the library joins the lines with a space, as RFC 9112 allows, and the test now says so.

--- a/src/caller/caller_dialect.h
+++ b/src/caller/caller_dialect.h
@@ -40,7 +40,8 @@
 };
 
 /// The default dialect. It reads X-Request-Id, X-Request-Timeout-Ms,
-/// X-Request-Depth, X-Caller and Idempotency-Key from requests.
+/// X-Request-Depth, X-Caller, Idempotency-Key and a customer's key in
+/// Authorization from requests, and drops X-Customer.
 const CallerDialect& DefaultCallerDialect();
 
 }  // namespace hibiscusglade
--- a/src/caller/internal/default_caller_dialect.cc
+++ b/src/caller/internal/default_caller_dialect.cc
@@ -1,4 +1,5 @@
 #include "caller/caller_dialect.h"
+#include "calls/access_key.h"
 #include "calls/field_values.h"
 
 namespace hibiscusglade {
@@ -11,6 +12,7 @@
  public:
   bool ReadField(const HeaderField& field,
                  CallRequest& request) const override {
+    if (ReadAccessKey(field, request)) return true;
     if (EqualFieldNames(field.name, "X-Request-Id")) {
       request.request_id = field.value;
     } else if (EqualFieldNames(field.name, "X-Request-Timeout-Ms")) {
@@ -24,7 +26,8 @@
     } else if (EqualFieldNames(field.name, "Idempotency-Key")) {
       request.idempotency_key = field.value;
       request.headers.push_back(field);
-    } else {
+    } else if (!EqualFieldNames(field.name, "X-Customer")) {
+      // Upstreams take X-Customer as the daemon's word.
       request.headers.push_back(field);
     }
     return true;
--- a/src/caller/internal/request_parser.cc
+++ b/src/caller/internal/request_parser.cc
@@ -167,6 +167,12 @@
   in_value_ = false;
   // Trailer fields only concern the transfer of the body and are dropped.
   if (head_done_) return;
+  // The library takes a space before the colon as part of the name, which an
+  // upstream may take for the field without it (RFC 9112, section 5.1).
+  if (field.name.find_first_of(" \t") != std::string::npos) {
+    Fail(CallerCode::kMalformed);
+    return;
+  }
   if (EqualFieldNames(field.name, "Host")) {
     parsed_.request.host = field.value;
   } else if (EqualFieldNames(field.name, "Expect")) {
--- a/src/caller/tests/caller_connection_test.cc
+++ b/src/caller/tests/caller_connection_test.cc
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "base/clock.h"
+#include "calls/field_values.h"
 
 namespace hibiscusglade {
 namespace {
@@ -20,6 +21,7 @@
   CallHandle Begin(CallRequest request,
                    std::unique_ptr<CallerStream> stream) override {
     begun.push_back(request.target);
+    requests.push_back(request);
     streams[request.target] = std::move(stream);
     handles[++last_handle_] = request.target;
     return last_handle_;
@@ -34,6 +36,7 @@
   }
 
   std::vector<std::string> begun;
+  std::vector<CallRequest> requests;
   std::vector<std::string> cancelled;
   std::map<std::string, std::unique_ptr<CallerStream>> streams;
   std::map<CallHandle, std::string> handles;
@@ -177,6 +180,53 @@
   EXPECT_EQ(calls_.begun.size(), 33u);
 }
 
+class ACustomersRequest : public CallerConnectionTest {};
+
+TEST_F(ACustomersRequest, IsPipelinedWithItsOwnKey) {
+  Send(
+      "GET /1 HTTP/1.1\r\nAuthorization: Bearer k1\r\n\r\n"
+      "GET /2 HTTP/1.1\r\n\r\n"
+      "GET /3 HTTP/1.1\r\nAUTHORIZATION: bearer k3\r\n\r\n");
+  ASSERT_EQ(calls_.requests.size(), 3u);
+  EXPECT_EQ(calls_.requests[0].access_key, "k1");
+  EXPECT_EQ(calls_.requests[1].access_key, "");
+  EXPECT_EQ(calls_.requests[2].access_key, "k3");
+}
+
+TEST_F(ACustomersRequest, HasNoKeyWhenItsFieldIsDoubledOrWithinAnother) {
+  for (const std::string fields :
+       {"Authorization: Bearer k1\r\nauthorization: Bearer k1\r\n\r\n",
+        "X-Other: a\r\n Authorization: Bearer k1\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n"
+        "Authorization: Bearer k1\r\n\r\n"}) {
+    Reconnect();
+    Send("GET /1 HTTP/1.1\r\n" + fields);
+    ASSERT_FALSE(calls_.requests.empty()) << fields;
+    EXPECT_EQ(calls_.requests.back().access_key, "") << fields;
+    EXPECT_EQ(FindField(calls_.requests.back().headers, "Authorization"),
+              nullptr);
+  }
+}
+
+// A folded value is the one with a space in place of the line break (RFC 9112,
+// section 5.2).
+TEST_F(ACustomersRequest, MayFoldTheFieldOfItsKey) {
+  Send(
+      "GET /1 HTTP/1.1\r\nAuthorization: Bearer\r\n k1\r\n"
+      "X-Other: a\r\n X-Customer: b\r\n\r\n");
+  ASSERT_EQ(calls_.requests.size(), 1u);
+  EXPECT_EQ(calls_.requests[0].access_key, "k1");
+  EXPECT_EQ(calls_.requests[0].headers,
+            (std::vector<HeaderField>{{"X-Other", "a X-Customer: b"}}));
+}
+
+TEST_F(ACustomersRequest, CannotNameItsCustomer) {
+  Send("GET /1 HTTP/1.1\r\nX-Customer: a\r\nx-customer: b\r\n\r\n");
+  ASSERT_EQ(calls_.requests.size(), 1u);
+  EXPECT_TRUE(calls_.requests[0].headers.empty());
+  EXPECT_EQ(calls_.requests[0].customer, "");
+}
+
 class ACallerThatDisconnects : public CallerConnectionTest {};
 
 TEST_F(ACallerThatDisconnects, HasItsRunningRequestsCancelled) {
@@ -308,7 +358,9 @@
            {head + "Content-Length: 2000\r\n\r\n", "413"},
            {head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
             "400"},
-           {head + "X-Request-Timeout-Ms: soon\r\n\r\n", "400"}}) {
+           {head + "X-Request-Timeout-Ms: soon\r\n\r\n", "400"},
+           {head + "X-Customer : forged\r\n\r\n", "400"},
+           {head + "Authorization\t: Bearer k\r\n\r\n", "400"}}) {
     int ends[2];
     ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
     CallerConnection connection(
--- a/src/entry/internal/call_intake.cc
+++ b/src/entry/internal/call_intake.cc
@@ -1,5 +1,9 @@
 #include "entry/internal/call_intake.h"
 
+#include <utility>
+
+#include "customers/key_check.h"
+
 namespace hibiscusglade {
 namespace {
 
@@ -41,10 +45,27 @@
       table->Match(call.request.host, call.request.method, call.request.target);
   if (route == nullptr) return RoutingCode::kNoRoute;
   call.route = *route;
+  if (const auto refused = FindCustomer(*table, call)) return refused;
   call.limits = table->Document().limits;
   call.service = share_picker_.PickService(*route);
   call.upstreams = table->UpstreamsOf(call.service);
   return std::nullopt;
 }
 
+std::optional<RoutingCode> CallIntake::FindCustomer(const RouteTable& table,
+                                                    OpenCall& call) {
+  KeyCheck check =
+      CheckKey(table.Customers(), table.Document(), *call.route, call.request);
+  call.customer = std::move(check.customer);
+  switch (check.verdict) {
+    case KeyVerdict::kMissing:
+      return RoutingCode::kKeyMissing;
+    case KeyVerdict::kUnknown:
+      return RoutingCode::kKeyUnknown;
+    case KeyVerdict::kAdmitted:
+      break;
+  }
+  return std::nullopt;
+}
+
 }  // namespace hibiscusglade
--- a/src/entry/internal/call_intake.h
+++ b/src/entry/internal/call_intake.h
@@ -39,6 +39,10 @@
  private:
   std::optional<RoutingCode> FindRoute(OpenCall& call);
 
+  /// Finds out whom the call is from.
+  static std::optional<RoutingCode> FindCustomer(const RouteTable& table,
+                                                 OpenCall& call);
+
   const RouteTableHolder& routes_;
   const StopLimit& stop_limit_;
   CallerWaitEstimator wait_estimator_;
--- a/src/entry/internal/open_call.cc
+++ b/src/entry/internal/open_call.cc
@@ -94,6 +94,7 @@
   attempt.remaining = deadline - now;
   attempt.credit_bytes = kInitialCreditBytes;
   attempt.version = version;
+  if (customer.has_value()) attempt.priority = customer->priority;
   return attempt;
 }
 
--- a/src/routing/internal/routing_result_codes.cc
+++ b/src/routing/internal/routing_result_codes.cc
@@ -32,6 +32,13 @@
     {4012, "cut-by-stop", "the daemon stopped before an answer", 504,
      Certainty::kUnknown,
      "Set stop_timeout_s to at least the longest timeout of a route."},
+    {4013, "key-missing", "the request has no key, or more than one", 401,
+     Certainty::kNotRun,
+     "The caller has to send one Authorization field with a customer's key."},
+    {4014, "key-unknown", "no customer holds the request's key", 401,
+     Certainty::kNotRun,
+     "Compare the version in the entry's line with the one that added or "
+     "revoked the key."},
 };
 
 }  // namespace
--- a/src/routing/routing_result_codes.h
+++ b/src/routing/routing_result_codes.h
@@ -19,6 +19,8 @@
   kOwnerUnreachable = 4010,
   kStopsTooSoon = 4011,
   kCutByStop = 4012,
+  kKeyMissing = 4013,
+  kKeyUnknown = 4014,
 };
 
 const ResultCodeCategory& RoutingCategory();
--- a/src/upstream/internal/default_upstream_dialect.cc
+++ b/src/upstream/internal/default_upstream_dialect.cc
@@ -8,9 +8,14 @@
   std::vector<HeaderField> RequestFields(
       const CallAttempt& attempt,
       std::chrono::milliseconds remaining) const override {
-    return {{"X-Request-Id", attempt.request.request_id},
-            {"X-Request-Timeout-Ms", std::to_string(remaining.count())},
-            {"X-Request-Depth", std::to_string(attempt.request.depth + 1)}};
+    std::vector<HeaderField> fields = {
+        {"X-Request-Id", attempt.request.request_id},
+        {"X-Request-Timeout-Ms", std::to_string(remaining.count())},
+        {"X-Request-Depth", std::to_string(attempt.request.depth + 1)}};
+    if (!attempt.request.customer.empty()) {
+      fields.push_back({"X-Customer", attempt.request.customer});
+    }
+    return fields;
   }
 
   AnswerHeadKind ClassifyHead(const CallAttempt&,
--- a/src/upstream/upstream_dialect.h
+++ b/src/upstream/upstream_dialect.h
@@ -39,7 +39,7 @@
 };
 
 /// The default dialect. It adds X-Request-Id, X-Request-Timeout-Ms and
-/// X-Request-Depth to requests.
+/// X-Request-Depth to requests, and X-Customer to those of a customer.
 const UpstreamDialect& DefaultUpstreamDialect();
 
 }  // namespace hibiscusglade
