--- a/src/versions/internal/customer_reader.cc
+++ b/src/versions/internal/customer_reader.cc
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr int64_t kMaxPriority = 9;
-constexpr int64_t kMaxRequests = 1'000'000;
+constexpr int64_t kMaxRequests = 1'000'000'000;
 constexpr size_t kMaxNameBytes = 200;
 
 /// A customer's name is the value of a header field that upstreams receive.
