--- a/src/ctl/internal/commands.cc
+++ b/src/ctl/internal/commands.cc
@@ -253,6 +253,23 @@
   });
 }
 
+int Customers(const Context& context) {
+  return GetAndPrint(context, "/v1/customers", [&](const json& body) {
+    context.out << "version " << body["version"] << ", keys are "
+                << (body["keys_required"].get<bool>() ? "" : "not ")
+                << "required\n";
+    for (const json& row : body["customers"]) {
+      context.out << row["customer"].get<std::string>() << "  keys "
+                  << row["keys"] << "  rate " << row["rate_per_s"] << "  burst "
+                  << row["burst"];
+      if (row.contains("priority")) {
+        context.out << "  priority " << row["priority"];
+      }
+      context.out << "\n";
+    }
+  });
+}
+
 int Drain(const Context& context) {
   const ApiAnswer answer = context.api.Post("/v1/drain", "");
   if (answer.status != kHttpOk) return PrintError(context, answer);
@@ -382,6 +399,7 @@
       {"watch", &Watch},
       {"status", &Status},
       {"upstreams", &Upstreams},
+      {"customers", &Customers},
       {"drain", &Drain},
       {"check-settings", &CheckSettings},
       {"found-replica", &FoundReplicaCommand},
@@ -407,6 +425,7 @@
 Mesh:
   status                       show the state of the daemon
   upstreams                    list all known instances
+  customers                    list customers, their limits and number of keys
   drain                        take the local upstream out of service
 Files:
   check-settings FILE          list every fault of a settings file
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -6,10 +6,13 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
 
 #include "base/metrics.h"
 #include "base/settings_faults.h"
 #include "operator/operator_result_codes.h"
+#include "versions/config_reader.h"
+#include "versions/versions_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
@@ -182,6 +185,27 @@
   return JsonResponse(200, rows);
 }
 
+/// Answers with what the latest version says of customers, without digests.
+HttpResponse Customers(OperatorBackend& backend) {
+  const VersionRows versions = backend.Version(0);
+  if (versions.error) return ErrorResponse(versions.error);
+  const VersionRow& latest = versions.rows.front();
+  const auto document = ParseConfigDocument(latest.text).document;
+  if (!document) return ErrorResponse(VersionsCode::kInvalidDocument);
+  json rows = json::array();
+  for (const auto& [name, customer] : document->customers) {
+    json row = {{"customer", name},
+                {"keys", customer.keys.size()},
+                {"rate_per_s", customer.rate_per_s},
+                {"burst", customer.burst}};
+    if (customer.priority.has_value()) row["priority"] = *customer.priority;
+    rows.push_back(std::move(row));
+  }
+  return JsonResponse(200, {{"version", latest.number},
+                            {"keys_required", document->keys_required},
+                            {"customers", std::move(rows)}});
+}
+
 HttpResponse Status(OperatorBackend& backend) {
   const DaemonStatus status = backend.Status();
   return JsonResponse(200, {{"mesh", status.mesh},
@@ -244,6 +268,7 @@
   }
   if (path == "/v1/status") return Status(backend);
   if (path == "/v1/instances") return Instances(backend);
+  if (path == "/v1/customers") return Customers(backend);
   if (path == "/v1/versions") return History(backend, request);
   if (auto id = After(path, "/v1/patches/")) {
     return VerdictResponse(backend.VerdictOf(*id));
--- a/src/operator/tests/operator_api_test.cc
+++ b/src/operator/tests/operator_api_test.cc
@@ -12,7 +12,12 @@
     return {{}, proposal.base + 1, proposal.base + 1, {}};
   }
   ProposalVerdict VerdictOf(const std::string&) override { return {}; }
-  VersionRows Version(uint64_t) override { return {{}, {VersionRow{}}}; }
+  VersionRows Version(uint64_t) override {
+    VersionRow row;
+    row.number = 3;
+    row.text = document;
+    return {{}, {row}};
+  }
   VersionRows History(uint32_t max_rows) override {
     requested_rows = max_rows;
     return {};
@@ -28,6 +33,7 @@
 
   std::vector<PatchProposal> proposals;
   uint32_t requested_rows = 0;
+  std::string document;
   bool drains_in_time = true;
 };
 
@@ -77,6 +83,19 @@
   EXPECT_TRUE(backend_.proposals.empty());
 }
 
+TEST_F(TheOperatorsApi, ListsCustomersWithoutTheirKeys) {
+  backend_.document = R"({"customers": {
+    "acme": {"keys": ["00000000000000000000000000000001"], "priority": 7,
+             "rate_per_s": 20},
+    "idle": {}}})";
+  EXPECT_EQ(
+      AnswerOperator(backend_, {"GET", "/v1/customers", {}, ""}).body,
+      R"({"customers":[{"burst":0,"customer":"acme","keys":1,"priority":7,)"
+      R"("rate_per_s":20},{"burst":0,"customer":"idle","keys":0,)"
+      R"("rate_per_s":0}],"keys_required":true,"version":3})"
+      "\n");
+}
+
 TEST_F(TheOperatorsApi, ReportsADrainThatIsNotInEffectInTime) {
   const HttpRequest drain{"POST", "/v1/drain", {}, ""};
   EXPECT_EQ(AnswerOperator(backend_, drain).status, 200);
