Keep claims of different customers apart

Cause: a claim is found by the caller's Idempotency-Key and a digest of the request, so that a customer who sent the same order with the same key as another one would have got that customer's stored answer.

Change: the key of a claim contains the customer's name. Without customers it is the former one.

Result: owner_test passes (58 tests), the new one among them.

--- a/src/owner/internal/claim_writer.cc
+++ b/src/owner/internal/claim_writer.cc
@@ -1,5 +1,6 @@
 #include "owner/internal/claim_writer.h"
 
+#include <string>
 #include <utility>
 
 #include "claims/claims_result_codes.h"
@@ -16,6 +17,13 @@
          outcome.error == ClaimsCode::kLedgerUnavailable;
 }
 
+/// @return a key that requests of other customers can't have: a field's value
+/// has no line break.
+std::string ClaimKeyOf(const CallRequest& request) {
+  if (request.customer.empty()) return request.idempotency_key;
+  return request.customer + "\n" + request.idempotency_key;
+}
+
 }  // namespace
 
 ClaimWriter::ClaimWriter(std::string instance, ClaimStore& store,
@@ -41,7 +49,7 @@
   ClaimCommand command;
   command.kind = kind;
   command.service = job.attempt.service;
-  command.key = job.attempt.request.idempotency_key;
+  command.key = ClaimKeyOf(job.attempt.request);
   command.request_digest = job.fingerprint;
   command.attempt = job.attempt.id;
   command.owner = instance_;
