Put a customer's priority before that of the class

Cause: a slot went by the priority of the request's class alone, so that the rank of a customer had no effect where requests queue. Change: precedence, expected wait and shedding use the customer's priority where it has one.

--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -38,7 +38,7 @@
       return RefusalOf(request.id, AdmissionCode::kNotServing);
     }
     GrowSlots(now);
-    const Duration wait = ExpectedWait(request.request_class);
+    const Duration wait = ExpectedWait(request);
     if (!CanFinish(request, wait, now)) {
       return RefusalOf(request.id, AdmissionCode::kDeadlineTooNear);
     }
@@ -156,25 +156,30 @@
     return EstimateOf(request.request_class).HighPercentile();
   }
 
-  /// @return the expected wait of a new request of the class for a slot; zero
-  /// when no service times are known.
-  Duration ExpectedWait(const std::string& request_class) const {
+  /// @return the expected wait of a new request for a slot; zero when no
+  /// service times are known.
+  Duration ExpectedWait(const SlotRequest& request) const {
+    const std::string& request_class = request.request_class;
     if (shares_.MayRun(request_class)) return {};
     const SlotShare share = shares_.ShareOf(request_class);
-    if (share.limit >= shares_.Slots()) return WaitForAnySlot(request_class);
+    if (share.limit >= shares_.Slots()) return WaitForAnySlot(request);
     auto found = estimates_.find(request_class);
     if (found == estimates_.end()) return {};
     const int64_t parallel_runs =
         std::max<int64_t>(1, std::max(shares_.RunningOf(request_class),
                                       shares_.ShareOf(request_class).reserved));
-    const auto queued_ahead = static_cast<int64_t>(QueuedOf(request_class));
+    const auto queued_ahead = std::count_if(
+        queue_.begin(), queue_.end(), [&](const QueuedRequest& queued) {
+          return queued.request.request_class == request_class &&
+                 !TakesPrecedence(request, queued.request);
+        });
     return found->second.Median() * (queued_ahead + 1) / parallel_runs;
   }
 
   /// The rate at which slots become free follows from the service times of all
-  /// running requests. Queued requests that the class does not take precedence
-  /// over get slots first.
-  Duration WaitForAnySlot(const std::string& request_class) const {
+  /// running requests. Queued requests that the new one does not take
+  /// precedence over get slots first.
+  Duration WaitForAnySlot(const SlotRequest& request) const {
     double completions_per_micro = 0;
     for (const auto& [id, running_class] : running_) {
       auto estimate = estimates_.find(running_class);
@@ -187,7 +192,7 @@
     if (completions_per_micro <= 0) return {};
     const auto queued_ahead = std::count_if(
         queue_.begin(), queue_.end(), [&](const QueuedRequest& queued) {
-          return !TakesPrecedence(request_class, queued.request.request_class);
+          return !TakesPrecedence(request, queued.request);
         });
     return Duration(static_cast<int64_t>(static_cast<double>(queued_ahead + 1) /
                                          completions_per_micro));
@@ -225,8 +230,10 @@
     return found == config_.classes.end() ? Duration{} : found->second.max_wait;
   }
 
-  uint32_t PriorityOf(const std::string& request_class) const {
-    auto found = config_.classes.find(request_class);
+  /// @return the priority of the request's customer, else that of its class.
+  uint32_t PriorityOf(const SlotRequest& request) const {
+    if (request.priority.has_value()) return *request.priority;
+    auto found = config_.classes.find(request.request_class);
     return found == config_.classes.end() ? 0 : found->second.priority;
   }
 
@@ -243,9 +250,9 @@
   /// @return whether a request was refused.
   bool ShedFor(const SlotRequest& request, AdmissionEffects& effects) {
     auto victim = queue_.end();
-    uint32_t lowest = PriorityOf(request.request_class);
+    uint32_t lowest = PriorityOf(request);
     for (auto item = queue_.begin(); item != queue_.end(); ++item) {
-      const uint32_t priority = PriorityOf(item->request.request_class);
+      const uint32_t priority = PriorityOf(item->request);
       if (priority >= lowest && victim == queue_.end()) continue;
       if (priority > lowest) continue;
       victim = item;
@@ -292,17 +299,17 @@
     }
   }
 
-  /// Orders classes by priority, and classes of the same priority by service
-  /// time. Short requests go first because running requests may be waiting for
-  /// them, and keep their slots while they wait.
-  /// @return whether class a gets slots before class b.
-  bool TakesPrecedence(const std::string& a, const std::string& b) const {
-    if (a == b) return false;
+  /// Orders requests by priority, and those of the same priority by the service
+  /// time of their classes. Short requests go first because running requests
+  /// may be waiting for them, and keep their slots while they wait.
+  /// @return whether request a gets a slot before request b.
+  bool TakesPrecedence(const SlotRequest& a, const SlotRequest& b) const {
     const uint32_t priority_a = PriorityOf(a);
     const uint32_t priority_b = PriorityOf(b);
     if (priority_a != priority_b) return priority_a > priority_b;
-    auto estimate_a = estimates_.find(a);
-    auto estimate_b = estimates_.find(b);
+    if (a.request_class == b.request_class) return false;
+    auto estimate_a = estimates_.find(a.request_class);
+    auto estimate_b = estimates_.find(b.request_class);
     if (estimate_a == estimates_.end() || estimate_b == estimates_.end()) {
       return false;
     }
@@ -310,15 +317,15 @@
            estimate_b->second.Median();
   }
 
-  /// @return the oldest request of the class that takes precedence among those
-  /// that may use a slot.
+  /// @return the oldest request of those that take precedence among those that
+  /// may use a slot.
   std::list<QueuedRequest>::iterator NextToAdmit() {
     auto best = queue_.end();
     for (auto item = queue_.begin(); item != queue_.end(); ++item) {
       const std::string& name = item->request.request_class;
       if (!shares_.MayRun(name)) continue;
       if (best == queue_.end() ||
-          TakesPrecedence(name, best->request.request_class)) {
+          TakesPrecedence(item->request, best->request)) {
         best = item;
       }
     }
