Let calls of begun work go before new work, above a floor

Cause: calls that an upstream makes while it runs a request wait and are shed by the priority of their own class, often the lowest. What runs elsewhere then fails after it has held its slot. Change: SlotRequest::begun ranks before every priority. Partial: nothing sets begun yet.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -31,6 +31,8 @@
   std::string customer;  ///< Empty: none.
   /// In place of the priority of the class.
   std::optional<uint32_t> priority;
+  /// Whether an upstream calls, for a request that it runs.
+  bool begun = false;
 
   friend bool operator==(const SlotRequest&, const SlotRequest&) = default;
 };
--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "admission/admission_result_codes.h"
+#include "admission/internal/floor_shares.h"
 #include "admission/internal/service_estimate.h"
 #include "admission/internal/slot_shares.h"
 
@@ -25,6 +26,17 @@
 constexpr int64_t kMinWaitDivisor = 8;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(10);
 
+/// Order in which requests get slots: first those whose class and priority get
+/// too little; then calls of work that has begun, which would else be done in
+/// vain; then by priority.
+struct SlotRank {
+  bool below_floor = false;
+  bool begun = false;
+  uint32_t priority = 0;
+
+  friend auto operator<=>(const SlotRank&, const SlotRank&) = default;
+};
+
 struct QueuedRequest {
   SlotRequest request;
   Instant latest_start;  ///< Refused when not started by then.
@@ -42,6 +54,7 @@
     if (!CanFinish(request, wait, now)) {
       return RefusalOf(request.id, AdmissionCode::kDeadlineTooNear);
     }
+    floor_.OnAsked(request.request_class, PriorityOf(request), now);
     AdmissionEffects effects;
     if (QueuedOf(request.request_class) == 0 &&
         shares_.MayRun(request.request_class)) {
@@ -171,7 +184,7 @@
     const auto queued_ahead = std::count_if(
         queue_.begin(), queue_.end(), [&](const QueuedRequest& queued) {
           return queued.request.request_class == request_class &&
-                 !TakesPrecedence(request, queued.request);
+                 !OvertakesQueued(request, queued.request);
         });
     return found->second.Median() * (queued_ahead + 1) / parallel_runs;
   }
@@ -192,7 +205,7 @@
     if (completions_per_micro <= 0) return {};
     const auto queued_ahead = std::count_if(
         queue_.begin(), queue_.end(), [&](const QueuedRequest& queued) {
-          return !TakesPrecedence(request, queued.request);
+          return !OvertakesQueued(request, queued.request);
         });
     return Duration(static_cast<int64_t>(static_cast<double>(queued_ahead + 1) /
                                          completions_per_micro));
@@ -237,6 +250,12 @@
     return found == config_.classes.end() ? 0 : found->second.priority;
   }
 
+  SlotRank RankOf(const SlotRequest& request) const {
+    const uint32_t priority = PriorityOf(request);
+    return {floor_.IsBelowFloor(request.request_class, priority), request.begun,
+            priority};
+  }
+
   size_t QueuedOf(const std::string& request_class) const {
     return static_cast<size_t>(std::count_if(
         queue_.begin(), queue_.end(), [&](const QueuedRequest& queued) {
@@ -245,18 +264,18 @@
   }
 
   /// Refuses one queued request in favour of a new one: the newest of the
-  /// lowest priority below the new request's, else the newest of the caller
-  /// with the most queued in the same class.
+  /// lowest rank below the new request's, else the newest of the caller with
+  /// the most queued in the same class.
   /// @return whether a request was refused.
   bool ShedFor(const SlotRequest& request, AdmissionEffects& effects) {
     auto victim = queue_.end();
-    uint32_t lowest = PriorityOf(request);
+    SlotRank lowest = RankOf(request);
     for (auto item = queue_.begin(); item != queue_.end(); ++item) {
-      const uint32_t priority = PriorityOf(item->request);
-      if (priority >= lowest && victim == queue_.end()) continue;
-      if (priority > lowest) continue;
+      const SlotRank rank = RankOf(item->request);
+      if (rank >= lowest && victim == queue_.end()) continue;
+      if (rank > lowest) continue;
       victim = item;
-      lowest = priority;
+      lowest = rank;
     }
     if (victim == queue_.end()) victim = NewestOfBusiestCaller(request);
     if (victim == queue_.end()) return false;
@@ -299,14 +318,25 @@
     }
   }
 
-  /// Orders requests by priority, and those of the same priority by the service
-  /// time of their classes. Short requests go first because running requests
-  /// may be waiting for them, and keep their slots while they wait.
+  /// Requests of the same rank go by the service time of their classes: short
+  /// ones first, because running requests may be waiting for them, and keep
+  /// their slots while they wait.
   /// @return whether request a gets a slot before request b.
   bool TakesPrecedence(const SlotRequest& a, const SlotRequest& b) const {
-    const uint32_t priority_a = PriorityOf(a);
-    const uint32_t priority_b = PriorityOf(b);
-    if (priority_a != priority_b) return priority_a > priority_b;
+    return TakesPrecedence(a, RankOf(a), b, RankOf(b));
+  }
+
+  /// Of a class below its floor, all are queued in front until one starts; the
+  /// expected wait counts those where they stand without the floor.
+  bool OvertakesQueued(const SlotRequest& request,
+                       const SlotRequest& queued) const {
+    const SlotRank without_floor{false, queued.begun, PriorityOf(queued)};
+    return TakesPrecedence(request, RankOf(request), queued, without_floor);
+  }
+
+  bool TakesPrecedence(const SlotRequest& a, const SlotRank& rank_a,
+                       const SlotRequest& b, const SlotRank& rank_b) const {
+    if (rank_a != rank_b) return rank_a > rank_b;
     if (a.request_class == b.request_class) return false;
     auto estimate_a = estimates_.find(a.request_class);
     auto estimate_b = estimates_.find(b.request_class);
@@ -335,6 +365,7 @@
   void Admit(const SlotRequest& request, AdmissionEffects& effects) {
     running_[request.id] = request.request_class;
     shares_.OnStarted(request.request_class);
+    floor_.OnStarted(request.request_class, PriorityOf(request));
     effects.admitted.push_back(request.id);
   }
 
@@ -364,6 +395,7 @@
 
   AdmissionConfig config_;
   SlotShares shares_;
+  FloorShares floor_;
   std::map<SlotRequestId, std::string> running_;
   std::list<QueuedRequest> queue_;  ///< Oldest first.
   std::map<std::string, ServiceEstimate> estimates_;
