Let customers of a class take turns where requests queue

Cause: inside a class slots went by arrival, so that a customer that sends many times its usual got nearly all of them. Change: SlotOrder holds the order of queued requests (rank, short classes, turns). Customers of a class and priority take turns, one request each; the expected wait counts those in front by turn, the last in turn that can't start in time any more is refused at once, and a full queue gives up a request of the customer that holds most. Without customers the order is by arrival as before.

--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -1,13 +1,13 @@
 #include "admission/admission.h"
 
 #include <algorithm>
-#include <list>
+#include <iterator>
 #include <map>
 #include <utility>
 
 #include "admission/admission_result_codes.h"
-#include "admission/internal/floor_shares.h"
 #include "admission/internal/service_estimate.h"
+#include "admission/internal/slot_order.h"
 #include "admission/internal/slot_shares.h"
 
 namespace hibiscusglade {
@@ -17,31 +17,12 @@
 constexpr double kMeanSmoothing = 0.1;
 /// Share of its slots that an upstream gets when it starts.
 constexpr double kRampStartShare = 0.25;
-/// A class takes precedence over one of the same priority when its median
-/// service time is shorter by more than this factor.
-constexpr int64_t kShorterClassFactor = 2;
 /// A request may always wait for max_wait of its class divided by this, however
 /// long its service time, so that there is queued work when a slot becomes
 /// free.
 constexpr int64_t kMinWaitDivisor = 8;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(10);
 
-/// Order in which requests get slots: first those whose class and priority get
-/// too little; then calls of work that has begun, which would else be done in
-/// vain; then by priority.
-struct SlotRank {
-  bool below_floor = false;
-  bool begun = false;
-  uint32_t priority = 0;
-
-  friend auto operator<=>(const SlotRank&, const SlotRank&) = default;
-};
-
-struct QueuedRequest {
-  SlotRequest request;
-  Instant latest_start;  ///< Refused when not started by then.
-};
-
 class AdmissionImpl : public Admission {
  public:
   AdmissionEffects OnRequest(const SlotRequest& request, Instant now) override {
@@ -54,14 +35,15 @@
     if (!CanFinish(request, wait, now)) {
       return RefusalOf(request.id, AdmissionCode::kDeadlineTooNear);
     }
-    floor_.OnAsked(request.request_class, PriorityOf(request), now);
     AdmissionEffects effects;
     if (QueuedOf(request.request_class) == 0 &&
         shares_.MayRun(request.request_class)) {
+      order_.OnAsked(request, now);
       Admit(request, effects);
       return effects;
     }
     const Instant latest_start = LatestStart(request, now);
+    if (latest_start > now) order_.OnAsked(request, now);
     if (now + wait > latest_start) {
       // This request and all queued behind it would be answered late: a queue
       // with a wait longer than the objective makes every answer late.
@@ -71,6 +53,7 @@
       return RefusalOf(request.id, AdmissionCode::kQueueFull);
     }
     queue_.push_back({request, latest_start});
+    ShedLastInTurn(request, now, effects);
     return effects;
   }
 
@@ -181,11 +164,7 @@
     const int64_t parallel_runs =
         std::max<int64_t>(1, std::max(shares_.RunningOf(request_class),
                                       shares_.ShareOf(request_class).reserved));
-    const auto queued_ahead = std::count_if(
-        queue_.begin(), queue_.end(), [&](const QueuedRequest& queued) {
-          return queued.request.request_class == request_class &&
-                 !OvertakesQueued(request, queued.request);
-        });
+    const int64_t queued_ahead = order_.QueuedAhead(request, queue_, true);
     return found->second.Median() * (queued_ahead + 1) / parallel_runs;
   }
 
@@ -203,10 +182,7 @@
       }
     }
     if (completions_per_micro <= 0) return {};
-    const auto queued_ahead = std::count_if(
-        queue_.begin(), queue_.end(), [&](const QueuedRequest& queued) {
-          return !OvertakesQueued(request, queued.request);
-        });
+    const int64_t queued_ahead = order_.QueuedAhead(request, queue_, false);
     return Duration(static_cast<int64_t>(static_cast<double>(queued_ahead + 1) /
                                          completions_per_micro));
   }
@@ -243,19 +219,6 @@
     return found == config_.classes.end() ? Duration{} : found->second.max_wait;
   }
 
-  /// @return the priority of the request's customer, else that of its class.
-  uint32_t PriorityOf(const SlotRequest& request) const {
-    if (request.priority.has_value()) return *request.priority;
-    auto found = config_.classes.find(request.request_class);
-    return found == config_.classes.end() ? 0 : found->second.priority;
-  }
-
-  SlotRank RankOf(const SlotRequest& request) const {
-    const uint32_t priority = PriorityOf(request);
-    return {floor_.IsBelowFloor(request.request_class, priority), request.begun,
-            priority};
-  }
-
   size_t QueuedOf(const std::string& request_class) const {
     return static_cast<size_t>(std::count_if(
         queue_.begin(), queue_.end(), [&](const QueuedRequest& queued) {
@@ -263,109 +226,52 @@
         }));
   }
 
-  /// Refuses one queued request in favour of a new one: the newest of the
-  /// lowest rank below the new request's, else the newest of the caller with
-  /// the most queued in the same class.
+  /// Refuses one queued request in favour of a new one.
   /// @return whether a request was refused.
   bool ShedFor(const SlotRequest& request, AdmissionEffects& effects) {
-    auto victim = queue_.end();
-    SlotRank lowest = RankOf(request);
-    for (auto item = queue_.begin(); item != queue_.end(); ++item) {
-      const SlotRank rank = RankOf(item->request);
-      if (rank >= lowest && victim == queue_.end()) continue;
-      if (rank > lowest) continue;
-      victim = item;
-      lowest = rank;
-    }
-    if (victim == queue_.end()) victim = NewestOfBusiestCaller(request);
+    const auto victim = order_.VictimFor(request, queue_);
     if (victim == queue_.end()) return false;
     Refuse(*victim, AdmissionCode::kShed, effects);
     queue_.erase(victim);
     return true;
   }
 
-  std::list<QueuedRequest>::iterator NewestOfBusiestCaller(
-      const SlotRequest& request) {
-    std::map<std::string, size_t> by_caller;
-    for (const QueuedRequest& queued : queue_) {
-      if (queued.request.request_class == request.request_class) {
-        ++by_caller[queued.request.caller];
-      }
+  /// A request that went ahead of others in turn may have left no time to the
+  /// last: that one is refused at once instead of when its time is up.
+  void ShedLastInTurn(const SlotRequest& added, Instant now,
+                      AdmissionEffects& effects) {
+    const auto last = order_.LastInTurn(added, queue_);
+    if (last == queue_.end() || last->request.id == added.id) return;
+    const auto next = std::next(last);
+    SlotQueue removed;
+    removed.splice(removed.end(), queue_, last);
+    if (now + ExpectedWait(last->request) > last->latest_start) {
+      Refuse(*last, AdmissionCode::kShed, effects);
+    } else {
+      queue_.splice(next, removed);
     }
-    // Counting the new request, its caller must have fewer queued than the
-    // caller that loses one.
-    size_t most = by_caller[request.caller] + 1;
-    auto victim = queue_.end();
-    for (auto item = queue_.begin(); item != queue_.end(); ++item) {
-      if (item->request.request_class != request.request_class) continue;
-      const size_t count = by_caller[item->request.caller];
-      if (count < most || (count == most && victim == queue_.end())) continue;
-      most = count;
-      victim = item;
-    }
-    return victim;
   }
 
   void AdmitQueued(Instant now, AdmissionEffects& effects) {
-    for (auto next = NextToAdmit(); next != queue_.end();
-         next = NextToAdmit()) {
-      if (CanFinish(next->request, {}, now)) {
-        Admit(next->request, effects);
-      } else {
-        Refuse(*next, AdmissionCode::kDeadlineTooNear, effects);
-      }
+    const auto may_run = [this](const std::string& request_class) {
+      return shares_.MayRun(request_class);
+    };
+    for (auto next = order_.Next(queue_, may_run); next != queue_.end();
+         next = order_.Next(queue_, may_run)) {
+      const QueuedRequest queued = std::move(*next);
       queue_.erase(next);
-    }
-  }
-
-  /// Requests of the same rank go by the service time of their classes: short
-  /// ones first, because running requests may be waiting for them, and keep
-  /// their slots while they wait.
-  /// @return whether request a gets a slot before request b.
-  bool TakesPrecedence(const SlotRequest& a, const SlotRequest& b) const {
-    return TakesPrecedence(a, RankOf(a), b, RankOf(b));
-  }
-
-  /// Of a class below its floor, all are queued in front until one starts; the
-  /// expected wait counts those where they stand without the floor.
-  bool OvertakesQueued(const SlotRequest& request,
-                       const SlotRequest& queued) const {
-    const SlotRank without_floor{false, queued.begun, PriorityOf(queued)};
-    return TakesPrecedence(request, RankOf(request), queued, without_floor);
-  }
-
-  bool TakesPrecedence(const SlotRequest& a, const SlotRank& rank_a,
-                       const SlotRequest& b, const SlotRank& rank_b) const {
-    if (rank_a != rank_b) return rank_a > rank_b;
-    if (a.request_class == b.request_class) return false;
-    auto estimate_a = estimates_.find(a.request_class);
-    auto estimate_b = estimates_.find(b.request_class);
-    if (estimate_a == estimates_.end() || estimate_b == estimates_.end()) {
-      return false;
-    }
-    return estimate_a->second.Median() * kShorterClassFactor <
-           estimate_b->second.Median();
-  }
-
-  /// @return the oldest request of those that take precedence among those that
-  /// may use a slot.
-  std::list<QueuedRequest>::iterator NextToAdmit() {
-    auto best = queue_.end();
-    for (auto item = queue_.begin(); item != queue_.end(); ++item) {
-      const std::string& name = item->request.request_class;
-      if (!shares_.MayRun(name)) continue;
-      if (best == queue_.end() ||
-          TakesPrecedence(item->request, best->request)) {
-        best = item;
+      if (CanFinish(queued.request, {}, now)) {
+        Admit(queued.request, effects);
+      } else {
+        Refuse(queued, AdmissionCode::kDeadlineTooNear, effects);
       }
     }
-    return best;
   }
 
   void Admit(const SlotRequest& request, AdmissionEffects& effects) {
     running_[request.id] = request.request_class;
     shares_.OnStarted(request.request_class);
-    floor_.OnStarted(request.request_class, PriorityOf(request));
+    order_.OnStarted(request, queue_);
     effects.admitted.push_back(request.id);
   }
 
@@ -395,10 +301,10 @@
 
   AdmissionConfig config_;
   SlotShares shares_;
-  FloorShares floor_;
   std::map<SlotRequestId, std::string> running_;
-  std::list<QueuedRequest> queue_;  ///< Oldest first.
+  SlotQueue queue_;
   std::map<std::string, ServiceEstimate> estimates_;
+  SlotOrder order_{config_.classes, estimates_};
   Instant serving_since_;
   bool drain_requested_ = false;
   double mean_service_micros_ = 0;
