--- a/src/calls/types/call_types.h
+++ b/src/calls/types/call_types.h
@@ -35,9 +35,6 @@
   std::string body;
   Duration timeout{};  ///< Given by the caller; zero: none given.
   uint32_t depth = 0;  ///< Length of the chain of calls that led to this one.
-  /// Whether an upstream makes this call for a request that it runs; set by the
-  /// entry.
-  bool begun = false;
   /// Service of the upstream beside the entry; set by the entry.
   std::string origin_service;
   std::string idempotency_key;
--- a/src/entry/internal/call_intake.cc
+++ b/src/entry/internal/call_intake.cc
@@ -25,15 +25,10 @@
     return refusal;
   }
   call.SetDeadlines(now);
-  call.objective = now + call.route->objective - PriorWait(call, now);
-  return std::nullopt;
-}
-
-Duration CallIntake::PriorWait(const OpenCall& call, Instant now) {
-  // The time of a call ends with that of the request that it is made for.
-  if (call.request.begun) return {};
-  return wait_estimator_.EstimatePriorWait(
+  const Duration prior_wait = wait_estimator_.EstimatePriorWait(
       call.route->name, call.request.timeout, call.route->timeout, now);
+  call.objective = now + call.route->objective - prior_wait;
+  return std::nullopt;
 }
 
 std::optional<RoutingCode> CallIntake::FindRoute(OpenCall& call) {
--- a/src/entry/internal/call_intake.h
+++ b/src/entry/internal/call_intake.h
@@ -39,9 +39,6 @@
  private:
   std::optional<RoutingCode> FindRoute(OpenCall& call);
 
-  /// @return how long the caller has waited for this request before.
-  Duration PriorWait(const OpenCall& call, Instant now);
-
   const RouteTableHolder& routes_;
   const StopLimit& stop_limit_;
   CallerWaitEstimator wait_estimator_;
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -301,8 +301,7 @@
     Apply(admission_->OnRequest(
               {id, job.attempt.request_class, job.attempt.request.caller,
                job.deadline, job.objective, Duration{},
-               job.attempt.request.customer, job.attempt.priority,
-               job.attempt.request.begun},
+               job.attempt.request.customer, job.attempt.priority},
               now),
           now);
   }
--- a/src/requests/internal/call_codec.cc
+++ b/src/requests/internal/call_codec.cc
@@ -36,7 +36,6 @@
   out.set_origin_service(request.origin_service);
   out.set_customer(request.customer);
   out.set_customer_priority(attempt.priority ? *attempt.priority + 1 : 0);
-  out.set_begun(request.begun);
   out.set_unclaimed(!attempt.claimed);
   // In the message, 0 means no objective: one that has passed is sent as 1 us.
   out.set_objective_micros(
@@ -58,7 +57,6 @@
   attempt.request.origin_service = in.origin_service();
   attempt.request.customer = in.customer();
   if (in.customer_priority() > 0) attempt.priority = in.customer_priority() - 1;
-  attempt.request.begun = in.begun();
   attempt.claimed = !in.unclaimed();
   attempt.objective = Duration(static_cast<int64_t>(in.objective_micros()));
   attempt.offered_bytes = in.offered_bytes();
