Refuse new work whose calls would be refused, and rank calls at the owner

Change: the owner ranks calls of begun work first, by depth or by the services that they come from, and tells the entries so in its load reports. An entry counts the objective of such a call from its arrival: the time that an upstream allows says nothing of an earlier try. Refused calls of the local upstream and the runs that fail meanwhile lead to CallTrees, which the owner asks before it takes new work; refused_for_calls_total counts what it refuses.

--- a/src/calls/types/call_types.h
+++ b/src/calls/types/call_types.h
@@ -117,6 +117,9 @@
   /// Whether the owner takes requests whose bodies are offered; older daemons
   /// don't.
   bool takes_offers = false;
+  /// Whether requests of the class are calls that upstreams make for requests
+  /// that they run.
+  bool begun_work = false;
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/call_trees.h"
 #include "base/metrics.h"
 #include "calls/call_handler.h"
 #include "calls/call_links.h"
@@ -19,6 +20,8 @@
   const RouteTableHolder& routes;
   UpstreamChooser& chooser;
   Metrics& metrics;
+  /// Told of refused calls of the upstream beside this daemon; may be nullptr.
+  CallTrees* call_trees = nullptr;
 };
 
 /// What an entry holds.
--- a/src/entry/internal/call_intake.cc
+++ b/src/entry/internal/call_intake.cc
@@ -25,12 +25,32 @@
     return refusal;
   }
   call.SetDeadlines(now);
-  const Duration prior_wait = wait_estimator_.EstimatePriorWait(
-      call.route->name, call.request.timeout, call.route->timeout, now);
-  call.objective = now + call.route->objective - prior_wait;
+  call.begun_work =
+      call.request.depth > 0 ||
+      begun_work_.contains({call.service, call.route->request_class});
+  call.objective = now + call.route->objective - PriorWait(call, now);
   return std::nullopt;
 }
 
+void CallIntake::OnLoad(OpenCall& call, const LoadReport& load) {
+  const bool made_by_upstreams = load.begun_work;
+  if (call.request.depth > 0 || call.begun_work == made_by_upstreams) return;
+  call.begun_work = made_by_upstreams;
+  const std::pair key(call.service, call.route->request_class);
+  if (made_by_upstreams) {
+    begun_work_.insert(key);
+  } else {
+    begun_work_.erase(key);
+  }
+}
+
+/// An upstream asks once, with the time that it has left or usually allows.
+Duration CallIntake::PriorWait(const OpenCall& call, Instant now) {
+  if (call.begun_work) return {};
+  return wait_estimator_.EstimatePriorWait(
+      call.route->name, call.request.timeout, call.route->timeout, now);
+}
+
 std::optional<RoutingCode> CallIntake::FindRoute(OpenCall& call) {
   const RouteTablePtr table = routes_.Current();
   if (table != nullptr) call.version = table->VersionNumber();
--- a/src/entry/internal/call_intake.h
+++ b/src/entry/internal/call_intake.h
@@ -3,6 +3,9 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
+#include <string>
+#include <utility>
 
 #include "base/clock.h"
 #include "calls/stop_limit.h"
@@ -33,16 +36,24 @@
   /// @return why the call is refused as not run; nullopt when it is not.
   std::optional<Refusal> Open(OpenCall& call, Instant now);
 
+  /// An owner has reported whether calls like this one are made by upstreams.
+  void OnLoad(OpenCall& call, const LoadReport& load);
+
   /// From now on refuses all calls.
   void Stop() { stopping_ = true; }
 
  private:
   std::optional<RoutingCode> FindRoute(OpenCall& call);
 
+  /// @return how long the caller has waited for this request before.
+  Duration PriorWait(const OpenCall& call, Instant now);
+
   const RouteTableHolder& routes_;
   const StopLimit& stop_limit_;
   CallerWaitEstimator wait_estimator_;
   SharePicker share_picker_;
+  /// Service and class of requests that upstreams make.
+  std::set<std::pair<std::string, std::string>> begun_work_;
   bool stopping_ = false;
 };
 
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -234,6 +234,7 @@
     const OpenAttempt* attempt = calls_.FindAttempt(id);
     if (attempt == nullptr) return nullptr;
     OpenCall* call = calls_.Find(attempt->call);
+    intake_.OnLoad(*call, load);
     parts_.chooser.OnLoad(attempt->instance, call->route->request_class, load,
                           now);
     return call;
@@ -432,6 +433,10 @@
     reporter_.LogOutcome(call, refusal.code, CertaintyName(refusal.certainty),
                          now);
     reporter_.Count("call_refusals_total", refusal.code);
+    if (call.begun_work && parts_.call_trees != nullptr &&
+        refusal.certainty == Certainty::kNotRun) {
+      parts_.call_trees->OnCallRefused(now);
+    }
     if (head_forwarded) {
       call.stream->OnBroken(refusal);
     } else {
--- a/src/entry/internal/open_call.h
+++ b/src/entry/internal/open_call.h
@@ -50,6 +50,8 @@
   Instant deadline;
   Instant answer_deadline;  ///< In force once an answer has begun to arrive.
   Instant objective;        ///< A later answer misses the latency objective.
+  /// Whether an upstream makes the call for a request that it runs.
+  bool begun_work = false;
   std::set<AttemptId> open_attempts;
   AttemptId answering;  ///< Attempt whose answer is received, if any.
   /// Answer that is forwarded once it is complete.
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -5,6 +5,7 @@
 #include "admission/admission_result_codes.h"
 #include "claims/claims_result_codes.h"
 #include "owner/internal/answer_sender.h"
+#include "owner/internal/begun_work.h"
 #include "owner/internal/body_receiver.h"
 #include "owner/internal/claim_writer.h"
 #include "owner/internal/job_closer.h"
@@ -51,7 +52,8 @@
       return;
     }
     const LoadReport load = Load(attempt.request_class);
-    auto wait = sender_.WaitForRoom(job, now);
+    auto wait = begun_work_.OnStart(attempt, now);
+    if (!wait) wait = sender_.WaitForRoom(job, now);
     if (offered && !wait) wait = receiver_.WaitForRoom(job, load, now);
     if (wait.has_value()) {
       sender_.SendRefusal(job, AdmissionCode::kQueueFull, Certainty::kNotRun,
@@ -198,6 +200,7 @@
     Job* job = Find(run);
     if (job == nullptr) return;
     parts_.quarantine.OnRunSurvived(job->fingerprint, now);
+    begun_work_.OnRunEnded(*job, now);
     upstream_.OnRunEnded(run);
     if (job->attempt.NeedsClaim()) {
       closer_.FinishClaim(run, now);
@@ -283,6 +286,7 @@
     LoadReport load = admission_->Load(request_class);
     load.serving = load.serving && !upstream_.Down() && !upstream_.Drains();
     load.takes_offers = true;
+    load.begun_work = begun_work_.IsClass(request_class);
     return load;
   }
 
@@ -301,7 +305,8 @@
     Apply(admission_->OnRequest(
               {id, job.attempt.request_class, job.attempt.request.caller,
                job.deadline, job.objective, Duration{},
-               job.attempt.request.customer, job.attempt.priority},
+               job.attempt.request.customer, job.attempt.priority,
+               begun_work_.Contains(job.attempt)},
               now),
           now);
   }
@@ -442,6 +447,7 @@
   Job* Find(SlotRequestId id) { return jobs_.Find(id); }
 
   OwnerParts parts_;
+  BegunWork begun_work_{parts_.call_trees, parts_.metrics};
   JobTable jobs_;
   ClaimWriter writer_;
   AnswerSender sender_;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "admission/admission.h"
+#include "admission/call_trees.h"
 #include "admission/quarantine.h"
 #include "base/metrics.h"
 #include "calls/call_links.h"
@@ -49,6 +50,8 @@
   /// Counters of the bytes that this daemon receives over the link; offered
   /// bodies get what those leave.
   std::vector<const Counter*> link_received = {};
+  /// Told of all runs; nullptr: no new request is refused for its calls.
+  CallTrees* call_trees = nullptr;
 };
 
 /// What an owner holds.
--- a/src/requests/internal/call_codec.cc
+++ b/src/requests/internal/call_codec.cc
@@ -103,13 +103,14 @@
   out.set_state(load.serving ? 1 : 0);
   out.set_service_samples(load.service_samples);
   out.set_takes_offers(load.takes_offers);
+  out.set_begun_work(load.begun_work);
 }
 
 LoadReport FromWire(const wire::LoadReport& in) {
   return {in.running(),     in.queued(),
           in.slots(),       Duration(in.service_micros()),
           in.state() == 1,  in.service_samples(),
-          in.takes_offers()};
+          in.takes_offers(), in.begun_work()};
 }
 
 void ToWire(const QuarantineNotice& notice, wire::QuarantineNotice& out) {
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -46,7 +46,8 @@
         chooser_(MakeUpstreamChooser(ChooserConfigOf(config))),
         quarantine_(MakeQuarantine()),
         entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
-                         {*this, routes, *chooser_, metrics})) {}
+                         {*this, routes, *chooser_, metrics,
+                          call_trees_.get()})) {}
 
   ~RequestLoopImpl() override { Stop(); }
 
@@ -74,7 +75,8 @@
           &metrics_.CounterOf("peer_sent_bytes_total", "plane=\"control\"")},
          {&metrics_.CounterOf("peer_received_bytes_total", "plane=\"request\""),
           &metrics_.CounterOf("peer_received_bytes_total",
-                              "plane=\"control\"")}});
+                              "plane=\"control\"")},
+         call_trees_.get()});
     run_events_.owner = owner_.get();
     std::error_code error = transport_->Listen(config_.listen_address);
     if (error) return error;
@@ -459,6 +461,7 @@
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<UpstreamChooser> chooser_;
   std::unique_ptr<Quarantine> quarantine_;
+  std::unique_ptr<CallTrees> call_trees_ = MakeCallTrees();
   std::unique_ptr<Entry> entry_;
   RunEventsForwarder run_events_;
   std::unique_ptr<UpstreamClient> upstream_;
