--- a/src/admission/internal/admission.cc
+++ b/src/admission/internal/admission.cc
@@ -1,12 +1,13 @@
 #include "admission/admission.h"
 
 #include <algorithm>
-#include <list>
+#include <iterator>
 #include <map>
 #include <utility>
 
 #include "admission/admission_result_codes.h"
 #include "admission/internal/service_estimate.h"
+#include "admission/internal/slot_order.h"
 #include "admission/internal/slot_shares.h"
 
 namespace hibiscusglade {
@@ -16,20 +17,12 @@
 constexpr double kMeanSmoothing = 0.1;
 /// Share of its slots that an upstream gets when it starts.
 constexpr double kRampStartShare = 0.25;
-/// A class takes precedence over one of the same priority when its median
-/// service time is shorter by more than this factor.
-constexpr int64_t kShorterClassFactor = 2;
 /// A request may always wait for max_wait of its class divided by this, however
 /// long its service time, so that there is queued work when a slot becomes
 /// free.
 constexpr int64_t kMinWaitDivisor = 8;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(10);
 
-struct QueuedRequest {
-  SlotRequest request;
-  Instant latest_start;  ///< Refused when not started by then.
-};
-
 class AdmissionImpl : public Admission {
  public:
   AdmissionEffects OnRequest(const SlotRequest& request, Instant now) override {
@@ -38,17 +31,19 @@
       return RefusalOf(request.id, AdmissionCode::kNotServing);
     }
     GrowSlots(now);
-    const Duration wait = ExpectedWait(request.request_class);
+    const Duration wait = ExpectedWait(request);
     if (!CanFinish(request, wait, now)) {
       return RefusalOf(request.id, AdmissionCode::kDeadlineTooNear);
     }
     AdmissionEffects effects;
     if (QueuedOf(request.request_class) == 0 &&
         shares_.MayRun(request.request_class)) {
+      order_.OnAsked(request, now);
       Admit(request, effects);
       return effects;
     }
     const Instant latest_start = LatestStart(request, now);
+    if (latest_start > now) order_.OnAsked(request, now);
     if (now + wait > latest_start) {
       // This request and all queued behind it would be answered late: a queue
       // with a wait longer than the objective makes every answer late.
@@ -58,6 +53,7 @@
       return RefusalOf(request.id, AdmissionCode::kQueueFull);
     }
     queue_.push_back({request, latest_start});
+    ShedLastInTurn(request, now, effects);
     return effects;
   }
 
@@ -156,25 +152,26 @@
     return EstimateOf(request.request_class).HighPercentile();
   }
 
-  /// @return the expected wait of a new request of the class for a slot; zero
-  /// when no service times are known.
-  Duration ExpectedWait(const std::string& request_class) const {
+  /// @return the expected wait of a new request for a slot; zero when no
+  /// service times are known.
+  Duration ExpectedWait(const SlotRequest& request) const {
+    const std::string& request_class = request.request_class;
     if (shares_.MayRun(request_class)) return {};
     const SlotShare share = shares_.ShareOf(request_class);
-    if (share.limit >= shares_.Slots()) return WaitForAnySlot(request_class);
+    if (share.limit >= shares_.Slots()) return WaitForAnySlot(request);
     auto found = estimates_.find(request_class);
     if (found == estimates_.end()) return {};
     const int64_t parallel_runs =
         std::max<int64_t>(1, std::max(shares_.RunningOf(request_class),
                                       shares_.ShareOf(request_class).reserved));
-    const auto queued_ahead = static_cast<int64_t>(QueuedOf(request_class));
+    const int64_t queued_ahead = order_.QueuedAhead(request, queue_, true);
     return found->second.Median() * (queued_ahead + 1) / parallel_runs;
   }
 
   /// The rate at which slots become free follows from the service times of all
-  /// running requests. Queued requests that the class does not take precedence
-  /// over get slots first.
-  Duration WaitForAnySlot(const std::string& request_class) const {
+  /// running requests. Queued requests that the new one does not take
+  /// precedence over get slots first.
+  Duration WaitForAnySlot(const SlotRequest& request) const {
     double completions_per_micro = 0;
     for (const auto& [id, running_class] : running_) {
       auto estimate = estimates_.find(running_class);
@@ -185,10 +182,7 @@
       }
     }
     if (completions_per_micro <= 0) return {};
-    const auto queued_ahead = std::count_if(
-        queue_.begin(), queue_.end(), [&](const QueuedRequest& queued) {
-          return !TakesPrecedence(request_class, queued.request.request_class);
-        });
+    const int64_t queued_ahead = order_.QueuedAhead(request, queue_, false);
     return Duration(static_cast<int64_t>(static_cast<double>(queued_ahead + 1) /
                                          completions_per_micro));
   }
@@ -225,11 +219,6 @@
     return found == config_.classes.end() ? Duration{} : found->second.max_wait;
   }
 
-  uint32_t PriorityOf(const std::string& request_class) const {
-    auto found = config_.classes.find(request_class);
-    return found == config_.classes.end() ? 0 : found->second.priority;
-  }
-
   size_t QueuedOf(const std::string& request_class) const {
     return static_cast<size_t>(std::count_if(
         queue_.begin(), queue_.end(), [&](const QueuedRequest& queued) {
@@ -237,97 +226,52 @@
         }));
   }
 
-  /// Refuses one queued request in favour of a new one: the newest of the
-  /// lowest priority below the new request's, else the newest of the caller
-  /// with the most queued in the same class.
+  /// Refuses one queued request in favour of a new one.
   /// @return whether a request was refused.
   bool ShedFor(const SlotRequest& request, AdmissionEffects& effects) {
-    auto victim = queue_.end();
-    uint32_t lowest = PriorityOf(request.request_class);
-    for (auto item = queue_.begin(); item != queue_.end(); ++item) {
-      const uint32_t priority = PriorityOf(item->request.request_class);
-      if (priority >= lowest && victim == queue_.end()) continue;
-      if (priority > lowest) continue;
-      victim = item;
-      lowest = priority;
-    }
-    if (victim == queue_.end()) victim = NewestOfBusiestCaller(request);
+    const auto victim = order_.VictimFor(request, queue_);
     if (victim == queue_.end()) return false;
     Refuse(*victim, AdmissionCode::kShed, effects);
     queue_.erase(victim);
     return true;
   }
 
-  std::list<QueuedRequest>::iterator NewestOfBusiestCaller(
-      const SlotRequest& request) {
-    std::map<std::string, size_t> by_caller;
-    for (const QueuedRequest& queued : queue_) {
-      if (queued.request.request_class == request.request_class) {
-        ++by_caller[queued.request.caller];
-      }
+  /// A request that went ahead of others in turn may have left no time to the
+  /// last: that one is refused at once instead of when its time is up.
+  void ShedLastInTurn(const SlotRequest& added, Instant now,
+                      AdmissionEffects& effects) {
+    const auto last = order_.LastInTurn(added, queue_);
+    if (last == queue_.end() || last->request.id == added.id) return;
+    const auto next = std::next(last);
+    SlotQueue removed;
+    removed.splice(removed.end(), queue_, last);
+    if (now + ExpectedWait(last->request) > last->latest_start) {
+      Refuse(*last, AdmissionCode::kShed, effects);
+    } else {
+      queue_.splice(next, removed);
     }
-    // Counting the new request, its caller must have fewer queued than the
-    // caller that loses one.
-    size_t most = by_caller[request.caller] + 1;
-    auto victim = queue_.end();
-    for (auto item = queue_.begin(); item != queue_.end(); ++item) {
-      if (item->request.request_class != request.request_class) continue;
-      const size_t count = by_caller[item->request.caller];
-      if (count < most || (count == most && victim == queue_.end())) continue;
-      most = count;
-      victim = item;
-    }
-    return victim;
   }
 
   void AdmitQueued(Instant now, AdmissionEffects& effects) {
-    for (auto next = NextToAdmit(); next != queue_.end();
-         next = NextToAdmit()) {
-      if (CanFinish(next->request, {}, now)) {
-        Admit(next->request, effects);
-      } else {
-        Refuse(*next, AdmissionCode::kDeadlineTooNear, effects);
-      }
+    const auto may_run = [this](const std::string& request_class) {
+      return shares_.MayRun(request_class);
+    };
+    for (auto next = order_.Next(queue_, may_run); next != queue_.end();
+         next = order_.Next(queue_, may_run)) {
+      const QueuedRequest queued = std::move(*next);
       queue_.erase(next);
-    }
-  }
-
-  /// Orders classes by priority, and classes of the same priority by service
-  /// time. Short requests go first because running requests may be waiting for
-  /// them, and keep their slots while they wait.
-  /// @return whether class a gets slots before class b.
-  bool TakesPrecedence(const std::string& a, const std::string& b) const {
-    if (a == b) return false;
-    const uint32_t priority_a = PriorityOf(a);
-    const uint32_t priority_b = PriorityOf(b);
-    if (priority_a != priority_b) return priority_a > priority_b;
-    auto estimate_a = estimates_.find(a);
-    auto estimate_b = estimates_.find(b);
-    if (estimate_a == estimates_.end() || estimate_b == estimates_.end()) {
-      return false;
-    }
-    return estimate_a->second.Median() * kShorterClassFactor <
-           estimate_b->second.Median();
-  }
-
-  /// @return the oldest request of the class that takes precedence among those
-  /// that may use a slot.
-  std::list<QueuedRequest>::iterator NextToAdmit() {
-    auto best = queue_.end();
-    for (auto item = queue_.begin(); item != queue_.end(); ++item) {
-      const std::string& name = item->request.request_class;
-      if (!shares_.MayRun(name)) continue;
-      if (best == queue_.end() ||
-          TakesPrecedence(name, best->request.request_class)) {
-        best = item;
+      if (CanFinish(queued.request, {}, now)) {
+        Admit(queued.request, effects);
+      } else {
+        Refuse(queued, AdmissionCode::kDeadlineTooNear, effects);
       }
     }
-    return best;
   }
 
   void Admit(const SlotRequest& request, AdmissionEffects& effects) {
     running_[request.id] = request.request_class;
     shares_.OnStarted(request.request_class);
+    order_.OnStarted(request, queue_);
     effects.admitted.push_back(request.id);
   }
 
@@ -358,8 +302,9 @@
   AdmissionConfig config_;
   SlotShares shares_;
   std::map<SlotRequestId, std::string> running_;
-  std::list<QueuedRequest> queue_;  ///< Oldest first.
+  SlotQueue queue_;
   std::map<std::string, ServiceEstimate> estimates_;
+  SlotOrder order_{config_.classes, estimates_};
   Instant serving_since_;
   bool drain_requested_ = false;
   double mean_service_micros_ = 0;
