Elect a leader at once when all replicas have just started

Cause: after a loss of all replicas a leader is waited for by time-outs of 250 to 500 ms, and by 600 to 1,200 ms more when two stand at once or one stands before another listens. Change: a started replica tells the other voters that it knows no leader and where its log ends; each answers by the start of the process that asked. Once all have told, the one with the longest log (by name among equals) stands without a time-out and without a pre-vote; when only a majority has, it stands after the 250 ms that a leader among the others has to show itself. A leader answers such a notice with its heartbeat. A replica votes within its first 250 ms only for one that this very process has told: what guards against an old copy of a folder is as before.

--- a/src/consensus/consensus_node.h
+++ b/src/consensus/consensus_node.h
@@ -68,6 +68,10 @@
  public:
   virtual ~ConsensusNode() = default;
 
+  /// Tells the other voters that this replica has started and knows no leader.
+  /// To be called once, before the first OnTick().
+  virtual ConsensusEffects AnnounceStart() = 0;
+
   virtual ConsensusEffects OnTick(Instant now) = 0;
   virtual ConsensusEffects OnMessage(const ConsensusMessage& message,
                                      Instant now) = 0;
--- a/src/consensus/internal/consensus_codec.cc
+++ b/src/consensus/internal/consensus_codec.cc
@@ -55,6 +55,7 @@
     to->set_last_index(body.last_index);
     to->set_last_term(body.last_term);
     to->set_pre_vote(body.pre_vote);
+    to->set_receiver_start(body.receiver_start);
   }
   void operator()(const VoteReply& body) const {
     auto* to = out.mutable_vote_reply();
@@ -88,6 +89,13 @@
   void operator()(const JoinRequest& body) const {
     Fill(body.member, *out.mutable_join_request()->mutable_member());
   }
+  void operator()(const StartNotice& body) const {
+    auto* to = out.mutable_start_notice();
+    to->set_last_index(body.last_index);
+    to->set_last_term(body.last_term);
+    to->set_start(body.start);
+    to->set_heard(body.heard);
+  }
 };
 
 AppendRequest From(const wire::AppendRequest& in) {
@@ -130,9 +138,9 @@
   ConsensusMessage message{From(in.from()), From(in.to()), in.term(), {}};
   switch (in.kind_case()) {
     case wire::ConsensusMessage::kVoteRequest:
-      message.body = VoteRequest{in.vote_request().last_index(),
-                                 in.vote_request().last_term(),
-                                 in.vote_request().pre_vote()};
+      message.body = VoteRequest{
+          in.vote_request().last_index(), in.vote_request().last_term(),
+          in.vote_request().pre_vote(), in.vote_request().receiver_start()};
       return message;
     case wire::ConsensusMessage::kVoteReply:
       message.body =
@@ -152,6 +160,11 @@
     case wire::ConsensusMessage::kJoinRequest:
       message.body = JoinRequest{From(in.join_request().member())};
       return message;
+    case wire::ConsensusMessage::kStartNotice:
+      message.body = StartNotice{
+          in.start_notice().last_index(), in.start_notice().last_term(),
+          in.start_notice().start(), in.start_notice().heard()};
+      return message;
     case wire::ConsensusMessage::KIND_NOT_SET:
       break;
   }
--- a/src/consensus/internal/node.cc
+++ b/src/consensus/internal/node.cc
@@ -27,7 +27,8 @@
       commit_index_(log_.Snapshot().last_index),
       synced_index_(log_.LastIndex()),
       last_leader_contact_(now - times.election_timeout_max),
-      ignore_votes_until_(now + times.startup_timeout_min) {
+      ignore_votes_until_(now + times.startup_timeout_min),
+      start_(self_, seed == 0 ? 1 : seed) {
   ReadMembersFromLog();
   election_deadline_ = now + RandomBetween(times_.startup_timeout_min,
                                            times_.startup_timeout_max);
@@ -54,15 +55,13 @@
   }
   const auto* vote_request = std::get_if<VoteRequest>(&message.body);
   const auto* vote_reply = std::get_if<VoteReply>(&message.body);
-  const bool pre_vote =
+  const auto* notice = std::get_if<StartNotice>(&message.body);
+  const bool of_no_term =
+      notice != nullptr ||
       (vote_request != nullptr && vote_request->pre_vote) ||
       (vote_reply != nullptr && vote_reply->pre_vote && vote_reply->granted);
-  // Vote requests must not disrupt a group that has a working leader.
-  if (vote_request != nullptr &&
-      (HasRecentLeaderContact(now) || now < ignore_votes_until_)) {
-    return {};
-  }
-  if (message.term > vote_.term && !pre_vote) {
+  if (vote_request != nullptr && MayDisrupt(*vote_request, now)) return {};
+  if (message.term > vote_.term && !of_no_term) {
     BecomeFollower(message.term, std::nullopt, now);
   }
   if (vote_request != nullptr) {
@@ -78,6 +77,8 @@
     OnInstallSnapshot(message, *install, now);
   } else if (const auto* join = std::get_if<JoinRequest>(&message.body)) {
     OnJoinRequest(*join, now);
+  } else if (notice != nullptr) {
+    OnStartNotice(message, *notice, now);
   }
   return TakeEffects();
 }
@@ -153,99 +154,13 @@
   }
   role_ = IsVoter(self_) ? ReplicaRole::kFollower : ReplicaRole::kNonVoter;
   leader_ = std::move(leader);
+  if (leader_.has_value()) start_.Close();
   votes_.clear();
   progress_.clear();
   FailReads();
   ResetElectionDeadline(now);
 }
 
-void Node::StartElection(bool pre_vote, Instant now) {
-  role_ = ReplicaRole::kCandidate;
-  leader_.reset();
-  pre_voting_ = pre_vote;
-  votes_ = {self_};
-  ResetElectionDeadline(now);
-  Term term = vote_.term + 1;
-  if (!pre_vote) {
-    vote_ = {term, self_};
-    PersistVote();
-  }
-  for (const Member& member : members_) {
-    if (!member.voter || member.id == self_) continue;
-    Send(member.id, term,
-         VoteRequest{log_.LastIndex(), log_.LastTerm(), pre_vote});
-  }
-  if (votes_.size() < QuorumSize()) return;
-  if (pre_vote) {
-    StartElection(false, now);
-  } else {
-    BecomeLeader(now);
-  }
-}
-
-void Node::BecomeLeader(Instant now) {
-  role_ = ReplicaRole::kLeader;
-  leader_ = self_;
-  progress_.clear();
-  for (const Member& member : members_) {
-    if (member.id == self_) continue;
-    Progress progress;
-    progress.next = log_.LastIndex() + 1;
-    progress.last_reply = now;
-    progress_[member.id] = progress;
-  }
-  term_start_index_ = log_.LastIndex() + 1;
-  Append({vote_.term, term_start_index_, EntryKind::kNoop, ""});
-  BroadcastAppend(now);
-}
-
-void Node::OnVoteRequest(const ConsensusMessage& message,
-                         const VoteRequest& body, Instant now) {
-  const bool log_is_current = std::pair(body.last_term, body.last_index) >=
-                              std::pair(log_.LastTerm(), log_.LastIndex());
-  if (body.pre_vote) {
-    const bool granted = message.term > vote_.term && log_is_current;
-    Send(message.from, granted ? message.term : vote_.term,
-         VoteReply{granted, true});
-    return;
-  }
-  const bool vote_available =
-      !vote_.voted_for.has_value() || *vote_.voted_for == message.from;
-  // A replica that believes itself a non-voter votes, too: the entry that made
-  // it a voter may be committed without having reached it. Candidates count the
-  // votes of voters only.
-  const bool granted =
-      message.term == vote_.term && vote_available && log_is_current;
-  if (granted) {
-    vote_.voted_for = message.from;
-    PersistVote();
-    ResetElectionDeadline(now);
-  }
-  Send(message.from, vote_.term, VoteReply{granted, false});
-}
-
-void Node::OnVoteReply(const ConsensusMessage& message, const VoteReply& body,
-                       Instant now) {
-  if (role_ != ReplicaRole::kCandidate || body.pre_vote != pre_voting_) return;
-  const Term expected = pre_voting_ ? vote_.term + 1 : vote_.term;
-  if (!body.granted || message.term != expected || !IsVoter(message.from)) {
-    return;
-  }
-  votes_.insert(message.from);
-  if (votes_.size() < QuorumSize()) return;
-  if (pre_voting_) {
-    StartElection(false, now);
-  } else {
-    BecomeLeader(now);
-  }
-}
-
-bool Node::HasRecentLeaderContact(Instant now) const {
-  if (role_ == ReplicaRole::kLeader) return true;
-  return leader_.has_value() &&
-         now - last_leader_contact_ < times_.election_timeout_min;
-}
-
 void Node::OnAppendRequest(const ConsensusMessage& message,
                            const AppendRequest& body, Instant now) {
   if (message.term < vote_.term) {
--- a/src/consensus/internal/node.h
+++ b/src/consensus/internal/node.h
@@ -11,6 +11,7 @@
 #include "base/random.h"
 #include "consensus/consensus_node.h"
 #include "consensus/internal/entry_log.h"
+#include "consensus/internal/start_round.h"
 
 namespace hibiscusglade {
 
@@ -20,6 +21,7 @@
   Node(MemberId self, const ConsensusTimes& times,
        RestoredConsensusState restored, uint64_t seed, Instant now);
 
+  ConsensusEffects AnnounceStart() override;
   ConsensusEffects OnTick(Instant now) override;
   ConsensusEffects OnMessage(const ConsensusMessage& message,
                              Instant now) override;
@@ -81,6 +83,17 @@
   void OnVoteReply(const ConsensusMessage& message, const VoteReply& body,
                    Instant now);
   bool HasRecentLeaderContact(Instant now) const;
+  /// @return whether a vote request must be ignored, so that it does not
+  /// disrupt a group that has a working leader.
+  bool MayDisrupt(const VoteRequest& body, Instant now) const;
+
+  // After a start.
+  void OnStartNotice(const ConsensusMessage& message, const StartNotice& body,
+                     Instant now);
+  void SendStartNotice(const MemberId& to, uint64_t heard);
+  /// Stands for election, or moves the time at which it does, by what the other
+  /// voters have told.
+  void ActOnStartNotices(Instant now);
 
   // Replication.
   void OnAppendRequest(const ConsensusMessage& message,
@@ -145,6 +158,7 @@
   /// be an old copy that lacks a vote of the current term, so a running leader
   /// gets the time to make itself known first.
   Instant ignore_votes_until_;
+  StartRound start_;
   Instant election_deadline_;
   Instant heartbeat_deadline_;
   bool pre_voting_ = false;
--- a/src/consensus/internal/replica.cc
+++ b/src/consensus/internal/replica.cc
@@ -59,6 +59,9 @@
   void OnTick(Instant now) override {
     ExpireCallbacks(now);
     if (failure_ || storage_full_) return;
+    if (!std::exchange(start_announced_, true)) {
+      MergeEffects(node_->AnnounceStart());
+    }
     MergeEffects(node_->OnTick(now));
     RequestToJoin(now);
   }
@@ -356,6 +359,7 @@
   std::map<uint64_t, PendingRead> reads_;
   uint64_t last_read_ = 0;
   Instant next_join_;
+  bool start_announced_ = false;
   bool storage_full_ = false;
   std::error_code failure_;
   std::optional<ReplicaRole> logged_role_;
--- a/src/consensus/types/consensus_types.h
+++ b/src/consensus/types/consensus_types.h
@@ -68,10 +68,24 @@
   LogIndex last_index = 0;
   Term last_term = 0;
   bool pre_vote = false;
+  /// Start of the receiver's process when all voters have told the sender,
+  /// since it started, that they know no leader; 0 otherwise.
+  uint64_t receiver_start = 0;
 
   friend bool operator==(const VoteRequest&, const VoteRequest&) = default;
 };
 
+/// Tells that the sender knows no leader. Sent to all voters after a start, and
+/// as an answer to that.
+struct StartNotice {
+  LogIndex last_index = 0;
+  Term last_term = 0;
+  uint64_t start = 0;  ///< Identifies the sender's process; not 0.
+  uint64_t heard = 0;  ///< The receiver's `start`; 0 while it is unknown.
+
+  friend bool operator==(const StartNotice&, const StartNotice&) = default;
+};
+
 struct VoteReply {
   bool granted = false;
   bool pre_vote = false;
@@ -122,7 +136,7 @@
   MemberId to;
   Term term = 0;
   std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
-               InstallSnapshot, JoinRequest>
+               InstallSnapshot, JoinRequest, StartNotice>
       body;
 
   friend bool operator==(const ConsensusMessage&,
