Judge no request by version 0

Operators propose as before: their API doesn't ask whether the daemon is ready. The control loop's test proposes a first version, and checks that before it the daemon is not ready and has no route table. A plain daemon pulls the version in the turn that tells its floor.

--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -265,7 +265,8 @@
     while (!exit_requested_) {
       const bool busy =
           IsReplica(config_) && replica_host_.HasUnappliedEntries();
-      const Duration wait = busy ? Duration{} : tick_interval;
+      const bool starts = next_tick_ == Instant{};
+      const Duration wait = busy || starts ? Duration{} : tick_interval;
       const Instant turn_begin = clock_.Now();
       transport_->Poll(executor_.WakeDescriptor(), wait);
       executor_.RunPending();
@@ -312,7 +313,7 @@
   }
 
   void OnActivated(const ConfigVersionPtr& version, Instant now) {
-    readiness_.OnVersionInUse();
+    readiness_.OnVersionInUse(version->number);
     membership_->SetVersionInUse(version->number, version->digest, now);
     view_changed_ = true;
   }
@@ -328,7 +329,10 @@
     instance_states_.Report(records, clock_.Now());
     const ConfigVersionPtr& version = follower_.Follower().InUse();
     if (version == nullptr) return;
-    routes_.Publish(std::make_shared<const RouteTable>(version, records));
+    // By version 0 every request would be one that no route allows.
+    if (version->number > 0) {
+      routes_.Publish(std::make_shared<const RouteTable>(version, records));
+    }
     const auto upstream = membership_->LocalUpstream();
     listener_.OnLocalUpstream(upstream, LimitsOf(*version, upstream));
   }
--- a/src/control/tests/control_loop_test.cc
+++ b/src/control/tests/control_loop_test.cc
@@ -20,6 +20,9 @@
 constexpr uint16_t kFirstPort = 20000;
 constexpr uint16_t kPorts = 10000;
 constexpr milliseconds kPollInterval{5};
+constexpr char kNoConfiguration[] = "a first version to be accepted";
+constexpr char kFirstPatch[] =
+    R"([{"op": "add", "path": "/services/plots", "value": {}}])";
 
 /// Stands for the request thread: applies updates only when it is told to.
 class RequestsThatLag : public LocalUpstreamListener {
@@ -89,6 +92,13 @@
     loop_ = MakeControlLoop(config, clock_, *metrics_, routes_, requests_);
     EXPECT_FALSE(loop_->Start());
     const Instant end = clock_.Now() + seconds(20);
+    while (loop_->Status().waiting_for != kNoConfiguration &&
+           clock_.Now() < end) {
+      std::this_thread::sleep_for(kPollInterval);
+    }
+    EXPECT_FALSE(loop_->Ready());
+    EXPECT_EQ(routes_.Current(), nullptr);
+    ASSERT_EQ(loop_->Propose({"first", 0, kFirstPatch, "", 0}).number, 1u);
     while (!loop_->Ready() && clock_.Now() < end) {
       std::this_thread::sleep_for(kPollInterval);
     }
--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -73,6 +73,8 @@
       floor_known_ = true;
       floor_ = number;
       Activate(now, effects);
+      // A replica has the version in its log.
+      if (!config_.replica) PullWhenBehind(now, effects);
     }
     const size_t receivers = config_.replica ? OwnDomainPeers() : 0;
     OnConfirmation({number, begun_at, static_cast<uint32_t>(receivers)}, now,
@@ -98,6 +100,7 @@
              "version";
     }
     if (in_use_ == nullptr) return "version " + std::to_string(floor_);
+    if (in_use_->number == 0) return "a first version to be accepted";
     return "";
   }
 
--- a/src/distribution/version_follower.h
+++ b/src/distribution/version_follower.h
@@ -97,7 +97,7 @@
   /// one; absent while it never was.
   virtual std::optional<Duration> Age(Instant now) const = 0;
 
-  /// @return what is missing to put a first version in use; empty afterwards.
+  /// @return what is missing to serve by a version; empty afterwards.
   virtual std::string WaitingFor() const = 0;
 };
 
