Answer the first reads the moment there is a leader

Cause: daemons that start with the whole mesh read their floor while the replicas still elect. Each refusal was followed by a pause of 50 ms and a tick, and replicas were asked one after the other, a silent one for 700 ms.

--- a/src/control/internal/group_client.cc
+++ b/src/control/internal/group_client.cc
@@ -1,5 +1,6 @@
 #include "control/internal/group_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "consensus/consensus_result_codes.h"
@@ -12,6 +13,11 @@
 constexpr Duration kClaimsTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kAttemptTimeout = std::chrono::milliseconds(700);
 constexpr Duration kNotLeaderRetryDelay = std::chrono::milliseconds(50);
+/// Replicas that are sent a read at a time while no leader is known.
+constexpr size_t kMostAskedAtOnce = 3;
+/// Answers naming a leader that a request follows without a pause. Two replicas
+/// that name each other must not be asked without end.
+constexpr int kMostFollowed = 3;
 
 }  // namespace
 
@@ -41,12 +47,21 @@
   attempts_.erase(found);
   PendingRequest& pending = pending_requests_[attempt.request_id];
   if (answer.error) {
-    leaders_[pending.request.group] = answer.leader_address;
-    if (answer.error == ConsensusCode::kNotLeader) {
-      pending.unresolved.erase(attempt_id);
-      pending.next_attempt_at = now + kNotLeaderRetryDelay;
-    } else {
+    std::string& leader = leaders_[pending.request.group];
+    const bool names_leader = !answer.leader_address.empty();
+    if (names_leader || leader == attempt.replica) {
+      leader = answer.leader_address;
+    }
+    if (answer.error != ConsensusCode::kNotLeader) {
       pending.next_attempt_at = now;
+      return;
+    }
+    pending.unresolved.erase(attempt_id);
+    if (names_leader && leader != attempt.replica &&
+        pending.followed++ < kMostFollowed) {
+      SendAttempt(pending, now);
+    } else if (pending.unresolved.empty() || !pending.request.read) {
+      pending.next_attempt_at = now + kNotLeaderRetryDelay;
     }
     return;
   }
@@ -81,13 +96,23 @@
 void GroupClient::SendAttempt(PendingRequest& pending, Instant now) {
   pending.next_attempt_at = now + kAttemptTimeout;
   if (replicas_.empty()) return;
-  std::string replica = leaders_[pending.request.group];
-  const bool leader_known = !replica.empty();
-  if (!leader_known) replica = replicas_[next_replica_++ % replicas_.size()];
-  if (!leader_known && pending.request.group == GroupId::kClaims) {
-    SendProbe(pending, replica);
+  const std::string& leader = leaders_[pending.request.group];
+  if (!leader.empty()) {
+    SendTo(leader, pending);
     return;
   }
+  if (pending.request.group == GroupId::kClaims) {
+    SendProbe(pending, NextReplica());
+    return;
+  }
+  // A read runs nowhere but at the leader, so that it may be sent to several:
+  // the one that leads, or is about to, answers without being found first.
+  const size_t asked =
+      pending.request.read ? std::min(kMostAskedAtOnce, replicas_.size()) : 1;
+  for (size_t i = 0; i < asked; ++i) SendTo(NextReplica(), pending);
+}
+
+void GroupClient::SendTo(const std::string& replica, PendingRequest& pending) {
   const uint64_t attempt_id = ++last_attempt_id_;
   attempts_[attempt_id] = {pending.request.request_id, replica, false};
   pending.unresolved.insert(attempt_id);
@@ -96,6 +121,10 @@
   sender_(replica, request);
 }
 
+const std::string& GroupClient::NextReplica() {
+  return replicas_[next_replica_++ % replicas_.size()];
+}
+
 void GroupClient::SendProbe(const PendingRequest& pending,
                             const std::string& replica) {
   const uint64_t attempt_id = ++last_attempt_id_;
--- a/src/control/internal/group_client.h
+++ b/src/control/internal/group_client.h
@@ -65,6 +65,7 @@
     Instant deadline;
     Instant next_attempt_at;
     std::set<uint64_t> unresolved;  ///< Attempts that may have been applied.
+    int followed = 0;  ///< Answers naming a leader that was asked at once.
     ReplicaCallback done;
   };
 
@@ -77,8 +78,11 @@
   };
 
   /// Sends the request to the known leader. While none is known, sends it to
-  /// the next replica in turn, or only a probe in the case of a claim.
+  /// the next replica in turn, a read to the next few, and only a probe in the
+  /// case of a claim.
   void SendAttempt(PendingRequest& pending, Instant now);
+  void SendTo(const std::string& replica, PendingRequest& pending);
+  const std::string& NextReplica();
 
   /// Sends a read to a replica, to find out whether it leads a majority. The
   /// outcome of a claim sent to a replica that is cut off from the majority
--- a/src/control/internal/replica_host.cc
+++ b/src/control/internal/replica_host.cc
@@ -68,6 +68,10 @@
     return;
   }
   Replica& replica = *found->second;
+  const bool leader_known = !replica.LeaderAddress().empty();
+  if (held_reads_[request.group].Hold(request, leader_known, now, done)) {
+    return;
+  }
   if (request.read) {
     replica.Read(request.command, now, std::move(done));
   } else {
@@ -76,7 +80,18 @@
 }
 
 void ReplicaHost::Flush(Instant now) {
-  for (auto& [group, replica] : replicas_) replica->Flush(now);
+  for (auto& [group, replica] : replicas_) {
+    AnswerHeldReads(group, *replica, now);
+    replica->Flush(now);
+  }
+}
+
+void ReplicaHost::AnswerHeldReads(GroupId group, Replica& replica,
+                                  Instant now) {
+  const bool leader_known = !replica.LeaderAddress().empty();
+  for (HeldReads::Held& held : held_reads_[group].TakeDue(leader_known, now)) {
+    replica.Read(held.request.command, now, std::move(held.done));
+  }
 }
 
 bool ReplicaHost::HasUnappliedEntries() const {
--- a/src/control/internal/replica_host.h
+++ b/src/control/internal/replica_host.h
@@ -10,6 +10,7 @@
 #include "claims/claim_ledger.h"
 #include "consensus/replica.h"
 #include "control/internal/group_client.h"
+#include "control/internal/held_reads.h"
 #include "versions/version_ledger.h"
 
 namespace hibiscusglade {
@@ -38,7 +39,8 @@
   void OnTick(Instant now);
   void OnMessage(GroupId group, const ConsensusMessage& message, Instant now);
 
-  /// Submits a proposal or read to the local replica of the group.
+  /// Submits a proposal or read to the local replica of the group. A read may
+  /// be held while the replica has known no leader since it started.
   void Submit(const GroupRequest& request, Instant now, ReplicaCallback done);
 
   /// Syncs and sends what the replicas have gathered, and applies some of the
@@ -53,6 +55,8 @@
   const VersionLedger& Versions() const { return versions_; }
 
  private:
+  void AnswerHeldReads(GroupId group, Replica& replica, Instant now);
+
   class GroupLink : public ConsensusTransport {
    public:
     GroupLink(GroupId group, const ConsensusSender& sender)
@@ -73,6 +77,7 @@
   std::unique_ptr<DataFolder> folder_;
   std::map<GroupId, GroupLink> links_;
   std::map<GroupId, std::unique_ptr<Replica>> replicas_;
+  std::map<GroupId, HeldReads> held_reads_;
 };
 
 }  // namespace hibiscusglade
--- a/src/control/tests/group_client_test.cc
+++ b/src/control/tests/group_client_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <utility>
+#include <vector>
 
 #include "consensus/consensus_result_codes.h"
 
@@ -55,6 +57,53 @@
   EXPECT_EQ(result_.error, ConsensusCode::kOutcomeUnknown);
 }
 
+/// A daemon that has just started reads its floor.
+class AReadWithoutAKnownLeader : public testing::Test {
+ protected:
+  AReadWithoutAKnownLeader() {
+    client_.Submit(GroupId::kVersions, "x", true, now_,
+                   [this](const ReplicaResult& result) { result_ = result; });
+  }
+
+  /// @param replica number of the replica that does not lead.
+  void Redirect(size_t replica, const std::string& leader) {
+    client_.OnAnswer({sent_[replica].second.request_id,
+                      ConsensusCode::kNotLeader, "", leader},
+                     now_);
+  }
+
+  Instant now_ = Instant(seconds(1000));
+  std::vector<std::pair<std::string, GroupRequest>> sent_;
+  std::optional<ReplicaResult> result_;
+  GroupClient client_{
+      {"a", "b", "c", "d", "e"},
+      [this](const std::string& replica, const GroupRequest& request) {
+        sent_.emplace_back(replica, request);
+      }};
+};
+
+TEST_F(AReadWithoutAKnownLeader, IsAnsweredByTheOneOfSeveralThatLeads) {
+  ASSERT_EQ(sent_.size(), 3u);
+  Redirect(0, "");
+  client_.OnAnswer({sent_[2].second.request_id, {}, "7", ""}, now_);
+  ASSERT_TRUE(result_.has_value());
+  EXPECT_EQ(result_->result, "7");
+}
+
+TEST_F(AReadWithoutAKnownLeader, FollowsTheNameOfTheLeaderWithoutAPause) {
+  Redirect(1, "e");
+  ASSERT_EQ(sent_.size(), 4u);
+  EXPECT_EQ(sent_.back().first, "e");
+}
+
+TEST_F(AReadWithoutAKnownLeader, PausesWhenReplicasNameEachOther) {
+  for (int i = 0; i < 3; ++i) Redirect(sent_.size() - 1, i % 2 ? "a" : "e");
+  ASSERT_EQ(sent_.size(), 6u);
+  Redirect(5, "a");
+  client_.OnTick(now_);
+  EXPECT_EQ(sent_.size(), 6u);
+}
+
 class AClientOfTheClaims : public testing::Test {
  protected:
   struct Sent {
