Split an entry's requests by the plan of its failure domain

Cause: each entry reacts to its own view of its domain, so that they leave together or not at all.

Change: FlowRouter measures an entry's demand by service and gives each domain its planned share, with turns that begin at random. The chooser follows a plan that is fresh, and its own rule otherwise. Messages for room change, nothing has sent them yet; the owner says what its upstream does. Nothing makes plans yet.

--- a/src/entry/internal/call_reporter.cc
+++ b/src/entry/internal/call_reporter.cc
@@ -44,6 +44,8 @@
     Count("choices_total", "probe");
   } else if (reason == ChoiceReason::kOwnInstance) {
     Count("choices_total", "own_instance");
+  } else if (reason == ChoiceReason::kPlanned) {
+    Count("choices_total", "planned");
   }
 }
 
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -173,6 +173,12 @@
 
   OwnerUsage Usage() const override { return jobs_.Usage(); }
 
+  UpstreamActivity Activity() const override {
+    const LoadReport load = Load("");
+    if (!upstream_.Current().has_value() || !load.serving) return {};
+    return {upstream_.Current()->service, load.slots, load.running, completed_};
+  }
+
   void OnRunHead(RunId run, const AnswerHead& head, Instant) override {
     Job* job = Find(run);
     if (job == nullptr) return;
@@ -435,6 +441,7 @@
     const Job* job = Find(id);
     const bool started = job != nullptr && job->run_started != Instant{};
     const Duration service_time = started ? now - job->run_started : Duration{};
+    if (started) ++completed_;
     gate_.Remove(id);
     Apply(admission_->OnFinished(id, service_time, now), now);
   }
@@ -454,6 +461,7 @@
   WaitingJobs waiting_{jobs_, *admission_, gate_, closer_};
   AdmissionConfig limits_;
   RunReporter reporter_;
+  uint64_t completed_ = 0;
 };
 
 }  // namespace
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -10,6 +10,7 @@
 #include "admission/quarantine.h"
 #include "base/metrics.h"
 #include "calls/call_links.h"
+#include "calls/types/upstream_activity.h"
 #include "claims/claim_store.h"
 #include "membership/types/instance_record.h"
 
@@ -111,6 +112,9 @@
   virtual bool Idle() const = 0;
 
   virtual OwnerUsage Usage() const = 0;
+
+  /// @return what the upstream does now.
+  virtual UpstreamActivity Activity() const = 0;
 };
 
 /// @param instance name of this instance; claims record it as their owner.
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -1,13 +1,13 @@
 #include "routing/upstream_chooser.h"
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <utility>
 #include <vector>
 
 #include "base/digest.h"
 #include "base/random.h"
+#include "routing/flow_router.h"
 #include "routing/internal/outlier_detector.h"
 #include "routing/internal/refusal_backoff.h"
 
@@ -41,18 +41,8 @@
 /// in its record.
 constexpr double kUnreportedSlotShare = 0.25;
 
-struct NamedPolicy {
-  std::string_view name;
-  ChoicePolicy policy;
-};
-constexpr std::array<NamedPolicy, 7> kPolicies = {
-    {{"round_robin", ChoicePolicy::kRoundRobin},
-     {"random", ChoicePolicy::kRandom},
-     {"least_loaded", ChoicePolicy::kLeastLoaded},
-     {"two_choices", ChoicePolicy::kTwoChoices},
-     {"remaining", ChoicePolicy::kRemaining},
-     {"remaining_not_twice", ChoicePolicy::kRemainingNotTwice},
-     {"shortest_time", ChoicePolicy::kShortestTime}}};
+/// Share of its slots above which an upstream is near the end of its room.
+constexpr double kPressedFill = 0.6;
 
 struct UpstreamLoad {
   uint64_t rank = 0;       ///< For the choice of this entry's subset.
@@ -76,6 +66,9 @@
       outlier_detector_.Compare(request.service, request.candidates,
                                 request.max_ejected_percent, now);
     }
+    if (config_.flows != nullptr && request.tried.empty()) {
+      config_.flows->OnCall(request.service, request.body_bytes);
+    }
     std::vector<size_t> own;
     std::vector<size_t> other;
     if (auto probe = PartitionByDomain(request, own, other, now)) {
@@ -84,6 +77,13 @@
     if (auto local = FindOwnInstance(request, own, now)) {
       return Choice{*local, ChoiceReason::kOwnInstance};
     }
+    if (config_.flows != nullptr) {
+      NotePressure(request, own, now);
+      if (const auto* plan = config_.flows->PlanOf(request.service, now)) {
+        return ChooseByPlan(request, *plan, own, other, now);
+      }
+    }
+    LimitToSubset(request, other, kOtherDomainsSubset);
     if (config_.policy == ChoicePolicy::kShortestTime && !own.empty()) {
       return PickByExpectedTime(request, own, other, now);
     }
@@ -123,6 +123,7 @@
 
   void OnAnswerSize(const std::string& service,
                     const std::string& request_class, uint64_t bytes) override {
+    if (config_.flows != nullptr) config_.flows->OnAnswerSize(service, bytes);
     auto [size, is_new] =
         answer_bytes_.try_emplace({service, request_class}, bytes);
     if (is_new) return;
@@ -199,10 +200,58 @@
       other = std::move(fallback_other);
     }
     LimitToSubset(request, own, kOwnDomainSubset);
-    LimitToSubset(request, other, kOtherDomainsSubset);
     return probe;
   }
 
+  /// The planned share of the calls goes to other failure domains, the rest
+  /// stays at home. What was refused there leaves only for planned room.
+  std::optional<Choice> ChooseByPlan(const ChoiceRequest& request,
+                                     const FlowPlan& plan,
+                                     const std::vector<size_t>& own,
+                                     const std::vector<size_t>& other,
+                                     Instant now) {
+    const std::string planned =
+        request.tried.empty() ? config_.flows->NextDomain(request.service, now)
+                              : std::string();
+    std::vector<size_t> among;
+    for (size_t i : other) {
+      if (request.candidates[i].failure_domain == planned) among.push_back(i);
+    }
+    const bool home_refuses =
+        own.empty() || (!request.tried.empty() && Saturated(request, own, now));
+    if (among.empty() && home_refuses) {
+      for (size_t i : other) {
+        const auto flow = plan.flows.find(request.candidates[i].failure_domain);
+        const bool has_room = flow != plan.flows.end() && flow->second.has_room;
+        if (has_room) among.push_back(i);
+      }
+    }
+    if (!among.empty()) {
+      LimitToSubset(request, among, kOtherDomainsSubset);
+      return Choice{Pick(request, among, now), ChoiceReason::kPlanned};
+    }
+    if (!own.empty()) return Choice{Pick(request, own, now)};
+    const bool has_home = std::ranges::any_of(
+        request.candidates, [&](const UpstreamTarget& target) {
+          return target.failure_domain == config_.failure_domain;
+        });
+    if (has_home || other.empty()) return std::nullopt;
+    return Choice{Pick(request, other, now), ChoiceReason::kSpillOver};
+  }
+
+  /// Tells the planners when the own failure domain fills.
+  void NotePressure(const ChoiceRequest& request,
+                    const std::vector<size_t>& own, Instant now) {
+    const bool pressed = std::ranges::all_of(own, [&](size_t i) {
+      const UpstreamLoad& load = LoadOf(request.candidates[i].instance);
+      if (load.backoff.RefusedRecently(request.request_class, now)) return true;
+      if (now >= load.reported_at + kReportLifetime) return false;
+      return load.report.running + load.report.queued >
+             kPressedFill * load.report.slots;
+    });
+    if (pressed) config_.flows->OnPressure(request.service, now);
+  }
+
   bool InBackoff(const ChoiceRequest& request, const std::string& instance,
                  Instant now) {
     return LoadOf(instance).backoff.BackoffEnd(request.request_class) > now;
@@ -434,13 +483,6 @@
 
 }  // namespace
 
-std::optional<ChoicePolicy> ParseChoicePolicy(std::string_view name) {
-  for (const NamedPolicy& known : kPolicies) {
-    if (known.name == name) return known.policy;
-  }
-  return std::nullopt;
-}
-
 std::unique_ptr<UpstreamChooser> MakeUpstreamChooser(
     const ChooserConfig& config) {
   return std::make_unique<Chooser>(config);
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -14,6 +14,8 @@
 
 namespace hibiscusglade {
 
+class FlowRouter;
+
 /// How an attempt ended, from the view of its entry.
 enum class AttemptOutcome { kAnswered, kRefusedNotRun, kFailed, kCancelled };
 
@@ -33,6 +35,7 @@
   kSpillOver,    ///< Own domain saturated, slower or without candidates.
   kProbe,        ///< Checks whether an ejected upstream has recovered.
   kOwnInstance,  ///< A large body that then crosses no link.
+  kPlanned,      ///< The plan sends it to another failure domain.
 };
 
 struct Choice {
@@ -128,6 +131,9 @@
   std::string instance;  ///< Of this daemon; determines its subset of owners.
   std::string failure_domain;  ///< Of this daemon; preferred over the others.
   uint64_t seed = 0;
+  /// Plans of what leaves the failure domain, for measures of demand too; must
+  /// outlive the chooser. nullptr: each choice is made on its own.
+  FlowRouter* flows = nullptr;
 };
 
 std::unique_ptr<UpstreamChooser> MakeUpstreamChooser(
