Plan flows between failure domains in each domain's coordinators

Cause: no daemon knows the demand and capacity of a service beyond its own view.

Change: while a service is more than 0.6 full somewhere, daemons report their entry's demand and what their upstream completes to the service's coordinator in their failure domain; coordinators exchange sums while a domain is near full, and answer with a plan. Parts of the request plane are held by RequestParts.

--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -37,6 +37,15 @@
     {"control_turn_seconds", "summary", "",
      "Time that a turn of the control thread took beyond its wait.",
      "When the 0.99 quantile grows: look for large documents and slow disks."},
+    {"flow_changes_total", "counter", "",
+     "Times that work of a service began or ceased to leave this failure "
+     "domain by plan.",
+     "When it keeps growing: add upstreams of the service that the log names."},
+    {"flow_share", "gauge", "service",
+     "Share of this failure domain's requests that is planned to leave it; at "
+     "the service's coordinator.",
+     "When it stays above 0: add upstreams of the service in this failure "
+     "domain."},
     {"hedges_total", "counter", "reason",
      "Hedges sent, won, or not sent and why.",
      "When won grows: look for stragglers and slow upstreams."},
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -10,12 +10,13 @@
 #include "admission/quarantine.h"
 #include "base/log.h"
 #include "entry/entry.h"
+#include "flows/domain_flows.h"
 #include "owner/owner.h"
-#include "peer/request_part.h"
 #include "requests/internal/answer_messages.h"
 #include "requests/internal/call_codec.h"
 #include "requests/internal/link_delay.h"
 #include "requests/internal/link_watch.h"
+#include "requests/internal/request_parts.h"
 #include "requests/internal/run_events_forwarder.h"
 #include "routing/upstream_chooser.h"
 #include "upstream/http_upstream_client.h"
@@ -43,7 +44,8 @@
         loop_(clock),
         transport_(MakeTcpTransport(config.identity, "request", loop_, clock,
                                     metrics)),
-        chooser_(MakeUpstreamChooser(ChooserConfigOf(config))),
+        flows_(config.seed),
+        chooser_(MakeUpstreamChooser(ChooserConfigOf(config, flows_))),
         quarantine_(MakeQuarantine()),
         entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
                          {*this, routes, *chooser_, metrics})) {}
@@ -76,6 +78,11 @@
           &metrics_.CounterOf("peer_received_bytes_total",
                               "plane=\"control\"")}});
     run_events_.owner = owner_.get();
+    parts_.Add(
+        MakeDomainFlows({config_.identity.instance,
+                         config_.identity.failure_domain, config_.link_mbps},
+                        {parts_.Sender(), routes_, flows_,
+                         [this] { return owner_->Activity(); }, metrics_}));
     std::error_code error = transport_->Listen(config_.listen_address);
     if (error) return error;
     loop_.Watch(executor_.WakeDescriptor(), EPOLLIN,
@@ -308,8 +315,10 @@
   }
 
  private:
-  static ChooserConfig ChooserConfigOf(const RequestLoopConfig& config) {
+  static ChooserConfig ChooserConfigOf(const RequestLoopConfig& config,
+                                       FlowRouter& flows) {
     ChooserConfig choice = config.choice;
+    choice.flows = &flows;
     choice.instance = config.identity.instance;
     choice.failure_domain = config.identity.failure_domain;
     choice.seed = config.seed;
@@ -330,7 +339,7 @@
       next_tick_ = now + kTickInterval;
       entry_->OnTick(now);
       owner_->OnTick(now);
-      for (RequestPart* part : parts_) part->OnTick(now);
+      parts_.OnTick(now);
       if (now < next_link_check_) continue;
       next_link_check_ = now + kLinkCheckInterval;
       CheckLinks(now);
@@ -418,19 +427,12 @@
         quarantine_->OnNotice(FromWire(message.quarantine_notice()), now);
         break;
       default:
-        if (!PassToPart(from, path, message, now)) {
+        if (!parts_.OnPeerMessage(from, path, message, now)) {
           PassToEntry(message, *entry_, now);
         }
     }
   }
 
-  bool PassToPart(const std::string& from, const ReturnPath& path,
-                  const wire::Envelope& message, Instant now) {
-    return std::ranges::any_of(parts_, [&](RequestPart* part) {
-      return part->OnPeerMessage(from, path, message, now);
-    });
-  }
-
   void OnCallStart(const ReturnPath& path, const wire::CallStart& start,
                    Instant now) {
     CallAttempt attempt = FromWire(start);
@@ -457,14 +459,15 @@
   Executor executor_;
   EventLoop loop_;
   std::unique_ptr<PeerTransport> transport_;
+  FlowRouter flows_;
   std::unique_ptr<UpstreamChooser> chooser_;
   std::unique_ptr<Quarantine> quarantine_;
   std::unique_ptr<Entry> entry_;
   RunEventsForwarder run_events_;
   std::unique_ptr<UpstreamClient> upstream_;
   std::unique_ptr<Owner> owner_;
-  /// Parts with messages of their own. None so far.
-  std::vector<RequestPart*> parts_;
+  RequestParts parts_{config_.identity, config_.request_address, *transport_,
+                      loop_, clock_};
   AnnouncementSink* announcements_ = nullptr;
   LinkWatch links_;
   LinkDelay delay_;
