Weigh upstreams by their reported times in a policy of its own

Cause: whether an upstream's learned speed should weigh the choice isn't known.

What the chooser knows of one upstream's load is a type of its own.

--- a/bench/choice_bench.cc
+++ b/bench/choice_bench.cc
@@ -1,10 +1,14 @@
 // Tail latency of each policy that chooses upstreams, with none, one and two
-// upstreams five times slower, under the same open-loop load with stragglers.
+// upstreams five times slower, under the same open-loop load with stragglers;
+// with --uneven, of two policies on upstreams of unequal speed with bursts of
+// noise beside them, at several loads.
 #include <gflags/gflags.h>
 
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
+#include <thread>
 
 #include "bench/deployment.h"
 #include "tests/harness/process_cost.h"
@@ -18,6 +22,8 @@
 DEFINE_string(only, "", "measures only policies whose names start with this");
 DEFINE_double(load, 0.5, "load as a share of the service's capacity");
 
+DEFINE_bool(uneven, false, "upstreams of unequal speed with bursts of noise");
+
 namespace hibiscusglade {
 namespace {
 
@@ -58,6 +64,65 @@
   samples.ejections = mesh.SumMetric("upstream_ejections_total");
 }
 
+constexpr double kSpeeds[] = {0.7, 0.7, 1.7};
+constexpr double kNoise = 2.5;  ///< Factor on the time of a run.
+constexpr auto kNoiseInterval = std::chrono::milliseconds(600);
+/// The stand-ins take whole factors, so their base time is this much shorter.
+constexpr int kSlowdownSteps = 10;
+
+/// Slows one upstream at a time, another one in each interval.
+void MakeNoise(DeployedMesh& mesh, int upstreams, const std::stop_token& stop) {
+  const auto set = [&](int i, double factor) {
+    const double speed = kSpeeds[(i + i / 3) % 3];
+    const long steps = std::lround(kSlowdownSteps / speed * factor);
+    mesh.ConfigureUpstream("plots" + std::to_string(i),
+                           "slowdown=" + std::to_string(steps));
+  };
+  for (int i = 0; i < upstreams; ++i) set(i, 1);
+  for (int turn = 0; !stop.stop_requested(); ++turn) {
+    const int noisy = turn * 5 % upstreams;
+    set(noisy, kNoise);
+    std::this_thread::sleep_for(kNoiseInterval);
+    set(noisy, 1);
+  }
+}
+
+int RunUneven() {
+  const Deployment deployment = DeploymentOf(FLAGS_deployment);
+  const std::vector<std::string> policies = {"two_choices",
+                                             "two_choices_by_speed"};
+  const std::vector<double> loads = {0.5, 0.9, 1.3};
+  std::map<std::pair<double, std::string>, Samples> all;
+  for (int round = 0; round < FLAGS_pairs; ++round) {
+    for (const std::string& policy : policies) {
+      setenv("HIBISCUSGLADE_CHOICE_POLICY", policy.c_str(), 1);
+      DeployedMesh mesh(
+          FLAGS_network, deployment,
+          {"--service_ms=" + std::to_string(FLAGS_service_ms / kSlowdownSteps),
+           "--straggler_every=100", "--straggler_factor=5"},
+          kFirstPatch);
+      std::jthread noise([&](const std::stop_token& stop) {
+        MakeNoise(mesh, deployment.MeasuredUpstreams(), stop);
+      });
+      std::this_thread::sleep_for(kNoiseInterval);
+      for (double load : loads) {
+        Measure(mesh, load * deployment.Capacity(FLAGS_service_ms),
+                all[{load, policy}]);
+      }
+    }
+  }
+  std::printf(
+      "| deployment | choice | load | p50 ms | p99 ms | p99.9 ms | not good "
+      "|\n|---|---|---|---|---|---|---|\n");
+  for (const auto& [key, samples] : all) {
+    std::printf("| %s | %s | %.1f | %.1f | %.1f | %.1f | %lu |\n",
+                deployment.name.c_str(), key.second.c_str(), key.first,
+                MedianOf(samples.p50) / 1000.0, MedianOf(samples.p99) / 1000.0,
+                MedianOf(samples.p999) / 1000.0, samples.not_good);
+  }
+  return 0;
+}
+
 int Run() {
   const Deployment deployment = DeploymentOf(FLAGS_deployment);
   const double rate = FLAGS_load * deployment.Capacity(FLAGS_service_ms);
@@ -110,5 +175,5 @@
 
 int main(int argc, char** argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return hibiscusglade::Run();
+  return FLAGS_uneven ? hibiscusglade::RunUneven() : hibiscusglade::Run();
 }
--- a/src/routing/internal/choice_policy.cc
+++ b/src/routing/internal/choice_policy.cc
@@ -9,11 +9,12 @@
   std::string_view name;
   ChoicePolicy policy;
 };
-constexpr std::array<NamedPolicy, 7> kPolicies = {
+constexpr std::array<NamedPolicy, 8> kPolicies = {
     {{"round_robin", ChoicePolicy::kRoundRobin},
      {"random", ChoicePolicy::kRandom},
      {"least_loaded", ChoicePolicy::kLeastLoaded},
      {"two_choices", ChoicePolicy::kTwoChoices},
+     {"two_choices_by_speed", ChoicePolicy::kTwoChoicesBySpeed},
      {"remaining", ChoicePolicy::kRemaining},
      {"remaining_not_twice", ChoicePolicy::kRemainingNotTwice},
      {"shortest_time", ChoicePolicy::kShortestTime}}};
--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -9,7 +9,7 @@
 #include "base/random.h"
 #include "routing/flow_router.h"
 #include "routing/internal/outlier_detector.h"
-#include "routing/internal/refusal_backoff.h"
+#include "routing/internal/upstream_load.h"
 
 namespace hibiscusglade {
 namespace {
@@ -21,7 +21,6 @@
 /// connections.
 constexpr size_t kOwnDomainSubset = 8;
 constexpr size_t kOtherDomainsSubset = 8;
-constexpr Duration kReportLifetime = milliseconds(500);
 constexpr Duration kReportSampleInterval = seconds(1);
 /// Expected wait in the own domain above which the round trip to another domain
 /// pays off.
@@ -37,24 +36,9 @@
 constexpr double kRefusedLoadPenalty = 2;
 /// Added to the expected time of an owner that refused recently.
 constexpr Duration kRefusedTimePenalty = seconds(1);
-/// An upstream without a load report is assumed to have this share of the slots
-/// in its record.
-constexpr double kUnreportedSlotShare = 0.25;
-
 /// Share of its slots above which an upstream is near the end of its room.
 constexpr double kPressedFill = 0.6;
 
-struct UpstreamLoad {
-  uint64_t rank = 0;       ///< For the choice of this entry's subset.
-  uint32_t in_flight = 0;  ///< Open attempts of this entry.
-  uint32_t sent_since_report = 0;
-  LoadReport report;
-  Instant reported_at;
-  LoadReport sampled_report;  ///< For ChoicePolicy::kLeastLoaded.
-  Instant sampled_at;
-  RefusalBackoff backoff;
-};
-
 class Chooser : public UpstreamChooser {
  public:
   explicit Chooser(const ChooserConfig& config)
@@ -245,7 +229,7 @@
     const bool pressed = std::ranges::all_of(own, [&](size_t i) {
       const UpstreamLoad& load = LoadOf(request.candidates[i].instance);
       if (load.backoff.RefusedRecently(request.request_class, now)) return true;
-      if (now >= load.reported_at + kReportLifetime) return false;
+      if (!load.IsFresh(now)) return false;
       return load.report.running + load.report.queued >
              kPressedFill * load.report.slots;
     });
@@ -259,7 +243,7 @@
 
   bool ReportsNotServing(const std::string& instance, Instant now) {
     const UpstreamLoad& load = LoadOf(instance);
-    return now < load.reported_at + kReportLifetime && !load.report.serving;
+    return load.IsFresh(now) && !load.report.serving;
   }
 
   /// Limits the candidates to this entry's subset by rendezvous hashing: only
@@ -313,7 +297,7 @@
       const bool refused =
           load.backoff.RefusedRecently(request.request_class, now);
       if (refused && !is_large) return true;
-      if (now >= load.reported_at + kReportLifetime) return false;
+      if (!load.IsFresh(now)) return false;
       const uint32_t slots = std::max<uint32_t>(1, load.report.slots);
       const uint32_t total =
           load.report.running + load.report.queued + load.sent_since_report;
@@ -349,6 +333,7 @@
       case ChoicePolicy::kRemainingNotTwice:
         return PickBest(request, WithoutLast(request, among), now);
       case ChoicePolicy::kTwoChoices:
+      case ChoicePolicy::kTwoChoicesBySpeed:
       case ChoicePolicy::kShortestTime:
         break;
     }
@@ -382,17 +367,23 @@
     return choice;
   }
 
+  /// @return reported time in the upstream; zero: unknown.
+  Duration TimeOf(const ChoiceRequest& request, size_t index,
+                  Instant now) const {
+    return outlier_detector_.ServiceTimeOf(request.candidates[index].instance,
+                                           request.request_class, now);
+  }
+
   /// @return expected time until the answer, without network latency; includes
   /// a penalty for a recent refusal.
   Duration ExpectedTime(const ChoiceRequest& request, size_t index,
                         Instant now) {
     const UpstreamTarget& target = request.candidates[index];
     const UpstreamLoad& load = LoadOf(target.instance);
-    const Duration service_time = outlier_detector_.ServiceTimeOf(
-        target.instance, request.request_class, now);
+    const Duration service_time = TimeOf(request, index, now);
     const double share = outlier_detector_.LoadShareOf(target.instance, now);
-    const double slots = std::max(1.0, SlotsOf(target, load) * share);
-    const double unfinished = UnfinishedRequests(load, now);
+    const double slots = std::max(1.0, load.SlotsOf(target) * share);
+    const double unfinished = load.UnfinishedRequests(now);
     const double rounds = 1 + std::max(0.0, unfinished + 1 - slots) / slots;
     Duration time(static_cast<int64_t>(
         static_cast<double>(service_time.count()) * rounds));
@@ -402,22 +393,6 @@
     return time;
   }
 
-  static double SlotsOf(const UpstreamTarget& target,
-                        const UpstreamLoad& load) {
-    if (load.reported_at != Instant{}) {
-      return std::max<uint32_t>(1, load.report.slots);
-    }
-    return std::max<uint32_t>(1, target.slots) * kUnreportedSlotShare;
-  }
-
-  /// @return estimated number of requests that the owner has queued or running.
-  static double UnfinishedRequests(const UpstreamLoad& load, Instant now) {
-    if (now >= load.reported_at + kReportLifetime) return load.in_flight;
-    return std::max<double>(
-        load.in_flight,
-        load.report.running + load.report.queued + load.sent_since_report);
-  }
-
   std::vector<size_t> WithoutLast(const ChoiceRequest& request,
                                   std::vector<size_t> among) const {
     if (among.size() == 1) return among;
@@ -433,7 +408,14 @@
       const Duration time_b = ExpectedTime(request, b, now);
       if (time_a != time_b) return time_a < time_b;
     }
-    return LoadPerSlot(request, a, now) < LoadPerSlot(request, b, now);
+    const double load_a = LoadPerSlot(request, a, now);
+    const double load_b = LoadPerSlot(request, b, now);
+    if (config_.policy == ChoicePolicy::kTwoChoicesBySpeed) {
+      const auto time_a = static_cast<double>(TimeOf(request, a, now).count());
+      const auto time_b = static_cast<double>(TimeOf(request, b, now).count());
+      if (time_a > 0 && time_b > 0) return load_a * time_a < load_b * time_b;
+    }
+    return load_a < load_b;
   }
 
   size_t PickBest(const ChoiceRequest& request,
@@ -458,8 +440,8 @@
         load.backoff.RefusedRecently(request.request_class, now)
             ? kRefusedLoadPenalty
             : 0;
-    return refused + (UnfinishedRequests(load, now) + 1) /
-                         (SlotsOf(target, load) *
+    return refused + (load.UnfinishedRequests(now) + 1) /
+                         (load.SlotsOf(target) *
                           outlier_detector_.LoadShareOf(target.instance, now));
   }
 
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -116,6 +116,7 @@
   kRandom,
   kLeastLoaded,        ///< Least loaded by reports sampled once a second.
   kTwoChoices,         ///< The less loaded of two chosen at random.
+  kTwoChoicesBySpeed,  ///< As kTwoChoices, load times the reported time.
   kRemaining,          ///< Fewest unfinished requests per slot.
   kRemainingNotTwice,  ///< As kRemaining, but never the same twice in a row.
   kShortestTime,  ///< Of two from the own domain and two from the others, all
