--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -1,15 +1,15 @@
 #include "routing/upstream_chooser.h"
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <utility>
 #include <vector>
 
 #include "base/digest.h"
 #include "base/random.h"
+#include "routing/flow_router.h"
 #include "routing/internal/outlier_detector.h"
-#include "routing/internal/refusal_backoff.h"
+#include "routing/internal/upstream_load.h"
 
 namespace hibiscusglade {
 namespace {
@@ -21,7 +21,6 @@
 /// connections.
 constexpr size_t kOwnDomainSubset = 8;
 constexpr size_t kOtherDomainsSubset = 8;
-constexpr Duration kReportLifetime = milliseconds(500);
 constexpr Duration kReportSampleInterval = seconds(1);
 /// Expected wait in the own domain above which the round trip to another domain
 /// pays off.
@@ -37,33 +36,8 @@
 constexpr double kRefusedLoadPenalty = 2;
 /// Added to the expected time of an owner that refused recently.
 constexpr Duration kRefusedTimePenalty = seconds(1);
-/// An upstream without a load report is assumed to have this share of the slots
-/// in its record.
-constexpr double kUnreportedSlotShare = 0.25;
-
-struct NamedPolicy {
-  std::string_view name;
-  ChoicePolicy policy;
-};
-constexpr std::array<NamedPolicy, 7> kPolicies = {
-    {{"round_robin", ChoicePolicy::kRoundRobin},
-     {"random", ChoicePolicy::kRandom},
-     {"least_loaded", ChoicePolicy::kLeastLoaded},
-     {"two_choices", ChoicePolicy::kTwoChoices},
-     {"remaining", ChoicePolicy::kRemaining},
-     {"remaining_not_twice", ChoicePolicy::kRemainingNotTwice},
-     {"shortest_time", ChoicePolicy::kShortestTime}}};
-
-struct UpstreamLoad {
-  uint64_t rank = 0;       ///< For the choice of this entry's subset.
-  uint32_t in_flight = 0;  ///< Open attempts of this entry.
-  uint32_t sent_since_report = 0;
-  LoadReport report;
-  Instant reported_at;
-  LoadReport sampled_report;  ///< For ChoicePolicy::kLeastLoaded.
-  Instant sampled_at;
-  RefusalBackoff backoff;
-};
+/// Share of its slots above which an upstream is near the end of its room.
+constexpr double kPressedFill = 0.6;
 
 class Chooser : public UpstreamChooser {
  public:
@@ -76,6 +50,9 @@
       outlier_detector_.Compare(request.service, request.candidates,
                                 request.max_ejected_percent, now);
     }
+    if (config_.flows != nullptr && request.tried.empty()) {
+      config_.flows->OnCall(request.service, request.body_bytes);
+    }
     std::vector<size_t> own;
     std::vector<size_t> other;
     if (auto probe = PartitionByDomain(request, own, other, now)) {
@@ -84,6 +61,13 @@
     if (auto local = FindOwnInstance(request, own, now)) {
       return Choice{*local, ChoiceReason::kOwnInstance};
     }
+    if (config_.flows != nullptr) {
+      NotePressure(request, own, now);
+      if (const auto* plan = config_.flows->PlanOf(request.service, now)) {
+        return ChooseByPlan(request, *plan, own, other, now);
+      }
+    }
+    LimitToSubset(request, other, kOtherDomainsSubset);
     if (config_.policy == ChoicePolicy::kShortestTime && !own.empty()) {
       return PickByExpectedTime(request, own, other, now);
     }
@@ -123,6 +107,7 @@
 
   void OnAnswerSize(const std::string& service,
                     const std::string& request_class, uint64_t bytes) override {
+    if (config_.flows != nullptr) config_.flows->OnAnswerSize(service, bytes);
     auto [size, is_new] =
         answer_bytes_.try_emplace({service, request_class}, bytes);
     if (is_new) return;
@@ -199,10 +184,58 @@
       other = std::move(fallback_other);
     }
     LimitToSubset(request, own, kOwnDomainSubset);
-    LimitToSubset(request, other, kOtherDomainsSubset);
     return probe;
   }
 
+  /// The planned share of the calls goes to other failure domains, the rest
+  /// stays at home. What was refused there leaves only for planned room.
+  std::optional<Choice> ChooseByPlan(const ChoiceRequest& request,
+                                     const FlowPlan& plan,
+                                     const std::vector<size_t>& own,
+                                     const std::vector<size_t>& other,
+                                     Instant now) {
+    const std::string planned =
+        request.tried.empty() ? config_.flows->NextDomain(request.service, now)
+                              : std::string();
+    std::vector<size_t> among;
+    for (size_t i : other) {
+      if (request.candidates[i].failure_domain == planned) among.push_back(i);
+    }
+    const bool home_refuses =
+        own.empty() || (!request.tried.empty() && Saturated(request, own, now));
+    if (among.empty() && home_refuses) {
+      for (size_t i : other) {
+        const auto flow = plan.flows.find(request.candidates[i].failure_domain);
+        const bool has_room = flow != plan.flows.end() && flow->second.has_room;
+        if (has_room) among.push_back(i);
+      }
+    }
+    if (!among.empty()) {
+      LimitToSubset(request, among, kOtherDomainsSubset);
+      return Choice{Pick(request, among, now), ChoiceReason::kPlanned};
+    }
+    if (!own.empty()) return Choice{Pick(request, own, now)};
+    const bool has_home = std::ranges::any_of(
+        request.candidates, [&](const UpstreamTarget& target) {
+          return target.failure_domain == config_.failure_domain;
+        });
+    if (has_home || other.empty()) return std::nullopt;
+    return Choice{Pick(request, other, now), ChoiceReason::kSpillOver};
+  }
+
+  /// Tells the planners when the own failure domain fills.
+  void NotePressure(const ChoiceRequest& request,
+                    const std::vector<size_t>& own, Instant now) {
+    const bool pressed = std::ranges::all_of(own, [&](size_t i) {
+      const UpstreamLoad& load = LoadOf(request.candidates[i].instance);
+      if (load.backoff.RefusedRecently(request.request_class, now)) return true;
+      if (!load.IsFresh(now)) return false;
+      return load.report.running + load.report.queued >
+             kPressedFill * load.report.slots;
+    });
+    if (pressed) config_.flows->OnPressure(request.service, now);
+  }
+
   bool InBackoff(const ChoiceRequest& request, const std::string& instance,
                  Instant now) {
     return LoadOf(instance).backoff.BackoffEnd(request.request_class) > now;
@@ -210,7 +243,7 @@
 
   bool ReportsNotServing(const std::string& instance, Instant now) {
     const UpstreamLoad& load = LoadOf(instance);
-    return now < load.reported_at + kReportLifetime && !load.report.serving;
+    return load.IsFresh(now) && !load.report.serving;
   }
 
   /// Limits the candidates to this entry's subset by rendezvous hashing: only
@@ -264,7 +297,7 @@
       const bool refused =
           load.backoff.RefusedRecently(request.request_class, now);
       if (refused && !is_large) return true;
-      if (now >= load.reported_at + kReportLifetime) return false;
+      if (!load.IsFresh(now)) return false;
       const uint32_t slots = std::max<uint32_t>(1, load.report.slots);
       const uint32_t total =
           load.report.running + load.report.queued + load.sent_since_report;
@@ -300,6 +333,7 @@
       case ChoicePolicy::kRemainingNotTwice:
         return PickBest(request, WithoutLast(request, among), now);
       case ChoicePolicy::kTwoChoices:
+      case ChoicePolicy::kTwoChoicesBySpeed:
       case ChoicePolicy::kShortestTime:
         break;
     }
@@ -333,17 +367,23 @@
     return choice;
   }
 
+  /// @return reported time in the upstream; zero: unknown.
+  Duration TimeOf(const ChoiceRequest& request, size_t index,
+                  Instant now) const {
+    return outlier_detector_.ServiceTimeOf(request.candidates[index].instance,
+                                           request.request_class, now);
+  }
+
   /// @return expected time until the answer, without network latency; includes
   /// a penalty for a recent refusal.
   Duration ExpectedTime(const ChoiceRequest& request, size_t index,
                         Instant now) {
     const UpstreamTarget& target = request.candidates[index];
     const UpstreamLoad& load = LoadOf(target.instance);
-    const Duration service_time = outlier_detector_.ServiceTimeOf(
-        target.instance, request.request_class, now);
+    const Duration service_time = TimeOf(request, index, now);
     const double share = outlier_detector_.LoadShareOf(target.instance, now);
-    const double slots = std::max(1.0, SlotsOf(target, load) * share);
-    const double unfinished = UnfinishedRequests(load, now);
+    const double slots = std::max(1.0, load.SlotsOf(target) * share);
+    const double unfinished = load.UnfinishedRequests(now);
     const double rounds = 1 + std::max(0.0, unfinished + 1 - slots) / slots;
     Duration time(static_cast<int64_t>(
         static_cast<double>(service_time.count()) * rounds));
@@ -353,22 +393,6 @@
     return time;
   }
 
-  static double SlotsOf(const UpstreamTarget& target,
-                        const UpstreamLoad& load) {
-    if (load.reported_at != Instant{}) {
-      return std::max<uint32_t>(1, load.report.slots);
-    }
-    return std::max<uint32_t>(1, target.slots) * kUnreportedSlotShare;
-  }
-
-  /// @return estimated number of requests that the owner has queued or running.
-  static double UnfinishedRequests(const UpstreamLoad& load, Instant now) {
-    if (now >= load.reported_at + kReportLifetime) return load.in_flight;
-    return std::max<double>(
-        load.in_flight,
-        load.report.running + load.report.queued + load.sent_since_report);
-  }
-
   std::vector<size_t> WithoutLast(const ChoiceRequest& request,
                                   std::vector<size_t> among) const {
     if (among.size() == 1) return among;
@@ -384,7 +408,14 @@
       const Duration time_b = ExpectedTime(request, b, now);
       if (time_a != time_b) return time_a < time_b;
     }
-    return LoadPerSlot(request, a, now) < LoadPerSlot(request, b, now);
+    const double load_a = LoadPerSlot(request, a, now);
+    const double load_b = LoadPerSlot(request, b, now);
+    if (config_.policy == ChoicePolicy::kTwoChoicesBySpeed) {
+      const auto time_a = static_cast<double>(TimeOf(request, a, now).count());
+      const auto time_b = static_cast<double>(TimeOf(request, b, now).count());
+      if (time_a > 0 && time_b > 0) return load_a * time_a < load_b * time_b;
+    }
+    return load_a < load_b;
   }
 
   size_t PickBest(const ChoiceRequest& request,
@@ -409,8 +440,8 @@
         load.backoff.RefusedRecently(request.request_class, now)
             ? kRefusedLoadPenalty
             : 0;
-    return refused + (UnfinishedRequests(load, now) + 1) /
-                         (SlotsOf(target, load) *
+    return refused + (load.UnfinishedRequests(now) + 1) /
+                         (load.SlotsOf(target) *
                           outlier_detector_.LoadShareOf(target.instance, now));
   }
 
@@ -434,13 +465,6 @@
 
 }  // namespace
 
-std::optional<ChoicePolicy> ParseChoicePolicy(std::string_view name) {
-  for (const NamedPolicy& known : kPolicies) {
-    if (known.name == name) return known.policy;
-  }
-  return std::nullopt;
-}
-
 std::unique_ptr<UpstreamChooser> MakeUpstreamChooser(
     const ChooserConfig& config) {
   return std::make_unique<Chooser>(config);
