--- /dev/null
+++ b/src/limits/internal/window_use.cc
@@ -0,0 +1,70 @@
+#include "limits/internal/window_use.h"
+
+#include <algorithm>
+
+namespace hibiscusglade {
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+void WindowUse::Add(uint32_t requests, Instant now) {
+  Advance(now);
+  SlotOf(0) += requests;
+}
+
+void WindowUse::Remove(uint32_t requests, Instant now) {
+  Advance(now);
+  for (size_t age = kSlots; age-- > 0 && requests > 0;) {
+    const uint32_t removed = std::min(requests, SlotOf(age));
+    SlotOf(age) -= removed;
+    requests -= removed;
+  }
+}
+
+void WindowUse::AddSlots(const std::vector<uint32_t>& slots, Instant now) {
+  Advance(now);
+  for (size_t age = 0; age < std::min(slots.size(), kSlots); ++age) {
+    SlotOf(age) += slots[age];
+  }
+}
+
+std::vector<uint32_t> WindowUse::SlotsNewestFirst(Instant now) {
+  Advance(now);
+  std::vector<uint32_t> slots;
+  for (size_t age = 0; age < kSlots; ++age) slots.push_back(SlotOf(age));
+  while (!slots.empty() && slots.back() == 0) slots.pop_back();
+  return slots;
+}
+
+double WindowUse::Level(const BucketTerms& terms, Instant now) {
+  Advance(now);
+  double level = terms.start;
+  const Duration begun = now.time_since_epoch() % kSlot;
+  for (size_t age = kSlots; age-- > 0;) {
+    // Gains before it loses, which is the lower of the two orders.
+    const double gain = terms.rate * Seconds(age == 0 ? begun : kSlot);
+    level = std::min(terms.capacity, level + gain) - SlotOf(age);
+  }
+  return level;
+}
+
+uint64_t WindowUse::Sum(Instant now) {
+  Advance(now);
+  uint64_t sum = 0;
+  for (uint32_t slot : slots_) sum += slot;
+  return sum;
+}
+
+void WindowUse::Advance(Instant now) {
+  const auto slot = static_cast<uint64_t>(now.time_since_epoch() / kSlot);
+  if (slot <= newest_) return;
+  const uint64_t steps = std::min<uint64_t>(slot - newest_, kSlots);
+  newest_ = slot;
+  for (size_t age = 0; age < steps; ++age) SlotOf(age) = 0;
+}
+
+}  // namespace hibiscusglade
