--- a/src/limits/internal/limit_coordinator.cc
+++ b/src/limits/internal/limit_coordinator.cc
@@ -98,7 +98,8 @@
     customer.use.Add(static_cast<uint32_t>(use.passed() - account.passed), now);
     if (use.given_back() > account.given_back) {
       customer.use.Remove(
-          static_cast<uint32_t>(use.given_back() - account.given_back), now);
+          static_cast<uint32_t>(use.given_back() - account.given_back),
+          now - Duration(static_cast<int64_t>(use.returned_micros())), now);
     }
   }
   account.passed = use.passed();
--- a/src/limits/internal/limit_holder.cc
+++ b/src/limits/internal/limit_holder.cc
@@ -60,13 +60,16 @@
   return Random(DigestOf(instance_, DigestOf(customer))).Fraction();
 }
 
-void LimitHolder::GiveBack(const std::string& customer, Instant now) {
+void LimitHolder::GiveBack(const std::string& customer, Instant passed_at,
+                           Instant now) {
   const auto found = accounts_.find(customer);
   if (found == accounts_.end()) return;
   Account& account = found->second;
   if (account.given_back == account.passed) return;
   ++account.given_back;
-  account.use.Remove(1, now);
+  account.use.Remove(1, passed_at, now);
+  account.returned_since =
+      std::min(account.returned_since.value_or(passed_at), passed_at);
 }
 
 Duration LimitHolder::RetryAfter(const std::string& customer,
@@ -112,6 +115,10 @@
     use->set_passed(account.passed);
     use->set_given_back(account.given_back);
     use->set_wanted(account.wanted);
+    if (account.returned_since.has_value()) {
+      use->set_returned_micros(
+          static_cast<uint64_t>((now - *account.returned_since).count()));
+    }
     account.wanted = 0;
     if (!report.history()) continue;
     for (uint32_t slot : account.use.SlotsNewestFirst(now)) {
@@ -145,6 +152,7 @@
     if (found == accounts_.end()) continue;
     Account& account = found->second;
     account.acked_net = room.net();
+    if (!account.Changed()) account.returned_since.reset();
     account.credit = room.credit();
     account.credit_until = sent + kContactTime;
     account.retry_after =
--- a/src/limits/internal/limit_holder.h
+++ b/src/limits/internal/limit_holder.h
@@ -40,8 +40,9 @@
   LimitVerdict Take(const std::string& customer, const DomainTerms& terms,
                     uint32_t daemons, Instant now);
 
-  /// A request that passed was not run.
-  void GiveBack(const std::string& customer, Instant now);
+  /// A request was not run.
+  /// @param passed_at when it passed.
+  void GiveBack(const std::string& customer, Instant passed_at, Instant now);
 
   /// @return time after which the customer has room here, different for each
   /// refused request.
@@ -79,7 +80,9 @@
   struct Account {
     uint64_t passed = 0;
     uint64_t given_back = 0;
-    uint64_t acked_given_back = 0;
+    /// When the first of those passed that were given back since the last
+    /// report that was answered.
+    std::optional<Instant> returned_since;
     uint32_t wanted = 0;    ///< Since the last report.
     int64_t acked_net = 0;  ///< By the last answer.
     uint32_t credit = 0;    ///< Beyond it.
--- a/src/limits/internal/limit_terms.cc
+++ b/src/limits/internal/limit_terms.cc
@@ -26,7 +26,7 @@
   terms.capacity = (customer.burst + overage + kSlackHeld) / parts;
   // A small customer keeps most of what it has for a few requests at once.
   terms.tight_below = std::max(
-      0.5, std::min(terms.capacity / 4, (terms.capacity - 6) / 2));
+      0.5, std::min(terms.capacity / 4, (terms.capacity - 8) / 2));
   return terms;
 }
 
--- a/src/limits/internal/window_use.cc
+++ b/src/limits/internal/window_use.cc
@@ -16,9 +16,12 @@
   SlotOf(0) += requests;
 }
 
-void WindowUse::Remove(uint32_t requests, Instant now) {
+void WindowUse::Remove(uint32_t requests, Instant since, Instant now) {
   Advance(now);
-  for (size_t age = kSlots; age-- > 0 && requests > 0;) {
+  const auto slot = static_cast<uint64_t>(since.time_since_epoch() / kSlot);
+  if (slot + kSlots <= newest_) return;
+  for (size_t age = slot < newest_ ? newest_ - slot + 1 : 1;
+       age-- > 0 && requests > 0;) {
     const uint32_t removed = std::min(requests, SlotOf(age));
     SlotOf(age) -= removed;
     requests -= removed;
--- a/src/limits/internal/window_use.h
+++ b/src/limits/internal/window_use.h
@@ -31,10 +31,10 @@
 
   void Add(uint32_t requests, Instant now);
 
-  /// Takes requests that were not run out of the oldest slots. Never leaves
-  /// more in the bucket than is there, as they were counted later or at the
-  /// same time.
-  void Remove(uint32_t requests, Instant now);
+  /// Takes out requests that were not run, the oldest ones first: so there is
+  /// never more in the bucket than if they had not been counted.
+  /// @param since time at which the first of them was counted.
+  void Remove(uint32_t requests, Instant since, Instant now);
 
   /// Adds what another one holds.
   /// @param slots newest first, as of SlotsNewestFirst().
