Hold customers' limits over all daemons of a domain

Wires the limits into the request loop and the entry: a call beyond its customer's limit is refused with 4015 before an owner is asked, one that no upstream ran is given back.

--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -206,6 +206,7 @@
             RandomSeed(),
             settings_.link_mbps,
             external_.Upstreams(),
+            settings_.failure_domains,
             ChooserConfigFromEnv()};
   }
 
--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -47,6 +47,22 @@
      "Leaves of the local upstream that the replicas did not record in time, "
      "so that they were not acknowledged.",
      "When it rises: see whether a majority of the replicas is reachable."},
+    {"limit_passes_total", "counter", "reason",
+     "Requests within their customers' limits: far below them, on credit near "
+     "them, or on this daemon's safe share.",
+     "When alone grows: check the coordinator with hibiscusgladectl limits."},
+    {"limit_refusals_total", "counter", "reason",
+     "Requests refused: over the limit, too many not acknowledged yet, or the "
+     "safe share used up.",
+     "When unacked or alone_over grows: check the coordinator with "
+     "hibiscusgladectl limits."},
+    {"limit_returns_total", "counter", "",
+     "Requests within the limit that no upstream ran, and that were given "
+     "back.",
+     "Nothing."},
+    {"limit_sent_bytes_total", "counter", "",
+     "Bytes of messages about limits sent to other daemons.",
+     "Compare with the limit in the design page on quotas."},
     {"link_backlog_bytes", "gauge", "",
      "Bytes of answers that the link of this instance still has to carry.",
      "When it stays high: add instances of the service."},
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -13,8 +13,8 @@
 
 // The modules that log; .ci/check-logs compares this list with the calls of
 // Log().
-// Prefixes: app, caller, consensus, control, distribution, entry, http, owner,
-// requests.
+// Prefixes: app, caller, consensus, control, distribution, entry, http, limits,
+// owner, requests.
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
--- a/src/entry/internal/call_intake.cc
+++ b/src/entry/internal/call_intake.cc
@@ -28,7 +28,17 @@
   const Duration prior_wait = wait_estimator_.EstimatePriorWait(
       call.route->name, call.request.timeout, call.route->timeout, now);
   call.objective = now + call.route->objective - prior_wait;
-  return std::nullopt;
+  return Count(call, now);
+}
+
+std::optional<Refusal> CallIntake::Count(OpenCall& call, Instant now) {
+  if (!call.customer.has_value()) return std::nullopt;
+  const auto wait = limits_.Take(*call.customer, now);
+  call.counted = !wait.has_value() && call.customer->rate_per_s > 0;
+  if (!wait.has_value()) return std::nullopt;
+  Refusal refusal = RefusalOf(RoutingCode::kOverLimit, Certainty::kNotRun);
+  refusal.retry_after = *wait;
+  return refusal;
 }
 
 std::optional<RoutingCode> CallIntake::FindRoute(OpenCall& call) {
--- a/src/entry/internal/call_intake.h
+++ b/src/entry/internal/call_intake.h
@@ -8,6 +8,7 @@
 #include "calls/stop_limit.h"
 #include "entry/internal/caller_wait_estimator.h"
 #include "entry/internal/open_call.h"
+#include "limits/customer_limits.h"
 #include "routing/route_table_holder.h"
 #include "routing/routing_result_codes.h"
 #include "routing/share_picker.h"
@@ -22,11 +23,15 @@
 /// Single-threaded.
 class CallIntake {
  public:
-  /// @param routes must outlive this object, as must `stop_limit`.
+  /// @param routes must outlive this object, as must `limits` and
+  /// `stop_limit`.
   /// @param seed of the choice between a route's services.
-  CallIntake(const RouteTableHolder& routes, const StopLimit& stop_limit,
-             uint64_t seed)
-      : routes_(routes), stop_limit_(stop_limit), share_picker_(seed) {}
+  CallIntake(const RouteTableHolder& routes, CustomerLimits& limits,
+             const StopLimit& stop_limit, uint64_t seed)
+      : routes_(routes),
+        limits_(limits),
+        stop_limit_(stop_limit),
+        share_picker_(seed) {}
 
   /// Fills in what the call needs of the version in use.
   /// @param call with its request and the time at which it began.
@@ -39,7 +44,12 @@
  private:
   std::optional<RoutingCode> FindRoute(OpenCall& call);
 
+  /// Counts a call towards its customer's limit.
+  /// @return why it is refused; nullopt when it is not.
+  std::optional<Refusal> Count(OpenCall& call, Instant now);
+
   const RouteTableHolder& routes_;
+  CustomerLimits& limits_;
   const StopLimit& stop_limit_;
   CallerWaitEstimator wait_estimator_;
   SharePicker share_picker_;
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -26,7 +26,8 @@
         attempt_id_prefix_(instance_ + "/" + std::to_string(incarnation) + "/"),
         parts_(parts),
         reporter_(parts.metrics),
-        intake_(parts.routes, stop_limit_, DigestOf(attempt_id_prefix_)) {}
+        intake_(parts.routes, parts.limits, stop_limit_,
+                DigestOf(attempt_id_prefix_)) {}
 
   void Begin(CallHandle handle, CallRequest request,
              std::unique_ptr<CallerStream> stream, Instant now) override {
@@ -432,6 +433,9 @@
     reporter_.LogOutcome(call, refusal.code, CertaintyName(refusal.certainty),
                          now);
     reporter_.Count("call_refusals_total", refusal.code);
+    if (call.counted && refusal.certainty == Certainty::kNotRun) {
+      parts_.limits.GiveBack(call.customer->name, call.began, now);
+    }
     if (head_forwarded) {
       call.stream->OnBroken(refusal);
     } else {
--- a/src/entry/internal/open_call.h
+++ b/src/entry/internal/open_call.h
@@ -43,6 +43,8 @@
   /// How long before the call the version was last confirmed as the latest.
   std::optional<Duration> confirmed_ago;
   std::optional<RouteConfig> route;
+  std::optional<CustomerConfig> customer;  ///< Without its keys.
+  bool counted = false;                    ///< Towards the customer's limit.
   LimitsConfig limits;
   std::string service;  ///< Of the route, or picked from its shares.
   UpstreamListPtr upstreams;
--- a/src/entry/tests/entry_fixture.h
+++ b/src/entry/tests/entry_fixture.h
@@ -155,8 +155,8 @@
   RouteTableHolder routes_;
   std::unique_ptr<Metrics> metrics_ = MakeMetrics();
   std::unique_ptr<UpstreamChooser> chooser_ = MakeUpstreamChooser({});
-  std::unique_ptr<Entry> entry_ =
-      MakeEntry("e", 1, {owners_, routes_, *chooser_, *metrics_});
+  std::unique_ptr<Entry> entry_ = MakeEntry(
+      "e", 1, {owners_, routes_, *chooser_, *metrics_, NoCustomerLimits()});
 };
 
 }  // namespace hibiscusglade
--- a/src/limits/customer_limits.h
+++ b/src/limits/customer_limits.h
@@ -4,13 +4,39 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
+#include "base/metrics.h"
+#include "peer/peer_transport.h"
 #include "peer/request_part.h"
+#include "routing/route_table_holder.h"
 #include "versions/types/config_document.h"
 
 namespace hibiscusglade {
 
+/// What one daemon knows of a customer's limit in its failure domain.
+struct LimitStatus {
+  bool limited = false;  ///< Whether the customer has a limit.
+  uint32_t rate_per_s = 0;
+  uint32_t burst = 0;
+  double domain_rate = 0;      ///< Share of this failure domain, per second.
+  double domain_capacity = 0;  ///< Requests that it may let pass at once.
+  uint64_t used_here = 0;      ///< By this daemon in the last 5 s.
+  bool tight = false;          ///< Whether credit is needed to pass.
+  std::string coordinator;     ///< Instance; empty: none is known.
+  /// Age of its last word; absent: it gave none lately.
+  std::optional<Duration> contact_age;
+  // Known to the coordinator only.
+  std::optional<double> level;  ///< Requests left in the domain's bucket.
+  uint64_t used_in_domain = 0;  ///< In the last 5 s.
+  uint64_t outstanding = 0;     ///< Credit given to daemons and not used yet.
+  uint32_t daemons_heard = 0;
+  uint32_t daemons = 0;  ///< Of the failure domain.
+
+  friend bool operator==(const LimitStatus&, const LimitStatus&) = default;
+};
+
 /// Decides at one daemon which requests of a customer lie within its limit,
 /// which holds for all daemons together. Single-threaded.
 class CustomerLimits : public RequestPart {
@@ -22,9 +48,36 @@
                                        Instant now) = 0;
 
   /// A counted request was not run by any upstream.
-  virtual void GiveBack(const std::string& customer, Instant now) = 0;
+  /// @param taken_at when it was counted.
+  virtual void GiveBack(const std::string& customer, Instant taken_at,
+                        Instant now) = 0;
+
+  /// @return what this daemon knows of a customer's limit.
+  virtual LimitStatus StatusOf(const std::string& customer) = 0;
+};
+
+struct CustomerLimitsConfig {
+  PeerIdentity identity;
+  std::string request_address;  ///< Of this daemon, as others know it.
+  /// Of the deployment; each holds an equal share of all limits. Empty: those
+  /// of the instances that this daemon knows.
+  std::vector<std::string> failure_domains;
+};
+
+/// Dependencies; all must outlive the limits.
+struct CustomerLimitsParts {
+  PeerTransport& transport;
+  const RouteTableHolder& routes;
+  const Clock& clock;
+  Metrics& metrics;
 };
 
+std::unique_ptr<CustomerLimits> MakeCustomerLimits(
+    const CustomerLimitsConfig& config, const CustomerLimitsParts& parts);
+
+/// @return limits that let everything pass and send nothing.
+CustomerLimits& NoCustomerLimits();
+
 }  // namespace hibiscusglade
 
 #endif  // HIBISCUSGLADE_LIMITS_CUSTOMER_LIMITS_H_
--- a/src/limits/internal/limit_holder.cc
+++ b/src/limits/internal/limit_holder.cc
@@ -22,6 +22,9 @@
                                Instant now) {
   Account& account = accounts_[customer];
   account.last_wanted = now;
+  // What was used under a higher limit is no debt under a lower one.
+  if (terms.rate < account.rate) account.use.Clear();
+  account.rate = terms.rate;
   ++account.wanted;
   const LimitVerdict verdict = Judge(customer, account, terms, daemons, now);
   if (verdict >= LimitVerdict::kOver) {
@@ -86,8 +89,8 @@
   }
   wait = std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
   // Between one and two times as long, so that they don't return at once.
-  return wait + Duration(static_cast<int64_t>(random_.Below(
-                    static_cast<uint64_t>(wait.count()))));
+  return wait + Duration(static_cast<int64_t>(
+                    random_.Below(static_cast<uint64_t>(wait.count()))));
 }
 
 std::optional<wire::LimitReport> LimitHolder::Report(
@@ -160,11 +163,6 @@
   }
 }
 
-void LimitHolder::ForgetUse(const std::string& customer) {
-  const auto found = accounts_.find(customer);
-  if (found != accounts_.end()) found->second.use.Clear();
-}
-
 uint64_t LimitHolder::UsedInWindow(const std::string& customer, Instant now) {
   const auto found = accounts_.find(customer);
   return found == accounts_.end() ? 0 : found->second.use.Sum(now);
--- a/src/limits/internal/limit_holder.h
+++ b/src/limits/internal/limit_holder.h
@@ -58,9 +58,6 @@
   void OnGrant(const std::string& instance, uint64_t incarnation,
                const wire::LimitGrant& grant, Instant now);
 
-  /// The customer's limit was lowered: what it used before does not count.
-  void ForgetUse(const std::string& customer);
-
   /// @return whether a coordinator answered lately.
   bool InContact(Instant now) const {
     return contact_at_.has_value() && now - *contact_at_ < kContactTime;
@@ -78,6 +75,7 @@
 
  private:
   struct Account {
+    double rate = 0;  ///< By the terms of the last request.
     uint64_t passed = 0;
     uint64_t given_back = 0;
     /// When the first of those passed that were given back since the last
--- a/src/limits/tests/limit_load_test.cc
+++ b/src/limits/tests/limit_load_test.cc
@@ -88,6 +88,33 @@
   ExpectWithinBound(world, customer);
 }
 
+TEST_P(LimitLoad, AllCoordinatorsThatFreezeAsASurgeBeginsHoldTheLimit) {
+  const CustomerConfig customer = Customer(GetParam());
+  LimitWorld world({}, {{customer, Surge(0.62 * GetParam())}});
+  world.RunUntil(7900ms);
+  for (uint32_t i = 0; i < 3; ++i) world.Freeze(world.CoordinatorOf(i), 3s);
+  world.RunUntil(20s);
+  ExpectWithinBound(world, customer);
+}
+
+TEST_P(LimitLoad, AllCoordinatorsKilledInASurgeHoldTheLimit) {
+  const CustomerConfig customer = Customer(GetParam());
+  LimitWorld world({}, {{customer, Surge(0.62 * GetParam())}});
+  world.RunUntil(9s);
+  for (uint32_t i = 0; i < 3; ++i) world.Kill(world.CoordinatorOf(i), 1s);
+  world.RunUntil(20s);
+  ExpectWithinBound(world, customer);
+}
+
+TEST_P(LimitLoad, AllDaemonsKilledInASurgeHoldTheLimitOnceTheyAreBack) {
+  const CustomerConfig customer = Customer(GetParam());
+  LimitWorld world({}, {{customer, Surge(0.62 * GetParam())}});
+  world.RunUntil(9s);
+  for (uint32_t i = 0; i < 66; ++i) world.Kill(i, 500ms);
+  world.RunUntil(20s);
+  ExpectWithinBound(world, customer, 0, 9500ms);
+}
+
 TEST_P(LimitLoad, ALimitFarBelowDemandBindsAtOnce) {
   LimitWorld world({}, {{Customer(GetParam()), Steady(0.62 * GetParam())}});
   world.RunUntil(8s);
--- a/src/limits/tests/limit_world.h
+++ b/src/limits/tests/limit_world.h
@@ -78,9 +78,6 @@
   void SetLimit(size_t load, uint32_t rate, uint32_t burst) {
     loads_[load].config.rate_per_s = rate;
     loads_[load].config.burst = burst;
-    for (Daemon& daemon : daemons_) {
-      daemon.holder->ForgetUse(loads_[load].config.name);
-    }
   }
 
   /// @return the instance that most daemons of a domain take for coordinator.
@@ -105,7 +102,8 @@
     auto first = std::ranges::lower_bound(ran, from);
     for (auto last = first; last != ran.end(); ++last) {
       while (*last - *first > 5s) ++first;
-      worst = std::max<uint64_t>(worst, static_cast<uint64_t>(last - first) + 1);
+      worst =
+          std::max<uint64_t>(worst, static_cast<uint64_t>(last - first) + 1);
     }
     return worst;
   }
@@ -186,9 +184,9 @@
   }
 
   void Arrive(size_t load) {
-    const uint32_t through =
-        loads_[load].through != 0 ? loads_[load].through
-                                  : static_cast<uint32_t>(daemons_.size());
+    const uint32_t through = loads_[load].through != 0
+                                 ? loads_[load].through
+                                 : static_cast<uint32_t>(daemons_.size());
     const double mean = loads_[load].rate(now_) / 100;
     // Poisson by exponential gaps.
     for (double at = Gap(); at < mean; at += Gap()) {
@@ -206,9 +204,8 @@
     const CustomerConfig& config = loads_[load].config;
     LimitHolder& holder = *daemons_[daemon].holder;
     Outcome& outcome = outcomes_[load];
-    const LimitVerdict verdict =
-        holder.Take(config.name, TermsOf(config, shape_.domains),
-                    shape_.daemons, Time());
+    const LimitVerdict verdict = holder.Take(
+        config.name, TermsOf(config, shape_.domains), shape_.daemons, Time());
     if (verdict >= LimitVerdict::kOver) {
       ++outcome.refused;
       if (verdict == LimitVerdict::kAloneOver) ++outcome.refused_alone;
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -10,6 +10,7 @@
 #include "admission/quarantine.h"
 #include "base/log.h"
 #include "entry/entry.h"
+#include "limits/customer_limits.h"
 #include "owner/owner.h"
 #include "peer/request_part.h"
 #include "requests/internal/answer_messages.h"
@@ -45,8 +46,12 @@
                                     metrics)),
         chooser_(MakeUpstreamChooser(ChooserConfigOf(config))),
         quarantine_(MakeQuarantine()),
+        limits_(MakeCustomerLimits(
+            {config.identity, config.request_address, config.failure_domains},
+            {*transport_, routes, clock, metrics})),
         entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
-                         {*this, routes, *chooser_, metrics})) {}
+                         {*this, routes, *chooser_, metrics, *limits_})),
+        parts_{limits_.get()} {}
 
   ~RequestLoopImpl() override { Stop(); }
 
@@ -459,11 +464,12 @@
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<UpstreamChooser> chooser_;
   std::unique_ptr<Quarantine> quarantine_;
+  std::unique_ptr<CustomerLimits> limits_;
   std::unique_ptr<Entry> entry_;
   RunEventsForwarder run_events_;
   std::unique_ptr<UpstreamClient> upstream_;
   std::unique_ptr<Owner> owner_;
-  /// Parts with messages of their own. None so far.
+  /// Parts with messages of their own.
   std::vector<RequestPart*> parts_;
   AnnouncementSink* announcements_ = nullptr;
   LinkWatch links_;
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -30,6 +30,8 @@
   uint64_t seed = 0;
   double link_mbps = 0;  ///< Of this instance, in 10^6 bit/s; 0: unknown.
   const UpstreamDialect& upstream_dialect = DefaultUpstreamDialect();
+  /// Of the deployment; empty: those of the known instances.
+  std::vector<std::string> failure_domains;
   ChooserConfig choice;  ///< Instance, failure domain and seed are overwritten.
 };
 
--- a/src/routing/internal/routing_result_codes.cc
+++ b/src/routing/internal/routing_result_codes.cc
@@ -32,6 +32,9 @@
     {4012, "cut-by-stop", "the daemon stopped before an answer", 504,
      Certainty::kUnknown,
      "Set stop_timeout_s to at least the longest timeout of a route."},
+    {4015, "over-limit", "the customer has reached its limit", 429,
+     Certainty::kNotRun,
+     "Ask hibiscusgladectl limits for the customer's use and its limit."},
 };
 
 }  // namespace
--- a/src/routing/routing_result_codes.h
+++ b/src/routing/routing_result_codes.h
@@ -19,6 +19,7 @@
   kOwnerUnreachable = 4010,
   kStopsTooSoon = 4011,
   kCutByStop = 4012,
+  kOverLimit = 4015,
 };
 
 const ResultCodeCategory& RoutingCategory();
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -31,6 +31,8 @@
   std::string instance;
   std::string failure_domain;
   std::string region;
+  /// Of the deployment; empty: those of the known instances.
+  std::vector<std::string> failure_domains;
   LogLevel log_level = LogLevel::kInfo;
 
   std::string peer_address;
--- a/src/settings/internal/daemon_settings.cc
+++ b/src/settings/internal/daemon_settings.cc
@@ -181,6 +181,11 @@
   settings.failure_domain = reader.Text(
       "failure_domain", {"", "Failure domain of this instance.", true});
   settings.region = reader.Text("region", {"", "Region of the instance."});
+  settings.failure_domains = reader.Texts(
+      "failure_domains",
+      {"",
+       "All failure domains of the deployment; each holds an equal share of "
+       "customers' limits. Empty: those of the instances that are known."});
   ReadPeer(reader.Object("peer", "Connections with other daemons."), settings);
   settings.external_interface =
       reader.Text("interface", {"own",
