--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -62,7 +62,7 @@
      "Nothing."},
     {"limit_sent_bytes_total", "counter", "",
      "Bytes of messages about limits sent to other daemons.",
-     "Compare with the limit in the design page on quotas."},
+     "Compare with the figures in docs/design/quotas.md."},
     {"link_backlog_bytes", "gauge", "",
      "Bytes of answers that the link of this instance still has to carry.",
      "When it stays high: add instances of the service."},
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -14,6 +14,7 @@
 #include "base/metrics.h"
 #include "claims/claim_store.h"
 #include "consensus/types/consensus_types.h"
+#include "limits/types/limit_status.h"
 #include "membership/types/instance_record.h"
 #include "operator/operator_backend.h"
 #include "peer/peer_transport.h"
@@ -55,6 +56,10 @@
 
   /// Calls `done` on any thread once all earlier updates are in effect.
   virtual void AfterUpdates(std::function<void()> done) = 0;
+
+  /// Called on operators' threads.
+  /// @return what the request plane knows of a customer's limit.
+  virtual LimitStatus StatusOfLimit(const std::string& customer) { return {}; }
 };
 
 /// The daemon's control thread. Runs the replicated groups, the distribution of
--- a/src/ctl/internal/commands.cc
+++ b/src/ctl/internal/commands.cc
@@ -1,6 +1,7 @@
 #include "ctl/commands.h"
 
 #include <algorithm>
+#include <cctype>
 #include <chrono>
 #include <fstream>
 #include <functional>
@@ -229,8 +230,8 @@
       });
 }
 
-int Status(const Context& context) {
-  return GetAndPrint(context, "/v1/status", [&](const json& body) {
+int PrintFields(const Context& context, const std::string& path) {
+  return GetAndPrint(context, path, [&](const json& body) {
     for (const auto& [name, value] : body.items()) {
       context.out << name << ": "
                   << (value.is_string() ? value.get<std::string>()
@@ -240,6 +241,33 @@
   });
 }
 
+int Status(const Context& context) {
+  return PrintFields(context, "/v1/status");
+}
+
+/// @return the text as part of a path of the API.
+std::string PercentEncoded(const std::string& text) {
+  constexpr char kHex[] = "0123456789ABCDEF";
+  std::string out;
+  for (const unsigned char c : text) {
+    if (std::isalnum(c) != 0 || c == '-' || c == '.' || c == '_') {
+      out += static_cast<char>(c);
+    } else {
+      out += {'%', kHex[c / 16], kHex[c % 16]};
+    }
+  }
+  return out;
+}
+
+int Limits(const Context& context) {
+  const std::string customer = context.Argument(1);
+  if (customer.empty()) {
+    context.err << "limits needs the name of a customer\n";
+    return kExitUsage;
+  }
+  return PrintFields(context, "/v1/limits/" + PercentEncoded(customer));
+}
+
 int Upstreams(const Context& context) {
   return GetAndPrint(context, "/v1/instances", [&](const json& rows) {
     for (const json& row : rows) {
@@ -253,6 +281,23 @@
   });
 }
 
+int Customers(const Context& context) {
+  return GetAndPrint(context, "/v1/customers", [&](const json& body) {
+    context.out << "version " << body["version"] << ", keys are "
+                << (body["keys_required"].get<bool>() ? "" : "not ")
+                << "required\n";
+    for (const json& row : body["customers"]) {
+      context.out << row["customer"].get<std::string>() << "  keys "
+                  << row["keys"] << "  rate " << row["rate_per_s"] << "  burst "
+                  << row["burst"];
+      if (row.contains("priority")) {
+        context.out << "  priority " << row["priority"];
+      }
+      context.out << "\n";
+    }
+  });
+}
+
 int Drain(const Context& context) {
   const ApiAnswer answer = context.api.Post("/v1/drain", "");
   if (answer.status != kHttpOk) return PrintError(context, answer);
@@ -382,6 +427,8 @@
       {"watch", &Watch},
       {"status", &Status},
       {"upstreams", &Upstreams},
+      {"customers", &Customers},
+      {"limits", &Limits},
       {"drain", &Drain},
       {"check-settings", &CheckSettings},
       {"found-replica", &FoundReplicaCommand},
@@ -407,6 +454,8 @@
 Mesh:
   status                       show the state of the daemon
   upstreams                    list all known instances
+  customers                    list customers, their limits and number of keys
+  limits CUSTOMER              show a customer's limit, as the daemon knows it
   drain                        take the local upstream out of service
 Files:
   check-settings FILE          list every fault of a settings file
--- a/src/entry/internal/call_intake.h
+++ b/src/entry/internal/call_intake.h
@@ -44,6 +44,10 @@
  private:
   std::optional<RoutingCode> FindRoute(OpenCall& call);
 
+  /// Finds out whom the call is from.
+  static std::optional<RoutingCode> FindCustomer(const RouteTable& table,
+                                                 OpenCall& call);
+
   /// Counts a call towards its customer's limit.
   /// @return why it is refused; nullopt when it is not.
   std::optional<Refusal> Count(OpenCall& call, Instant now);
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -6,10 +6,13 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
 
 #include "base/metrics.h"
 #include "base/settings_faults.h"
 #include "operator/operator_result_codes.h"
+#include "versions/config_reader.h"
+#include "versions/versions_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
@@ -182,6 +185,56 @@
   return JsonResponse(200, rows);
 }
 
+/// Answers with what the latest version says of customers, without digests.
+HttpResponse Customers(OperatorBackend& backend) {
+  const VersionRows versions = backend.Version(0);
+  if (versions.error) return ErrorResponse(versions.error);
+  const VersionRow& latest = versions.rows.front();
+  const auto document = ParseConfigDocument(latest.text).document;
+  if (!document) return ErrorResponse(VersionsCode::kInvalidDocument);
+  json rows = json::array();
+  for (const auto& [name, customer] : document->customers) {
+    json row = {{"customer", name},
+                {"keys", customer.keys.size()},
+                {"rate_per_s", customer.rate_per_s},
+                {"burst", customer.burst}};
+    if (customer.priority.has_value()) row["priority"] = *customer.priority;
+    rows.push_back(std::move(row));
+  }
+  return JsonResponse(200, {{"version", latest.number},
+                            {"keys_required", document->keys_required},
+                            {"customers", std::move(rows)}});
+}
+
+HttpResponse Limit(OperatorBackend& backend, const std::string& customer) {
+  const LimitStatus status = backend.StatusOfLimit(customer);
+  if (!status.limited) {
+    return ErrorResponse(OperatorCode::kUnknownResource,
+                         "no customer of that name has a limit");
+  }
+  json body = {{"customer", customer},
+               {"rate_per_s", status.rate_per_s},
+               {"burst", status.burst},
+               {"domain_rate_per_s", status.domain_rate},
+               {"domain_capacity", status.domain_capacity},
+               {"used_here_5s", status.used_here},
+               {"regime", !status.contact_age.has_value() ? "alone"
+                          : status.tight                  ? "credit"
+                                                          : "free"},
+               {"coordinator", status.coordinator},
+               {"daemons_in_domain", status.daemons}};
+  if (status.contact_age.has_value()) {
+    body["contact_ms_ago"] = status.contact_age->count() / 1000;
+  }
+  if (status.level.has_value()) {
+    body["left_in_domain"] = *status.level;
+    body["used_in_domain_5s"] = status.used_in_domain;
+    body["credit_outstanding"] = status.outstanding;
+    body["daemons_heard"] = status.daemons_heard;
+  }
+  return JsonResponse(200, body);
+}
+
 HttpResponse Status(OperatorBackend& backend) {
   const DaemonStatus status = backend.Status();
   return JsonResponse(200, {{"mesh", status.mesh},
@@ -244,6 +297,8 @@
   }
   if (path == "/v1/status") return Status(backend);
   if (path == "/v1/instances") return Instances(backend);
+  if (path == "/v1/customers") return Customers(backend);
+  if (auto name = After(path, "/v1/limits/")) return Limit(backend, *name);
   if (path == "/v1/versions") return History(backend, request);
   if (auto id = After(path, "/v1/patches/")) {
     return VerdictResponse(backend.VerdictOf(*id));
--- a/src/operator/tests/operator_api_test.cc
+++ b/src/operator/tests/operator_api_test.cc
@@ -12,7 +12,12 @@
     return {{}, proposal.base + 1, proposal.base + 1, {}};
   }
   ProposalVerdict VerdictOf(const std::string&) override { return {}; }
-  VersionRows Version(uint64_t) override { return {{}, {VersionRow{}}}; }
+  VersionRows Version(uint64_t) override {
+    VersionRow row;
+    row.number = 3;
+    row.text = document;
+    return {{}, {row}};
+  }
   VersionRows History(uint32_t max_rows) override {
     requested_rows = max_rows;
     return {};
@@ -23,11 +28,20 @@
   ProposalVerdict ProposeDocument(const DocumentProposal&) override {
     return {};
   }
+  LimitStatus StatusOfLimit(const std::string& customer) override {
+    LimitStatus status;
+    status.limited = customer == "acme corp";
+    status.rate_per_s = 20;
+    status.coordinator = "b";
+    status.contact_age = std::chrono::milliseconds(250);
+    return status;
+  }
   std::string MetricsText() override { return ""; }
   bool DrainUpstream() override { return drains_in_time; }
 
   std::vector<PatchProposal> proposals;
   uint32_t requested_rows = 0;
+  std::string document;
   bool drains_in_time = true;
 };
 
@@ -77,6 +91,30 @@
   EXPECT_TRUE(backend_.proposals.empty());
 }
 
+TEST_F(TheOperatorsApi, ShowsALimitAndWhoCoordinatesIt) {
+  EXPECT_EQ(
+      AnswerOperator(backend_, {"GET", "/v1/limits/acme corp", {}, ""}).body,
+      R"({"burst":0,"contact_ms_ago":250,"coordinator":"b","customer":)"
+      R"("acme corp","daemons_in_domain":0,"domain_capacity":0.0,)"
+      R"("domain_rate_per_s":0.0,"rate_per_s":20,"regime":"free",)"
+      R"("used_here_5s":0})"
+      "\n");
+  EXPECT_EQ(StatusOf("/v1/limits/other"), 404);
+}
+
+TEST_F(TheOperatorsApi, ListsCustomersWithoutTheirKeys) {
+  backend_.document = R"({"customers": {
+    "acme": {"keys": ["00000000000000000000000000000001"], "priority": 7,
+             "rate_per_s": 20},
+    "idle": {}}})";
+  EXPECT_EQ(
+      AnswerOperator(backend_, {"GET", "/v1/customers", {}, ""}).body,
+      R"({"customers":[{"burst":0,"customer":"acme","keys":1,"priority":7,)"
+      R"("rate_per_s":20},{"burst":0,"customer":"idle","keys":0,)"
+      R"("rate_per_s":0}],"keys_required":true,"version":3})"
+      "\n");
+}
+
 TEST_F(TheOperatorsApi, ReportsADrainThatIsNotInEffectInTime) {
   const HttpRequest drain{"POST", "/v1/drain", {}, ""};
   EXPECT_EQ(AnswerOperator(backend_, drain).status, 200);
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -191,6 +191,10 @@
     executor_.Post(std::move(done));
   }
 
+  LimitStatus StatusOfLimit(const std::string& customer) override {
+    return RunAndWait(executor_, [&] { return limits_->StatusOf(customer); });
+  }
+
   // OwnerLink.
   void Start(const std::string& owner, const CallAttempt& attempt) override {
     if (IsSelf(owner)) {
