--- a/src/limits/internal/customer_limits.cc
+++ b/src/limits/internal/customer_limits.cc
@@ -14,6 +14,10 @@
 
 /// Of rendezvous among the daemons of a failure domain.
 constexpr char kMatter[] = "limits";
+/// Without a word, after which a daemon turns to the next coordinator; sooner
+/// than the membership notices that one is frozen.
+constexpr Duration kSilentTime = std::chrono::milliseconds(1200);
+constexpr Duration kAvoidTime = std::chrono::seconds(5);
 
 class NoLimits : public CustomerLimits {
  public:
@@ -125,8 +129,10 @@
 
   void OnTick(Instant) override {
     Refresh();
-    if (!limited_ || coordinator_instance_.empty()) return;
+    if (!limited_) return;
     const Instant now = Time();
+    AvoidSilent(now);
+    if (coordinator_instance_.empty()) return;
     const auto report = holder_.Report(coordinator_instance_, now);
     if (!report.has_value()) return;
     const PeerIdentity& self = config_.identity;
@@ -182,9 +188,40 @@
     const std::vector<DomainDaemon>& daemons =
         table_->DaemonsOf(config_.identity.failure_domain);
     daemons_ = static_cast<uint32_t>(std::max<size_t>(1, daemons.size()));
+    Choose(Time());
+  }
+
+  /// Chooses the coordinator among those that aren't avoided.
+  void Choose(Instant now) {
+    std::vector<DomainDaemon> daemons =
+        table_->DaemonsOf(config_.identity.failure_domain);
+    std::erase_if(avoided_until_,
+                  [now](const auto& item) { return item.second <= now; });
+    std::erase_if(daemons, [this](const DomainDaemon& daemon) {
+      return avoided_until_.contains(daemon.instance);
+    });
     const DomainDaemon* chosen = ChooseCoordinator(daemons, kMatter);
-    coordinator_instance_ = chosen == nullptr ? "" : chosen->instance;
+    const std::string instance = chosen == nullptr ? "" : chosen->instance;
     coordinator_address_ = chosen == nullptr ? "" : chosen->request_address;
+    if (instance == coordinator_instance_) return;
+    coordinator_instance_ = instance;
+    chosen_at_ = now;
+  }
+
+  /// Turns to the next coordinator when this one is silent. Two at once do no
+  /// harm: each holds a part for the daemons that it hears.
+  void AvoidSilent(Instant now) {
+    const bool expired = std::ranges::any_of(
+        avoided_until_, [now](const auto& item) { return item.second <= now; });
+    const bool silent = !coordinator_instance_.empty() &&
+                        !holder_.InContact(now) &&
+                        now - chosen_at_ >= kSilentTime;
+    if (silent) {
+      avoided_until_[coordinator_instance_] = now + kAvoidTime;
+      Log(LogLevel::kInfo, "limits", "A coordinator of limits is silent.",
+          {{"coordinator", coordinator_instance_}});
+    }
+    if (silent || expired) Choose(now);
   }
 
   void OnReport(const Route& route, const wire::Envelope& message) {
@@ -248,7 +285,9 @@
   uint32_t daemons_ = 1;
   std::string coordinator_instance_;
   std::string coordinator_address_;
-  std::map<std::string, Route> routes_to_;  ///< By reporting instance.
+  Instant chosen_at_;
+  std::map<std::string, Instant> avoided_until_;  ///< By silent instance.
+  std::map<std::string, Route> routes_to_;        ///< By reporting instance.
 };
 
 }  // namespace
--- a/src/limits/internal/limit_coordinator.cc
+++ b/src/limits/internal/limit_coordinator.cc
@@ -134,8 +134,10 @@
 }
 
 double LimitCoordinator::HeardPart(Instant now) const {
-  if (now - began_ < kLearningTime) return 1;
-  return std::min(1.0, Heard(now) / static_cast<double>(daemons_));
+  const uint32_t heard = Heard(now);
+  // One that hears nobody but a single daemon may be cut off with it.
+  if (heard > 1 && now - began_ < kLearningTime) return 1;
+  return std::min(1.0, heard / static_cast<double>(daemons_));
 }
 
 uint32_t LimitCoordinator::Heard(Instant now) const {
