--- a/src/limits/internal/limit_coordinator.cc
+++ b/src/limits/internal/limit_coordinator.cc
@@ -189,9 +189,8 @@
       return now - item.second.at > kAccountTime;
     });
   }
-  std::erase_if(customers_, [](const auto& item) {
-    return item.second.accounts.empty();
-  });
+  std::erase_if(customers_,
+                [](const auto& item) { return item.second.accounts.empty(); });
   std::erase_if(senders_, [now](const auto& item) {
     return now - item.second.heard > kAccountTime;
   });
