--- a/src/base/log.h
+++ b/src/base/log.h
@@ -14,7 +14,7 @@
 // The modules that log; .ci/check-logs compares this list with the calls of
 // Log().
 // Prefixes: app, caller, consensus, control, distribution, entry, flows, http,
-// owner, requests.
+// limits, owner, requests.
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -249,6 +249,10 @@
     });
   }
 
+  LimitStatus StatusOfLimit(const std::string& customer) override {
+    return listener_.StatusOfLimit(customer);
+  }
+
   std::string MetricsText() override { return metrics_.Exposition(); }
 
   bool DrainUpstream() override {
--- a/src/ctl/internal/commands.cc
+++ b/src/ctl/internal/commands.cc
@@ -1,6 +1,7 @@
 #include "ctl/commands.h"
 
 #include <algorithm>
+#include <cctype>
 #include <chrono>
 #include <fstream>
 #include <functional>
@@ -229,8 +230,8 @@
       });
 }
 
-int Status(const Context& context) {
-  return GetAndPrint(context, "/v1/status", [&](const json& body) {
+int PrintFields(const Context& context, const std::string& path) {
+  return GetAndPrint(context, path, [&](const json& body) {
     for (const auto& [name, value] : body.items()) {
       context.out << name << ": "
                   << (value.is_string() ? value.get<std::string>()
@@ -240,6 +241,33 @@
   });
 }
 
+int Status(const Context& context) {
+  return PrintFields(context, "/v1/status");
+}
+
+/// @return the text as part of a path of the API.
+std::string PercentEncoded(const std::string& text) {
+  constexpr char kHex[] = "0123456789ABCDEF";
+  std::string out;
+  for (const unsigned char c : text) {
+    if (std::isalnum(c) != 0 || c == '-' || c == '.' || c == '_') {
+      out += static_cast<char>(c);
+    } else {
+      out += {'%', kHex[c / 16], kHex[c % 16]};
+    }
+  }
+  return out;
+}
+
+int Limits(const Context& context) {
+  const std::string customer = context.Argument(1);
+  if (customer.empty()) {
+    context.err << "limits needs the name of a customer\n";
+    return kExitUsage;
+  }
+  return PrintFields(context, "/v1/limits/" + PercentEncoded(customer));
+}
+
 int Upstreams(const Context& context) {
   return GetAndPrint(context, "/v1/instances", [&](const json& rows) {
     for (const json& row : rows) {
@@ -400,6 +428,7 @@
       {"status", &Status},
       {"upstreams", &Upstreams},
       {"customers", &Customers},
+      {"limits", &Limits},
       {"drain", &Drain},
       {"check-settings", &CheckSettings},
       {"found-replica", &FoundReplicaCommand},
@@ -426,6 +455,7 @@
   status                       show the state of the daemon
   upstreams                    list all known instances
   customers                    list customers, their limits and number of keys
+  limits CUSTOMER              show a customer's limit, as the daemon knows it
   drain                        take the local upstream out of service
 Files:
   check-settings FILE          list every fault of a settings file
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -9,6 +9,7 @@
 #include "base/metrics.h"
 #include "calls/call_handler.h"
 #include "calls/call_links.h"
+#include "limits/customer_limits.h"
 #include "routing/route_table_holder.h"
 #include "routing/upstream_chooser.h"
 
@@ -20,6 +21,7 @@
   const RouteTableHolder& routes;
   UpstreamChooser& chooser;
   Metrics& metrics;
+  CustomerLimits& limits;
   /// Told of refused calls of the upstream beside this daemon; may be nullptr.
   CallTrees* call_trees = nullptr;
 };
--- a/src/entry/internal/call_intake.cc
+++ b/src/entry/internal/call_intake.cc
@@ -33,7 +33,17 @@
       call.request.depth > 0 ||
       begun_work_.contains({call.service, call.route->request_class});
   call.objective = now + call.route->objective - PriorWait(call, now);
-  return std::nullopt;
+  return Count(call, now);
+}
+
+std::optional<Refusal> CallIntake::Count(OpenCall& call, Instant now) {
+  if (!call.customer.has_value()) return std::nullopt;
+  const auto wait = limits_.Take(*call.customer, now);
+  call.counted = !wait.has_value() && call.customer->rate_per_s > 0;
+  if (!wait.has_value()) return std::nullopt;
+  Refusal refusal = RefusalOf(RoutingCode::kOverLimit, Certainty::kNotRun);
+  refusal.retry_after = *wait;
+  return refusal;
 }
 
 void CallIntake::OnLoad(OpenCall& call, const LoadReport& load) {
--- a/src/entry/internal/open_call.h
+++ b/src/entry/internal/open_call.h
@@ -44,6 +44,7 @@
   std::optional<Duration> confirmed_ago;
   std::optional<RouteConfig> route;
   std::optional<CustomerConfig> customer;  ///< Without its keys.
+  bool counted = false;                    ///< Towards the customer's limit.
   LimitsConfig limits;
   std::string service;  ///< Of the route, or picked from its shares.
   UpstreamListPtr upstreams;
--- a/src/entry/tests/entry_customers_test.cc
+++ b/src/entry/tests/entry_customers_test.cc
@@ -107,7 +107,8 @@
 // Guards against a 401 for a valid key by a daemon that knows no key yet.
 TEST_F(AnEntryWithCustomers, WithoutAVersionPromisesToHaveNotRunIt) {
   RouteTableHolder empty;
-  entry_ = MakeEntry("e", 1, {owners_, empty, *chooser_, *metrics_});
+  entry_ = MakeEntry(
+      "e", 1, {owners_, empty, *chooser_, *metrics_, NoCustomerLimits()});
   EXPECT_EQ(CustomerOf("n1"), "refused 4003 not-run");
   EXPECT_EQ(CustomerOf(""), "refused 4003 not-run");
 }
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -206,6 +206,35 @@
                             {"customers", std::move(rows)}});
 }
 
+HttpResponse Limit(OperatorBackend& backend, const std::string& customer) {
+  const LimitStatus status = backend.StatusOfLimit(customer);
+  if (!status.limited) {
+    return ErrorResponse(OperatorCode::kUnknownResource,
+                         "no customer of that name has a limit");
+  }
+  json body = {{"customer", customer},
+               {"rate_per_s", status.rate_per_s},
+               {"burst", status.burst},
+               {"domain_rate_per_s", status.domain_rate},
+               {"domain_capacity", status.domain_capacity},
+               {"used_here_5s", status.used_here},
+               {"regime", !status.contact_age.has_value() ? "alone"
+                          : status.tight                  ? "credit"
+                                                          : "free"},
+               {"coordinator", status.coordinator},
+               {"daemons_in_domain", status.daemons}};
+  if (status.contact_age.has_value()) {
+    body["contact_ms_ago"] = status.contact_age->count() / 1000;
+  }
+  if (status.level.has_value()) {
+    body["left_in_domain"] = *status.level;
+    body["used_in_domain_5s"] = status.used_in_domain;
+    body["credit_outstanding"] = status.outstanding;
+    body["daemons_heard"] = status.daemons_heard;
+  }
+  return JsonResponse(200, body);
+}
+
 HttpResponse Status(OperatorBackend& backend) {
   const DaemonStatus status = backend.Status();
   return JsonResponse(200, {{"mesh", status.mesh},
@@ -269,6 +298,7 @@
   if (path == "/v1/status") return Status(backend);
   if (path == "/v1/instances") return Instances(backend);
   if (path == "/v1/customers") return Customers(backend);
+  if (auto name = After(path, "/v1/limits/")) return Limit(backend, *name);
   if (path == "/v1/versions") return History(backend, request);
   if (auto id = After(path, "/v1/patches/")) {
     return VerdictResponse(backend.VerdictOf(*id));
--- a/src/operator/operator_backend.h
+++ b/src/operator/operator_backend.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/settings_reader.h"
+#include "limits/types/limit_status.h"
 #include "membership/types/instance_record.h"
 
 namespace hibiscusglade {
@@ -118,6 +119,9 @@
   virtual std::vector<DomainProgress> InForce(uint64_t number) = 0;
   virtual std::vector<InstanceRecord> Instances() = 0;
   virtual DaemonStatus Status() = 0;
+  /// @return what this daemon knows of a customer's limit.
+  virtual LimitStatus StatusOfLimit(const std::string& customer) = 0;
+
   virtual std::string MetricsText() = 0;
 
   /// Drains the local upstream, as if it had announced that itself, and waits
--- a/src/operator/tests/operator_api_test.cc
+++ b/src/operator/tests/operator_api_test.cc
@@ -28,6 +28,14 @@
   ProposalVerdict ProposeDocument(const DocumentProposal&) override {
     return {};
   }
+  LimitStatus StatusOfLimit(const std::string& customer) override {
+    LimitStatus status;
+    status.limited = customer == "acme corp";
+    status.rate_per_s = 20;
+    status.coordinator = "b";
+    status.contact_age = std::chrono::milliseconds(250);
+    return status;
+  }
   std::string MetricsText() override { return ""; }
   bool DrainUpstream() override { return drains_in_time; }
 
@@ -83,6 +91,17 @@
   EXPECT_TRUE(backend_.proposals.empty());
 }
 
+TEST_F(TheOperatorsApi, ShowsALimitAndWhoCoordinatesIt) {
+  EXPECT_EQ(
+      AnswerOperator(backend_, {"GET", "/v1/limits/acme corp", {}, ""}).body,
+      R"({"burst":0,"contact_ms_ago":250,"coordinator":"b","customer":)"
+      R"("acme corp","daemons_in_domain":0,"domain_capacity":0.0,)"
+      R"("domain_rate_per_s":0.0,"rate_per_s":20,"regime":"free",)"
+      R"("used_here_5s":0})"
+      "\n");
+  EXPECT_EQ(StatusOf("/v1/limits/other"), 404);
+}
+
 TEST_F(TheOperatorsApi, ListsCustomersWithoutTheirKeys) {
   backend_.document = R"({"customers": {
     "acme": {"keys": ["00000000000000000000000000000001"], "priority": 7,
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "entry/entry.h"
 #include "flows/domain_flows.h"
+#include "limits/customer_limits.h"
 #include "owner/owner.h"
 #include "requests/internal/answer_messages.h"
 #include "requests/internal/call_codec.h"
@@ -47,8 +48,11 @@
         flows_(config.seed),
         chooser_(MakeUpstreamChooser(ChooserConfigOf(config, flows_))),
         quarantine_(MakeQuarantine()),
+        limits_(MakeCustomerLimits(
+            {config.identity, config.request_address, config.failure_domains},
+            {*transport_, routes, clock, metrics})),
         entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
-                         {*this, routes, *chooser_, metrics,
+                         {*this, routes, *chooser_, metrics, *limits_,
                           call_trees_.get()})) {}
 
   ~RequestLoopImpl() override { Stop(); }
@@ -80,6 +84,7 @@
                               "plane=\"control\"")},
          call_trees_.get()});
     run_events_.owner = owner_.get();
+    parts_.Add(*limits_);
     parts_.Add(
         MakeDomainFlows({config_.identity.instance,
                          config_.identity.failure_domain, config_.link_mbps},
@@ -195,6 +200,10 @@
     executor_.Post(std::move(done));
   }
 
+  LimitStatus StatusOfLimit(const std::string& customer) override {
+    return RunAndWait(executor_, [&] { return limits_->StatusOf(customer); });
+  }
+
   // OwnerLink.
   void Start(const std::string& owner, const CallAttempt& attempt) override {
     if (IsSelf(owner)) {
@@ -465,6 +474,7 @@
   std::unique_ptr<UpstreamChooser> chooser_;
   std::unique_ptr<Quarantine> quarantine_;
   std::unique_ptr<CallTrees> call_trees_ = MakeCallTrees();
+  std::unique_ptr<CustomerLimits> limits_;
   std::unique_ptr<Entry> entry_;
   RunEventsForwarder run_events_;
   std::unique_ptr<UpstreamClient> upstream_;
--- a/src/requests/internal/request_parts.cc
+++ b/src/requests/internal/request_parts.cc
@@ -17,7 +17,8 @@
       clock_(clock) {}
 
 void RequestParts::Add(std::unique_ptr<RequestPart> part) {
-  parts_.push_back(std::move(part));
+  Add(*part);
+  owned_parts_.push_back(std::move(part));
 }
 
 RequestPlaneSender RequestParts::Sender() {
@@ -29,13 +30,13 @@
 bool RequestParts::OnPeerMessage(const std::string& from,
                                  const ReturnPath& path,
                                  const wire::Envelope& message, Instant now) {
-  return std::ranges::any_of(parts_, [&](const auto& part) {
+  return std::ranges::any_of(parts_, [&](RequestPart* part) {
     return part->OnPeerMessage(from, path, message, now);
   });
 }
 
 void RequestParts::OnTick(Instant now) {
-  for (const auto& part : parts_) part->OnTick(now);
+  for (RequestPart* part : parts_) part->OnTick(now);
 }
 
 void RequestParts::Send(const std::string& address, wire::Envelope& message) {
--- a/src/requests/internal/request_parts.h
+++ b/src/requests/internal/request_parts.h
@@ -23,6 +23,9 @@
 
   void Add(std::unique_ptr<RequestPart> part);
 
+  /// @param part must outlive this object.
+  void Add(RequestPart& part) { parts_.push_back(&part); }
+
   /// @return what parts send by; valid as long as this object.
   RequestPlaneSender Sender();
 
@@ -40,7 +43,8 @@
   PeerTransport& transport_;
   EventLoop& loop_;
   const Clock& clock_;
-  std::vector<std::unique_ptr<RequestPart>> parts_;
+  std::vector<std::unique_ptr<RequestPart>> owned_parts_;
+  std::vector<RequestPart*> parts_;
 };
 
 }  // namespace hibiscusglade
--- a/src/routing/internal/routing_result_codes.cc
+++ b/src/routing/internal/routing_result_codes.cc
@@ -39,6 +39,9 @@
      Certainty::kNotRun,
      "Compare the version in the entry's line with the one that added or "
      "revoked the key."},
+    {4015, "over-limit", "the customer has reached its limit", 429,
+     Certainty::kNotRun,
+     "Ask hibiscusgladectl limits for the customer's use and its limit."},
 };
 
 }  // namespace
--- a/src/routing/routing_result_codes.h
+++ b/src/routing/routing_result_codes.h
@@ -21,6 +21,7 @@
   kCutByStop = 4012,
   kKeyMissing = 4013,
   kKeyUnknown = 4014,
+  kOverLimit = 4015,
 };
 
 const ResultCodeCategory& RoutingCategory();
