Take a status outside 200 to 599 for no answer

An upstream in trouble could send a status such as 600 or 999, a status line of HTTP/2, or one with two blanks, "200OK" or a tab, and the caller got it as an answer: libcurl reads three digits and looks no further. 101, which no request asks for, had its body passed on before it failed.

Now one place judges a status (calls/answer_status.h): the client of the upstream reads the status line itself and drops the connection, the entry takes such a head of an owner for a broken answer and cancels it, the ledger's kept answers are judged alike, and the writer at the caller replaces such a head by 502. The failure counts against the upstream as any broken answer does.

AnEntry.TakesAHeadWithoutAStatusForNoAnswer, AnEntry.ChargesAnUpstreamWithAHeadWithoutAStatus and AnAnswer.WithoutAStatusBecomesAnErrorAnswer fail without the change.

Looked at as well: preliminary heads (100, 102, 103) are passed over; bytes behind a whole answer of known length close the connection; bytes that libcurl reads behind a last chunk are dropped and don't reach the next request, but the connection is kept.

--- a/src/caller/internal/exchange.cc
+++ b/src/caller/internal/exchange.cc
@@ -7,13 +7,16 @@
 #include <utility>
 
 #include "caller/internal/hop_fields.h"
+#include "calls/answer_status.h"
 #include "calls/field_values.h"
+#include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
 namespace {
 
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+constexpr int kBadGateway = 502;
 constexpr char kLastChunk[] = "0\r\n\r\n";
 /// Sent bytes are erased from the output once there are this many.
 constexpr size_t kEraseThresholdBytes = size_t{64} << 10U;
@@ -36,7 +39,11 @@
 }
 
 void Exchange::PutHead(const AnswerHead& head) {
-  head_put_ = true;
+  if (!IsAnswerStatus(head.status)) {
+    const std::error_code code = RoutingCode::kAnswerBroken;
+    PutRefusal({code, Certainty::kUnknown, code.message(), {}});
+    return;
+  }
   const bool bodyless =
       head.status == kNoContent || head.status == kNotModified;
   has_body_ = !bodyless && request_.method != "HEAD";
@@ -65,6 +72,7 @@
 }
 
 void Exchange::PutData(const std::string& data) {
+  if (done_) return;
   body_put_ += data.size();
   if (!has_body_ || data.empty()) return;
   if (!chunked_) {
@@ -78,12 +86,14 @@
 }
 
 void Exchange::PutEnd() {
+  if (done_) return;
   if (chunked_) out_ += kLastChunk;
   done_ = true;
   NotifyOutput();
 }
 
 void Exchange::PutBroken(const Refusal& reason) {
+  if (done_) return;
   if (sent_ == 0) {
     // Nothing was sent yet, so the caller can still get an error answer.
     out_.clear();
@@ -136,9 +146,9 @@
 }
 
 void Exchange::PutStatus(int status) {
-  const std::string code = std::to_string(status);
-  out_ += "HTTP/1.1 " + code + " " +
-          http_status_str(static_cast<http_status>(status)) + "\r\n";
+  const int valid = IsAnswerStatus(status) ? status : kBadGateway;
+  out_ += "HTTP/1.1 " + std::to_string(valid) + " " +
+          http_status_str(static_cast<http_status>(valid)) + "\r\n";
 }
 
 void Exchange::PutField(const std::string& name, const std::string& value) {
--- a/src/caller/internal/exchange.h
+++ b/src/caller/internal/exchange.h
@@ -18,7 +18,8 @@
   Exchange(CallRequest request, const CallerDialect& dialect, bool keep_alive,
            bool accepts_chunked);
 
-  // These append to the answer, or end it.
+  // These append to the answer, or end it. A head without the status of an
+  // answer is replaced by an error, and what follows it is dropped.
   void PutHead(const AnswerHead& head);
   void PutData(const std::string& data);
   void PutEnd();
@@ -67,7 +68,6 @@
   bool accepts_chunked_;
   bool chunked_ = false;
   bool has_body_ = true;
-  bool head_put_ = false;
   bool done_ = false;
   bool broken_ = false;
   std::string out_;
--- a/src/caller/tests/caller_connection_test.cc
+++ b/src/caller/tests/caller_connection_test.cc
@@ -211,6 +211,22 @@
   EXPECT_FALSE(ended_);
 }
 
+// Guards against a status such as 000 that reaches the caller.
+TEST_F(AnAnswer, WithoutAStatusBecomesAnErrorAnswer) {
+  for (int status : {0, -1, 20, 101, 199, 600, 999, 70000}) {
+    Reconnect();
+    Send(Get("/1") + Get("/2"));
+    calls_.streams["/1"]->OnHead({status, {}, 100});
+    calls_.streams["/1"]->OnData("part");
+    calls_.streams["/1"]->OnEnd();
+    calls_.Answer("/2", "second");
+    const std::string answers = Received();
+    EXPECT_TRUE(answers.starts_with("HTTP/1.1 502 ")) << answers;
+    EXPECT_EQ(answers.find("part"), std::string::npos) << answers;
+    EXPECT_TRUE(answers.ends_with("\r\n\r\nsecond")) << answers;
+  }
+}
+
 TEST_F(AnAnswer, OfUnknownLengthComesInChunks) {
   Send(Get("/1"));
   calls_.streams["/1"]->OnHead({200, {}, -1});
--- a/src/claims/internal/claim_codec.cc
+++ b/src/claims/internal/claim_codec.cc
@@ -1,5 +1,6 @@
 #include "claims/claim_codec.h"
 
+#include "calls/answer_status.h"
 #include "calls/header_codec.h"
 #include "claims/claims_result_codes.h"
 #include "wire/peer.pb.h"
@@ -66,7 +67,7 @@
 
 std::optional<KeptAnswer> DecodeKeptAnswer(std::string_view bytes) {
   wire::StoredAnswer in;
-  if (!Parse(bytes, in)) return std::nullopt;
+  if (!Parse(bytes, in) || !IsAnswerStatus(in.status())) return std::nullopt;
   KeptAnswer answer;
   answer.head.status = static_cast<int>(in.status());
   answer.head.headers = HeadersOf(in);
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -5,6 +5,7 @@
 
 #include "admission/admission_result_codes.h"
 #include "base/digest.h"
+#include "calls/answer_status.h"
 #include "calls/stop_limit.h"
 #include "entry/internal/attempt_policy.h"
 #include "entry/internal/body_sender.h"
@@ -63,6 +64,10 @@
                     const LoadReport& load, Instant now) override {
     OpenCall* call = RecordLoadAndFindCall(id, load, now);
     if (call == nullptr || !call->answering.empty()) return;
+    if (!IsAnswerStatus(head.status)) {
+      AbandonAnswer(id, now);
+      return;
+    }
     const OpenAttempt& attempt = *calls_.FindAttempt(id);
     policy_.OnFirstByte(call->route->name, now - attempt.sent);
     if (attempt.is_hedge) reporter_.Count("hedges_total", "won");
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -1,3 +1,4 @@
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include "admission/admission_result_codes.h"
@@ -56,6 +57,34 @@
   }
 }
 
+/// Guards against a status of a faulty owner that reaches the caller.
+TEST_F(AnEntry, TakesAHeadWithoutAStatusForNoAnswer) {
+  for (int status : {0, -1, 20, 99, 100, 101, 199, 600, 999, 70000}) {
+    Begin("/tags/1");
+    entry_->OnAnswerHead(Attempt(0), {status, {}, -1}, kLoad, now_);
+    EXPECT_EQ(received_, "refused 4007 unknown") << status;
+    EXPECT_THAT(owners_.cancelled, testing::Contains(Attempt(0))) << status;
+  }
+  Begin("/reads/1");
+  entry_->OnAnswerHead(Attempt(0), {0, {}, -1}, kLoad, now_);
+  ASSERT_EQ(owners_.started.size(), 2u);
+  Answer(Attempt(1), "body");
+  EXPECT_EQ(received_, "head 200 body end");
+}
+
+TEST_F(AnEntry, ChargesAnUpstreamWithAHeadWithoutAStatus) {
+  for (int i = 0; i < 30 && chooser_->Counts().ejections == 0; ++i) {
+    Begin("/tags/1");
+    if (owners_.started[0].first != "x") {
+      Answer(Attempt(0), "tag");
+    } else {
+      entry_->OnAnswerHead(Attempt(0), {999, {}, -1}, kLoad, now_);
+    }
+    now_ += milliseconds(100);
+  }
+  EXPECT_EQ(chooser_->Counts().ejections, 1u);
+}
+
 TEST_F(AnEntry, SaysUnknownIfAnyAttemptMayHaveRun) {
   Begin("/reads/1");
   entry_->OnOwnerLost(owners_.started[0].first, true, now_);
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "calls/answer_status.h"
 #include "calls/field_values.h"
 #include "upstream/internal/answer_head.h"
 #include "upstream/internal/open_connections.h"
@@ -326,16 +327,15 @@
     std::string_view line(data, size * count);
     if (line.ends_with('\n')) line.remove_suffix(1);
     if (line.ends_with('\r')) line.remove_suffix(1);
-    if (!run->in_head && line.starts_with("HTTP/")) {
-      run->in_head = true;
-      run->head = {};
-    } else if (run->in_head && line.empty()) {
+    if (!run->in_head) {
+      if (!run->BeginHead(line)) return 0;
+    } else if (line.empty()) {
       run->in_head = false;
       run->client->FinishHead(*run);
       // What else arrives on the connection could be taken for the answer to a
       // later request: 0 aborts the transfer, which closes the connection.
       if (run->head_kind != AnswerHeadKind::kAnswer) return 0;
-    } else if (auto field = ParseAnswerField(line); run->in_head && field) {
+    } else if (auto field = ParseAnswerField(line)) {
       run->head.headers.push_back(std::move(*field));
     } else {
       // libcurl may have read the rest of the head in another way.
@@ -353,11 +353,8 @@
   }
 
   void FinishHead(Run& run) {
-    long status = 0;
-    curl_easy_getinfo(run.easy, CURLINFO_RESPONSE_CODE, &status);
-    if (status < 200 || run.head_received) return;
+    if (!IsAnswerStatus(run.head.status)) return;
     run.head_received = true;
-    run.head.status = static_cast<int>(status);
     for (const HeaderField& field : run.head.headers) {
       if (EqualFieldNames(field.name, "Keep-Alive"))
         UpdateKeepAlive(field.value);
--- a/src/upstream/internal/upstream_run.cc
+++ b/src/upstream/internal/upstream_run.cc
@@ -1,6 +1,26 @@
 #include "upstream/internal/upstream_run.h"
 
+#include "calls/answer_status.h"
+
 namespace hibiscusglade {
+namespace {
+
+constexpr int kSwitchingProtocols = 101;
+
+}  // namespace
+
+bool UpstreamRun::BeginHead(std::string_view line) {
+  const auto status = ParseStatusLine(line);
+  // No request asks for another protocol.
+  if (!status || *status == kSwitchingProtocols) {
+    fault = "its status line has no valid status";
+    return false;
+  }
+  in_head = true;
+  head = {};
+  head.status = *status;
+  return true;
+}
 
 RunFailure FailureOf(const UpstreamRun& run, CURLcode result) {
   const bool other = run.head_kind == AnswerHeadKind::kOtherUpstream;
--- a/src/upstream/internal/upstream_run.h
+++ b/src/upstream/internal/upstream_run.h
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 
 #include <string>
+#include <string_view>
 
 #include "calls/call_links.h"
 #include "upstream/internal/framing_limit.h"
@@ -31,6 +32,10 @@
   /// What the upstream did wrong, if it isn't an error of libcurl.
   std::string fault;
   Instant deadline;
+
+  /// Begins a head with its status line, without the end of the line.
+  /// @return false when it begins no answer.
+  bool BeginHead(std::string_view line);
 };
 
 /// @param result of libcurl, for a run that didn't end well.
--- a/src/upstream/tests/run_fixture.h
+++ b/src/upstream/tests/run_fixture.h
@@ -55,6 +55,10 @@
 /// Takes answers with a certain field as not run.
 class DialectWithNotRun : public UpstreamDialect {
  public:
+  static const DialectWithNotRun& Instance() {
+    static const DialectWithNotRun dialect;
+    return dialect;
+  }
   std::vector<HeaderField> RequestFields(
       const CallAttempt&, std::chrono::milliseconds) const override {
     return {};
@@ -80,6 +84,12 @@
 /// Runs requests with a deadline in a minute.
 class RunFixture : public testing::Test, protected RunEvents {
  protected:
+  RunFixture() : RunFixture(DialectWithNotRun::Instance()) {}
+  explicit RunFixture(const UpstreamDialect& dialect)
+      : client_(MakeHttpUpstreamClient(
+            {10, std::chrono::milliseconds(500), dialect}, *this, loop_,
+            clock_)) {}
+
   /// Sends a request, and forgets what became of the one before.
   void Start(const std::string& address, const std::string& request_id = "r1",
              const std::string& method = "GET", bool repeatable = true) {
@@ -126,9 +136,7 @@
 
   SteadyClock clock_;
   EventLoop loop_{clock_};
-  DialectWithNotRun dialect_;
-  std::unique_ptr<UpstreamClient> client_ = MakeHttpUpstreamClient(
-      {10, std::chrono::milliseconds(500), dialect_}, *this, loop_, clock_);
+  std::unique_ptr<UpstreamClient> client_;
   RunId last_run_ = 0;
   std::optional<RunFailure> failure_;
   std::optional<AnswerHead> head_;
