Ask others for suspicions when an upstream is new to its daemon

Now an owner asks three witnesses of its service, of different failure domains, whenever an upstream is used that was not used before, and starts no run until they have answered, for 300 ms at most. It asks others, ever more seldom, until one has answered. Witnesses are all daemons of the service and, where they are fewer than four, others by rendezvous hashing; notices go to the same ones. A notice that says less than its receiver knows is answered by what is known. A request that was quarantined while it waited for a slot, or behind a suspect, is refused as not run when its turn comes.

Ruled out: blames on each attempt (entries forget too), a record on the replicas (a write for each death and a read before each first run).

Limit: all witnesses of a service restarted at once forget together. Beside daemons of an earlier release, which don't answer, an upstream's first run waits 300 ms.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -27,10 +27,10 @@
   /// When the latency objective ends; zero: none. A request that cannot be
   /// answered by then is not queued: it gets a free slot or is refused.
   Instant objective;
-  Duration expected{};   ///< Expected service time; zero: not known.
-  std::string customer;  ///< Empty: none.
+  Duration expected{};        ///< Expected service time; zero: not known.
+  std::string customer = {};  ///< Empty: none.
   /// In place of the priority of the class.
-  std::optional<uint32_t> priority;
+  std::optional<uint32_t> priority = {};
 
   friend bool operator==(const SlotRequest&, const SlotRequest&) = default;
 };
--- a/src/admission/internal/quarantine.cc
+++ b/src/admission/internal/quarantine.cc
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace hibiscusglade {
 namespace {
 
 constexpr Duration kSuspicionLifetime = std::chrono::minutes(10);
 constexpr uint32_t kBlamesToQuarantine = 2;
+constexpr size_t kMaxSuspicionsPerMessage = 1000;
 
 class QuarantineImpl : public Quarantine {
  public:
@@ -47,10 +49,32 @@
     }
   }
 
-  void OnNotice(const QuarantineNotice& notice, Instant now) override {
+  std::optional<QuarantineNotice> OnNotice(const QuarantineNotice& notice,
+                                           Instant now) override {
     Suspect& suspect = suspects_[notice.fingerprint];
+    const bool knows_more =
+        suspect.blames > notice.blames && suspect.expires > now;
     suspect.blames = std::max(suspect.blames, notice.blames);
     suspect.expires = std::max(suspect.expires, now + notice.expires_in);
+    if (!knows_more) return std::nullopt;
+    return QuarantineNotice{notice.fingerprint, suspect.blames,
+                            suspect.expires - now};
+  }
+
+  std::vector<QuarantineNotice> Suspicions(Instant now) override {
+    std::erase_if(suspects_, [now](const auto& entry) {
+      return entry.second.expires <= now;
+    });
+    std::vector<QuarantineNotice> notices;
+    for (const auto& [fingerprint, suspect] : suspects_) {
+      notices.push_back({fingerprint, suspect.blames, suspect.expires - now});
+    }
+    std::ranges::sort(notices, [](const auto& a, const auto& b) {
+      return std::tie(b.blames, b.expires_in) <
+             std::tie(a.blames, a.expires_in);
+    });
+    notices.resize(std::min(notices.size(), kMaxSuspicionsPerMessage));
+    return notices;
   }
 
  private:
--- a/src/admission/quarantine.h
+++ b/src/admission/quarantine.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "base/clock.h"
@@ -46,7 +47,13 @@
   virtual void OnRunSurvived(Digest fingerprint, Instant now) = 0;
 
   /// Another daemon has reported a suspicion.
-  virtual void OnNotice(const QuarantineNotice& notice, Instant now) = 0;
+  /// @return what is known here, if that is more.
+  virtual std::optional<QuarantineNotice> OnNotice(
+      const QuarantineNotice& notice, Instant now) = 0;
+
+  /// @return the suspicions that have not expired, those with most blames
+  /// first; not more than a message may carry.
+  virtual std::vector<QuarantineNotice> Suspicions(Instant now) = 0;
 };
 
 std::unique_ptr<Quarantine> MakeQuarantine();
--- a/src/owner/internal/job.h
+++ b/src/owner/internal/job.h
@@ -35,7 +35,6 @@
   Instant entry_seen_at;  ///< When the entry last sent something about it.
   /// Why the attempt must not run; set while its claim is pending.
   std::error_code pending_refusal;
-  bool suspect = false;  ///< Must run alone.
   Instant run_started;
   int64_t upstream_started_at_ms = 0;  ///< Of the upstream that it runs at.
   std::string connection_error;        ///< Why the connection was lost.
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -131,6 +131,11 @@
     ConfigureAdmission(now);
   }
 
+  void HoldRuns(bool hold, Instant now) override {
+    gate_.Hold(hold);
+    Apply({}, now);
+  }
+
   void BeginStop(Instant end, Instant now) override {
     start_check_.BeginStop(end);
     waiting_.RefuseQueued(RoutingCode::kStopsTooSoon, end);
@@ -408,15 +413,28 @@
       Job* job = Find(id);
       if (job == nullptr) continue;
       job->stage = JobStage::kAdmitted;
-      job->suspect = parts_.quarantine.Decide(job->fingerprint, now) !=
-                     QuarantineDecision::kRun;
-      gate_.Add(id, job->suspect);
+      gate_.Add(id);
     }
     for (const SlotRefusal& refusal : effects.refused) {
       if (Find(refusal.id) == nullptr) continue;
       closer_.RefuseNotRun(refusal.id, refusal.code, refusal.retry_after);
     }
-    for (SlotRequestId id : gate_.TakeReady()) StartRun(id, now);
+    const auto is_suspect = [this, now](SlotRequestId id) {
+      return Decide(id, now) == QuarantineDecision::kRunAlone;
+    };
+    for (SlotRequestId id : gate_.TakeReady(is_suspect)) {
+      if (Decide(id, now) == QuarantineDecision::kRefuse) {
+        // Its suspicion became known while it waited.
+        closer_.RefuseNotRun(id, AdmissionCode::kQuarantined);
+        ReleaseSlot(id, now);
+      } else {
+        StartRun(id, now);
+      }
+    }
+  }
+
+  QuarantineDecision Decide(SlotRequestId id, Instant now) {
+    return parts_.quarantine.Decide(jobs_[id].fingerprint, now);
   }
 
   void StartRun(SlotRequestId id, Instant now) {
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -89,6 +89,10 @@
   virtual void SetUpstream(const std::optional<UpstreamAnnouncement>& upstream,
                            const AdmissionConfig& config, Instant now) = 0;
 
+  /// Starts no run while `hold` is set, as it is not known yet what others
+  /// suspect.
+  virtual void HoldRuns(bool hold, Instant now) = 0;
+
   /// The daemon was told to stop. From now on attempts are refused as not run
   /// if they could still run at `end`, waiting ones too. Those that fit run.
   virtual void BeginStop(Instant end, Instant now) = 0;
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -17,6 +17,7 @@
 #include "requests/internal/link_delay.h"
 #include "requests/internal/link_watch.h"
 #include "requests/internal/run_events_forwarder.h"
+#include "requests/internal/suspicion_exchange.h"
 #include "routing/upstream_chooser.h"
 #include "upstream/http_upstream_client.h"
 #include "wire/peer.pb.h"
@@ -39,14 +40,16 @@
       : config_(config),
         clock_(clock),
         metrics_(metrics),
-        routes_(routes),
         loop_(clock),
         transport_(MakeTcpTransport(config.identity, "request", loop_, clock,
                                     metrics)),
         chooser_(MakeUpstreamChooser(ChooserConfigOf(config))),
         quarantine_(MakeQuarantine()),
         entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
-                         {*this, routes, *chooser_, metrics})) {}
+                         {*this, routes, *chooser_, metrics})),
+        suspicions_(
+            config.identity.instance, *quarantine_, routes, *transport_,
+            [this](bool hold, Instant now) { owner_->HoldRuns(hold, now); }) {}
 
   ~RequestLoopImpl() override { Stop(); }
 
@@ -178,7 +181,9 @@
   void OnLocalUpstream(const std::optional<UpstreamAnnouncement>& upstream,
                        const AdmissionConfig& limits) override {
     executor_.Post([this, upstream, limits] {
-      owner_->SetUpstream(upstream, limits, clock_.Now());
+      const Instant now = clock_.Now();
+      suspicions_.OnLocalUpstream(upstream, now);
+      owner_->SetUpstream(upstream, limits, now);
     });
   }
 
@@ -289,18 +294,7 @@
   // OwnerListener.
   void OnSuspicions(const std::string& service,
                     const std::vector<QuarantineNotice>& notices) override {
-    const RouteTablePtr table = routes_.Current();
-    if (table == nullptr) return;
-    // Entries send requests for this service only to its owners.
-    const UpstreamListPtr upstreams = table->UpstreamsOf(service);
-    for (const UpstreamTarget& target : *upstreams) {
-      if (IsSelf(target.owner_address)) continue;
-      for (const QuarantineNotice& notice : notices) {
-        wire::Envelope message;
-        ToWire(notice, *message.mutable_quarantine_notice());
-        transport_->Send(target.owner_address, message);
-      }
-    }
+    suspicions_.Spread(service, notices);
   }
 
   void OnUpstreamDown(const UpstreamAnnouncement& upstream) override {
@@ -414,9 +408,6 @@
           entry_->OnAttemptUnknown(attempt, now);
         }
         break;
-      case wire::Envelope::kQuarantineNotice:
-        quarantine_->OnNotice(FromWire(message.quarantine_notice()), now);
-        break;
       default:
         if (!PassToPart(from, path, message, now)) {
           PassToEntry(message, *entry_, now);
@@ -453,7 +444,6 @@
   RequestLoopConfig config_;
   const Clock& clock_;
   Metrics& metrics_;
-  const RouteTableHolder& routes_;
   Executor executor_;
   EventLoop loop_;
   std::unique_ptr<PeerTransport> transport_;
@@ -463,8 +453,9 @@
   RunEventsForwarder run_events_;
   std::unique_ptr<UpstreamClient> upstream_;
   std::unique_ptr<Owner> owner_;
-  /// Parts with messages of their own. None so far.
-  std::vector<RequestPart*> parts_;
+  SuspicionExchange suspicions_;
+  /// Parts with messages of their own.
+  std::vector<RequestPart*> parts_ = {&suspicions_};
   AnnouncementSink* announcements_ = nullptr;
   LinkWatch links_;
   LinkDelay delay_;
