Hold a download back whole while requests behind it run

An answer with begun requests behind it is now held until it is whole, up to 512 KiB while all held answers of the daemon take less than 4 MiB, so that it becomes a 502 when it breaks off and the rest is answered. Its rest is asked for as if the held bytes were sent.

Limit: longer answers, and those beyond the 4 MiB, are sent in part as before.

Measured: AreAnsweredThoughADownloadBeforeThemBreaksOff fails without the change.

--- a/src/caller/internal/body_memory.h
+++ b/src/caller/internal/body_memory.h
@@ -5,10 +5,11 @@
 
 namespace hibiscusglade {
 
-/// Counts the bytes of request bodies that all callers' connections hold, from
-/// the first byte to the end of the answer. Answers the load of callers that
-/// upload slowly, or stop midway, on many connections: each may send a body of
-/// the largest size that is allowed, but not all at once.
+/// Counts the bytes of bodies that all callers' connections hold: of requests,
+/// from the first byte to the end of the answer, or of answers that are held
+/// back. Answers the load of callers that upload slowly, or stop midway, on
+/// many connections: each may send a body of the largest size that is allowed,
+/// but not all at once.
 class BodyMemory {
  public:
   explicit BodyMemory(size_t max_bytes) : max_bytes_(max_bytes) {}
--- a/src/caller/internal/caller_connection.cc
+++ b/src/caller/internal/caller_connection.cc
@@ -17,8 +17,10 @@
 /// Maximum unanswered requests of a connection; beyond it the socket is not
 /// read, so that further input stays in its buffer.
 constexpr size_t kMaxExchanges = 32;
-/// Bytes of an answer that are held back while requests behind it run.
+/// Bytes of an answer that are held back while requests behind it run. Beyond
+/// it only those that fit the memory for held answers, up to the size below.
 constexpr size_t kMaxHeldBytes = size_t{64} << 10U;
+constexpr size_t kMaxHeldWhole = size_t{512} << 10U;
 /// Longest wait for a caller to close after the last answer. Closing while a
 /// refused caller is still sending would reset the connection, and the caller
 /// could lose the answer.
@@ -62,6 +64,7 @@
 CallerConnection::~CallerConnection() {
   *alive_ = false;
   parts_.body_memory.OnChange(body_bytes_, 0);
+  parts_.held_answers.OnChange(held_bytes_, 0);
   for (const auto& exchange : exchanges_) exchange->on_output = nullptr;
   parts_.loop.Unwatch(descriptor_);
   close(descriptor_);
@@ -226,7 +229,9 @@
 void CallerConnection::Write() {
   write_scheduled_ = false;
   while (!exchanges_.empty() && !ended_) {
-    if (!SendFront()) return;
+    const bool sent = SendFront();
+    CountHeldBytes();
+    if (!sent) return;
     if (!exchanges_.front()->Done()) break;
     FinishFront();
   }
@@ -243,15 +248,33 @@
 /// breaks off, it can be replaced by an error and they are still answered.
 bool CallerConnection::HoldsFront() const {
   const Exchange& front = *exchanges_.front();
-  return !front.Ended() && !front.PartlySent() && exchanges_.size() > 1 &&
-         exchanges_[1]->begun && front.Unsent().size() < kMaxHeldBytes;
+  if (front.Ended() || front.PartlySent() || exchanges_.size() < 2 ||
+      !exchanges_[1]->begun) {
+    return false;
+  }
+  const size_t held = front.Unsent().size();
+  if (held < kMaxHeldBytes) return true;
+  return held < kMaxHeldWhole && front.ExpectedBytes() < kMaxHeldWhole &&
+         !parts_.held_answers.IsFullFor(held_bytes_);
+}
+
+/// Counts what the oldest answer holds beyond what each connection may hold.
+void CallerConnection::CountHeldBytes() {
+  const size_t unsent =
+      exchanges_.empty() ? 0 : exchanges_.front()->Unsent().size();
+  const size_t bytes = unsent > kMaxHeldBytes ? unsent : 0;
+  parts_.held_answers.OnChange(std::exchange(held_bytes_, bytes), bytes);
 }
 
 /// Sends the output of the oldest exchange.
 /// @return false when the socket's buffer is full, or the connection ended.
 bool CallerConnection::SendFront() {
   Exchange& front = *exchanges_.front();
-  if (HoldsFront()) return true;
+  if (HoldsFront()) {
+    // The rest is asked for as if these bytes were sent.
+    ReportConsumed(front, front.TakeHeld());
+    return true;
+  }
   while (!front.Unsent().empty()) {
     const std::string_view bytes = front.Unsent();
     const ssize_t sent =
@@ -266,13 +289,14 @@
     }
     front.MarkSent(static_cast<size_t>(sent));
   }
-  const uint64_t consumed = front.TakeConsumed();
-  if (consumed > 0 && !front.Done()) {
-    parts_.handler.Consumed(front.call, consumed);
-  }
+  ReportConsumed(front, front.TakeConsumed());
   return true;
 }
 
+void CallerConnection::ReportConsumed(const Exchange& front, uint64_t bytes) {
+  if (bytes > 0 && !front.Done()) parts_.handler.Consumed(front.call, bytes);
+}
+
 void CallerConnection::FinishFront() {
   const std::shared_ptr<Exchange> front = exchanges_.front();
   if (front->Broken()) {
--- a/src/caller/internal/caller_connection.h
+++ b/src/caller/internal/caller_connection.h
@@ -59,6 +59,7 @@
     const Clock& clock;
     CallHandler& handler;
     BodyMemory& body_memory;
+    BodyMemory& held_answers;  ///< Of answers that are held back whole.
     const CallerDialect& dialect;
     const std::string& origin_service;
     std::function<ConnectionLimits()> limits;
@@ -101,6 +102,8 @@
   void ScheduleWrite();
   void Write();
   bool HoldsFront() const;
+  void CountHeldBytes();
+  void ReportConsumed(const Exchange& front, uint64_t bytes);
   bool SendFront();
   void FinishFront();
   void WatchSocket(bool for_output);
@@ -117,6 +120,7 @@
   std::string unparsed_;   ///< Input received beyond kMaxExchanges requests.
   Instant wait_start_;     ///< Start of the wait that CheckTimeouts() bounds.
   size_t body_bytes_ = 0;  ///< Counted in the body memory.
+  size_t held_bytes_ = 0;  ///< Counted in the memory of held answers.
   bool closing_ = false;
   bool input_ended_ = false;  ///< Further input is discarded.
   bool lingering_ = false;    ///< Shut down for sending; awaits the caller.
--- a/src/caller/internal/caller_gateway.cc
+++ b/src/caller/internal/caller_gateway.cc
@@ -22,6 +22,8 @@
 constexpr int kListenBacklog = 1024;
 constexpr uint32_t kLogLinesPerSecond = 10;
 constexpr size_t kMaxBodyBytes = size_t{16} << 20U;
+/// Of answers that are held back whole, for all connections.
+constexpr size_t kMaxHeldAnswerBytes = size_t{4} << 20U;
 constexpr Duration kTimeoutCheckInterval = std::chrono::milliseconds(250);
 
 class Gateway : public CallerGateway {
@@ -97,6 +99,7 @@
             clock_,
             handler_,
             body_memory_,
+            held_answers_,
             config_.dialect,
             config_.origin_service,
             [this] { return Limits(); },
@@ -170,6 +173,7 @@
   const RouteTableHolder& routes_;
   Metrics& metrics_;
   BodyMemory body_memory_{kMaxBodyBytes};
+  BodyMemory held_answers_{kMaxHeldAnswerBytes};
   int listener_ = -1;
   EventLoop::TimerId check_timer_ = 0;
   std::map<int, std::unique_ptr<CallerConnection>> connections_;
--- a/src/caller/internal/exchange.cc
+++ b/src/caller/internal/exchange.cc
@@ -58,6 +58,9 @@
   for (const HeaderField& field : dialect_.AnswerFields(request_)) {
     PutField(field.name, field.value);
   }
+  if (head.content_length > 0) {
+    expected_bytes_ = static_cast<size_t>(head.content_length);
+  }
   if (head.content_length >= 0 && !bodyless) {
     PutField("Content-Length", std::to_string(head.content_length));
   } else if (has_body_ && accepts_chunked_) {
@@ -136,8 +139,9 @@
   }
 }
 
-uint64_t Exchange::TakeConsumed() {
-  if (!Unsent().empty()) return 0;
+uint64_t Exchange::TakeConsumed() { return Unsent().empty() ? TakeHeld() : 0; }
+
+uint64_t Exchange::TakeHeld() {
   return body_put_ - std::exchange(body_reported_, body_put_);
 }
 
--- a/src/caller/internal/exchange.h
+++ b/src/caller/internal/exchange.h
@@ -35,6 +35,10 @@
   /// Unsent() is not empty.
   uint64_t TakeConsumed();
 
+  /// @return bytes of the answer's body received since the last call of this
+  /// method or TakeConsumed(), whether or not they were sent.
+  uint64_t TakeHeld();
+
   /// Moves the request out; the exchange keeps only its id and method.
   CallRequest TakeRequest();
   const std::string& Method() const { return request_.method; }
@@ -49,6 +53,8 @@
   /// @return bytes allocated for the output.
   size_t OutputCapacity() const { return out_.capacity(); }
   bool KeepsAlive() const { return keep_alive_; }
+  /// @return length of the answer's body as its head says; 0: unknown.
+  size_t ExpectedBytes() const { return expected_bytes_; }
 
   CallHandle call = 0;
   bool begun = false;
@@ -70,11 +76,12 @@
   bool has_body_ = true;
   bool done_ = false;
   bool broken_ = false;
+  size_t expected_bytes_ = 0;
   std::string out_;
   size_t offset_ = 0;      ///< Of the first byte of `out_` that is not sent.
   uint64_t sent_ = 0;      ///< Bytes sent in all.
   uint64_t body_put_ = 0;  ///< Bytes of the body passed to PutData().
-  uint64_t body_reported_ = 0;  ///< Of them, returned by TakeConsumed().
+  uint64_t body_reported_ = 0;  ///< Of them, reported to the owner.
 };
 
 /// Forwards an answer to an exchange.
--- a/src/caller/tests/caller_connection_test.cc
+++ b/src/caller/tests/caller_connection_test.cc
@@ -24,7 +24,7 @@
     handles[++last_handle_] = request.target;
     return last_handle_;
   }
-  void Consumed(CallHandle, uint64_t) override {}
+  void Consumed(CallHandle, uint64_t bytes) override { consumed += bytes; }
   void Cancel(CallHandle call) override { cancelled.push_back(handles[call]); }
 
   void Answer(const std::string& target, const std::string& body) {
@@ -35,6 +35,7 @@
 
   std::vector<std::string> begun;
   std::vector<std::string> cancelled;
+  uint64_t consumed = 0;
   std::map<std::string, std::unique_ptr<CallerStream>> streams;
   std::map<CallHandle, std::string> handles;
 
@@ -60,8 +61,8 @@
     connection_ = std::make_unique<CallerConnection>(
         ends[1], "10.0.0.9",
         CallerConnection::Parts{
-            loop_, clock_, calls_, body_memory_, DefaultCallerDialect(),
-            origin_, [this] { return limits_; },
+            loop_, clock_, calls_, body_memory_, held_answers_,
+            DefaultCallerDialect(), origin_, [this] { return limits_; },
             [] { return std::string("r1"); }, [this](int) { ended_ = true; },
             [](const std::error_code&) {},
             [this](const CutRequests& cut) { cut_ = cut; }});
@@ -96,6 +97,7 @@
   EventLoop loop_{clock_};
   FakeCallHandler calls_;
   BodyMemory body_memory_{600};
+  BodyMemory held_answers_{300'000};
   std::string origin_ = "orders";
   ConnectionLimits limits_;
   bool ended_ = false;
@@ -157,6 +159,52 @@
   EXPECT_EQ(calls_.begun, (std::vector<std::string>{"/1", "/2"}));
 }
 
+/// Requests that sound upstreams had run got no answer, as a download before
+/// them broke off when a part of it had been sent.
+TEST_F(PipelinedRequests, AreAnsweredThoughADownloadBeforeThemBreaksOff) {
+  for (const int64_t length : {int64_t{200'000}, int64_t{-1}}) {
+    Reconnect();
+    calls_.consumed = 0;
+    Send(Get("/1") + Get("/2"));
+    calls_.streams["/1"]->OnHead({200, {}, length});
+    for (int i = 0; i < 3; ++i) {
+      calls_.streams["/1"]->OnData(std::string(60'000, 'x'));
+      EXPECT_EQ(Received(), "");
+    }
+    EXPECT_EQ(calls_.consumed, 180'000u);
+    EXPECT_GT(held_answers_.Bytes(), 180'000u);
+    calls_.streams["/1"]->OnBroken({});
+    calls_.Answer("/2", "second");
+    const std::string answers = Received();
+    EXPECT_TRUE(answers.starts_with("HTTP/1.1 502 "));
+    EXPECT_TRUE(answers.ends_with("second"));
+    EXPECT_EQ(answers.find("xxx"), std::string::npos);
+    EXPECT_FALSE(ended_);
+    EXPECT_EQ(held_answers_.Bytes(), 0u);
+  }
+}
+
+TEST_F(PipelinedRequests, WaitForADownloadThatIsThenSentWhole) {
+  Send(Get("/1") + Get("/2"));
+  const std::string download(200'000, 'x');
+  calls_.Answer("/1", download);
+  calls_.Answer("/2", "second");
+  std::string answers;
+  for (int i = 0; i < 30; ++i) answers += Received();
+  EXPECT_NE(answers.find("\r\n\r\n" + download + "HTTP/1.1 200 "),
+            std::string::npos);
+  EXPECT_TRUE(answers.ends_with("second"));
+  EXPECT_EQ(held_answers_.Bytes(), 0u);
+}
+
+TEST_F(PipelinedRequests, HoldBackNoDownloadBeyondTheMemoryForThem) {
+  Send(Get("/1") + Get("/2"));
+  held_answers_.OnChange(0, 400'000);
+  calls_.streams["/1"]->OnHead({200, {}, 200'000});
+  calls_.streams["/1"]->OnData(std::string(80'000, 'x'));
+  EXPECT_NE(Received().find(std::string(1000, 'x')), std::string::npos);
+}
+
 TEST_F(PipelinedRequests, DoNotHoldBackALargeAnswerBeforeThem) {
   Send(Get("/1") + Get("/2"));
   const std::string part(size_t{80} << 10U, 'x');
@@ -329,9 +377,10 @@
     ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
     CallerConnection connection(
         ends[1], "c",
-        {loop_, clock_, calls_, body_memory_, DefaultCallerDialect(), origin_,
-         [this] { return limits_; }, [] { return std::string("r"); },
-         [](int) {}, [](const std::error_code&) {}, [](const CutRequests&) {}});
+        {loop_, clock_, calls_, body_memory_, held_answers_,
+         DefaultCallerDialect(), origin_, [this] { return limits_; },
+         [] { return std::string("r"); }, [](int) {},
+         [](const std::error_code&) {}, [](const CutRequests&) {}});
     connection.Start();
     send(ends[0], input.data(), input.size(), MSG_NOSIGNAL);
     RunLoop();
