Build only what the quickstart runs, and name missing packages

examples/quickstart/run.sh built all tests and benches to start three daemons. It builds the three programs that it runs.

Tried with two packages reported as missing: both scripts end with one line and status 1.

--- a/examples/quickstart/run.sh
+++ b/examples/quickstart/run.sh
@@ -5,8 +5,10 @@
 root=$(cd "$(dirname "$0")/../.." && pwd)
 cd "$root"
 if [ "${1:-}" != --no-build ]; then
+  .ci/require-packages build test
   cmake --preset release > /dev/null
-  cmake --build --preset release
+  cmake --build --preset release \
+    --target hibiscusgladed hibiscusgladectl standin_upstream
 fi
 bin=$root/build/release/bin
 settings=$root/examples/quickstart
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -3,6 +3,7 @@
 # tests with real processes. Tests listed in KNOWN-RED.txt are left out.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+.ci/require-packages build test
 cmake --preset release > /dev/null
 cmake --build --preset release
 # KNOWN-RED.txt names each of them in a line "test: NAME".
