--- a/src/caller/internal/exchange.h
+++ b/src/caller/internal/exchange.h
@@ -18,7 +18,8 @@
   Exchange(CallRequest request, const CallerDialect& dialect, bool keep_alive,
            bool accepts_chunked);
 
-  // These append to the answer, or end it.
+  // These append to the answer, or end it. A head without the status of an
+  // answer is replaced by an error, and what follows it is dropped.
   void PutHead(const AnswerHead& head);
   void PutData(const std::string& data);
   void PutEnd();
@@ -34,6 +35,10 @@
   /// Unsent() is not empty.
   uint64_t TakeConsumed();
 
+  /// @return bytes of the answer's body received since the last call of this
+  /// method or TakeConsumed(), whether or not they were sent.
+  uint64_t TakeHeld();
+
   /// Moves the request out; the exchange keeps only its id and method.
   CallRequest TakeRequest();
   const std::string& Method() const { return request_.method; }
@@ -48,6 +53,8 @@
   /// @return bytes allocated for the output.
   size_t OutputCapacity() const { return out_.capacity(); }
   bool KeepsAlive() const { return keep_alive_; }
+  /// @return length of the answer's body as its head says; 0: unknown.
+  size_t ExpectedBytes() const { return expected_bytes_; }
 
   CallHandle call = 0;
   bool begun = false;
@@ -67,14 +74,14 @@
   bool accepts_chunked_;
   bool chunked_ = false;
   bool has_body_ = true;
-  bool head_put_ = false;
   bool done_ = false;
   bool broken_ = false;
+  size_t expected_bytes_ = 0;
   std::string out_;
   size_t offset_ = 0;      ///< Of the first byte of `out_` that is not sent.
   uint64_t sent_ = 0;      ///< Bytes sent in all.
   uint64_t body_put_ = 0;  ///< Bytes of the body passed to PutData().
-  uint64_t body_reported_ = 0;  ///< Of them, returned by TakeConsumed().
+  uint64_t body_reported_ = 0;  ///< Of them, reported to the owner.
 };
 
 /// Forwards an answer to an exchange.
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -19,6 +19,7 @@
 #include "requests/internal/link_watch.h"
 #include "requests/internal/request_parts.h"
 #include "requests/internal/run_events_forwarder.h"
+#include "requests/internal/suspicion_exchange.h"
 #include "routing/upstream_chooser.h"
 #include "upstream/http_upstream_client.h"
 #include "wire/peer.pb.h"
@@ -41,7 +42,6 @@
       : config_(config),
         clock_(clock),
         metrics_(metrics),
-        routes_(routes),
         loop_(clock),
         transport_(MakeTcpTransport(config.identity, "request", loop_, clock,
                                     metrics)),
@@ -53,7 +53,10 @@
             {*transport_, routes, clock, metrics})),
         entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
                          {*this, routes, *chooser_, metrics, *limits_,
-                          call_trees_.get()})) {}
+                          call_trees_.get()})),
+        suspicions_(
+            config.identity.instance, *quarantine_, routes, *transport_,
+            [this](bool hold, Instant now) { owner_->HoldRuns(hold, now); }) {}
 
   ~RequestLoopImpl() override { Stop(); }
 
@@ -84,6 +87,7 @@
                               "plane=\"control\"")},
          call_trees_.get()});
     run_events_.owner = owner_.get();
+    parts_.Add(suspicions_);
     parts_.Add(*limits_);
     parts_.Add(
         MakeDomainFlows({config_.identity.instance,
@@ -192,7 +196,9 @@
   void OnLocalUpstream(const std::optional<UpstreamAnnouncement>& upstream,
                        const AdmissionConfig& limits) override {
     executor_.Post([this, upstream, limits] {
-      owner_->SetUpstream(upstream, limits, clock_.Now());
+      const Instant now = clock_.Now();
+      suspicions_.OnLocalUpstream(upstream, now);
+      owner_->SetUpstream(upstream, limits, now);
     });
   }
 
@@ -307,18 +313,7 @@
   // OwnerListener.
   void OnSuspicions(const std::string& service,
                     const std::vector<QuarantineNotice>& notices) override {
-    const RouteTablePtr table = routes_.Current();
-    if (table == nullptr) return;
-    // Entries send requests for this service only to its owners.
-    const UpstreamListPtr upstreams = table->UpstreamsOf(service);
-    for (const UpstreamTarget& target : *upstreams) {
-      if (IsSelf(target.owner_address)) continue;
-      for (const QuarantineNotice& notice : notices) {
-        wire::Envelope message;
-        ToWire(notice, *message.mutable_quarantine_notice());
-        transport_->Send(target.owner_address, message);
-      }
-    }
+    suspicions_.Spread(service, notices);
   }
 
   void OnUpstreamDown(const UpstreamAnnouncement& upstream) override {
@@ -434,9 +429,6 @@
           entry_->OnAttemptUnknown(attempt, now);
         }
         break;
-      case wire::Envelope::kQuarantineNotice:
-        quarantine_->OnNotice(FromWire(message.quarantine_notice()), now);
-        break;
       default:
         if (!parts_.OnPeerMessage(from, path, message, now)) {
           PassToEntry(message, *entry_, now);
@@ -466,7 +458,6 @@
   RequestLoopConfig config_;
   const Clock& clock_;
   Metrics& metrics_;
-  const RouteTableHolder& routes_;
   Executor executor_;
   EventLoop loop_;
   std::unique_ptr<PeerTransport> transport_;
@@ -479,6 +470,7 @@
   RunEventsForwarder run_events_;
   std::unique_ptr<UpstreamClient> upstream_;
   std::unique_ptr<Owner> owner_;
+  SuspicionExchange suspicions_;
   RequestParts parts_{config_.identity, config_.request_address, *transport_,
                       loop_, clock_};
   AnnouncementSink* announcements_ = nullptr;
