Record orders and steps of rollouts in the log, and upstreams' versions

Change: announcements carry the version of the upstream's software, which the daemon's record spreads; one without it stays as before. The versions group takes orders and steps: an equal order is acknowledged again, another one is refused while one runs, a step counts only as the successor of the recorded one, and nothing follows a verdict.

Tests of versions, membership, platform and upstream pass; nothing orders or reads rollouts yet.

--- a/src/membership/internal/upstream_registration.cc
+++ b/src/membership/internal/upstream_registration.cc
@@ -102,6 +102,7 @@
   if (upstream_.has_value()) {
     self.service = upstream_->service;
     self.slots = upstream_->slots;
+    self.upstream_version = upstream_->software_version;
     self.upstream_state = upstream_->state;
   }
   const bool leaving = self.upstream_state == UpstreamState::kNone ||
--- a/src/membership/tests/announcement_test.cc
+++ b/src/membership/tests/announcement_test.cc
@@ -40,6 +40,17 @@
   std::unique_ptr<Membership> membership_;
 };
 
+TEST_F(AnUpstreamBesideADaemon, HasTheVersionOfItsSoftwareInTheRecord) {
+  UpstreamAnnouncement upstream;
+  upstream.service = "orders";
+  upstream.address = "10.0.0.1:80";
+  membership_->OnAnnounce(upstream, now_);
+  EXPECT_EQ(membership_->Records().at(0).upstream_version, "");
+  upstream.software_version = "v2";
+  membership_->OnAnnounce(upstream, now_);
+  EXPECT_EQ(membership_->Records().at(0).upstream_version, "v2");
+}
+
 class AnUpstreamReportedDown : public AnUpstreamBesideADaemon {
  protected:
   AnUpstreamReportedDown() {
--- a/src/upstream/internal/announcement_api.cc
+++ b/src/upstream/internal/announcement_api.cc
@@ -49,6 +49,8 @@
                                     "State of the upstream.",
                                     false,
                                     {"starting", "serving", "draining"}}));
+  upstream.software_version = reader.Text(
+      "version", {"", "Version of the upstream's software, for rollouts."});
   reader.Finish();
   return upstream;
 }
--- a/src/versions/internal/version_ledger.cc
+++ b/src/versions/internal/version_ledger.cc
@@ -7,6 +7,7 @@
 #include "base/compression.h"
 #include "versions/config_reader.h"
 #include "versions/internal/leave_table.h"
+#include "versions/internal/rollout_table.h"
 #include "versions/versions_result_codes.h"
 #include "wire/storage.pb.h"
 
@@ -59,7 +60,8 @@
 VersionLedger::VersionLedger(Listener listener)
     : listener_(std::move(listener)),
       latest_(EmptyConfigVersion()),
-      leaves_(std::make_unique<LeaveTable>()) {
+      leaves_(std::make_unique<LeaveTable>()),
+      rollouts_(std::make_unique<RolloutTable>()) {
   versions_.push_back(
       {0, 0, latest_->digest, "[]", latest_->text, "", "", 0, ""});
 }
@@ -76,6 +78,11 @@
   if (command.has_leave()) {
     return ApplyLeave(command.leave()).SerializeAsString();
   }
+  if (command.has_rollout()) {
+    wire::PatchVerdict judged = rollouts_->Apply(command);
+    judged.set_latest(Latest()->number);
+    return judged.SerializeAsString();
+  }
   if (command.patch_id().empty()) {
     verdict.set_code(NumberOf(VersionsCode::kMissingPatchId));
     return verdict.SerializeAsString();
@@ -117,6 +124,10 @@
   return verdict;
 }
 
+const RolloutsAt& VersionLedger::Rollouts() const {
+  return rollouts_->Current();
+}
+
 VersionLedger::RecordedVerdict VersionLedger::ApplyProposal(
     const wire::PatchCommand& command) {
   RecordedVerdict recorded;
@@ -343,6 +354,11 @@
     case wire::VersionQuery::LATEST_NUMBER:
       answer.set_found(true);
       answer.add_versions()->set_number(latest_->number);
+      rollouts_->AddTo(answer, query.rollout_revision());
+      break;
+    case wire::VersionQuery::ROLLOUTS:
+      answer.set_found(true);
+      rollouts_->AddTo(answer, 0);
       break;
     case wire::VersionQuery::VERDICT: {
       auto known = verdicts_.find(query.patch_id());
@@ -381,6 +397,9 @@
   for (wire::UpstreamLeave& leave : leaves_->All()) {
     *snapshot.add_leaves() = std::move(leave);
   }
+  if (rollouts_->Current().revision != 0) {
+    ToWire(rollouts_->Current(), *snapshot.mutable_rollouts());
+  }
   return snapshot.SerializeAsString();
 }
 
@@ -400,6 +419,7 @@
   for (const wire::UpstreamLeave& leave : snapshot.leaves()) {
     leaves_->Record(leave);
   }
+  rollouts_->Restore(FromWire(snapshot.rollouts()));
   listener_(Latest());
   return true;
 }
--- a/src/versions/internal/versions_result_codes.cc
+++ b/src/versions/internal/versions_result_codes.cc
@@ -22,6 +22,17 @@
      "Add a patch id, so that the patch can be resent safely."},
     {2007, "damaged-command", "the command can't be decoded", 400,
      Certainty::kNotApplicable, "Check that all daemons run the same release."},
+    {2008, "rollout-in-progress", "another rollout of the service is running",
+     409, Certainty::kNotApplicable,
+     "See hibiscusgladectl rollout status; order again once it has ended."},
+    {2009, "invalid-rollout", "the order of a rollout has faults", 422,
+     Certainty::kNotApplicable, "Fix every reported fault and order again."},
+    {2010, "no-such-rollout", "the service has had no rollout", 404,
+     Certainty::kNotApplicable, "See hibiscusgladectl rollout list."},
+    {2011, "rollout-step-outdated",
+     "a step does not follow the recorded state of its rollout", 409,
+     Certainty::kNotApplicable,
+     "None; another leader has taken the step or the rollout has ended."},
 };
 
 }  // namespace
--- a/src/versions/version_ledger.h
+++ b/src/versions/version_ledger.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "consensus/replicated_state.h"
+#include "rollouts/rollout_codec.h"
 #include "versions/document_editor.h"
 #include "versions/types/config_document.h"
 
@@ -25,14 +26,16 @@
 }  // namespace wire
 
 class LeaveTable;
+class RolloutTable;
 
 /// Replicated state of the versions group: the accepted versions, the verdicts
-/// on proposals and the last leaves of upstreams. A proposal is a patch, which
-/// gets the next number, or a whole document with a number above the latest
-/// that its proposer chose. A leave is recorded before it is acknowledged to
-/// the upstream, so that a daemon knows it also after all processes were
-/// killed. Commands are wire::PatchCommand, results wire::PatchVerdict, reads
-/// wire::VersionQuery and wire::VersionQueryAnswer.
+/// on proposals, the last leaves of upstreams and the last rollouts of
+/// services. A proposal is a patch, which gets the next number, or a whole
+/// document with a number above the latest that its proposer chose. A leave is
+/// recorded before it is acknowledged to the upstream, so that a daemon knows
+/// it also after all processes were killed. Commands are wire::PatchCommand,
+/// results wire::PatchVerdict, reads wire::VersionQuery and
+/// wire::VersionQueryAnswer.
 class VersionLedger : public ReplicatedState {
  public:
   using Listener = std::function<void(const ConfigVersionPtr&)>;
@@ -50,6 +53,9 @@
   /// @return the latest accepted version.
   const ConfigVersionPtr& Latest() const { return latest_; }
 
+  /// @return the last rollout of each service.
+  const RolloutsAt& Rollouts() const;
+
  private:
   /// A stored version. Its text results from the closest checkpoint at or
   /// before it and the patches since.
@@ -97,6 +103,7 @@
   std::deque<std::string> verdict_order_;
   size_t verdict_bytes_ = 0;
   std::unique_ptr<LeaveTable> leaves_;
+  std::unique_ptr<RolloutTable> rollouts_;
 };
 
 }  // namespace hibiscusglade
--- a/src/versions/versions_result_codes.h
+++ b/src/versions/versions_result_codes.h
@@ -14,6 +14,10 @@
   kNoSuchVersion = 2005,
   kMissingPatchId = 2006,
   kDamagedCommand = 2007,
+  kRolloutInProgress = 2008,
+  kInvalidRollout = 2009,
+  kNoSuchRollout = 2010,
+  kRolloutStepOutdated = 2011,
 };
 
 const ResultCodeCategory& VersionsCategory();
