Order, show and list rollouts by the operators' APIs

Cause: operators had no way to order that a service moves to a version.

Nothing carries orders out yet.

--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -215,6 +215,16 @@
     return operator_calls_.History(most);
   }
 
+  RolloutResult OrderRollout(const RolloutOrder& order) override {
+    return operator_calls_.OrderRollout(order);
+  }
+
+  RolloutResult LastRollout(const std::string& service) override {
+    return operator_calls_.LastRollout(service);
+  }
+
+  RolloutRows Rollouts() override { return operator_calls_.Rollouts(); }
+
   std::vector<DomainProgress> InForce(uint64_t number) override {
     return operator_calls_.RunOnControlThread<std::vector<DomainProgress>>(
         [this, number] { return ProgressOf(*membership_, number); });
--- a/src/control/internal/operator_calls.cc
+++ b/src/control/internal/operator_calls.cc
@@ -5,6 +5,7 @@
 #include "base/compression.h"
 #include "control/internal/control_views.h"
 #include "operator/operator_result_codes.h"
+#include "rollouts/rollout_codec.h"
 #include "versions/versions_result_codes.h"
 
 namespace hibiscusglade {
@@ -56,6 +57,44 @@
   return QueryRows(query);
 }
 
+RolloutResult OperatorCalls::OrderRollout(const RolloutOrder& order) {
+  wire::PatchCommand command;
+  command.mutable_rollout()->set_is_order(true);
+  Rollout state;
+  state.service = order.service;
+  state.target_version = order.target_version;
+  state.duration = order.duration;
+  ToWire(state, *command.mutable_rollout()->mutable_state());
+  command.set_proposed_at(static_cast<uint64_t>(clock_.UnixMicros()));
+  const ReplicaResult result =
+      SubmitAndWait(command.SerializeAsString(), false);
+  if (result.error) return {result.error, state, {}};
+  wire::PatchVerdict verdict;
+  verdict.ParseFromString(result.result);
+  const ProposalVerdict judged = VerdictFromWire(verdict);
+  return {judged.error, FromWire(verdict.rollout()), judged.faults};
+}
+
+RolloutResult OperatorCalls::LastRollout(const std::string& service) {
+  const RolloutRows rollouts = Rollouts();
+  if (rollouts.error) return {rollouts.error, {}, {}};
+  for (const Rollout& rollout : rollouts.rows) {
+    if (rollout.service == service) return {{}, rollout, {}};
+  }
+  return {VersionsCode::kNoSuchRollout, {}, {}};
+}
+
+RolloutRows OperatorCalls::Rollouts() {
+  wire::VersionQuery query;
+  query.set_kind(wire::VersionQuery::ROLLOUTS);
+  RolloutRows rows;
+  const wire::VersionQueryAnswer answer = Query(query, rows.error);
+  for (const wire::RolloutState& state : answer.rollouts().states()) {
+    rows.rows.push_back(FromWire(state));
+  }
+  return rows;
+}
+
 ReplicaResult OperatorCalls::SubmitAndWait(std::string command, bool read) {
   auto promise = std::make_shared<std::promise<ReplicaResult>>();
   auto future = promise->get_future();
--- a/src/control/internal/operator_calls.h
+++ b/src/control/internal/operator_calls.h
@@ -40,6 +40,14 @@
   /// @return versions without their documents, newest first.
   VersionRows History(uint32_t most);
 
+  RolloutResult OrderRollout(const RolloutOrder& order);
+
+  /// @return the last rollout of a service, confirmed by a majority.
+  RolloutResult LastRollout(const std::string& service);
+
+  /// @return the last rollout of each service, confirmed by a majority.
+  RolloutRows Rollouts();
+
   /// Runs a function on the control thread and waits for its result.
   /// @return an empty result after kOperatorTimeout.
   template <typename Result>
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -32,6 +32,7 @@
   std::string author;
   int32_t max_rows = 20;
   int32_t timeout_s = 30;
+  int32_t duration_s = 0;  ///< Of a rollout.
   std::string settings_file;
   std::vector<std::string> arguments;  ///< The command and its operands.
 };
--- a/src/ctl/internal/commands.cc
+++ b/src/ctl/internal/commands.cc
@@ -48,10 +48,12 @@
 /// @return the exit status for a result code of the daemon.
 int ExitStatusOf(int code) {
   if (code == static_cast<int>(VersionsCode::kConflict) ||
+      code == static_cast<int>(VersionsCode::kRolloutInProgress) ||
       code == static_cast<int>(VersionsCode::kPatchIdReused)) {
     return kExitConflict;
   }
   if (code == static_cast<int>(VersionsCode::kNoSuchVersion) ||
+      code == static_cast<int>(VersionsCode::kNoSuchRollout) ||
       code == static_cast<int>(OperatorCode::kUnknownResource)) {
     return kExitNotFound;
   }
@@ -260,6 +262,48 @@
   return kExitOk;
 }
 
+void PrintRollout(const Context& context, const json& row) {
+  context.out << row["service"].get<std::string>() << "  "
+              << row["target_version"].get<std::string>() << "  "
+              << row["state"].get<std::string>() << "  "
+              << row["share_permille"] << " of 1000  "
+              << row["reason"].get<std::string>() << "\n";
+}
+
+int StartRollout(const Context& context) {
+  const json body = {{"service", context.Argument(2)},
+                     {"target_version", context.Argument(3)},
+                     {"duration_s", context.options.duration_s}};
+  const ApiAnswer answer = context.api.Post("/v1/rollouts", body.dump());
+  if (answer.status != kHttpOk) return PrintError(context, answer);
+  if (context.options.json) {
+    context.out << answer.text;
+  } else {
+    PrintRollout(context, answer.body);
+  }
+  return kExitOk;
+}
+
+int RolloutCommand(const Context& context) {
+  const std::string action = context.Argument(1);
+  const std::string service = context.Argument(2);
+  if (action == "start" && !context.Argument(3).empty()) {
+    return StartRollout(context);
+  }
+  if (action == "status" && !service.empty()) {
+    return GetAndPrint(context, "/v1/rollouts/" + service,
+                       [&](const json& row) { PrintRollout(context, row); });
+  }
+  if (action == "list") {
+    return GetAndPrint(context, "/v1/rollouts", [&](const json& rows) {
+      for (const json& row : rows) PrintRollout(context, row);
+    });
+  }
+  context.err << "rollout takes start SERVICE VERSION, status SERVICE or "
+                 "list\n";
+  return kExitUsage;
+}
+
 void PrintProgress(const Context& context, const json& body) {
   for (const json& domain : body["domains"]) {
     context.out << domain["failure_domain"].get<std::string>() << ": "
@@ -383,6 +427,7 @@
       {"status", &Status},
       {"upstreams", &Upstreams},
       {"drain", &Drain},
+      {"rollout", &RolloutCommand},
       {"check-settings", &CheckSettings},
       {"found-replica", &FoundReplicaCommand},
       {"describe-settings", &DescribeSettings}};
@@ -404,6 +449,11 @@
   show [N]                     print a version, the latest by default
   history [--most ROWS]        list versions, newest first (20)
   watch N [--timeout SECONDS]  wait until N is in force everywhere (30)
+Rollouts:
+  rollout start SERVICE VERSION --duration SECONDS
+                               move a service to upstreams of this version
+  rollout status SERVICE       print its last rollout
+  rollout list                 print the last rollout of each service
 Mesh:
   status                       show the state of the daemon
   upstreams                    list all known instances
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -17,6 +17,7 @@
 DEFINE_string(author, "", "propose: author of the proposal");
 DEFINE_int32(most, 20, "history: maximum number of versions");
 DEFINE_int32(timeout, 30, "watch: timeout in seconds");
+DEFINE_int32(duration, 0, "rollout start: seconds until it must be completed");
 DEFINE_string(settings, "", "found-replica: settings file of the replica");
 
 int main(int argc, char** argv) {
@@ -36,6 +37,7 @@
   options.author = FLAGS_author;
   options.max_rows = FLAGS_most;
   options.timeout_s = FLAGS_timeout;
+  options.duration_s = FLAGS_duration;
   options.settings_file = FLAGS_settings;
   options.arguments.assign(argv + 1, argv + argc);
   return hibiscusglade::RunCommand(options, std::cout, std::cerr);
--- a/src/operator/internal/operator_api.cc
+++ b/src/operator/internal/operator_api.cc
@@ -9,6 +9,7 @@
 
 #include "base/metrics.h"
 #include "base/settings_faults.h"
+#include "operator/internal/rollout_api.h"
 #include "operator/operator_result_codes.h"
 
 namespace hibiscusglade {
@@ -238,6 +239,7 @@
 std::optional<HttpResponse> HandleGet(OperatorBackend& backend,
                                       const HttpRequest& request) {
   const std::string& path = request.path;
+  if (auto answer = AnswerAboutRollouts(backend, request)) return answer;
   if (path == "/metrics") {
     return HttpResponse{200, kMetricsType,
                         backend.MetricsText() + GaugesText(backend)};
@@ -257,6 +259,7 @@
 std::optional<HttpResponse> HandlePost(OperatorBackend& backend,
                                        const HttpRequest& request) {
   if (request.path == "/v1/patches") return Propose(backend, request.body);
+  if (auto answer = AnswerAboutRollouts(backend, request)) return answer;
   if (request.path == "/v1/drain") {
     if (backend.DrainUpstream()) return JsonResponse(200, json::object());
     return ErrorResponse(OperatorCode::kInternalTimeout);
--- a/src/operator/operator_backend.h
+++ b/src/operator/operator_backend.h
@@ -9,6 +9,7 @@
 
 #include "base/settings_reader.h"
 #include "membership/types/instance_record.h"
+#include "rollouts/types/rollout.h"
 
 namespace hibiscusglade {
 
@@ -98,6 +99,27 @@
   friend bool operator==(const DaemonStatus&, const DaemonStatus&) = default;
 };
 
+/// An operator's order to move a service to upstreams of a version.
+struct RolloutOrder {
+  std::string service;
+  std::string target_version;
+  Duration duration{};  ///< Until the service must have moved; whole seconds.
+
+  friend bool operator==(const RolloutOrder&, const RolloutOrder&) = default;
+};
+
+/// Result of an order, or the last rollout of a service.
+struct RolloutResult {
+  std::error_code error;  ///< No error: `rollout` is as a majority recorded it.
+  Rollout rollout;
+  std::vector<SettingsFault> faults;
+};
+
+struct RolloutRows {
+  std::error_code error;
+  std::vector<Rollout> rows;
+};
+
 /// The daemon as seen by the operators' API. Any thread may call it; calls
 /// block until the answer arrives, for at most a few seconds.
 class OperatorBackend {
@@ -115,6 +137,14 @@
   virtual VersionRows Version(uint64_t number) = 0;
   /// @return versions without their documents, newest first.
   virtual VersionRows History(uint32_t max_rows) = 0;
+
+  /// Orders a rollout. The same order may be sent again.
+  virtual RolloutResult OrderRollout(const RolloutOrder& order) = 0;
+  /// @return the last rollout of a service, confirmed by a majority.
+  virtual RolloutResult LastRollout(const std::string& service) = 0;
+  /// @return the last rollout of each service, confirmed by a majority.
+  virtual RolloutRows Rollouts() = 0;
+
   virtual std::vector<DomainProgress> InForce(uint64_t number) = 0;
   virtual std::vector<InstanceRecord> Instances() = 0;
   virtual DaemonStatus Status() = 0;
--- a/src/operator/tests/operator_api_test.cc
+++ b/src/operator/tests/operator_api_test.cc
@@ -24,9 +24,17 @@
     return {};
   }
   std::string MetricsText() override { return ""; }
+  RolloutResult OrderRollout(const RolloutOrder& order) override {
+    orders.push_back(order);
+    return rollout;
+  }
+  RolloutResult LastRollout(const std::string&) override { return rollout; }
+  RolloutRows Rollouts() override { return {{}, {rollout.rollout}}; }
   bool DrainUpstream() override { return drains_in_time; }
 
   std::vector<PatchProposal> proposals;
+  std::vector<RolloutOrder> orders;
+  RolloutResult rollout;
   uint32_t requested_rows = 0;
   bool drains_in_time = true;
 };
@@ -77,6 +85,23 @@
   EXPECT_TRUE(backend_.proposals.empty());
 }
 
+TEST_F(TheOperatorsApi, OrdersAndShowsRollouts) {
+  auto order = [this](const std::string& body) {
+    return AnswerOperator(backend_, {"POST", "/v1/rollouts", {}, body}).status;
+  };
+  backend_.rollout.rollout.service = "orders";
+  EXPECT_EQ(order(R"({"service":"orders","target_version":"v2",
+                      "duration_s":12})"),
+            200);
+  const RolloutOrder expected{"orders", "v2", std::chrono::seconds(12)};
+  EXPECT_EQ(backend_.orders, std::vector{expected});
+  EXPECT_EQ(order(R"({"service":"orders","duration_s":0})"), 400);
+  EXPECT_EQ(backend_.orders.size(), 1u);
+  EXPECT_EQ(StatusOf("/v1/rollouts/orders"), 200);
+  EXPECT_EQ(StatusOf("/v1/rollouts"), 200);
+  EXPECT_EQ(StatusOf("/v1/rolloutsx"), 404);
+}
+
 TEST_F(TheOperatorsApi, ReportsADrainThatIsNotInEffectInTime) {
   const HttpRequest drain{"POST", "/v1/drain", {}, ""};
   EXPECT_EQ(AnswerOperator(backend_, drain).status, 200);
