Pass rollouts on to all daemons, and split requests by them

Cause: recorded rollouts reached no daemon.

Change: reads of the latest number bring rollouts, replicas take those that they apply, and notices pass them on by their revision, whole and never back; a restarted daemon has them with the floor. Entries split a service's requests by the share, hold it low while unconfirmed, and stop by themselves when the target version fails here. Owners beside closed versions refuse new requests like draining ones. Entries count outcomes by route and version.

--- a/src/control/internal/control_codec.cc
+++ b/src/control/internal/control_codec.cc
@@ -60,6 +60,7 @@
     to->set_wants_answer(m.wants_answer);
     to->set_forward_to(m.forward_to);
     to->set_relay(m.relay);
+    if (m.rollouts.revision != 0) ToWire(m.rollouts, *to->mutable_rollouts());
     if (m.asked_at) {
       to->set_asked_at_micros(
           static_cast<uint64_t>(m.asked_at->time_since_epoch().count()));
@@ -181,6 +182,7 @@
   notice.wants_answer = in.wants_answer();
   notice.forward_to = in.forward_to();
   notice.relay = in.relay();
+  notice.rollouts = FromWire(in.rollouts());
   if (in.has_asked_at_micros()) {
     notice.asked_at =
         Instant(Duration(static_cast<int64_t>(in.asked_at_micros())));
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -75,7 +75,8 @@
             },
             [this](const std::vector<UpstreamLeave>& leaves) {
               announcements_.OnLeavesRead(leaves);
-            }),
+            },
+            [this] { view_changed_ = true; }),
         announcements_(
             config.identity.instance, clock, metrics,
             [this](std::string command, ReplicaCallback done) {
@@ -286,6 +287,7 @@
       }
       if (IsReplica(config_)) replica_host_.Flush(now);
       follower_.HandleAcceptedVersions(now);
+      follower_.OnRollouts(replica_host_.Versions().Rollouts());
       messenger_.HandleOwnMessages();
       if (std::exchange(view_changed_, false)) PublishView();
       for (std::function<void()>& done : std::exchange(awaiting_effect_, {})) {
@@ -338,8 +340,11 @@
     instance_states_.Report(records, clock_.Now());
     const ConfigVersionPtr& version = follower_.Follower().InUse();
     if (version == nullptr) return;
-    routes_.Publish(std::make_shared<const RouteTable>(version, records));
-    const auto upstream = membership_->LocalUpstream();
+    const RolloutMap& rollouts = follower_.Follower().Rollouts().rollouts;
+    routes_.Publish(std::make_shared<const RouteTable>(
+        version, MeshView{records, rollouts}));
+    const auto upstream =
+        ClosedByRollout(membership_->LocalUpstream(), rollouts);
     listener_.OnLocalUpstream(upstream, LimitsOf(*version, upstream));
   }
 
--- a/src/control/internal/control_views.cc
+++ b/src/control/internal/control_views.cc
@@ -41,6 +41,17 @@
   return verdict;
 }
 
+std::optional<UpstreamAnnouncement> ClosedByRollout(
+    std::optional<UpstreamAnnouncement> upstream, const RolloutMap& rollouts) {
+  if (!upstream.has_value()) return upstream;
+  const auto found = rollouts.find(upstream->service);
+  if (found != rollouts.end() &&
+      IsClosed(found->second, upstream->software_version)) {
+    upstream->state = UpstreamState::kDraining;
+  }
+  return upstream;
+}
+
 std::vector<DomainProgress> ProgressOf(const Membership& membership,
                                        uint64_t number) {
   std::map<std::string, DomainProgress> domains;
--- a/src/control/internal/control_views.h
+++ b/src/control/internal/control_views.h
@@ -10,6 +10,7 @@
 #include "consensus/replica.h"
 #include "membership/membership.h"
 #include "operator/operator_backend.h"
+#include "rollouts/types/rollout.h"
 #include "versions/types/config_document.h"
 #include "wire/storage.pb.h"
 
@@ -26,6 +27,11 @@
 std::vector<DomainProgress> ProgressOf(const Membership& membership,
                                        uint64_t number);
 
+/// @return the local upstream, draining when a rollout gives its version no new
+/// requests, so that its owner refuses them as not run whoever sends them.
+std::optional<UpstreamAnnouncement> ClosedByRollout(
+    std::optional<UpstreamAnnouncement> upstream, const RolloutMap& rollouts);
+
 /// @return the limits that a version sets for the local upstream; without a
 /// local upstream, only the limits of the request classes.
 AdmissionConfig LimitsOf(const ConfigVersion& version,
--- a/src/control/internal/follower_driver.cc
+++ b/src/control/internal/follower_driver.cc
@@ -10,7 +10,8 @@
 FollowerDriver::FollowerDriver(
     const Clock& clock, Metrics& metrics, PeerMessenger& messenger,
     GroupClient& group_client, ActivationListener listener,
-    LatestNumberReader::LeavesListener leaves_listener)
+    LatestNumberReader::LeavesListener leaves_listener,
+    std::function<void()> rollouts_listener)
     : clock_(clock),
       asks_(metrics.CounterOf("version_asks_total", "")),
       messenger_(messenger),
@@ -21,8 +22,15 @@
             ApplyEffects(
                 follower_->OnLatestRead(number, begun_at, clock_.Now()));
           },
-          std::move(leaves_listener)),
-      listener_(std::move(listener)) {}
+          std::move(leaves_listener),
+          [this](const RolloutsAt& rollouts) { OnRollouts(rollouts); }),
+      listener_(std::move(listener)),
+      rollouts_listener_(std::move(rollouts_listener)) {}
+
+void FollowerDriver::OnRollouts(const RolloutsAt& rollouts) {
+  if (rollouts.revision <= follower_->Rollouts().revision) return;
+  ApplyEffects(follower_->OnRollouts(rollouts));
+}
 
 void FollowerDriver::Start(const FollowerConfig& config, uint64_t seed,
                            Instant now, AskDirectory& directory) {
@@ -81,6 +89,7 @@
     messenger_.SendOrDeliver(sent.address, message);
   }
   if (effects.read_latest) latest_number_.Read();
+  if (effects.rollouts_changed) rollouts_listener_();
   if (effects.activate == nullptr) return;
   activated_at_ = clock_.Now();
   listener_(effects.activate, activated_at_);
--- a/src/control/internal/follower_driver.h
+++ b/src/control/internal/follower_driver.h
@@ -24,9 +24,11 @@
       std::function<void(const ConfigVersionPtr& version, Instant now)>;
 
   /// @param leaves_listener called once, before a first version comes into use.
+  /// @param rollouts_listener called when the known rollouts have changed.
   FollowerDriver(const Clock& clock, Metrics& metrics, PeerMessenger& messenger,
                  GroupClient& group_client, ActivationListener listener,
-                 LatestNumberReader::LeavesListener leaves_listener);
+                 LatestNumberReader::LeavesListener leaves_listener,
+                 std::function<void()> rollouts_listener);
 
   /// Makes the follower. Must be called before the other methods, except for
   /// OnAccepted().
@@ -46,6 +48,9 @@
   void OnAccepted(const ConfigVersionPtr& version);
   void HandleAcceptedVersions(Instant now);
 
+  /// Takes rollouts that the local replica has applied.
+  void OnRollouts(const RolloutsAt& rollouts);
+
   const VersionFollower& Follower() const { return *follower_; }
 
   /// @return when the version in use came into use.
@@ -64,6 +69,7 @@
   PeerMessenger& messenger_;
   LatestNumberReader latest_number_;
   ActivationListener listener_;
+  std::function<void()> rollouts_listener_;
   std::unique_ptr<VersionFollower> follower_;
   std::vector<ConfigVersionPtr> accepted_versions_;
   Instant activated_at_;
--- a/src/control/internal/latest_number_reader.cc
+++ b/src/control/internal/latest_number_reader.cc
@@ -25,6 +25,7 @@
                          : wire::VersionQuery::LATEST_NUMBER);
   query.set_most(1);
   query.set_leaves_of(leaves_of_);
+  query.set_rollout_revision(rollout_revision_);
   const Instant begun_at = clock_.Now();
   group_client_.Submit(
       GroupId::kVersions, query.SerializeAsString(), true, begun_at,
@@ -38,6 +39,10 @@
           leaves_of_.clear();
           leaves_listener_(LeavesIn(answer));
         }
+        if (answer.rollouts().states_size() > 0 && rollouts_listener_) {
+          rollout_revision_ = answer.rollouts().revision();
+          rollouts_listener_(FromWire(answer.rollouts()));
+        }
         listener_(answer.versions().empty() ? 0 : answer.versions(0).number(),
                   begun_at);
       });
--- a/src/control/internal/latest_number_reader.h
+++ b/src/control/internal/latest_number_reader.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "control/internal/group_client.h"
 #include "membership/types/upstream_leave.h"
+#include "rollouts/rollout_codec.h"
 
 namespace hibiscusglade {
 
@@ -27,12 +28,17 @@
   /// Called once, before the first call of the Listener.
   using LeavesListener = std::function<void(std::vector<UpstreamLeave>)>;
 
+  /// Called before the Listener with the rollouts that a read has brought.
+  using RolloutsListener = std::function<void(const RolloutsAt&)>;
+
   LatestNumberReader(GroupClient& group_client, const Clock& clock,
-                     Listener listener, LeavesListener leaves_listener)
+                     Listener listener, LeavesListener leaves_listener,
+                     RolloutsListener rollouts_listener = nullptr)
       : group_client_(group_client),
         clock_(clock),
         listener_(std::move(listener)),
-        leaves_listener_(std::move(leaves_listener)) {}
+        leaves_listener_(std::move(leaves_listener)),
+        rollouts_listener_(std::move(rollouts_listener)) {}
 
   /// @param instance whose recorded leaves the first read asks for.
   void SetInstance(std::string instance) { leaves_of_ = std::move(instance); }
@@ -45,7 +51,9 @@
   const Clock& clock_;
   Listener listener_;
   LeavesListener leaves_listener_;
-  std::string leaves_of_;  ///< Empty once they have been read.
+  RolloutsListener rollouts_listener_;
+  uint64_t rollout_revision_ = 0;  ///< Of the states read last.
+  std::string leaves_of_;          ///< Empty once they have been read.
   bool pending_ = false;
   bool reads_history_ = false;  ///< Whether the next read asks for a history.
 };
--- a/src/distribution/internal/version_follower.cc
+++ b/src/distribution/internal/version_follower.cc
@@ -6,6 +6,7 @@
 
 #include "base/random.h"
 #include "distribution/internal/ask_schedule.h"
+#include "distribution/internal/rollout_book.h"
 #include "distribution/internal/version_history.h"
 
 namespace hibiscusglade {
@@ -80,6 +81,14 @@
     return effects;
   }
 
+  FollowerEffects OnRollouts(const RolloutsAt& rollouts) override {
+    FollowerEffects effects;
+    if (rollouts_.Adopt(rollouts)) ShareRollouts(effects);
+    return effects;
+  }
+
+  const RolloutsAt& Rollouts() const override { return rollouts_.Known(); }
+
   void SetPeers(std::vector<DistributionPeer> peers) override {
     peers_ = std::move(peers);
   }
@@ -206,6 +215,7 @@
     }
     // The sender may be missing from its peers' views, so that none of them
     // notifies it of newer versions.
+    ExchangeRollouts(from, notice, effects);
     if (notice.wants_answer) {
       effects.send.push_back({from, AnswerTo(notice, now)});
     } else if (notice.number < history_.Latest()->number) {
@@ -220,8 +230,34 @@
     pulled_from_random_peer_ = false;
   }
 
+  /// Adopts later rollouts, asks for their states, or returns later ones.
+  void ExchangeRollouts(const std::string& from, const VersionNotice& notice,
+                        FollowerEffects& effects) {
+    if (rollouts_.Adopt(notice.rollouts)) {
+      ShareRollouts(effects);
+    } else if (notice.rollouts.revision > rollouts_.Known().revision) {
+      VersionNotice ask = LatestNotice();
+      ask.wants_answer = true;
+      effects.send.push_back({from, ask});
+    } else if (rollouts_.IsBehind(notice.rollouts) && !notice.wants_answer) {
+      VersionNotice later = LatestNotice();
+      later.rollouts = rollouts_.Known();
+      effects.send.push_back({from, later});
+    }
+  }
+
+  void ShareRollouts(FollowerEffects& effects) const {
+    effects.rollouts_changed = true;
+    VersionNotice notice = LatestNotice();
+    notice.rollouts = rollouts_.Known();
+    for (const DistributionPeer& peer : peers_) {
+      effects.send.push_back({peer.address, notice});
+    }
+  }
+
   VersionNotice AnswerTo(const VersionNotice& ask, Instant now) const {
     VersionNotice answer = LatestNotice();
+    answer.rollouts = rollouts_.For(ask.rollouts.revision);
     answer.age = Age(now);
     answer.asked_at = ask.asked_at;
     return answer;
@@ -340,6 +376,7 @@
     VersionNotice notice;
     notice.number = history_.Latest()->number;
     notice.digest = history_.Latest()->digest;
+    notice.rollouts.revision = rollouts_.Known().revision;
     notice.relay =
         IsRelay() && unanswered_elsewhere_ <= kMaxUnansweredElsewhere;
     return notice;
@@ -426,6 +463,7 @@
   AskDirectory& directory_;
   AskSchedule asks_;
   VersionHistory history_;
+  RolloutBook rollouts_;
   ConfigVersionPtr in_use_;
   std::optional<Received> received_;
   std::vector<DistributionPeer> peers_;
--- a/src/distribution/types/distribution_types.h
+++ b/src/distribution/types/distribution_types.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/digest.h"
+#include "rollouts/rollout_codec.h"
 
 namespace hibiscusglade {
 
@@ -28,6 +29,9 @@
   /// Time of an ask on the clock of who asks, which its answer returns: the age
   /// in the answer counts from then, however long the two were under way.
   std::optional<Instant> asked_at = std::nullopt;
+  /// Rollouts that the sender knows; without their states when the receiver
+  /// should know this revision.
+  RolloutsAt rollouts = {};
   /// Whether the sender is in the receiver's failure domain; not on the wire.
   bool same_domain = false;
 
--- a/src/distribution/version_follower.h
+++ b/src/distribution/version_follower.h
@@ -44,6 +44,7 @@
   /// Whether to read the latest number from the leader of the versions group,
   /// confirmed by a majority, and to pass it to OnLatestRead().
   bool read_latest = false;
+  bool rollouts_changed = false;  ///< See VersionFollower::Rollouts().
 };
 
 /// One daemon's copy of the configuration. Receives notices of newer versions
@@ -83,6 +84,13 @@
   virtual FollowerEffects OnLatestRead(uint64_t number, Instant begun_at,
                                        Instant now) = 0;
 
+  /// Handles the rollouts that a majority of the replicas has recorded. Those
+  /// of an earlier revision change nothing.
+  virtual FollowerEffects OnRollouts(const RolloutsAt& rollouts) = 0;
+
+  /// @return the latest rollouts known here, of one revision.
+  virtual const RolloutsAt& Rollouts() const = 0;
+
   /// Replaces the list of live peers. Those of the own failure domain come
   /// first, in order of their distance on its ring: 1, 2, 4, ...
   virtual void SetPeers(std::vector<DistributionPeer> peers) = 0;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -8,6 +8,7 @@
 #include "base/metrics.h"
 #include "calls/call_handler.h"
 #include "calls/call_links.h"
+#include "rollouts/rollout_tally.h"
 #include "routing/route_table_holder.h"
 #include "routing/upstream_chooser.h"
 
@@ -19,6 +20,7 @@
   const RouteTableHolder& routes;
   UpstreamChooser& chooser;
   Metrics& metrics;
+  RolloutTally* rollouts = nullptr;  ///< Gets the outcomes during rollouts.
 };
 
 /// What an entry holds.
--- a/src/entry/internal/call_intake.cc
+++ b/src/entry/internal/call_intake.cc
@@ -1,5 +1,7 @@
 #include "entry/internal/call_intake.h"
 
+#include <utility>
+
 namespace hibiscusglade {
 namespace {
 
@@ -43,8 +45,21 @@
   call.route = *route;
   call.limits = table->Document().limits;
   call.service = share_picker_.PickService(*route);
-  call.upstreams = table->UpstreamsOf(call.service);
+  FindUpstreams(call, *table);
   return std::nullopt;
 }
 
+void CallIntake::FindUpstreams(OpenCall& call, const RouteTable& table) {
+  const Rollout* rollout = table.RolloutOf(call.service);
+  const bool runs =
+      rollout != nullptr && rollout->stage == RolloutStage::kRunning;
+  const bool braked =
+      runs && rollouts_ != nullptr && rollouts_->Brakes(*rollout);
+  VersionCandidates candidates = version_split_.Pick(
+      table.UpstreamsOf(call.service), rollout, call.confirmed_ago, braked);
+  call.upstreams = std::move(candidates.upstreams);
+  call.other_upstreams = std::move(candidates.others);
+  if (runs) call.rollout = {rollout->order, rollout->target_version};
+}
+
 }  // namespace hibiscusglade
--- a/src/entry/internal/call_intake.h
+++ b/src/entry/internal/call_intake.h
@@ -8,9 +8,11 @@
 #include "calls/stop_limit.h"
 #include "entry/internal/caller_wait_estimator.h"
 #include "entry/internal/open_call.h"
+#include "rollouts/rollout_tally.h"
 #include "routing/route_table_holder.h"
 #include "routing/routing_result_codes.h"
 #include "routing/share_picker.h"
+#include "routing/version_split.h"
 
 namespace hibiscusglade {
 
@@ -24,9 +26,14 @@
  public:
   /// @param routes must outlive this object, as must `stop_limit`.
   /// @param seed of the choice between a route's services.
+  /// @param rollouts outcomes seen here; may be nullptr.
   CallIntake(const RouteTableHolder& routes, const StopLimit& stop_limit,
-             uint64_t seed)
-      : routes_(routes), stop_limit_(stop_limit), share_picker_(seed) {}
+             uint64_t seed, const RolloutTally* rollouts)
+      : routes_(routes),
+        stop_limit_(stop_limit),
+        rollouts_(rollouts),
+        share_picker_(seed),
+        version_split_(seed + 1) {}
 
   /// Fills in what the call needs of the version in use.
   /// @param call with its request and the time at which it began.
@@ -38,11 +45,14 @@
 
  private:
   std::optional<RoutingCode> FindRoute(OpenCall& call);
+  void FindUpstreams(OpenCall& call, const RouteTable& table);
 
   const RouteTableHolder& routes_;
   const StopLimit& stop_limit_;
+  const RolloutTally* rollouts_;
   CallerWaitEstimator wait_estimator_;
   SharePicker share_picker_;
+  VersionSplit version_split_;
   bool stopping_ = false;
 };
 
--- a/src/entry/internal/call_table.h
+++ b/src/entry/internal/call_table.h
@@ -18,8 +18,10 @@
   std::string owner;
   Instant sent;
   bool is_hedge = false;
-  bool offered = false;    ///< The body is sent as the owner grants it.
-  uint64_t body_sent = 0;  ///< Bytes of an offered body.
+  bool offered = false;      ///< The body is sent as the owner grants it.
+  uint64_t body_sent = 0;    ///< Bytes of an offered body.
+  std::string version = {};  ///< Of the upstream's software.
+  uint32_t status = 0;       ///< Of the answer; 0: none has begun.
 };
 
 /// The calls and attempts that are open at one entry.
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -11,6 +11,7 @@
 #include "entry/internal/call_intake.h"
 #include "entry/internal/call_reporter.h"
 #include "entry/internal/call_table.h"
+#include "entry/internal/rollout_observer.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
@@ -26,7 +27,9 @@
         attempt_id_prefix_(instance_ + "/" + std::to_string(incarnation) + "/"),
         parts_(parts),
         reporter_(parts.metrics),
-        intake_(parts.routes, stop_limit_, DigestOf(attempt_id_prefix_)) {}
+        rollouts_(parts.rollouts),
+        intake_(parts.routes, stop_limit_, DigestOf(attempt_id_prefix_),
+                parts.rollouts) {}
 
   void Begin(CallHandle handle, CallRequest request,
              std::unique_ptr<CallerStream> stream, Instant now) override {
@@ -67,6 +70,7 @@
     policy_.OnFirstByte(call->route->name, now - attempt.sent);
     if (attempt.is_hedge) reporter_.Count("hedges_total", "won");
     call->answering = id;
+    calls_.FindAttempt(id)->status = head.status;
     parts_.chooser.OnAdmitted(attempt.instance, call->route->request_class);
     CancelOpen(*call, now);
     if (HeldAnswer::Holds(head)) {
@@ -245,6 +249,7 @@
       if (!is_hedge) RefuseForStop(handle, call, now);
       return;
     }
+    if (!call.tried.empty()) call.UseOtherUpstreams();
     const std::vector<UpstreamTarget>& candidates = *call.upstreams;
     const ChoiceRequest request{candidates,
                                 call.service,
@@ -254,6 +259,10 @@
                                 call.request.body.size()};
     auto choice = parts_.chooser.Choose(request, now);
     if (!choice.has_value()) {
+      if (call.UseOtherUpstreams()) {
+        SendAttempt(handle, call, is_hedge, now);
+        return;
+      }
       if (is_hedge) return;
       if (call.last_refusal.has_value()) {
         ScheduleRetryOrRefuse(handle, call, now);
@@ -270,7 +279,8 @@
     call.tried.insert(target.instance);
     StartAttempt(call,
                  {handle, target.instance, target.owner_address, now, is_hedge,
-                  call.HasLargeBody() && target.instance != instance_});
+                  call.HasLargeBody() && target.instance != instance_, 0,
+                  target.version});
   }
 
   void StartAttempt(OpenCall& call, const OpenAttempt& attempt) {
@@ -420,6 +430,7 @@
 
   void EndAttempt(const AttemptId& id, AttemptOutcome outcome, Instant now) {
     const OpenAttempt attempt = calls_.RemoveAttempt(id);
+    rollouts_.OnEnded(*calls_.Find(attempt.call), attempt, outcome, now);
     parts_.chooser.OnEnded(attempt.instance, outcome, now - attempt.sent, now);
   }
 
@@ -447,6 +458,7 @@
   CallTable calls_;
   uint64_t last_attempt_ = 0;
   StopLimit stop_limit_;
+  RolloutObserver rollouts_;
   CallIntake intake_;
 };
 
--- a/src/entry/internal/open_call.h
+++ b/src/entry/internal/open_call.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "base/digest.h"
 #include "calls/call_handler.h"
@@ -32,6 +33,15 @@
   friend bool operator==(const HeldAnswer&, const HeldAnswer&) = default;
 };
 
+/// What a call needs of its service's rollout, while one runs.
+struct RunningRollout {
+  uint64_t order = 0;  ///< 0: none runs.
+  std::string target_version;
+
+  friend bool operator==(const RunningRollout&,
+                         const RunningRollout&) = default;
+};
+
 /// A call that has not ended. Its answer comes from one attempt only, the first
 /// one whose head arrives.
 struct OpenCall {
@@ -46,6 +56,10 @@
   LimitsConfig limits;
   std::string service;  ///< Of the route, or picked from its shares.
   UpstreamListPtr upstreams;
+  /// Where attempts go after one at `upstreams`; nullptr: there again. See
+  /// VersionCandidates.
+  UpstreamListPtr other_upstreams;
+  RunningRollout rollout;
   Instant began;
   Instant deadline;
   Instant answer_deadline;  ///< In force once an answer has begun to arrive.
@@ -81,6 +95,14 @@
   /// Forwards what is held of an answer.
   void ForwardHeld();
 
+  /// Lets further attempts go to the other versions of the service.
+  /// @return whether these are other upstreams than before.
+  bool UseOtherUpstreams() {
+    if (other_upstreams == nullptr) return false;
+    upstreams = std::exchange(other_upstreams, nullptr);
+    return true;
+  }
+
   /// Sets the deadlines by the route's timeout and the caller's.
   void SetDeadlines(Instant now);
 
--- a/src/rollouts/internal/rollout_codec.cc
+++ b/src/rollouts/internal/rollout_codec.cc
@@ -17,6 +17,9 @@
           .count()));
   out.set_reason(rollout.reason);
   out.set_closes_others(rollout.closes_others);
+  for (const std::string& version : rollout.replaced_versions) {
+    out.add_replaced_versions(version);
+  }
 }
 
 Rollout FromWire(const wire::RolloutState& in) {
@@ -31,6 +34,8 @@
   rollout.duration = std::chrono::seconds(in.duration_s());
   rollout.reason = in.reason();
   rollout.closes_others = in.closes_others();
+  rollout.replaced_versions.assign(in.replaced_versions().begin(),
+                                   in.replaced_versions().end());
   return rollout;
 }
 
--- a/src/rollouts/types/rollout.h
+++ b/src/rollouts/types/rollout.h
@@ -1,10 +1,12 @@
 #ifndef HIBISCUSGLADE_ROLLOUTS_TYPES_ROLLOUT_H_
 #define HIBISCUSGLADE_ROLLOUTS_TYPES_ROLLOUT_H_
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 
@@ -44,6 +46,9 @@
   /// Upstreams of other versions get no new requests; once nothing runs there
   /// the rollout may be completed.
   bool closes_others = false;
+  /// Versions of those upstreams, set together with `closes_others`. Versions
+  /// that come after the rollout are served as before it.
+  std::vector<std::string> replaced_versions;
 
   friend bool operator==(const Rollout&, const Rollout&) = default;
 };
@@ -53,6 +58,16 @@
   return a.order != b.order ? a.order > b.order : a.step > b.step;
 }
 
+/// @return whether upstreams of a version get no new requests at all.
+inline bool IsClosed(const Rollout& rollout, const std::string& version) {
+  if (rollout.stage == RolloutStage::kRolledBack) {
+    return version == rollout.target_version;
+  }
+  return rollout.closes_others &&
+         std::ranges::find(rollout.replaced_versions, version) !=
+             rollout.replaced_versions.end();
+}
+
 /// The last rollouts by service.
 using RolloutMap = std::map<std::string, Rollout>;
 
--- a/src/versions/internal/rollout_table.cc
+++ b/src/versions/internal/rollout_table.cc
@@ -11,6 +11,7 @@
 
 constexpr size_t kMaxRollouts = 500;
 constexpr size_t kMaxNameBytes = 200;
+constexpr size_t kMaxReplaced = 20;
 constexpr size_t kMaxReasonBytes = 300;
 constexpr Duration kMaxDuration = std::chrono::hours(24);
 /// Orders that arrive this long after the time limit are not resent ones.
@@ -87,6 +88,10 @@
   next.stage = state.stage;
   next.share_permille = state.share_permille;
   next.closes_others = state.closes_others;
+  next.replaced_versions = state.replaced_versions;
+  if (next.replaced_versions.size() > kMaxReplaced) {
+    next.replaced_versions.resize(kMaxReplaced);
+  }
   next.reason = state.reason.substr(0, kMaxReasonBytes);
   return Record(std::move(next));
 }
