--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -198,7 +198,7 @@
                                  std::move(handler), threads, error);
   }
 
-  RequestLoopConfig RequestSettings() const {
+  RequestLoopConfig RequestSettings() {
     return {identity_,
             settings_.RequestAddress(),
             settings_.AdvertisedRequestAddress(),
@@ -206,6 +206,7 @@
             RandomSeed(),
             settings_.link_mbps,
             external_.Upstreams(),
+            &rollouts_,
             ChooserConfigFromEnv()};
   }
 
@@ -221,8 +222,9 @@
     return config;
   }
 
-  ControlConfig ControlSettings() const {
+  ControlConfig ControlSettings() {
     ControlConfig config;
+    config.rollouts = &rollouts_;
     config.identity = identity_;
     config.region = settings_.region;
     config.listen_address = settings_.ControlAddress();
@@ -252,6 +254,7 @@
   std::unique_ptr<Metrics> metrics_;
   PeerIdentity identity_;
   RouteTableHolder routes_;
+  RolloutTally rollouts_;
   std::unique_ptr<RequestLoop> requests_;
   std::unique_ptr<ControlLoop> control_;
   std::unique_ptr<ClaimStore> claims_;
--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -82,6 +82,10 @@
     {"lost_links_total", "counter", "",
      "Connections to owners that were lost while attempts were open.",
      "When it keeps growing: look for daemons that stop or crash."},
+    {"rollout_steps_total", "counter", "result",
+     "Steps of rollouts that this replica has taken, recorded or refused.",
+     "When refused grows: see whether a majority of the replicas is "
+     "reachable."},
     {"silent_links_total", "counter", "",
      "Connections to other daemons replaced after falling silent.",
      "When it keeps growing: check the network between the daemons."},
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -17,6 +17,7 @@
 #include "membership/types/instance_record.h"
 #include "operator/operator_backend.h"
 #include "peer/peer_transport.h"
+#include "rollouts/rollout_tally.h"
 #include "routing/route_table_holder.h"
 #include "upstream/announcement_api.h"
 
@@ -39,6 +40,8 @@
   bool serves_claims = true;  ///< Whether the replica also serves claims.
   std::string data_folder;    ///< Set when this instance is a replica.
   uint64_t seed = 0;          ///< Of all random choices.
+  /// Outcomes seen during rollouts; nullptr: none are reported.
+  RolloutTally* rollouts = nullptr;
   /// Longest wait for an announcement to be in effect. Upstreams wait a second
   /// for its acknowledgement.
   Duration in_effect_timeout = std::chrono::milliseconds(800);
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -20,6 +20,7 @@
 #include "control/internal/peer_messenger.h"
 #include "control/internal/readiness.h"
 #include "control/internal/replica_host.h"
+#include "control/internal/rollout_driver.h"
 #include "control/internal/turn_reporter.h"
 #include "control/internal/unreadable_record_reporter.h"
 #include "control/internal/upstream_announcements.h"
@@ -94,6 +95,17 @@
             },
             [this](const ConfigVersionPtr& version) {
               follower_.OnAccepted(version);
+            }),
+        rollouts_(
+            clock, metrics, config.rollouts,
+            [this](wire::Envelope& message) {
+              for (const std::string& address : replica_addresses_) {
+                messenger_.SendOrDeliver(address, message);
+              }
+            },
+            [this](std::string command, ReplicaCallback done) {
+              group_client_.Submit(GroupId::kVersions, std::move(command),
+                                   false, clock_.Now(), std::move(done));
             }) {}
 
   ~ControlLoopImpl() override { Stop(); }
@@ -303,8 +315,14 @@
     group_client_.OnTick(now);
     confirmations_.Report(follower_.Follower().Age(now),
                           follower_.Follower().InUse(), now);
+    rollouts_.Report(follower_.Follower().Rollouts().rollouts, now);
     if (!IsReplica(config_)) return;
     replica_host_.OnTick(now);
+    const RolloutMap& recorded = replica_host_.Versions().Rollouts().rollouts;
+    if (!recorded.empty() &&
+        replica_host_.Role(GroupId::kVersions) == ReplicaRole::kLeader) {
+      rollouts_.Lead(recorded, membership_->Records(), now);
+    }
   }
 
   void ApplyEffects(const MembershipEffects& effects) {
@@ -334,7 +352,8 @@
   void PublishView() {
     const std::vector<InstanceRecord> records = membership_->Records();
     const std::vector<Member> replicas = KnownReplicas(config_, records);
-    group_client_.SetReplicas(AddressesOf(replicas));
+    replica_addresses_ = AddressesOf(replicas);
+    group_client_.SetReplicas(replica_addresses_);
     replica_host_.SetKnownReplicas(replicas);
     ask_targets_.OnViewChanged();
     instance_states_.Report(records, clock_.Now());
@@ -358,6 +377,12 @@
                               *consensus, now);
       return;
     }
+    if (message.has_rollout_report()) {
+      if (!IsReplica(config_)) return;
+      rollouts_.OnReport(message.instance(), message.incarnation(),
+                         message.rollout_report(), now);
+      return;
+    }
     if (message.has_propose_request()) {
       OnProposeRequest(from, path, message.propose_request(), now);
       return;
@@ -449,6 +474,8 @@
   UpstreamAnnouncements announcements_;
   OperatorCalls operator_calls_;
   ReplicaHost replica_host_;
+  RolloutDriver rollouts_;
+  std::vector<std::string> replica_addresses_;
   std::unique_ptr<Membership> membership_;
   /// Called when the view that is published next is in effect.
   std::vector<std::function<void()>> awaiting_effect_;
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -45,8 +45,9 @@
                                     metrics)),
         chooser_(MakeUpstreamChooser(ChooserConfigOf(config))),
         quarantine_(MakeQuarantine()),
-        entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
-                         {*this, routes, *chooser_, metrics})) {}
+        entry_(
+            MakeEntry(config.identity.instance, config.identity.incarnation,
+                      {*this, routes, *chooser_, metrics, config.rollouts})) {}
 
   ~RequestLoopImpl() override { Stop(); }
 
@@ -179,6 +180,9 @@
                        const AdmissionConfig& limits) override {
     executor_.Post([this, upstream, limits] {
       owner_->SetUpstream(upstream, limits, clock_.Now());
+      upstream_closed_ =
+          !upstream.has_value() || upstream->state == UpstreamState::kDraining;
+      ReportLocalRuns();
     });
   }
 
@@ -330,6 +334,7 @@
       next_tick_ = now + kTickInterval;
       entry_->OnTick(now);
       owner_->OnTick(now);
+      if (upstream_closed_) ReportLocalRuns();
       for (RequestPart* part : parts_) part->OnTick(now);
       if (now < next_link_check_) continue;
       next_link_check_ = now + kLinkCheckInterval;
@@ -337,6 +342,13 @@
     }
   }
 
+  /// For the completion of a rollout that closes the local upstream's version.
+  void ReportLocalRuns() {
+    if (config_.rollouts == nullptr) return;
+    config_.rollouts->SetLocalRuns(
+        {upstream_closed_, static_cast<uint32_t>(owner_->Usage().jobs)});
+  }
+
   void Send(const std::string& owner, wire::Envelope& message) {
     links_.OnSent(owner, clock_.Now());
     transport_->Send(owner, message);
@@ -472,6 +484,7 @@
   Instant next_tick_;
   Instant next_link_check_;
   bool stopping_ = false;
+  bool upstream_closed_ = false;  ///< It gets no new requests.
   std::thread thread_;
 };
 
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -15,6 +15,7 @@
 #include "claims/claim_store.h"
 #include "control/control_loop.h"
 #include "peer/peer_transport.h"
+#include "rollouts/rollout_tally.h"
 #include "routing/route_table_holder.h"
 #include "routing/upstream_chooser.h"
 #include "upstream/announcement_api.h"
@@ -30,6 +31,7 @@
   uint64_t seed = 0;
   double link_mbps = 0;  ///< Of this instance, in 10^6 bit/s; 0: unknown.
   const UpstreamDialect& upstream_dialect = DefaultUpstreamDialect();
+  RolloutTally* rollouts = nullptr;  ///< Gets the outcomes during rollouts.
   ChooserConfig choice;  ///< Instance, failure domain and seed are overwritten.
 };
 
