--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -96,17 +96,8 @@
             [this](const ConfigVersionPtr& version) {
               follower_.OnAccepted(version);
             }),
-        rollouts_(
-            clock, metrics, config.rollouts,
-            [this](wire::Envelope& message) {
-              for (const std::string& address : replica_addresses_) {
-                messenger_.SendOrDeliver(address, message);
-              }
-            },
-            [this](std::string command, ReplicaCallback done) {
-              group_client_.Submit(GroupId::kVersions, std::move(command),
-                                   false, clock_.Now(), std::move(done));
-            }) {}
+        rollouts_(config.identity, clock, metrics, config.rollouts, messenger_,
+                  group_client_) {}
 
   ~ControlLoopImpl() override { Stop(); }
 
@@ -352,8 +343,8 @@
   void PublishView() {
     const std::vector<InstanceRecord> records = membership_->Records();
     const std::vector<Member> replicas = KnownReplicas(config_, records);
-    replica_addresses_ = AddressesOf(replicas);
-    group_client_.SetReplicas(replica_addresses_);
+    group_client_.SetReplicas(AddressesOf(replicas));
+    rollouts_.SetReplicas(AddressesOf(replicas));
     replica_host_.SetKnownReplicas(replicas);
     ask_targets_.OnViewChanged();
     instance_states_.Report(records, clock_.Now());
@@ -378,9 +369,7 @@
       return;
     }
     if (message.has_rollout_report()) {
-      if (!IsReplica(config_)) return;
-      rollouts_.OnReport(message.instance(), message.incarnation(),
-                         message.rollout_report(), now);
+      if (IsReplica(config_)) rollouts_.OnReport(message, now);
       return;
     }
     if (message.has_propose_request()) {
@@ -475,7 +464,6 @@
   OperatorCalls operator_calls_;
   ReplicaHost replica_host_;
   RolloutDriver rollouts_;
-  std::vector<std::string> replica_addresses_;
   std::unique_ptr<Membership> membership_;
   /// Called when the view that is published next is in effect.
   std::vector<std::function<void()>> awaiting_effect_;
--- a/src/control/internal/rollout_driver.cc
+++ b/src/control/internal/rollout_driver.cc
@@ -67,13 +67,19 @@
                                tally_->Local()};
     wire::Envelope message;
     ToWire(report, *message.mutable_rollout_report());
-    sender_(message);
+    // One for this daemon itself passes no transport that would name it.
+    message.set_instance(instance_);
+    message.set_incarnation(incarnation_);
+    for (const std::string& replica : replicas_) {
+      messenger_.SendOrDeliver(replica, message);
+    }
   }
 }
 
-void RolloutDriver::OnReport(const std::string& from, uint64_t incarnation,
-                             const wire::RolloutReport& report, Instant now) {
-  led_[report.service()].reports.Add(from, incarnation, FromWire(report), now);
+void RolloutDriver::OnReport(const wire::Envelope& message, Instant now) {
+  const RolloutReport report = FromWire(message.rollout_report());
+  led_[report.service].reports.Add(message.instance(), message.incarnation(),
+                                   report, now);
 }
 
 void RolloutDriver::Lead(const RolloutMap& recorded,
@@ -99,8 +105,7 @@
   led_[next.service].submitted = true;
   wire::PatchCommand command;
   hibiscusglade::ToWire(next, *command.mutable_rollout()->mutable_state());
-  submitter_(command.SerializeAsString(), [this,
-                                           next](const ReplicaResult& result) {
+  const auto done = [this, next](const ReplicaResult& result) {
     const auto led = led_.find(next.service);
     if (led != led_.end()) led->second.submitted = false;
     wire::PatchVerdict verdict;
@@ -123,7 +128,9 @@
          {"code",
           std::to_string(result.error ? result.error.value() : verdict.code())},
          {"reason", next.reason}});
-  });
+  };
+  group_client_.Submit(GroupId::kVersions, command.SerializeAsString(), false,
+                       clock_.Now(), done);
 }
 
 }  // namespace hibiscusglade
--- a/src/control/internal/rollout_driver.h
+++ b/src/control/internal/rollout_driver.h
@@ -1,14 +1,15 @@
 #ifndef HIBISCUSGLADE_CONTROL_INTERNAL_ROLLOUT_DRIVER_H_
 #define HIBISCUSGLADE_CONTROL_INTERNAL_ROLLOUT_DRIVER_H_
 
-#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
 #include "base/metrics.h"
-#include "consensus/replica.h"
+#include "control/internal/group_client.h"
+#include "control/internal/peer_messenger.h"
 #include "rollouts/rollout_reports.h"
 #include "wire/peer.pb.h"
 
@@ -20,27 +21,31 @@
 /// thread only.
 class RolloutDriver {
  public:
-  /// Sends a message to the control addresses of all replicas.
-  using Sender = std::function<void(wire::Envelope& message)>;
-  /// Submits a command to the versions group.
-  using Submitter =
-      std::function<void(std::string command, ReplicaCallback done)>;
-
-  /// @param tally nullptr: this daemon sees nothing. Must outlive this object.
-  RolloutDriver(const Clock& clock, Metrics& metrics, RolloutTally* tally,
-                Sender sender, Submitter submitter)
-      : clock_(clock),
+  /// @param self identity of this daemon.
+  /// @param tally nullptr: this daemon sees nothing.
+  /// All but `self` must outlive this object.
+  RolloutDriver(const PeerIdentity& self, const Clock& clock, Metrics& metrics,
+                RolloutTally* tally, PeerMessenger& messenger,
+                GroupClient& group_client)
+      : instance_(self.instance),
+        incarnation_(self.incarnation),
+        clock_(clock),
         metrics_(metrics),
         tally_(tally),
-        sender_(std::move(sender)),
-        submitter_(std::move(submitter)) {}
+        messenger_(messenger),
+        group_client_(group_client) {}
+
+  /// @param addresses control addresses, to which reports are sent.
+  void SetReplicas(std::vector<std::string> addresses) {
+    replicas_ = std::move(addresses);
+  }
 
   /// @param known rollouts in force here.
   void Report(const RolloutMap& known, Instant now);
 
   /// Handles another daemon's report, or this one's.
-  void OnReport(const std::string& from, uint64_t incarnation,
-                const wire::RolloutReport& report, Instant now);
+  /// @param message with a report.
+  void OnReport(const wire::Envelope& message, Instant now);
 
   /// Takes the next steps; to be called while this replica leads the group.
   /// @param recorded rollouts as this replica has applied them.
@@ -56,11 +61,14 @@
 
   void Submit(const Rollout& next);
 
+  std::string instance_;
+  uint64_t incarnation_;
   const Clock& clock_;
   Metrics& metrics_;
   RolloutTally* tally_;
-  Sender sender_;
-  Submitter submitter_;
+  PeerMessenger& messenger_;
+  GroupClient& group_client_;
+  std::vector<std::string> replicas_;
   std::map<std::string, Led> led_;  ///< By service.
   Instant next_report_;
 };
