--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -20,6 +20,7 @@
 #include "control/internal/peer_messenger.h"
 #include "control/internal/readiness.h"
 #include "control/internal/replica_host.h"
+#include "control/internal/rollout_driver.h"
 #include "control/internal/turn_reporter.h"
 #include "control/internal/unreadable_record_reporter.h"
 #include "control/internal/upstream_announcements.h"
@@ -75,7 +76,8 @@
             },
             [this](const std::vector<UpstreamLeave>& leaves) {
               announcements_.OnLeavesRead(leaves);
-            }),
+            },
+            [this] { view_changed_ = true; }),
         announcements_(
             config.identity.instance, clock, metrics,
             [this](std::string command, ReplicaCallback done) {
@@ -93,7 +95,9 @@
             },
             [this](const ConfigVersionPtr& version) {
               follower_.OnAccepted(version);
-            }) {}
+            }),
+        rollouts_(config.identity, clock, metrics, config.rollouts, messenger_,
+                  group_client_) {}
 
   ~ControlLoopImpl() override { Stop(); }
 
@@ -215,6 +219,16 @@
     return operator_calls_.History(most);
   }
 
+  RolloutResult OrderRollout(const RolloutOrder& order) override {
+    return operator_calls_.OrderRollout(order);
+  }
+
+  RolloutResult LastRollout(const std::string& service) override {
+    return operator_calls_.LastRollout(service);
+  }
+
+  RolloutRows Rollouts() override { return operator_calls_.Rollouts(); }
+
   std::vector<DomainProgress> InForce(uint64_t number) override {
     return operator_calls_.RunOnControlThread<std::vector<DomainProgress>>(
         [this, number] { return ProgressOf(*membership_, number); });
@@ -281,6 +295,7 @@
       }
       if (IsReplica(config_)) replica_host_.Flush(now);
       follower_.HandleAcceptedVersions(now);
+      follower_.OnRollouts(replica_host_.Versions().Rollouts());
       messenger_.HandleOwnMessages();
       if (std::exchange(view_changed_, false)) PublishView();
       for (std::function<void()>& done : std::exchange(awaiting_effect_, {})) {
@@ -296,8 +311,14 @@
     group_client_.OnTick(now);
     confirmations_.Report(follower_.Follower().Age(now),
                           follower_.Follower().InUse(), now);
+    rollouts_.Report(follower_.Follower().Rollouts().rollouts, now);
     if (!IsReplica(config_)) return;
     replica_host_.OnTick(now);
+    const RolloutMap& recorded = replica_host_.Versions().Rollouts().rollouts;
+    if (!recorded.empty() &&
+        replica_host_.Role(GroupId::kVersions) == ReplicaRole::kLeader) {
+      rollouts_.Lead(recorded, membership_->Records(), now);
+    }
   }
 
   void ApplyEffects(const MembershipEffects& effects) {
@@ -328,18 +349,21 @@
     const std::vector<InstanceRecord> records = membership_->Records();
     const std::vector<Member> replicas = KnownReplicas(config_, records);
     group_client_.SetReplicas(AddressesOf(replicas));
+    rollouts_.SetReplicas(AddressesOf(replicas));
     replica_host_.SetKnownReplicas(replicas);
     ask_targets_.OnViewChanged();
     instance_states_.Report(records, clock_.Now());
     const ConfigVersionPtr& version = follower_.Follower().InUse();
     if (version == nullptr) return;
+    const RolloutMap& rollouts = follower_.Follower().Rollouts().rollouts;
     // By version 0 every request would be one that no route allows.
     if (version->number > 0) {
       const RouteTablePtr previous = routes_.Current();
-      routes_.Publish(
-          std::make_shared<const RouteTable>(version, records, previous.get()));
+      routes_.Publish(std::make_shared<const RouteTable>(
+          version, MeshView{records, rollouts}, previous.get()));
     }
-    const auto upstream = membership_->LocalUpstream();
+    const auto upstream =
+        ClosedByRollout(membership_->LocalUpstream(), rollouts);
     listener_.OnLocalUpstream(upstream, LimitsOf(*version, upstream));
   }
 
@@ -353,6 +377,10 @@
                               *consensus, now);
       return;
     }
+    if (message.has_rollout_report()) {
+      if (IsReplica(config_)) rollouts_.OnReport(message, now);
+      return;
+    }
     if (message.has_propose_request()) {
       OnProposeRequest(from, path, message.propose_request(), now);
       return;
@@ -444,6 +472,7 @@
   UpstreamAnnouncements announcements_;
   OperatorCalls operator_calls_;
   ReplicaHost replica_host_;
+  RolloutDriver rollouts_;
   std::unique_ptr<Membership> membership_;
   /// Called when the view that is published next is in effect.
   std::vector<std::function<void()>> awaiting_effect_;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -10,6 +10,7 @@
 #include "calls/call_handler.h"
 #include "calls/call_links.h"
 #include "limits/customer_limits.h"
+#include "rollouts/rollout_tally.h"
 #include "routing/route_table_holder.h"
 #include "routing/upstream_chooser.h"
 
@@ -24,6 +25,7 @@
   CustomerLimits& limits;
   /// Told of refused calls of the upstream beside this daemon; may be nullptr.
   CallTrees* call_trees = nullptr;
+  RolloutTally* rollouts = nullptr;  ///< Gets the outcomes during rollouts.
 };
 
 /// What an entry holds.
--- a/src/entry/internal/call_intake.cc
+++ b/src/entry/internal/call_intake.cc
@@ -78,7 +78,7 @@
   if (const auto refused = FindCustomer(*table, call)) return refused;
   call.limits = table->Document().limits;
   call.service = share_picker_.PickService(*route);
-  call.upstreams = table->UpstreamsOf(call.service);
+  FindUpstreams(call, *table);
   return std::nullopt;
 }
 
@@ -98,4 +98,17 @@
   return std::nullopt;
 }
 
+void CallIntake::FindUpstreams(OpenCall& call, const RouteTable& table) {
+  const Rollout* rollout = table.RolloutOf(call.service);
+  const bool runs =
+      rollout != nullptr && rollout->stage == RolloutStage::kRunning;
+  const bool braked =
+      runs && rollouts_ != nullptr && rollouts_->Brakes(*rollout);
+  VersionCandidates candidates = version_split_.Pick(
+      table.UpstreamsOf(call.service), rollout, call.confirmed_ago, braked);
+  call.upstreams = std::move(candidates.upstreams);
+  call.other_upstreams = std::move(candidates.others);
+  if (runs) call.rollout = {rollout->order, rollout->target_version};
+}
+
 }  // namespace hibiscusglade
--- a/src/entry/internal/call_intake.h
+++ b/src/entry/internal/call_intake.h
@@ -12,9 +12,11 @@
 #include "entry/internal/caller_wait_estimator.h"
 #include "entry/internal/open_call.h"
 #include "limits/customer_limits.h"
+#include "rollouts/rollout_tally.h"
 #include "routing/route_table_holder.h"
 #include "routing/routing_result_codes.h"
 #include "routing/share_picker.h"
+#include "routing/version_split.h"
 
 namespace hibiscusglade {
 
@@ -29,12 +31,16 @@
   /// @param routes must outlive this object, as must `limits` and
   /// `stop_limit`.
   /// @param seed of the choice between a route's services.
+  /// @param rollouts outcomes seen here; may be nullptr.
   CallIntake(const RouteTableHolder& routes, CustomerLimits& limits,
-             const StopLimit& stop_limit, uint64_t seed)
+             const StopLimit& stop_limit, uint64_t seed,
+             const RolloutTally* rollouts)
       : routes_(routes),
         limits_(limits),
         stop_limit_(stop_limit),
-        share_picker_(seed) {}
+        rollouts_(rollouts),
+        share_picker_(seed),
+        version_split_(seed + 1) {}
 
   /// Fills in what the call needs of the version in use.
   /// @param call with its request and the time at which it began.
@@ -49,6 +55,7 @@
 
  private:
   std::optional<RoutingCode> FindRoute(OpenCall& call);
+  void FindUpstreams(OpenCall& call, const RouteTable& table);
 
   /// Finds out whom the call is from.
   static std::optional<RoutingCode> FindCustomer(const RouteTable& table,
@@ -64,8 +71,10 @@
   const RouteTableHolder& routes_;
   CustomerLimits& limits_;
   const StopLimit& stop_limit_;
+  const RolloutTally* rollouts_;
   CallerWaitEstimator wait_estimator_;
   SharePicker share_picker_;
+  VersionSplit version_split_;
   /// Service and class of requests that upstreams make.
   std::set<std::pair<std::string, std::string>> begun_work_;
   bool stopping_ = false;
--- a/src/entry/internal/entry.cc
+++ b/src/entry/internal/entry.cc
@@ -12,6 +12,7 @@
 #include "entry/internal/call_intake.h"
 #include "entry/internal/call_reporter.h"
 #include "entry/internal/call_table.h"
+#include "entry/internal/rollout_observer.h"
 #include "routing/routing_result_codes.h"
 
 namespace hibiscusglade {
@@ -27,8 +28,9 @@
         attempt_id_prefix_(instance_ + "/" + std::to_string(incarnation) + "/"),
         parts_(parts),
         reporter_(parts.metrics),
+        rollouts_(parts.rollouts),
         intake_(parts.routes, parts.limits, stop_limit_,
-                DigestOf(attempt_id_prefix_)) {}
+                DigestOf(attempt_id_prefix_), parts.rollouts) {}
 
   void Begin(CallHandle handle, CallRequest request,
              std::unique_ptr<CallerStream> stream, Instant now) override {
@@ -73,6 +75,7 @@
     policy_.OnFirstByte(call->route->name, now - attempt.sent);
     if (attempt.is_hedge) reporter_.Count("hedges_total", "won");
     call->answering = id;
+    calls_.FindAttempt(id)->status = head.status;
     parts_.chooser.OnAdmitted(attempt.instance, call->route->request_class);
     CancelOpen(*call, now);
     if (HeldAnswer::Holds(head)) {
@@ -252,6 +255,7 @@
       if (!is_hedge) RefuseForStop(handle, call, now);
       return;
     }
+    if (!call.tried.empty()) call.UseOtherUpstreams();
     const std::vector<UpstreamTarget>& candidates = *call.upstreams;
     const ChoiceRequest request{candidates,
                                 call.service,
@@ -261,6 +265,10 @@
                                 call.request.body.size()};
     auto choice = parts_.chooser.Choose(request, now);
     if (!choice.has_value()) {
+      if (call.UseOtherUpstreams()) {
+        SendAttempt(handle, call, is_hedge, now);
+        return;
+      }
       if (is_hedge) return;
       if (call.last_refusal.has_value()) {
         ScheduleRetryOrRefuse(handle, call, now);
@@ -277,7 +285,8 @@
     call.tried.insert(target.instance);
     StartAttempt(call,
                  {handle, target.instance, target.owner_address, now, is_hedge,
-                  call.HasLargeBody() && target.instance != instance_});
+                  call.HasLargeBody() && target.instance != instance_, 0,
+                  target.version});
   }
 
   void StartAttempt(OpenCall& call, const OpenAttempt& attempt) {
@@ -427,6 +436,7 @@
 
   void EndAttempt(const AttemptId& id, AttemptOutcome outcome, Instant now) {
     const OpenAttempt attempt = calls_.RemoveAttempt(id);
+    rollouts_.OnEnded(*calls_.Find(attempt.call), attempt, outcome, now);
     parts_.chooser.OnEnded(attempt.instance, outcome, now - attempt.sent, now);
   }
 
@@ -461,6 +471,7 @@
   CallTable calls_;
   uint64_t last_attempt_ = 0;
   StopLimit stop_limit_;
+  RolloutObserver rollouts_;
   CallIntake intake_;
 };
 
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -53,7 +53,7 @@
             {*transport_, routes, clock, metrics})),
         entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
                          {*this, routes, *chooser_, metrics, *limits_,
-                          call_trees_.get()})),
+                          call_trees_.get(), config.rollouts})),
         suspicions_(
             config.identity.instance, *quarantine_, routes, *transport_,
             [this](bool hold, Instant now) { owner_->HoldRuns(hold, now); }) {}
@@ -199,6 +199,9 @@
       const Instant now = clock_.Now();
       suspicions_.OnLocalUpstream(upstream, now);
       owner_->SetUpstream(upstream, limits, now);
+      upstream_closed_ =
+          !upstream.has_value() || upstream->state == UpstreamState::kDraining;
+      ReportLocalRuns();
     });
   }
 
@@ -345,6 +348,7 @@
       next_tick_ = now + kTickInterval;
       entry_->OnTick(now);
       owner_->OnTick(now);
+      if (upstream_closed_) ReportLocalRuns();
       parts_.OnTick(now);
       if (now < next_link_check_) continue;
       next_link_check_ = now + kLinkCheckInterval;
@@ -352,6 +356,13 @@
     }
   }
 
+  /// For the completion of a rollout that closes the local upstream's version.
+  void ReportLocalRuns() {
+    if (config_.rollouts == nullptr) return;
+    config_.rollouts->SetLocalRuns(
+        {upstream_closed_, static_cast<uint32_t>(owner_->Usage().jobs)});
+  }
+
   void Send(const std::string& owner, wire::Envelope& message) {
     links_.OnSent(owner, clock_.Now());
     transport_->Send(owner, message);
@@ -480,6 +491,7 @@
   Instant next_tick_;
   Instant next_link_check_;
   bool stopping_ = false;
+  bool upstream_closed_ = false;  ///< It gets no new requests.
   std::thread thread_;
 };
 
--- a/src/requests/request_loop.h
+++ b/src/requests/request_loop.h
@@ -15,6 +15,7 @@
 #include "claims/claim_store.h"
 #include "control/control_loop.h"
 #include "peer/peer_transport.h"
+#include "rollouts/rollout_tally.h"
 #include "routing/route_table_holder.h"
 #include "routing/upstream_chooser.h"
 #include "upstream/announcement_api.h"
@@ -32,6 +33,7 @@
   const UpstreamDialect& upstream_dialect = DefaultUpstreamDialect();
   /// Of the deployment; empty: those of the known instances.
   std::vector<std::string> failure_domains;
+  RolloutTally* rollouts = nullptr;  ///< Gets the outcomes during rollouts.
   ChooserConfig choice;  ///< Instance, failure domain and seed are overwritten.
 };
 
