--- a/src/requests/internal/call_codec.cc
+++ b/src/requests/internal/call_codec.cc
@@ -107,9 +107,9 @@
 }
 
 LoadReport FromWire(const wire::LoadReport& in) {
-  return {in.running(),     in.queued(),
-          in.slots(),       Duration(in.service_micros()),
-          in.state() == 1,  in.service_samples(),
+  return {in.running(),      in.queued(),
+          in.slots(),        Duration(in.service_micros()),
+          in.state() == 1,   in.service_samples(),
           in.takes_offers(), in.begun_work()};
 }
 
