--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -42,6 +42,7 @@
       : config_(config),
         clock_(clock),
         metrics_(metrics),
+        routes_(routes),
         loop_(clock),
         transport_(MakeTcpTransport(config.identity, "request", loop_, clock,
                                     metrics)),
@@ -469,6 +470,7 @@
   RequestLoopConfig config_;
   const Clock& clock_;
   Metrics& metrics_;
+  const RouteTableHolder& routes_;
   Executor executor_;
   EventLoop loop_;
   std::unique_ptr<PeerTransport> transport_;
