--- a/tests/tools/standin_upstream.cc
+++ b/tests/tools/standin_upstream.cc
@@ -24,6 +24,7 @@
 #include "tests/tools/standin_behavior.h"
 
 DEFINE_string(service, "", "service that the upstream runs");
+DEFINE_string(software_version, "", "version that the upstream announces");
 DEFINE_string(instance, "", "name of the instance, for the process list");
 DEFINE_string(address, "127.0.0.1", "IP address to listen on");
 DEFINE_int32(port, 0, "port to listen on");
@@ -64,6 +65,9 @@
       "\",\"port\":" + std::to_string(FLAGS_port) +
       ",\"slots\":" + std::to_string(FLAGS_slots) +
       ",\"connections\":" + std::to_string(FLAGS_max_connections) +
+      (FLAGS_software_version.empty()
+           ? ""
+           : ",\"version\":\"" + FLAGS_software_version + "\"") +
       ",\"state\":\"" + state + "\"}";
   curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
