--- a/src/control/internal/rollout_driver.cc
+++ b/src/control/internal/rollout_driver.cc
@@ -116,18 +116,22 @@
         .CounterOf("rollout_steps_total",
                    recorded ? "result=\"recorded\"" : "result=\"refused\"")
         .Add();
-    Log(recorded ? LogLevel::kInfo : LogLevel::kWarning, "control",
-        recorded ? "A rollout has taken a step."
-                 : "A step of a rollout was not recorded.",
-        {{"service", next.service},
-         {"target_version", next.target_version},
-         {"state", NameOf(next.stage)},
-         {"share_permille", std::to_string(next.share_permille)},
-         {"closes_others", next.closes_others ? "yes" : "no"},
-         {"step", std::to_string(next.step)},
-         {"code",
-          std::to_string(result.error ? result.error.value() : verdict.code())},
-         {"reason", next.reason}});
+    const LogFields fields = {
+        {"service", next.service},
+        {"target_version", next.target_version},
+        {"state", NameOf(next.stage)},
+        {"share_permille", std::to_string(next.share_permille)},
+        {"closes_others", next.closes_others ? "yes" : "no"},
+        {"step", std::to_string(next.step)},
+        {"code",
+         std::to_string(result.error ? result.error.value() : verdict.code())},
+        {"reason", next.reason}};
+    if (recorded) {
+      Log(LogLevel::kInfo, "control", "A rollout has taken a step.", fields);
+    } else {
+      Log(LogLevel::kWarning, "control",
+          "A step of a rollout was not recorded.", fields);
+    }
   };
   group_client_.Submit(GroupId::kVersions, command.SerializeAsString(), false,
                        clock_.Now(), done);
