--- a/tests/processes/rollout_test.cc
+++ b/tests/processes/rollout_test.cc
@@ -70,7 +70,7 @@
     spec.rate = [](auto) { return 120.0; };
     spec.call = [this](uint64_t n) {
       LoadCall call;
-      call.url = mesh_.CallerUrl(n % 2 == 0 ? "x1" : "y2") + "/plots/" +
+      call.url = mesh_.CallerUrl(n % 2 == 0 ? "x2" : "y2") + "/plots/" +
                  std::to_string(n % 7);
       return call;
     };
@@ -107,6 +107,29 @@
   EXPECT_EQ(result.good, result.sent);
 }
 
+TEST_F(AServiceThatMovesToAVersion, CompletesThoughItsLeaderIsKilled) {
+  LoadResult result;
+  std::thread load([&] { result = Load(seconds(13)); });
+  std::this_thread::sleep_for(seconds(6));
+  std::string leader;
+  for (const char* name : {"x1", "y1", "z1"}) {
+    const std::string status =
+        SendHttp("GET", mesh_.OperatorUrl(name) + "/v1/status").body;
+    if (status.find("\"replica_role\":\"leader\"") != std::string::npos) {
+      leader = name;
+    }
+  }
+  EXPECT_FALSE(leader.empty());
+  if (!leader.empty()) mesh_.KillDaemon(leader);
+  std::this_thread::sleep_for(milliseconds(500));
+  if (!leader.empty()) mesh_.StartDaemon(leader);
+  const bool completed = EventuallyIs("completed", seconds(8));
+  const int old_runs = RunsOf("1");
+  load.join();
+  EXPECT_TRUE(completed) << Status();
+  EXPECT_EQ(RunsOf("1"), old_runs);
+}
+
 TEST_F(AServiceThatMovesToAVersion, IsTakenBackWhenItIsSlowAndStaysSo) {
   for (const char* name : {"x2", "y2", "z2"}) {
     SendHttp("GET", mesh_.UpstreamUrl(name) + "/standin/set?slowdown=10");
