--- a/src/limits/internal/limit_holder.cc
+++ b/src/limits/internal/limit_holder.cc
@@ -45,10 +45,13 @@
                                 const DomainTerms& terms, uint32_t daemons,
                                 Instant now) {
   const int64_t unacked = account.Net() - account.acked_net;
-  if (!InContact(now)) {
+  const auto within_safe_share = [&] {
     const BucketTerms share = terms.SafeShare(daemons, DiceOf(customer));
-    return account.use.Level(share, now) >= 1 ? LimitVerdict::kAlone
-                                              : LimitVerdict::kAloneOver;
+    return account.use.Level(share, now) >= 1;
+  };
+  if (!InContact(now)) {
+    return within_safe_share() ? LimitVerdict::kAlone
+                               : LimitVerdict::kAloneOver;
   }
   if (tight_.contains(customer)) {
     return unacked < account.CreditAt(now) ? LimitVerdict::kCredit
@@ -56,7 +59,9 @@
   }
   const int64_t credit =
       std::max(account.CreditAt(now), terms.FreeCredit(daemons));
-  return unacked < credit ? LimitVerdict::kFree : LimitVerdict::kUnacked;
+  // A burst may come before the first report does.
+  return unacked < credit || within_safe_share() ? LimitVerdict::kFree
+                                                 : LimitVerdict::kUnacked;
 }
 
 double LimitHolder::DiceOf(const std::string& customer) const {
--- a/src/limits/tests/customer_limits_test.cc
+++ b/src/limits/tests/customer_limits_test.cc
@@ -140,6 +140,14 @@
   EXPECT_EQ(last_wait_, Duration{});
 }
 
+TEST_F(LimitsOfAMesh, ABurstWithinADaemonsPartPassesBeforeAnyReport) {
+  Publish(200);
+  Run(1s);
+  for (int i = 0; i < 40; ++i) {
+    EXPECT_FALSE(limits_["b"]->Take(customer_, {}).has_value()) << i;
+  }
+}
+
 TEST_F(LimitsOfAMesh, BeyondItACallerHearsWhenToReturn) {
   Publish(200);
   Run(1s);
