--- a/src/admission/internal/slot_order.cc
+++ b/src/admission/internal/slot_order.cc
@@ -39,6 +39,8 @@
 
 int64_t SlotOrder::QueuedAhead(const SlotRequest& request,
                                const SlotQueue& queue, bool of_class) const {
+  if (queue.empty()) return 0;
+  const Rank rank = RankOf(request);
   int64_t ahead = 0;
   uint64_t own = 0;
   // Rounds in which queued requests of other customers are due.
@@ -47,7 +49,7 @@
   for (const QueuedRequest& queued : queue) {
     const SlotRequest& other = queued.request;
     if (of_class && other.request_class != request.request_class) continue;
-    if (OvertakesQueued(request, other)) continue;
+    if (OvertakesQueued(request, rank, other)) continue;
     if (!TakeTurns(request, other)) {
       ++ahead;
     } else if (other.customer == request.customer) {
@@ -68,10 +70,15 @@
     SlotQueue& queue,
     const std::function<bool(const std::string&)>& may_run) const {
   auto best = queue.end();
+  Rank best_rank;
   for (auto item = queue.begin(); item != queue.end(); ++item) {
     if (!may_run(item->request.request_class)) continue;
-    if (best == queue.end() || Precedes(item->request, best->request)) {
+    const Rank rank = RankOf(item->request);
+    if (best != queue.end() && rank < best_rank) continue;
+    if (best == queue.end() || rank > best_rank ||
+        PrecedesInRank(item->request, best->request)) {
       best = item;
+      best_rank = rank;
     }
   }
   return best;
@@ -133,20 +140,17 @@
              estimate_b->second.Median();
 }
 
-/// @return whether queued request a gets a slot before queued request b.
-bool SlotOrder::Precedes(const SlotRequest& a, const SlotRequest& b) const {
-  const Rank rank_a = RankOf(a);
-  const Rank rank_b = RankOf(b);
-  if (rank_a != rank_b) return rank_a > rank_b;
+/// @return whether request a gets a slot before the older one b of its rank.
+bool SlotOrder::PrecedesInRank(const SlotRequest& a,
+                               const SlotRequest& b) const {
   if (TakeTurns(a, b)) return RoundOf(a) < RoundOf(b);
   return IsShorter(a.request_class, b.request_class);
 }
 
 /// While a class is below its floor, its first request is in front, and is
 /// counted as if all of them were not: one start may lift it above.
-bool SlotOrder::OvertakesQueued(const SlotRequest& request,
+bool SlotOrder::OvertakesQueued(const SlotRequest& request, const Rank& rank,
                                 const SlotRequest& queued) const {
-  const Rank rank = RankOf(request);
   const Rank without_floor{false, queued.begun, PriorityOf(queued)};
   if (rank != without_floor) return rank > without_floor;
   return IsShorter(request.request_class, queued.request_class);
--- a/src/admission/internal/slot_order.h
+++ b/src/admission/internal/slot_order.h
@@ -77,8 +77,8 @@
   Rank RankOf(const SlotRequest& request) const;
   uint32_t PriorityOf(const SlotRequest& request) const;
   bool IsShorter(const std::string& a, const std::string& b) const;
-  bool Precedes(const SlotRequest& a, const SlotRequest& b) const;
-  bool OvertakesQueued(const SlotRequest& request,
+  bool PrecedesInRank(const SlotRequest& a, const SlotRequest& b) const;
+  bool OvertakesQueued(const SlotRequest& request, const Rank& rank,
                        const SlotRequest& queued) const;
   bool TakeTurns(const SlotRequest& a, const SlotRequest& b) const;
   uint64_t RoundOf(const SlotRequest& request) const;
