--- a/src/admission/tests/admission_property_test.cc
+++ b/src/admission/tests/admission_property_test.cc
@@ -119,13 +119,15 @@
     if (step % 10 < 6) {
       const std::string& name = classes[static_cast<size_t>(step / 10 % 3)];
       checker.OnRequest(++last, name, now);
-      checker.OnEffects(
-          admission->OnRequest({last,
-                                name,
-                                std::to_string(step % 2),
-                                now + milliseconds(10 + step % 400),
-                                {}},
-                               now));
+      SlotRequest request{last,
+                          name,
+                          std::to_string(step % 2),
+                          now + milliseconds(10 + step % 400),
+                          {}};
+      if (step % 4 > 0) request.customer = std::to_string(step % 4);
+      if (step % 11 == 0) request.priority = 7;
+      request.begun = step % 13 == 0;
+      checker.OnEffects(admission->OnRequest(request, now));
     } else if (!open.empty()) {
       const SlotRequestId id = open[static_cast<size_t>(step) % open.size()];
       if (checker.Runs(id)) {
