Refuse new work for its calls only while no slot is free

Cause: the refused part was compounded from window to window, and requests were turned away from free slots, though most of them may have been served. Change: the refused part goes towards the part in vain, and only requests that would queue are refused.

--- a/src/admission/internal/call_trees.cc
+++ b/src/admission/internal/call_trees.cc
@@ -16,8 +16,8 @@
 constexpr double kTolerated = 0.1;
 /// No class is turned away wholly: the least that passes.
 constexpr double kMostRefused = 0.75;
-/// What the refused part shrinks to in a window in which little was in vain.
-constexpr double kEasing = 0.6;
+/// How far the refused part goes in one window towards the part in vain.
+constexpr double kApproach = 0.6;
 constexpr double kNegligible = 0.03;
 /// Runs of a class that are older than this tell nothing of it now.
 constexpr Duration kForgottenAfter = std::chrono::seconds(5);
@@ -76,13 +76,10 @@
 
   static void SetRefused(State& state) {
     const double in_vain = static_cast<double>(state.in_vain) / state.runs;
-    if (in_vain > kTolerated) {
-      state.refused =
-          std::min(kMostRefused, 1 - (1 - state.refused) * (1 - in_vain));
-    } else {
-      state.refused *= kEasing;
-      if (state.refused < kNegligible) state.refused = 0;
-    }
+    const double target = in_vain > kTolerated ? in_vain : 0;
+    state.refused += kApproach * (target - state.refused);
+    state.refused = std::min(kMostRefused, state.refused);
+    if (state.refused < kNegligible) state.refused = 0;
   }
 
   Instant last_refused_call_;
--- a/src/owner/internal/begun_work.cc
+++ b/src/owner/internal/begun_work.cc
@@ -9,9 +9,12 @@
 }  // namespace
 
 std::optional<Duration> BegunWork::OnStart(const CallAttempt& attempt,
+                                           const LoadReport& load,
                                            Instant now) {
   origins_.OnRequest(attempt.request_class, attempt.request.origin_service);
-  if (trees_ == nullptr || Contains(attempt)) return std::nullopt;
+  if (trees_ == nullptr || load.running < load.slots || Contains(attempt)) {
+    return std::nullopt;
+  }
   const auto wait = trees_->RefuseNew(attempt.request_class, now);
   if (wait.has_value()) {
     metrics_.CounterOf("refused_for_calls_total", "").Add();
--- a/src/owner/internal/begun_work.h
+++ b/src/owner/internal/begun_work.h
@@ -20,9 +20,12 @@
   BegunWork(CallTrees* trees, Metrics& metrics)
       : trees_(trees), metrics_(metrics) {}
 
+  /// @param load of the upstream. Nothing is refused while it has free slots:
+  /// a slot that nobody else wants is best used for a request that may fail.
   /// @return the wait of a new attempt that is refused for its calls; nullopt
   /// when it is not.
-  std::optional<Duration> OnStart(const CallAttempt& attempt, Instant now);
+  std::optional<Duration> OnStart(const CallAttempt& attempt,
+                                  const LoadReport& load, Instant now);
 
   void OnRunEnded(const Job& job, Instant now);
 
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -52,7 +52,7 @@
       return;
     }
     const LoadReport load = Load(attempt.request_class);
-    auto wait = begun_work_.OnStart(attempt, now);
+    auto wait = begun_work_.OnStart(attempt, load, now);
     if (!wait) wait = sender_.WaitForRoom(job, now);
     if (offered && !wait) wait = receiver_.WaitForRoom(job, load, now);
     if (wait.has_value()) {
