Gossip at shorter intervals right after a start

Cause: when all daemons start at one moment, the record of an upstream reaches the others over some rounds of gossip, 200 ms apart. Change: in the first 2 s a daemon gossips each 50 ms and compares tables each 400 ms; a lone one as before. The number of rounds per record is unchanged.

--- a/src/membership/internal/membership.cc
+++ b/src/membership/internal/membership.cc
@@ -30,6 +30,7 @@
         targets_(config_, table_, view_, random_),
         upstream_(config_),
         hearing_(config_),
+        start_ends_(now + config_.start_period),
         next_gossip_(now),
         next_compare_(now),
         next_probe_(now) {
@@ -412,7 +413,9 @@
   }
 
   void SendUpdates(Instant now, MembershipEffects& effects) {
-    next_gossip_ = now + random_.Jittered(config_.gossip_interval);
+    next_gossip_ =
+        now + random_.Jittered(now < start_ends_ ? config_.start_gossip_interval
+                                                 : config_.gossip_interval);
     if (updates_.Empty()) return;
     const std::vector<std::string> targets = targets_.ForUpdates();
     if (targets.empty()) return;
@@ -440,18 +443,19 @@
     }
   }
 
-  Duration ComparisonInterval() const {
+  Duration ComparisonInterval(Instant now) const {
     // Nobody sends updates to a daemon that leaves, and it still routes by
     // them.
     const bool alone =
         table_.All().size() == 1 || self_.state == InstanceState::kLeft;
     if (alone) return config_.gossip_interval;
+    if (now < start_ends_) return config_.start_compare_interval;
     return view_.stands_in ? config_.probe_interval : config_.compare_interval;
   }
 
   /// Starts a comparison of tables with one peer or seed.
   void SendComparison(Instant now, MembershipEffects& effects) {
-    next_compare_ = now + random_.Jittered(ComparisonInterval());
+    next_compare_ = now + random_.Jittered(ComparisonInterval(now));
     const std::string address = targets_.ForComparison();
     if (address.empty()) return;
     effects.send.push_back(
@@ -469,6 +473,7 @@
   GossipTargets targets_;
   UpstreamRegistration upstream_;
   Hearing hearing_;
+  Instant start_ends_;
   UpdateQueue updates_;
   SuspicionTimers suspicions_;
   SilentInstances silent_;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -21,6 +21,12 @@
   std::string expected_service;
   std::string expected_address;
   Duration gossip_interval = std::chrono::milliseconds(200);
+  /// A daemon that has just started gossips at these shorter intervals. When a
+  /// whole mesh starts at one moment, nobody can send a request to an upstream
+  /// before its record has come through.
+  Duration start_period = std::chrono::seconds(2);
+  Duration start_gossip_interval = std::chrono::milliseconds(50);
+  Duration start_compare_interval = std::chrono::milliseconds(400);
   /// Shortest time between updates of this daemon's version in use. Versions
   /// must be in force within 12 s, and lagging daemons must be visible by then.
   Duration version_gossip_interval = std::chrono::seconds(2);
--- a/src/membership/tests/simulated_mesh.h
+++ b/src/membership/tests/simulated_mesh.h
@@ -47,6 +47,7 @@
   void Send(const std::string& from, const MembershipEffects& effects) {
     if (effects.changed) ++changes_[from];
     for (const MembershipSend& sent : effects.send) {
+      ++sent_;
       queue_.push_back({from, sent.address, sent.message});
     }
   }
@@ -82,6 +83,7 @@
   std::set<char> cut_domains_;
   std::map<std::string, int> changes_;  ///< Reported by each instance.
   std::set<std::string> dark_;          ///< Neither send nor receive.
+  size_t sent_ = 0;                     ///< Messages of all instances.
 };
 
 }  // namespace hibiscusglade
