Tell when each stage of a start is reached

Cause: what a restarted daemon waits for could be read from several log lines of several modules only. Change: one log line and one value of start_stage_seconds each for peers, leader, floor, version and upstream.

--- a/src/base/internal/metric_catalog.cc
+++ b/src/base/internal/metric_catalog.cc
@@ -85,6 +85,11 @@
     {"silent_links_total", "counter", "",
      "Connections to other daemons replaced after falling silent.",
      "When it keeps growing: check the network between the daemons."},
+    {"start_stage_seconds", "gauge", "stage",
+     "Time from the daemon's start to a stage of it: peers, leader (of the "
+     "replica's group), floor, version, upstream.",
+     "When one is missing or late: look in OPERATIONS.md, \"Why does it refuse "
+     "after a restart?\"."},
     {"stopping", "gauge", "", "1 while the daemon drains.", "Nothing."},
     {"upstream_deaths_total", "counter", "",
      "Times that the upstream beside this daemon died under requests.",
--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -20,6 +20,7 @@
 #include "control/internal/peer_messenger.h"
 #include "control/internal/readiness.h"
 #include "control/internal/replica_host.h"
+#include "control/internal/start_reporter.h"
 #include "control/internal/turn_reporter.h"
 #include "control/internal/unreadable_record_reporter.h"
 #include "control/internal/upstream_announcements.h"
@@ -47,6 +48,7 @@
         routes_(routes),
         listener_(listener),
         turns_(clock, metrics),
+        start_(clock.Now(), metrics),
         unreadable_records_(clock),
         confirmations_(routes),
         instance_states_(config.identity.failure_domain),
@@ -282,10 +284,29 @@
       for (std::function<void()>& done : std::exchange(awaiting_effect_, {})) {
         listener_.AfterUpdates(std::move(done));
       }
+      ReportStart(clock_.Now());
       turns_.Report(clock_.Now() - turn_begin - wait);
     }
   }
 
+  void ReportStart(Instant now) {
+    const VersionFollower& follower = follower_.Follower();
+    const auto report = [&](StartStage stage, const auto& is_reached) {
+      if (!start_.Reached(stage) && is_reached()) start_.OnStage(stage, now);
+    };
+    report(StartStage::kPeers, [&] { return !membership_->Peers().empty(); });
+    report(StartStage::kLeader, [&] {
+      return IsReplica(config_) &&
+             !replica_host_.LeaderAddress(GroupId::kVersions).empty();
+    });
+    report(StartStage::kFloor, [&] { return follower.FloorKnown(); });
+    report(StartStage::kVersion, [&] {
+      return follower.InUse() != nullptr && follower.InUse()->number > 0;
+    });
+    report(StartStage::kUpstream,
+           [&] { return membership_->LocalUpstream().has_value(); });
+  }
+
   void Tick(Instant now) {
     ApplyEffects(membership_->OnTick(now));
     follower_.OnTick(now);
@@ -426,6 +447,7 @@
   RouteTableHolder& routes_;
   LocalUpstreamListener& listener_;
   TurnReporter turns_;
+  StartReporter start_;
   UnreadableRecordReporter unreadable_records_;
   ConfirmationReporter confirmations_;
   InstanceStateReporter instance_states_;
