Name the sender in each message of a part of the request plane

Cause: the TCP transport names the sender only in the first message of a connection, so that a coordinator took reports of its own failure domain for summaries of an unnamed one, and its own report for the whole domain.

Change: RequestParts fills in the sender; messages without one are ignored.

--- a/src/flows/internal/domain_flows.cc
+++ b/src/flows/internal/domain_flows.cc
@@ -51,6 +51,8 @@
 
   bool OnPeerMessage(const std::string&, const ReturnPath&,
                      const wire::Envelope& message, Instant now) override {
+    const bool is_room = message.has_room_plan() || message.has_room_report();
+    if (is_room && message.failure_domain().empty()) return true;
     const bool from_home = message.failure_domain() == config_.failure_domain;
     if (message.has_room_plan()) {
       if (from_home) OnPlan(message.room_plan(), now);
--- a/src/requests/internal/request_parts.cc
+++ b/src/requests/internal/request_parts.cc
@@ -39,13 +39,14 @@
 }
 
 void RequestParts::Send(const std::string& address, wire::Envelope& message) {
+  // The transport names the sender only in a connection's first message.
+  message.set_instance(identity_.instance);
+  message.set_failure_domain(identity_.failure_domain);
   if (address != own_address_) {
     // The transport counts what it can't send; parts repeat what matters.
     transport_.Send(address, message);
     return;
   }
-  message.set_instance(identity_.instance);
-  message.set_failure_domain(identity_.failure_domain);
   loop_.Defer(
       [this, message] { OnPeerMessage("", "", message, clock_.Now()); });
 }
--- a/src/requests/internal/request_parts.h
+++ b/src/requests/internal/request_parts.h
@@ -23,7 +23,8 @@
 
   void Add(std::unique_ptr<RequestPart> part);
 
-  /// @return what parts send by; valid as long as this object.
+  /// @return what parts send by; names this daemon as the sender in each
+  /// message; valid as long as this object.
   RequestPlaneSender Sender();
 
   /// @return whether the message was for one of the parts.
