--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -188,7 +188,8 @@
   }
 
   /// The planned share of the calls goes to other failure domains, the rest
-  /// stays at home. What was refused there leaves only for planned room.
+  /// stays at home. What home can't take at the moment, in bursts shorter than
+  /// a round of planning, leaves only for planned room.
   std::optional<Choice> ChooseByPlan(const ChoiceRequest& request,
                                      const FlowPlan& plan,
                                      const std::vector<size_t>& own,
@@ -201,9 +202,8 @@
     for (size_t i : other) {
       if (request.candidates[i].failure_domain == planned) among.push_back(i);
     }
-    const bool home_refuses =
-        own.empty() || (!request.tried.empty() && Saturated(request, own, now));
-    if (among.empty() && home_refuses) {
+    const bool home_is_full = own.empty() || Saturated(request, own, now);
+    if (among.empty() && home_is_full) {
       for (size_t i : other) {
         const auto flow = plan.flows.find(request.candidates[i].failure_domain);
         const bool has_room = flow != plan.flows.end() && flow->second.has_room;
--- a/src/routing/tests/flow_router_test.cc
+++ b/src/routing/tests/flow_router_test.cc
@@ -67,6 +67,13 @@
   EXPECT_EQ(Count(50).at("a"), 50);
 }
 
+TEST_F(AnEntryWithAPlan, SendsABurstBeyondItsSharesOnlyWhereThereIsRoom) {
+  router_.SetPlan("store", {{{"b", {0, true}}, {"c", {0, false}}}}, now_);
+  EXPECT_EQ(Count(50).at("a"), 50);
+  SaturateHome();
+  EXPECT_EQ(Count(50).at("b"), 50);
+}
+
 TEST_F(AnEntryWithAPlan, TriesARefusedCallOnlyWhereThereIsRoom) {
   SaturateHome();
   router_.SetPlan("store", {{{"b", {0, true}}, {"c", {0, false}}}}, now_);
