--- a/src/entry/tests/entry_rollout_test.cc
+++ b/src/entry/tests/entry_rollout_test.cc
@@ -20,8 +20,9 @@
     rollout_.share_permille = 500;
     routes_.SetConfirmedAt(now_);
     Publish();
-    entry_ =
-        MakeEntry("e", 1, {owners_, routes_, *chooser_, *metrics_, &tally_});
+    entry_ = MakeEntry("e", 1,
+                       {owners_, routes_, *chooser_, *metrics_,
+                        NoCustomerLimits(), nullptr, &tally_});
   }
 
   void Publish() {
--- a/src/requests/internal/request_parts.h
+++ b/src/requests/internal/request_parts.h
@@ -26,7 +26,8 @@
   /// @param part must outlive this object.
   void Add(RequestPart& part) { parts_.push_back(&part); }
 
-  /// @return what parts send by; valid as long as this object.
+  /// @return what parts send by; names this daemon as the sender in each
+  /// message; valid as long as this object.
   RequestPlaneSender Sender();
 
   /// @return whether the message was for one of the parts.
