--- a/tests/processes/uploads_test.cc
+++ b/tests/processes/uploads_test.cc
@@ -168,8 +168,12 @@
   }
   for (size_t i = 0; i < answers.size(); ++i) {
     EXPECT_LE(RunsOf(i), 1) << i;
-    if (answers[i].Outcome() == "not-run") EXPECT_EQ(RunsOf(i), 0) << i;
-    if (answers[i].status == 200) EXPECT_EQ(RunsOf(i), 1) << i;
+    if (answers[i].Outcome() == "not-run") {
+      EXPECT_EQ(RunsOf(i), 0) << i;
+    }
+    if (answers[i].status == 200) {
+      EXPECT_EQ(RunsOf(i), 1) << i;
+    }
   }
 }
 
