Move a request's body to the upstream instead of copying it

It is moved along that way now; the entry keeps its own for a retry elsewhere. An offered body is not copied to be cleared.

GivesTheBodyThatItGotToTheUpstreamWithoutACopy fails when the run gets a copy. upstream_test, entry_test, owner_test, requests_test and the process tests uploads_test, poison_request_test and endless_bytes_test pass.

Limit: two bodies of the largest size that is allowed, 67 MB, are above 110 MiB.

--- a/src/calls/call_links.h
+++ b/src/calls/call_links.h
@@ -14,7 +14,7 @@
   virtual ~OwnerLink() = default;
 
   /// @param owner request address of the owner, "ip:port".
-  virtual void Start(const std::string& owner, const CallAttempt& attempt) = 0;
+  virtual void Start(const std::string& owner, CallAttempt attempt) = 0;
   virtual void Credit(const std::string& owner, const AttemptId& attempt,
                       uint64_t bytes) = 0;
   virtual void Cancel(const std::string& owner, const AttemptId& attempt) = 0;
@@ -101,7 +101,7 @@
   /// reads may exceed that.
   /// @param address "ip:port" of the upstream.
   virtual void Start(RunId run, const std::string& address,
-                     const CallAttempt& attempt) = 0;
+                     CallAttempt attempt) = 0;
 
   /// Adds credit to a run: more bytes of its answer may be read.
   virtual void AddCredit(RunId run, uint64_t bytes) = 0;
--- a/src/entry/internal/open_call.cc
+++ b/src/entry/internal/open_call.cc
@@ -77,13 +77,17 @@
 }
 
 CallAttempt OpenCall::NewAttempt(const AttemptId& id, bool offered,
-                                 Instant now) const {
+                                 Instant now) {
   CallAttempt attempt;
   attempt.id = id;
+  // An offered body, which may be large, is not copied.
+  std::string body = std::exchange(request.body, {});
   attempt.request = request;
+  request.body = std::move(body);
   if (offered) {
     attempt.offered_bytes = request.body.size();
-    attempt.request.body.clear();
+  } else {
+    attempt.request.body = request.body;
   }
   attempt.service = service;
   attempt.route = route->name;
--- a/src/entry/internal/open_call.h
+++ b/src/entry/internal/open_call.h
@@ -96,7 +96,7 @@
 
   /// @param offered whether the attempt offers the body.
   /// @return an attempt at the call, to be sent at time `now`.
-  CallAttempt NewAttempt(const AttemptId& id, bool offered, Instant now) const;
+  CallAttempt NewAttempt(const AttemptId& id, bool offered, Instant now);
 
   /// Forgets what was received of an answer that was not forwarded.
   void DropHeldAnswer() {
--- a/src/entry/tests/entry_fixture.h
+++ b/src/entry/tests/entry_fixture.h
@@ -30,7 +30,7 @@
 
 /// Records the attempts that are started and cancelled at owners.
 struct SentAttempts : public OwnerLink {
-  void Start(const std::string& owner, const CallAttempt& attempt) override {
+  void Start(const std::string& owner, CallAttempt attempt) override {
     started.push_back({owner, attempt.id});
     objective = attempt.objective;
     last = attempt;
--- a/src/owner/internal/job.cc
+++ b/src/owner/internal/job.cc
@@ -1,5 +1,7 @@
 #include "owner/internal/job.h"
 
+#include <utility>
+
 #include "claims/types/claim_types.h"
 
 namespace hibiscusglade {
@@ -23,10 +25,9 @@
              : static_cast<int64_t>(body.size()) > kMaxBufferedAnswerBytes;
 }
 
-Job MakeJob(const EntryRef& entry, const CallAttempt& attempt, Instant now) {
+Job MakeJob(const EntryRef& entry, CallAttempt attempt, Instant now) {
   Job job;
   job.entry = entry;
-  job.attempt = attempt;
   job.deadline = now + attempt.remaining;
   if (attempt.objective != Duration{}) {
     job.objective = now + attempt.objective;
@@ -36,9 +37,18 @@
   if (attempt.offered_bytes == 0) {
     job.fingerprint = FingerprintOf(attempt.request);
   }
+  job.attempt = std::move(attempt);
   return job;
 }
 
+CallAttempt TakeAttemptToRun(Job& job) {
+  std::string body = std::exchange(job.attempt.request.body, {});
+  job.run_body_bytes = body.size();
+  CallAttempt attempt = job.attempt;
+  attempt.request.body = std::move(body);
+  return attempt;
+}
+
 Digest FingerprintOf(const CallRequest& request) {
   Digest digest = DigestOf(request.method);
   digest = DigestOf(request.target, digest);
--- a/src/owner/internal/job.h
+++ b/src/owner/internal/job.h
@@ -36,6 +36,7 @@
   /// Why the attempt must not run; set while its claim is pending.
   std::error_code pending_refusal;
   Instant run_started;
+  size_t run_body_bytes = 0;  ///< Of the request's body, which its run has.
   int64_t upstream_started_at_ms = 0;  ///< Of the upstream that it runs at.
   std::string connection_error;        ///< Why the connection was lost.
   uint64_t chunks = 0;
@@ -59,7 +60,11 @@
 
 /// @return a job that begins now. It has a fingerprint unless its body is
 /// offered.
-Job MakeJob(const EntryRef& entry, const CallAttempt& attempt, Instant now);
+Job MakeJob(const EntryRef& entry, CallAttempt attempt, Instant now);
+
+/// @return the attempt, for its run. The job keeps it without the body, so that
+/// no large body is held twice.
+CallAttempt TakeAttemptToRun(Job& job);
 
 /// @return a digest of method, target, body and idempotency key, by which
 /// repetitions of a request are recognised.
--- a/src/owner/internal/job_table.h
+++ b/src/owner/internal/job_table.h
@@ -66,7 +66,8 @@
     OwnerUsage usage;
     for (const auto& [id, job] : jobs_) {
       ++usage.jobs;
-      usage.request_bytes += job.attempt.request.body.size();
+      usage.request_bytes +=
+          job.attempt.request.body.size() + job.run_body_bytes;
       usage.answer_bytes += job.body.size() + job.encoded_answer.size();
     }
     return usage;
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -41,16 +41,16 @@
         upstream_(parts_),
         start_check_(upstream_, writer_, parts.quarantine) {}
 
-  void OnStart(const EntryRef& entry, const CallAttempt& attempt,
+  void OnStart(const EntryRef& entry, CallAttempt attempt,
                Instant now) override {
     if (HasAttempt(attempt.id)) return;
-    Job job = MakeJob(entry, attempt, now);
-    const bool offered = attempt.offered_bytes > 0;
+    Job job = MakeJob(entry, std::move(attempt), now);
+    const bool offered = job.attempt.offered_bytes > 0;
     if (auto refused = start_check_.ReasonToRefuse(job, now)) {
       sender_.SendRefusal(job, *refused, Certainty::kNotRun);
       return;
     }
-    const LoadReport load = Load(attempt.request_class);
+    const LoadReport load = Load(job.attempt.request_class);
     auto wait = sender_.WaitForRoom(job, now);
     if (offered && !wait) wait = receiver_.WaitForRoom(job, load, now);
     if (wait.has_value()) {
@@ -445,7 +445,7 @@
     const UpstreamAnnouncement& upstream = *upstream_.Current();
     job.attempt.upstream_id = upstream.id;
     job.upstream_started_at_ms = upstream.started_at_ms;
-    parts_.upstream.Start(id, upstream.address, job.attempt);
+    parts_.upstream.Start(id, upstream.address, TakeAttemptToRun(job));
   }
 
   /// Releases the slot of a run, whether or not it has started.
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -64,7 +64,7 @@
 class Owner : public RunEvents {
  public:
   /// An entry has sent an attempt.
-  virtual void OnStart(const EntryRef& entry, const CallAttempt& attempt,
+  virtual void OnStart(const EntryRef& entry, CallAttempt attempt,
                        Instant now) = 0;
 
   /// An entry has sent a piece of a body that it had offered.
--- a/src/owner/tests/owner_body_test.cc
+++ b/src/owner/tests/owner_body_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <utility>
 
 #include "admission/admission_result_codes.h"
 #include "owner/internal/body_grants.h"
@@ -245,5 +246,23 @@
   EXPECT_EQ(arrived, uint64_t{64} << 20U);
 }
 
+/// Guards against copies of a body that fill the memory of the machine.
+TEST(AnOwner, GivesTheBodyThatItGotToTheUpstreamWithoutACopy) {
+  ClaimLedger ledger;
+  OwnerHarness harness("o1", ledger);
+  CallAttempt call;
+  call.id = "upload";
+  call.request.method = "POST";
+  call.request.body = std::string(100'000, 'x');
+  call.service = "orders";
+  call.request_class = "short";
+  call.repeatable = true;
+  call.remaining = std::chrono::seconds(2);
+  const char* const body = call.request.body.data();
+  harness.owner->OnStart("entry", std::move(call), harness.clock.now);
+  EXPECT_EQ(harness.recorder.started.at(1).request.body.data(), body);
+  EXPECT_EQ(harness.owner->Usage().request_bytes, 100'000u);
+}
+
 }  // namespace
 }  // namespace hibiscusglade
--- a/src/owner/tests/owner_fixture.h
+++ b/src/owner/tests/owner_fixture.h
@@ -88,10 +88,9 @@
     granted[attempt] = until;
     Note(attempt + " may send up to " + std::to_string(until));
   }
-  void Start(RunId run, const std::string&,
-             const CallAttempt& attempt) override {
-    started[run] = attempt;
+  void Start(RunId run, const std::string&, CallAttempt attempt) override {
     Note("upstream starts run " + std::to_string(run) + " for " + attempt.id);
+    started[run] = std::move(attempt);
   }
   void AddCredit(RunId run, uint64_t bytes) override {
     Note("upstream may send " + std::to_string(bytes) + " bytes more of run " +
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -192,10 +192,11 @@
   }
 
   // OwnerLink.
-  void Start(const std::string& owner, const CallAttempt& attempt) override {
+  void Start(const std::string& owner, CallAttempt attempt) override {
     if (IsSelf(owner)) {
-      loop_.Defer(
-          [this, attempt] { owner_->OnStart("", attempt, clock_.Now()); });
+      loop_.Defer([this, attempt = std::move(attempt)]() mutable {
+        owner_->OnStart("", std::move(attempt), clock_.Now());
+      });
       return;
     }
     wire::Envelope message;
@@ -428,7 +429,7 @@
     delay_.Discount(path,
                     Duration(static_cast<int64_t>(start.sent_at_micros())),
                     clock_.SinceBoot(), attempt);
-    owner_->OnStart(path, attempt, now);
+    owner_->OnStart(path, std::move(attempt), now);
   }
 
   void SendPong(const ReturnPath& path, const wire::LinkPing& ping) {
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -59,13 +59,13 @@
   }
 
   void Start(RunId id, const std::string& address,
-             const CallAttempt& attempt) override {
+             CallAttempt attempt) override {
     auto run = std::make_unique<Run>();
     run->id = id;
     run->client = this;
-    run->attempt = attempt;
     run->deadline = clock_.Now() + attempt.remaining;
     run->remaining_credit = static_cast<int64_t>(attempt.credit_bytes);
+    run->attempt = std::move(attempt);
     run->easy = TakeHandle();
     SetOptions(*run, address);
     curl_multi_add_handle(multi_, run->easy);
