--- a/src/rollouts/tests/rollout_controller_test.cc
+++ b/src/rollouts/tests/rollout_controller_test.cc
@@ -126,6 +126,17 @@
   EXPECT_TRUE(ExposedLittle()) << targets_;
 }
 
+/// It shows only in the last steps, when most of the exposure is spent.
+TEST_F(ARolloutOfTwelveSeconds, TakesBackWhatIsBadUnderLoadOnly) {
+  while (view_.recorded.share_permille < 250) {
+    RunUntil(seconds(view_.since_order.count() / 1'000'000 + 1));
+  }
+  behaviour_.target_fails_of_100 = 30;
+  RunUntil(seconds(12));
+  EXPECT_EQ(Stage(), RolloutStage::kRolledBack);
+  EXPECT_LE(targets_, 784 * 12 / 10 + 50);
+}
+
 TEST_F(ARolloutOfTwelveSeconds, TakesBackWhatIsSeveralTimesSlower) {
   behaviour_.target_ms = 400;
   RunUntil(seconds(12));
