--- a/bench/choice_bench.cc
+++ b/bench/choice_bench.cc
@@ -92,13 +92,20 @@
 
 int RunUneven() {
   const Deployment deployment = DeploymentOf(FLAGS_deployment);
-  const std::vector<std::string> policies = {"two_choices",
+  const std::string without_plans = "two_choices, no plans";
+  const std::vector<std::string> policies = {without_plans, "two_choices",
                                              "two_choices_by_speed"};
   const std::vector<double> loads = {0.5, 0.9, 1.3};
   std::map<std::pair<double, std::string>, Samples> all;
   for (int round = 0; round < FLAGS_pairs; ++round) {
     for (const std::string& policy : policies) {
-      setenv("HIBISCUSGLADE_CHOICE_POLICY", policy.c_str(), 1);
+      if (policy == without_plans) {
+        setenv("HIBISCUSGLADE_NO_PLANS", "1", 1);
+        setenv("HIBISCUSGLADE_CHOICE_POLICY", "two_choices", 1);
+      } else {
+        unsetenv("HIBISCUSGLADE_NO_PLANS");
+        setenv("HIBISCUSGLADE_CHOICE_POLICY", policy.c_str(), 1);
+      }
       DeployedMesh mesh(
           FLAGS_network, deployment,
           {"--service_ms=" + std::to_string(FLAGS_service_ms / kSlowdownSteps),
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -209,8 +209,8 @@
             ChooserConfigFromEnv()};
   }
 
-  /// Environment variables select another choice policy or turn ejection off,
-  /// for measurements.
+  /// Environment variables select another choice policy, or turn ejection or
+  /// plans off, for measurements.
   static ChooserConfig ChooserConfigFromEnv() {
     ChooserConfig config;
     if (const char* name = std::getenv("HIBISCUSGLADE_CHOICE_POLICY")) {
@@ -218,6 +218,7 @@
     }
     config.ejection_enabled =
         std::getenv("HIBISCUSGLADE_NO_EJECTION") == nullptr;
+    config.plans_enabled = std::getenv("HIBISCUSGLADE_NO_PLANS") == nullptr;
     return config;
   }
 
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -318,7 +318,7 @@
   static ChooserConfig ChooserConfigOf(const RequestLoopConfig& config,
                                        FlowRouter& flows) {
     ChooserConfig choice = config.choice;
-    choice.flows = &flows;
+    choice.flows = choice.plans_enabled ? &flows : nullptr;
     choice.instance = config.identity.instance;
     choice.failure_domain = config.identity.failure_domain;
     choice.seed = config.seed;
--- a/src/routing/upstream_chooser.h
+++ b/src/routing/upstream_chooser.h
@@ -132,6 +132,7 @@
   std::string instance;  ///< Of this daemon; determines its subset of owners.
   std::string failure_domain;  ///< Of this daemon; preferred over the others.
   uint64_t seed = 0;
+  bool plans_enabled = true;  ///< For what leaves the failure domain.
   /// Plans of what leaves the failure domain, for measures of demand too; must
   /// outlive the chooser. nullptr: each choice is made on its own.
   FlowRouter* flows = nullptr;
