--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -204,7 +204,9 @@
     }
     int refused = 0;
   } trees;
-  entry_ = MakeEntry("e", 1, {owners_, routes_, *chooser_, *metrics_, &trees});
+  entry_ = MakeEntry(
+      "e", 1,
+      {owners_, routes_, *chooser_, *metrics_, NoCustomerLimits(), &trees});
   Begin("/reads/1", 0);
   Refuse(Attempt(0), RoutingCode::kNoUpstream, Certainty::kNotRun);
   EXPECT_EQ(trees.refused, 0);
