--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -45,9 +45,9 @@
                                     metrics)),
         chooser_(MakeUpstreamChooser(ChooserConfigOf(config))),
         quarantine_(MakeQuarantine()),
-        entry_(MakeEntry(config.identity.instance, config.identity.incarnation,
-                         {*this, routes, *chooser_, metrics,
-                          call_trees_.get()})) {}
+        entry_(MakeEntry(
+            config.identity.instance, config.identity.incarnation,
+            {*this, routes, *chooser_, metrics, call_trees_.get()})) {}
 
   ~RequestLoopImpl() override { Stop(); }
 
