--- a/src/membership/types/instance_record.h
+++ b/src/membership/types/instance_record.h
@@ -139,12 +139,12 @@
   uint32_t slots = 0;
   uint32_t connections = 0;
   UpstreamState state = UpstreamState::kServing;
-  std::string id;             ///< Of the upstream incarnation; may be empty.
+  std::string id = {};        ///< Of the upstream incarnation; may be empty.
   int64_t started_at_ms = 0;  ///< Unix time of the start; 0: unknown.
   uint64_t sequence = 0;      ///< Raised with each announcement; 0: unknown.
   /// Time for which runs stay slow after the upstream's start.
   Duration cold_remaining{};
-  std::string software_version;  ///< Of the upstream; empty: unknown.
+  std::string software_version = {};  ///< Of the upstream; empty: unknown.
 
   friend bool operator==(const UpstreamAnnouncement&,
                          const UpstreamAnnouncement&) = default;
