Give the pause of a full home to calls that a plan keeps there

Change: the pause is that of the own upstreams; a home whose upstreams are ejected, not refusing, lets calls go.

--- a/src/routing/internal/upstream_chooser.cc
+++ b/src/routing/internal/upstream_chooser.cc
@@ -123,11 +123,18 @@
   std::optional<Duration> RemainingBackoff(const ChoiceRequest& request,
                                            Instant now) override {
     std::optional<Duration> soonest;
+    const bool planned = config_.flows != nullptr &&
+                         config_.flows->PlanOf(request.service, now) != nullptr;
     for (const UpstreamTarget& target : request.candidates) {
       if (request.tried.contains(target.instance)) continue;
       const Instant backoff_end =
           LoadOf(target.instance).backoff.BackoffEnd(request.request_class);
       const Duration wait = std::max(Duration{}, backoff_end - now);
+      // A plan keeps the call from others that might be chosen.
+      const bool is_kept_out =
+          planned && (target.failure_domain != config_.failure_domain ||
+                      wait == Duration{});
+      if (is_kept_out) continue;
       soonest = std::min(soonest.value_or(wait), wait);
     }
     return soonest;
@@ -215,11 +222,15 @@
       return Choice{Pick(request, among, now), ChoiceReason::kPlanned};
     }
     if (!own.empty()) return Choice{Pick(request, own, now)};
-    const bool has_home = std::ranges::any_of(
+    // Home refused and may take it later; otherwise there is no home to speak
+    // of.
+    const bool home_may_answer = std::ranges::any_of(
         request.candidates, [&](const UpstreamTarget& target) {
-          return target.failure_domain == config_.failure_domain;
+          return target.failure_domain == config_.failure_domain &&
+                 (request.tried.contains(target.instance) ||
+                  InBackoff(request, target.instance, now));
         });
-    if (has_home || other.empty()) return std::nullopt;
+    if (home_may_answer || other.empty()) return std::nullopt;
     return Choice{Pick(request, other, now), ChoiceReason::kSpillOver};
   }
 
--- a/src/routing/tests/flow_router_test.cc
+++ b/src/routing/tests/flow_router_test.cc
@@ -82,6 +82,22 @@
   EXPECT_EQ(Choose({"a0", "a1", "b0", "b1"}), "");
 }
 
+// Calls were refused as if there were no upstream, without a pause.
+TEST_F(AnEntryWithAPlan, KnowsHowLongAFullHomeIsToBeLeftAlone) {
+  router_.SetPlan("store", {}, now_);
+  for (const char* name : {"a0", "a1"}) {
+    for (int i = 0; i < 8; ++i) {
+      chooser_->OnCapacityRefusal(name, "short", now_);
+    }
+  }
+  EXPECT_EQ(Choose(), "");
+  const std::set<std::string> tried;
+  const auto pause =
+      chooser_->RemainingBackoff({targets_, "store", "short", tried, 0}, now_);
+  ASSERT_TRUE(pause.has_value());
+  EXPECT_GT(*pause, Duration{});
+}
+
 TEST_F(AnEntryWithAPlan, ReactsAsWithoutOneOnceItIsOutOfDate) {
   SaturateHome();
   router_.SetPlan("store", {}, now_);
