--- a/src/limits/internal/limit_terms.cc
+++ b/src/limits/internal/limit_terms.cc
@@ -25,8 +25,8 @@
   terms.rate = customer.rate_per_s / parts;
   terms.capacity = (customer.burst + overage + kSlackHeld) / parts;
   // A small customer keeps most of what it has for a few requests at once.
-  terms.tight_below = std::max(
-      0.5, std::min(terms.capacity / 4, (terms.capacity - 8) / 2));
+  terms.tight_below =
+      std::max(0.5, std::min(terms.capacity / 4, (terms.capacity - 8) / 2));
   return terms;
 }
 
