Name the sender in each message of customers' limits

Cause: the transport of the request plane names the sender only in the first message of a connection. A coordinator ignores a report without a failure domain, so that after their first report all daemons were without an answer and passed only what their safe shares allow. Change: reports and grants name the sender. Result: with a transport that names it once, as the real one does, three of eight tests of LimitsOfAMesh fail without the change; all 81 limits tests pass with it.

--- a/src/limits/internal/customer_limits.cc
+++ b/src/limits/internal/customer_limits.cc
@@ -145,6 +145,7 @@
     }
     wire::Envelope message;
     *message.mutable_limit_report() = *report;
+    NameSender(message);
     CountSent(message);
     // A report that gets lost is followed by one with the same counts.
     parts_.transport.Send(coordinator_address_, message);
@@ -263,6 +264,7 @@
 
   /// @return whether the daemon could be reached.
   bool Send(const Route& route, wire::Envelope& message) {
+    NameSender(message);
     CountSent(message);
     const std::error_code error =
         route.from.empty() ? parts_.transport.Reply(route.path, message)
@@ -270,6 +272,13 @@
     return !error;
   }
 
+  /// The transport names the sender only in a connection's first message.
+  void NameSender(wire::Envelope& message) const {
+    message.set_instance(config_.identity.instance);
+    message.set_failure_domain(config_.identity.failure_domain);
+    message.set_incarnation(config_.identity.incarnation);
+  }
+
   void CountSent(const wire::Envelope& message) {
     parts_.metrics.CounterOf("limit_sent_bytes_total", "")
         .Add(message.ByteSizeLong());
--- a/src/limits/tests/customer_limits_test.cc
+++ b/src/limits/tests/customer_limits_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 
 namespace hibiscusglade {
 namespace {
@@ -16,7 +17,8 @@
   Duration at = 1000s;
 };
 
-/// Passes messages to the limits of the daemon at an address.
+/// Passes messages to the limits of the daemon at an address. Names the sender
+/// in the first message to an address only, as transports do.
 class Wire : public PeerTransport {
  public:
   using Daemons = std::map<std::string, CustomerLimits*>;
@@ -28,9 +30,11 @@
   void SetReceiver(Receiver) override {}
   std::error_code Send(const std::string& address,
                        wire::Envelope& message) override {
-    message.set_instance(self_.instance);
-    message.set_failure_domain(self_.failure_domain);
-    message.set_incarnation(self_.incarnation);
+    if (introduced_.insert(address).second) {
+      message.set_instance(self_.instance);
+      message.set_failure_domain(self_.failure_domain);
+      message.set_incarnation(self_.incarnation);
+    }
     ++sent;
     if (!cut) daemons_.at(address)->OnPeerMessage("", address_, message, {});
     return {};
@@ -50,6 +54,7 @@
   PeerIdentity self_;
   std::string address_;
   const Daemons& daemons_;
+  std::set<std::string> introduced_;
 };
 
 /// Three daemons of failure domain x, and one of y.
--- a/src/peer/request_part.h
+++ b/src/peer/request_part.h
@@ -21,7 +21,8 @@
  public:
   virtual ~RequestPart() = default;
 
-  /// @param from instance that sent the message.
+  /// @param from address that the message came from; empty on a connection that
+  /// the sender opened.
   /// @param path to answer by.
   /// @return whether the message was one of this part's.
   virtual bool OnPeerMessage(const std::string& from, const ReturnPath& path,
