Split the control loop, the request loop and the tool by responsibility

Change: EffectWaiter holds what other threads wait for; the messages of an owner are built beside the function that reads them; commands about settings files have a file of their own. Behaviour stays.

--- a/src/control/internal/control_loop.cc
+++ b/src/control/internal/control_loop.cc
@@ -1,6 +1,5 @@
 #include "control/control_loop.h"
 
-#include <future>
 #include <thread>
 #include <utility>
 
@@ -12,6 +11,7 @@
 #include "control/internal/control_codec.h"
 #include "control/internal/control_settings.h"
 #include "control/internal/control_views.h"
+#include "control/internal/effect_waiter.h"
 #include "control/internal/follower_driver.h"
 #include "control/internal/group_client.h"
 #include "control/internal/instance_state_reporter.h"
@@ -108,19 +108,12 @@
     membership_ =
         MakeMembership(MembershipSettings(config_), config_.seed, now);
     announcements_.Start(*membership_);
-    FollowerConfig follower;
-    follower.instance = config_.identity.instance;
-    follower.failure_domain = config_.identity.failure_domain;
-    follower.replica = IsReplica(config_);
-    follower_.Start(follower, config_.seed + 1, now, ask_targets_);
+    follower_.Start(FollowerSettings(config_), config_.seed + 1, now,
+                    ask_targets_);
     if (IsReplica(config_)) {
-      Member self{{config_.identity.instance, 0},
-                  false,
-                  config_.control_address,
-                  config_.identity.failure_domain};
       std::error_code error = replica_host_.Open(
-          config_.data_folder, self, config_.replicas, config_.founds_mesh,
-          config_.serves_claims, config_.seed + 2, now);
+          config_.data_folder, OwnMember(config_), config_.replicas,
+          config_.founds_mesh, config_.serves_claims, config_.seed + 2, now);
       if (error) return error;
     }
     std::error_code error = transport_->Listen(config_.listen_address);
@@ -181,14 +174,14 @@
 
   // AnnouncementSink.
   bool Announce(const UpstreamAnnouncement& upstream) override {
-    return RunUntilInEffect(
+    return in_effect_.RunAndWait(
         [this, upstream, posted_at = clock_.Now()](LeaveRecorder::Done done) {
           announcements_.OnAnnounce(upstream, posted_at, std::move(done));
         });
   }
 
   bool Deregister(const std::string& id, int64_t started_at_ms) override {
-    return RunUntilInEffect(
+    return in_effect_.RunAndWait(
         [this, id, started_at_ms](LeaveRecorder::Done done) {
           announcements_.OnDeregister(id, started_at_ms, std::move(done));
         });
@@ -247,16 +240,9 @@
       status.mesh = config_.identity.mesh;
       status.instance = config_.identity.instance;
       status.failure_domain = config_.identity.failure_domain;
-      status.waiting_for = follower_.Follower().WaitingFor();
       status.stopping = readiness_.Stopping();
-      if (follower_.Follower().InUse() != nullptr) {
-        status.version_in_use = follower_.Follower().InUse()->number;
-        status.version_age_ms = static_cast<uint64_t>(
-            (clock_.Now() - follower_.ActivatedAt()).count() / 1000);
-        if (const auto age = follower_.Follower().Age(clock_.Now())) {
-          status.confirmed_ms_ago = static_cast<uint64_t>(age->count() / 1000);
-        }
-      }
+      SetVersionInUse(follower_.Follower(), follower_.ActivatedAt(),
+                      clock_.Now(), status);
       if (IsReplica(config_)) {
         status.replica_role = NameOf(replica_host_.Role(GroupId::kVersions));
         status.leader_address = replica_host_.LeaderAddress(GroupId::kVersions);
@@ -272,7 +258,7 @@
   std::string MetricsText() override { return metrics_.Exposition(); }
 
   bool DrainUpstream() override {
-    return RunUntilInEffect([this](const LeaveRecorder::Done& done) {
+    return in_effect_.RunAndWait([this](const LeaveRecorder::Done& done) {
       announcements_.DrainLocalUpstream();
       done(true);
     });
@@ -300,9 +286,7 @@
       follower_.OnRollouts(replica_host_.Versions().Rollouts());
       messenger_.HandleOwnMessages();
       if (std::exchange(view_changed_, false)) PublishView();
-      for (std::function<void()>& done : std::exchange(awaiting_effect_, {})) {
-        listener_.AfterUpdates(std::move(done));
-      }
+      in_effect_.OnPublished(listener_);
       ReportStart(clock_.Now());
       turns_.Report(clock_.Now() - turn_begin - wait);
     }
@@ -458,23 +442,6 @@
     replica_host_.Submit(request, now, answer);
   }
 
-  /// Runs a function on the control thread and waits until it has called what
-  /// it is given, and what it changed is in effect for requests.
-  /// @return whether it was given true, before the configured timeout.
-  bool RunUntilInEffect(std::function<void(LeaveRecorder::Done)> work) {
-    auto promise = std::make_shared<std::promise<bool>>();
-    auto future = promise->get_future();
-    executor_.Post([this, promise, work = std::move(work)] {
-      work([this, promise](bool recorded) {
-        awaiting_effect_.emplace_back(
-            [promise, recorded] { promise->set_value(recorded); });
-      });
-    });
-    return future.wait_for(config_.in_effect_timeout) ==
-               std::future_status::ready &&
-           future.get();
-  }
-
   ControlConfig config_;
   const Clock& clock_;
   Metrics& metrics_;
@@ -486,6 +453,7 @@
   ConfirmationReporter confirmations_;
   InstanceStateReporter instance_states_;
   Executor executor_;
+  EffectWaiter in_effect_{executor_, config_.in_effect_timeout};
   AskTargets ask_targets_;
   std::unique_ptr<PeerTransport> transport_;
   PeerMessenger messenger_;
@@ -496,8 +464,6 @@
   ReplicaHost replica_host_;
   RolloutDriver rollouts_;
   std::unique_ptr<Membership> membership_;
-  /// Called when the view that is published next is in effect.
-  std::vector<std::function<void()>> awaiting_effect_;
 
   Instant next_tick_;
   bool view_changed_ = false;  ///< Handled at the end of a loop iteration.
--- a/src/control/internal/control_settings.cc
+++ b/src/control/internal/control_settings.cc
@@ -40,6 +40,21 @@
   return settings;
 }
 
+FollowerConfig FollowerSettings(const ControlConfig& config) {
+  FollowerConfig follower;
+  follower.instance = config.identity.instance;
+  follower.failure_domain = config.identity.failure_domain;
+  follower.replica = IsReplica(config);
+  return follower;
+}
+
+Member OwnMember(const ControlConfig& config) {
+  return {{config.identity.instance, 0},
+          false,
+          config.control_address,
+          config.identity.failure_domain};
+}
+
 std::vector<Member> KnownReplicas(const ControlConfig& config,
                                   const std::vector<InstanceRecord>& records) {
   std::vector<Member> known;
--- a/src/control/internal/control_settings.h
+++ b/src/control/internal/control_settings.h
@@ -6,6 +6,7 @@
 
 #include "consensus/types/consensus_types.h"
 #include "control/control_loop.h"
+#include "distribution/version_follower.h"
 #include "membership/membership.h"
 #include "membership/types/instance_record.h"
 
@@ -21,6 +22,10 @@
 std::vector<std::string> SeedAddresses(const ControlConfig& config);
 
 MembershipConfig MembershipSettings(const ControlConfig& config);
+FollowerConfig FollowerSettings(const ControlConfig& config);
+
+/// @return this instance as a member of a group, without an identity.
+Member OwnMember(const ControlConfig& config);
 
 /// @return the known replicas: those that the membership lists as alive or
 /// suspected, plus those named in the settings, which are needed at the start.
--- a/src/control/internal/control_views.cc
+++ b/src/control/internal/control_views.cc
@@ -77,6 +77,18 @@
   return progress;
 }
 
+void SetVersionInUse(const VersionFollower& follower, Instant activated_at,
+                     Instant now, DaemonStatus& status) {
+  status.waiting_for = follower.WaitingFor();
+  if (follower.InUse() == nullptr) return;
+  status.version_in_use = follower.InUse()->number;
+  status.version_age_ms =
+      static_cast<uint64_t>((now - activated_at).count() / 1000);
+  if (const auto age = follower.Age(now)) {
+    status.confirmed_ms_ago = static_cast<uint64_t>(age->count() / 1000);
+  }
+}
+
 AdmissionConfig LimitsOf(const ConfigVersion& version,
                          const std::optional<UpstreamAnnouncement>& upstream) {
   AdmissionConfig limits;
--- a/src/control/internal/control_views.h
+++ b/src/control/internal/control_views.h
@@ -8,6 +8,7 @@
 
 #include "admission/admission.h"
 #include "consensus/replica.h"
+#include "distribution/version_follower.h"
 #include "membership/membership.h"
 #include "operator/operator_backend.h"
 #include "rollouts/types/rollout.h"
@@ -32,6 +33,11 @@
 std::optional<UpstreamAnnouncement> ClosedByRollout(
     std::optional<UpstreamAnnouncement> upstream, const RolloutMap& rollouts);
 
+/// Sets what a status says of the version in use, if there is one.
+/// @param activated_at when that version came into use.
+void SetVersionInUse(const VersionFollower& follower, Instant activated_at,
+                     Instant now, DaemonStatus& status);
+
 /// @return the limits that a version sets for the local upstream; without a
 /// local upstream, only the limits of the request classes.
 AdmissionConfig LimitsOf(const ConfigVersion& version,
--- a/src/ctl/internal/commands.cc
+++ b/src/ctl/internal/commands.cc
@@ -9,14 +9,12 @@
 #include <sstream>
 #include <thread>
 
-#include "base/data_folder.h"
 #include "base/settings_faults.h"
 #include "base/strict_json.h"
 #include "consensus/consensus_result_codes.h"
-#include "consensus/replica.h"
-#include "ctl/internal/api_client.h"
+#include "ctl/internal/command_context.h"
+#include "ctl/internal/settings_commands.h"
 #include "operator/operator_result_codes.h"
-#include "settings/daemon_settings.h"
 #include "versions/versions_result_codes.h"
 
 namespace hibiscusglade {
@@ -27,19 +25,6 @@
 constexpr long kHttpOk = 200;
 constexpr std::chrono::milliseconds kWatchPollInterval{200};
 
-/// Options, API client and output streams of one command.
-struct Context {
-  const CommandOptions& options;
-  ApiClient api;
-  std::ostream& out;
-  std::ostream& err;
-
-  /// @return an argument, the command being number 0; empty when absent.
-  std::string Argument(size_t index) const {
-    return index < options.arguments.size() ? options.arguments[index] : "";
-  }
-};
-
 bool IsNumber(const std::string& text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
     return c >= '0' && c <= '9';
@@ -74,13 +59,6 @@
           {"message", error.message()}};
 }
 
-/// Prints one fault; an empty pointer stands for the whole document.
-void PrintFault(std::ostream& err, const std::string& pointer,
-                const std::string& message) {
-  if (!pointer.empty()) err << pointer << ": ";
-  err << message << "\n";
-}
-
 void PrintFaults(std::ostream& err, const json& faults) {
   for (const json& fault : faults) {
     err << "  ";
@@ -120,19 +98,6 @@
   return ExitStatusOf(body.value("code", 0));
 }
 
-/// Prints the faults found in a file.
-void PrintFileFaults(const Context& context, const std::string& path,
-                     const std::vector<SettingsFault>& faults) {
-  const json rows = FaultsJson(faults);
-  for (const SettingsFault& fault : faults) {
-    context.err << path << ": ";
-    PrintFault(context.err, fault.pointer, fault.message);
-  }
-  if (context.options.json) {
-    context.out << json({{"file", path}, {"faults", rows}}).dump() << "\n";
-  }
-}
-
 /// Gets a path of the API and prints the answer: with --json as received, else
 /// by `print`.
 /// @return the exit status.
@@ -394,73 +359,6 @@
   }
 }
 
-/// Loads a settings file and prints its faults.
-SettingsLoadResult LoadAndPrint(const Context& context,
-                                const std::string& path) {
-  SettingsLoadResult load = LoadDaemonSettings(path);
-  if (load.error) PrintFileFaults(context, path, load.faults);
-  return load;
-}
-
-int CheckSettings(const Context& context) {
-  SettingsLoadResult load = LoadAndPrint(context, context.Argument(1));
-  if (load.error) return kExitInvalid;
-  if (context.options.json) {
-    PrintFileFaults(context, context.Argument(1), {});
-  } else {
-    context.out << "no faults\n";
-  }
-  return kExitOk;
-}
-
-int FoundReplicaCommand(const Context& context) {
-  SettingsLoadResult load =
-      LoadAndPrint(context, context.options.settings_file);
-  if (load.error) return kExitInvalid;
-  if (load.settings->data_folder.empty()) {
-    context.err << "the settings name no /replica/data_folder\n";
-    return kExitInvalid;
-  }
-  std::error_code error;
-  auto folder = OpenDataFolder(load.settings->data_folder, error);
-  if (!error) {
-    error =
-        FoundReplica(*folder, load.settings->instance, load.settings->replicas);
-  }
-  if (error) {
-    context.err << load.settings->data_folder << ": " << error.message() << " ("
-                << error.value() << ")\n";
-    return kExitInvalid;
-  }
-  const std::string& path = load.settings->data_folder;
-  if (context.options.json) {
-    context.out << json({{"founded", path}}).dump() << "\n";
-  } else {
-    context.out << "founded " << path << "\n";
-  }
-  return kExitOk;
-}
-
-int DescribeSettings(const Context& context) {
-  if (!context.options.json) {
-    context.out << DescribeDaemonSettings();
-    return kExitOk;
-  }
-  SettingsReader reader = SettingsReader::ForDescription();
-  ReadDaemonSettings(reader);
-  json rows = json::array();
-  for (const SettingDoc& doc : reader.Docs()) {
-    rows.push_back({{"pointer", doc.pointer},
-                    {"type", doc.type},
-                    {"unit", doc.unit},
-                    {"range", doc.range},
-                    {"default", doc.default_value},
-                    {"text", doc.text}});
-  }
-  context.out << rows.dump() << "\n";
-  return kExitOk;
-}
-
 using Command = int (*)(const Context&);
 
 const std::map<std::string, Command>& Commands() {
--- a/src/requests/internal/answer_messages.cc
+++ b/src/requests/internal/answer_messages.cc
@@ -4,6 +4,38 @@
 
 namespace hibiscusglade {
 
+wire::Envelope HeadMessage(const AttemptId& attempt, const AnswerHead& head,
+                           const LoadReport& load) {
+  wire::Envelope message;
+  wire::AnswerHead* out = message.mutable_answer_head();
+  ToWire(head, *out);
+  out->set_attempt(attempt);
+  ToWire(load, *out->mutable_load());
+  return message;
+}
+
+wire::Envelope EndMessage(const AttemptId& attempt, const AnswerEnd& end,
+                          const LoadReport& load) {
+  wire::Envelope message;
+  wire::AnswerEnd* out = message.mutable_answer_end();
+  out->set_attempt(attempt);
+  out->set_chunks(end.chunks);
+  out->set_bytes(end.bytes);
+  out->set_digest(end.digest);
+  ToWire(load, *out->mutable_load());
+  return message;
+}
+
+wire::Envelope RefusedMessage(const AttemptId& attempt, const Refusal& refusal,
+                              const LoadReport& load) {
+  wire::Envelope message;
+  wire::AnswerRefused* out = message.mutable_answer_refused();
+  ToWire(refusal, *out);
+  out->set_attempt(attempt);
+  ToWire(load, *out->mutable_load());
+  return message;
+}
+
 void PassToEntry(const wire::Envelope& message, Entry& entry, Instant now) {
   switch (message.body_case()) {
     case wire::Envelope::kAnswerHead: {
--- a/src/requests/internal/request_loop.cc
+++ b/src/requests/internal/request_loop.cc
@@ -267,11 +267,7 @@
   // EntryLink.
   void SendHead(const EntryRef& entry, const AttemptId& attempt,
                 const AnswerHead& head, const LoadReport& load) override {
-    wire::Envelope message;
-    wire::AnswerHead* out = message.mutable_answer_head();
-    ToWire(head, *out);
-    out->set_attempt(attempt);
-    ToWire(load, *out->mutable_load());
+    wire::Envelope message = HeadMessage(attempt, head, load);
     SendToEntry(entry, message);
   }
 
@@ -287,23 +283,13 @@
 
   void SendEnd(const EntryRef& entry, const AttemptId& attempt,
                const AnswerEnd& end, const LoadReport& load) override {
-    wire::Envelope message;
-    wire::AnswerEnd* out = message.mutable_answer_end();
-    out->set_attempt(attempt);
-    out->set_chunks(end.chunks);
-    out->set_bytes(end.bytes);
-    out->set_digest(end.digest);
-    ToWire(load, *out->mutable_load());
+    wire::Envelope message = EndMessage(attempt, end, load);
     SendToEntry(entry, message);
   }
 
   void SendRefused(const EntryRef& entry, const AttemptId& attempt,
                    const Refusal& refusal, const LoadReport& load) override {
-    wire::Envelope message;
-    wire::AnswerRefused* out = message.mutable_answer_refused();
-    ToWire(refusal, *out);
-    out->set_attempt(attempt);
-    ToWire(load, *out->mutable_load());
+    wire::Envelope message = RefusedMessage(attempt, refusal, load);
     SendToEntry(entry, message);
   }
 
