Choose no newcomer as the coordinator of a matter

Cause: rendezvous hashing over all daemons of a domain lets each one that starts become the coordinator. It has no version at first, so that it grants no credit, and each change makes the domain's daemons live on their safe shares.

--- a/src/routing/domain_coordinator.h
+++ b/src/routing/domain_coordinator.h
@@ -13,15 +13,17 @@
   std::string instance;
   std::string failure_domain;
   std::string request_address;
-  uint64_t incarnation = 0;
-  std::string service;  ///< Of its upstream; empty while none is known.
+  uint64_t incarnation = 0;  ///< See InstanceRecord; about its start time.
+  std::string service;       ///< Of its upstream; empty while none is known.
 
   friend bool operator==(const DomainDaemon&, const DomainDaemon&) = default;
 };
 
 /// Chooses the coordinator of a matter in a failure domain by rendezvous
 /// hashing: daemons that know the same daemons choose the same one, and one
-/// that comes or goes changes the choice for few matters.
+/// that comes or goes changes the choice for few matters. One that started long
+/// after the others is chosen only when all of these are gone: it knows little
+/// at first, and each change of the coordinator costs those that depend on it.
 /// @param daemons of one failure domain.
 /// @param matter such as "limits".
 /// @return nullptr when there is no daemon.
--- a/src/routing/tests/domain_coordinator_test.cc
+++ b/src/routing/tests/domain_coordinator_test.cc
@@ -31,6 +31,20 @@
   EXPECT_EQ(ChooseCoordinator(daemons, "limits")->instance, chosen);
 }
 
+// Guards against limits that nobody granted for seconds: in a release, a
+// newcomer that had no version yet could become a domain's coordinator.
+TEST(TheCoordinator, IsNoNewcomerWhileOthersLive) {
+  std::vector<DomainDaemon> daemons = Daemons(9);
+  for (int i = 0; i < 9; ++i) {
+    daemons.push_back({"new-" + std::to_string(i), "a", "", 20'000'000, ""});
+  }
+  for (const char* matter : {"limits", "1", "2", "3", "4", "5", "6", "7"}) {
+    EXPECT_EQ(ChooseCoordinator(daemons, matter)->incarnation, 1U) << matter;
+  }
+  daemons.erase(daemons.begin(), daemons.begin() + 9);
+  EXPECT_EQ(ChooseCoordinator(daemons, "limits")->incarnation, 20'000'000U);
+}
+
 TEST(TheCoordinator, IsNobodyWhereNoDaemonIsKnown) {
   EXPECT_EQ(ChooseCoordinator({}, "limits"), nullptr);
 }
