--- a/src/limits/tests/customer_limits_test.cc
+++ b/src/limits/tests/customer_limits_test.cc
@@ -24,7 +24,9 @@
   using Daemons = std::map<std::string, CustomerLimits*>;
 
   Wire(PeerIdentity self, std::string address, const Daemons& daemons)
-      : self_(std::move(self)), address_(std::move(address)), daemons_(daemons) {}
+      : self_(std::move(self)),
+        address_(std::move(address)),
+        daemons_(daemons) {}
 
   std::error_code Listen(const std::string&) override { return {}; }
   void SetReceiver(Receiver) override {}
--- a/src/owner/internal/waiting_jobs.cc
+++ b/src/owner/internal/waiting_jobs.cc
@@ -25,8 +25,7 @@
 
 std::vector<SlotRequestId> WaitingJobs::RefuseHeld(const std::error_code& code,
                                                    Instant after) {
-  std::vector<SlotRequestId> held =
-      jobs_.IdsAt(JobStage::kAdmitted, after);
+  std::vector<SlotRequestId> held = jobs_.IdsAt(JobStage::kAdmitted, after);
   // All at once, so that none starts when one before it is removed.
   for (SlotRequestId id : held) gate_.Remove(id);
   for (SlotRequestId id : held) closer_.RefuseNotRun(id, code);
