Name a message's sender in one place

Cause: both transports, the parts of the request plane, customers' limits and the driver of rollouts each set instance, failure domain and incarnation of a message; limits had been given theirs as a copy when reports without a sender were ignored. Change: NameSender() in src/peer does it for all five. Messages of a part of the request plane now hold the incarnation, too, and reports of rollouts to this daemon itself the failure domain.

--- a/src/control/internal/rollout_driver.cc
+++ b/src/control/internal/rollout_driver.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "peer/sender_name.h"
 #include "rollouts/rollout_codec.h"
 #include "wire/storage.pb.h"
 
@@ -67,9 +68,7 @@
                                tally_->Local()};
     wire::Envelope message;
     ToWire(report, *message.mutable_rollout_report());
-    // One for this daemon itself passes no transport that would name it.
-    message.set_instance(instance_);
-    message.set_incarnation(incarnation_);
+    NameSender(self_, message);
     for (const std::string& replica : replicas_) {
       messenger_.SendOrDeliver(replica, message);
     }
--- a/src/control/internal/rollout_driver.h
+++ b/src/control/internal/rollout_driver.h
@@ -27,8 +27,7 @@
   RolloutDriver(const PeerIdentity& self, const Clock& clock, Metrics& metrics,
                 RolloutTally* tally, PeerMessenger& messenger,
                 GroupClient& group_client)
-      : instance_(self.instance),
-        incarnation_(self.incarnation),
+      : self_(self),
         clock_(clock),
         metrics_(metrics),
         tally_(tally),
@@ -61,8 +60,7 @@
 
   void Submit(const Rollout& next);
 
-  std::string instance_;
-  uint64_t incarnation_;
+  PeerIdentity self_;
   const Clock& clock_;
   Metrics& metrics_;
   RolloutTally* tally_;
--- a/src/limits/internal/customer_limits.cc
+++ b/src/limits/internal/customer_limits.cc
@@ -8,6 +8,7 @@
 #include "limits/internal/limit_coordinator.h"
 #include "limits/internal/limit_holder.h"
 #include "limits/internal/limit_terms.h"
+#include "peer/sender_name.h"
 
 namespace hibiscusglade {
 namespace {
@@ -145,7 +146,7 @@
     }
     wire::Envelope message;
     *message.mutable_limit_report() = *report;
-    NameSender(message);
+    NameSender(config_.identity, message);
     CountSent(message);
     // A report that gets lost is followed by one with the same counts.
     parts_.transport.Send(coordinator_address_, message);
@@ -264,7 +265,7 @@
 
   /// @return whether the daemon could be reached.
   bool Send(const Route& route, wire::Envelope& message) {
-    NameSender(message);
+    NameSender(config_.identity, message);
     CountSent(message);
     const std::error_code error =
         route.from.empty() ? parts_.transport.Reply(route.path, message)
@@ -272,13 +273,6 @@
     return !error;
   }
 
-  /// The transport names the sender only in a connection's first message.
-  void NameSender(wire::Envelope& message) const {
-    message.set_instance(config_.identity.instance);
-    message.set_failure_domain(config_.identity.failure_domain);
-    message.set_incarnation(config_.identity.incarnation);
-  }
-
   void CountSent(const wire::Envelope& message) {
     parts_.metrics.CounterOf("limit_sent_bytes_total", "")
         .Add(message.ByteSizeLong());
--- a/src/peer/internal/tcp_transport.cc
+++ b/src/peer/internal/tcp_transport.cc
@@ -17,6 +17,7 @@
 #include "peer/internal/wire_version.h"
 #include "peer/peer_result_codes.h"
 #include "peer/peer_transport.h"
+#include "peer/sender_name.h"
 #include "wire/peer.pb.h"
 
 namespace hibiscusglade {
@@ -234,9 +235,7 @@
       connection.introduction_sent = true;
       message.set_mesh(mesh_digest_);
       message.set_wire_version(kWireVersion);
-      message.set_instance(identity_.instance);
-      message.set_failure_domain(identity_.failure_domain);
-      message.set_incarnation(identity_.incarnation);
+      NameSender(identity_, message);
     }
     const bool was_empty = connection.send_buffer.empty();
     const auto length = static_cast<uint32_t>(message.ByteSizeLong());
--- a/src/peer/internal/zmq_transport.cc
+++ b/src/peer/internal/zmq_transport.cc
@@ -8,6 +8,7 @@
 #include "peer/internal/wire_version.h"
 #include "peer/peer_result_codes.h"
 #include "peer/peer_transport.h"
+#include "peer/sender_name.h"
 #include "wire/peer.pb.h"
 
 namespace hibiscusglade {
@@ -179,9 +180,7 @@
   std::string FillAndSerialize(wire::Envelope& message) const {
     message.set_mesh(mesh_digest_);
     message.set_wire_version(kWireVersion);
-    message.set_instance(identity_.instance);
-    message.set_failure_domain(identity_.failure_domain);
-    message.set_incarnation(identity_.incarnation);
+    NameSender(identity_, message);
     return message.SerializeAsString();
   }
 
--- a/src/requests/internal/request_parts.cc
+++ b/src/requests/internal/request_parts.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "peer/sender_name.h"
 #include "wire/peer.pb.h"
 
 namespace hibiscusglade {
@@ -40,9 +41,7 @@
 }
 
 void RequestParts::Send(const std::string& address, wire::Envelope& message) {
-  // The transport names the sender only in a connection's first message.
-  message.set_instance(identity_.instance);
-  message.set_failure_domain(identity_.failure_domain);
+  NameSender(identity_, message);
   if (address != own_address_) {
     // The transport counts what it can't send; parts repeat what matters.
     transport_.Send(address, message);
