Let tests with processes wait for each other's addresses

Cause: customers_limits_test took network 97, which paused_owner_test and stop_grace_test had already; 95 and 96 have two tests each, too. Run at the same time they use each other's meshes. Seen in a run of the whole script, beside a run of customers_limits_test by hand: RunsNothingWhoseTimeHasPassed failed with "Address already in use". Change: a mesh locks its network until its program ends, also against other checkouts; customers_limits_test has a network of its own.

--- a/tests/harness/mesh.cc
+++ b/tests/harness/mesh.cc
@@ -46,7 +46,8 @@
 };
 
 Mesh::Mesh(int network, std::vector<InstanceSpec> instances)
-    : network_(network) {
+    : network_(network),
+      lock_(std::to_string(network) + "-" + std::to_string(FirstSubnet())) {
   folder_ = std::filesystem::temp_directory_path() /
             ("hibiscusglade-" + std::to_string(getpid()) + "-" +
              std::to_string(network));
--- a/tests/harness/mesh.h
+++ b/tests/harness/mesh.h
@@ -11,6 +11,7 @@
 
 #include "tests/harness/child_process.h"
 #include "tests/harness/http_client.h"
+#include "tests/harness/network_lock.h"
 #include "tests/harness/relay.h"
 
 namespace hibiscusglade {
@@ -30,8 +31,9 @@
 /// an IP address of its own; all traffic between daemons goes through a relay.
 class Mesh {
  public:
-  /// @param network 1 to 250, different for meshes that run at the same time;
-  /// addresses are 127.NETWORK.x.y.
+  /// Waits for other programs that use the same network.
+  /// @param network 1 to 250, different for meshes of one program that run at
+  /// the same time; addresses are 127.NETWORK.x.y.
   Mesh(int network, std::vector<InstanceSpec> instances);
   ~Mesh();
 
@@ -94,6 +96,7 @@
   const Instance& InstanceNamed(const std::string& name) const;
 
   int network_;
+  NetworkLock lock_;
   std::string folder_;
   std::vector<std::unique_ptr<Instance>> instances_;
   Relay relay_;
--- a/tests/processes/customers_limits_test.cc
+++ b/tests/processes/customers_limits_test.cc
@@ -30,7 +30,7 @@
 class ALimitedMesh : public testing::Test {
  protected:
   ALimitedMesh()
-      : mesh_(97, {{"x", "a", "orders", 6, true, {}, kDomains},
+      : mesh_(144, {{"x", "a", "orders", 6, true, {}, kDomains},
                    {"y", "a", "orders", 6, false, {}, kDomains},
                    {"w", "a", "orders", 6, false, {}, kDomains},
                    {"z", "b", "orders", 6, false, {}, kDomains}}) {
