--- a/tests/processes/customers_limits_test.cc
+++ b/tests/processes/customers_limits_test.cc
@@ -31,9 +31,9 @@
  protected:
   ALimitedMesh()
       : mesh_(144, {{"x", "a", "orders", 6, true, {}, kDomains},
-                   {"y", "a", "orders", 6, false, {}, kDomains},
-                   {"w", "a", "orders", 6, false, {}, kDomains},
-                   {"z", "b", "orders", 6, false, {}, kDomains}}) {
+                    {"y", "a", "orders", 6, false, {}, kDomains},
+                    {"w", "a", "orders", 6, false, {}, kDomains},
+                    {"z", "b", "orders", 6, false, {}, kDomains}}) {
     mesh_.Start();
   }
 
