Show that a replaced core machine and a lost disk stop the group for good

Cause: a core machine that is removed stays a voter until it has been silent for 4 s, while its successor is a voter already. A replica that loses its disk in that time leaves two of four voters, and is let in by a leader only. Change: a script for the review, with stand-ins of servers, requesters, the operator and the platform, built by review/build-2.sh.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the second review's scripts.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+g++ -std=c++20 -O2 -Wall -Wextra -Werror -pthread -I. -o target/review-2/cases \
+  review/second/cases.cc review/second/deployment.cc review/second/net.cc
