--- a/review/second/cases.cc
+++ b/review/second/cases.cc
@@ -475,8 +475,9 @@
   return broken() >= 2 ? kBroken : kHeld;
 }
 
-/// Rule QUOTA: runs of a tenant's requests in a window.
-int LoweredLimit(const Context& context) {
+/// Rule QUOTA: runs of a tenant's requests in a window, while its limit is
+/// lowered, or around a loss of all processes.
+int Quota(const Context& context, bool lowered) {
   constexpr int64_t kWindowMs = 5000;
   constexpr Tenant kBefore{60, 100};
   constexpr Tenant kAfter{59, 100};
@@ -504,26 +505,34 @@
   std::vector<std::thread> requesters;
   for (const Machine& machine : deployment.Sidecars()) {
     requesters.emplace_back([&, ip = machine.ip] {
-      const int descriptor =
-          ConnectTo(ip, deployment.PortNumbers().outbound, 1000);
+      int descriptor = ConnectTo(ip, deployment.PortNumbers().outbound, 1000);
       Stream stream(descriptor);
       while (!stop) {
         const std::string id = ip + "-" + std::to_string(sent++);
         const std::string head =
             HeadOf(id, kTimeoutMs) + "Authorization: Bearer key-1\r\n";
-        SendAll(descriptor, RequestText("GET /shop/" + id, head, ""));
-        if (!stream.Read(NowMs() + kTimeoutMs + 500).has_value()) break;
+        if (descriptor >= 0) {
+          SendAll(descriptor, RequestText("GET /shop/" + id, head, ""));
+        }
+        if (descriptor < 0 ||
+            !stream.Read(NowMs() + kTimeoutMs + 500).has_value()) {
+          close(descriptor);
+          descriptor = ConnectTo(ip, deployment.PortNumbers().outbound, 200);
+          stream = Stream(descriptor);
+        }
         SleepMs(kPauseMs);
       }
       close(descriptor);
     });
   }
   SleepMs(2000);
-  if (context.trouble) {
+  if (context.trouble && lowered) {
     config.version = 2;
     config.base_version = 1;
     config.tenant = kAfter;
     deployment.SendConfig(TextOf(config));
+  } else if (context.trouble) {
+    if (!deployment.RestartAll(300)) return kCouldNotRun;
   }
   SleepMs(4000);
   stop = true;
@@ -630,7 +639,8 @@
   if (name == "leaving-server") return LeavingServer(context);
   if (name == "repeats") return Repeats(context);
   if (name == "uploads") return Uploads(context);
-  if (name == "lowered-limit") return LoweredLimit(context);
+  if (name == "lowered-limit") return Quota(context, true);
+  if (name == "forgotten-use") return Quota(context, false);
   if (name == "unknown-service") return UnknownService(context);
   if (name == "slow-heads") return SlowHeads(context);
   return kCouldNotRun;
--- a/review/second/deployment.cc
+++ b/review/second/deployment.cc
@@ -118,6 +118,26 @@
   record_.Line("the daemon of " + machine.ip + " was killed");
 }
 
+bool Deployment::RestartAll(int64_t down_ms) {
+  record_.Line("all daemons are killed");
+  for (std::vector<Machine>* machines : {&core_, &sidecars_}) {
+    for (Machine& machine : *machines) kill(machine.process, SIGKILL);
+  }
+  for (std::vector<Machine>* machines : {&core_, &sidecars_}) {
+    for (Machine& machine : *machines) {
+      EndProcess(std::exchange(machine.process, -1));
+      machine.first_start = false;
+    }
+  }
+  SleepMs(down_ms);
+  for (std::vector<Machine>* machines : {&core_, &sidecars_}) {
+    for (Machine& machine : *machines) {
+      if (!Begin(machine)) return false;
+    }
+  }
+  return true;
+}
+
 uint64_t Deployment::RestartThoseAbove(uint64_t max_bytes) {
   const auto page = static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
   uint64_t most = 0;
--- a/review/second/deployment.h
+++ b/review/second/deployment.h
@@ -63,6 +63,9 @@
   /// @return the most that one has used, in bytes.
   uint64_t RestartThoseAbove(uint64_t max_bytes);
 
+  /// Kills all daemons at one moment and starts them again.
+  bool RestartAll(int64_t down_ms);
+
   /// Starts a daemon again at its address, with an empty disk.
   bool RestartWithoutDisk(Machine& machine);
   const Ports& PortNumbers() const { return ports_; }
