Choose the stand-ins' ports below those that systems give out

Cause: a port of a stand-in could be in use by an outgoing connection of a daemon at the same address. Change: ports from 20,000 to 32,006.

--- a/review/second/deployment.cc
+++ b/review/second/deployment.cc
@@ -54,7 +54,7 @@
   // Addresses of its own, so that other programs' ports don't matter.
   net_ = "127." + std::to_string(20 + device() % 200) + "." +
          std::to_string(1 + device() % 250) + ".";
-  const auto base = static_cast<uint16_t>(20000 + device() % 20000);
+  const auto base = static_cast<uint16_t>(20000 + device() % 12000);
   ports_ = {base,
             static_cast<uint16_t>(base + 2),
             static_cast<uint16_t>(base + 3),
