--- a/review/second/cases.cc
+++ b/review/6/cases.cc
@@ -17,8 +17,8 @@
 #include <thread>
 #include <vector>
 
-#include "review/second/deployment.h"
-#include "review/second/net.h"
+#include "review/6/deployment.h"
+#include "review/6/net.h"
 
 namespace hibiscusglade::review {
 namespace {
@@ -35,31 +35,16 @@
   bool trouble = true;
 };
 
-/// A tenant's allotment; a rate of 0: there are no tenants.
-struct Tenant {
-  int rate_per_s = 0;
-  int burst = 0;
-};
-
 /// The routes of a configuration, each row as JSON, and what may be left out.
 struct Config {
   int version = 0;
   int base_version = 0;
   std::string route_rows;
   std::string services = "[[\"svc\",\"/health\",130,\"h1\",false]]";
-  Tenant tenant = {};
   int max_header_bytes = 16384;
 };
 
 std::string TextOf(const Config& config) {
-  std::string tenants;
-  if (config.tenant.rate_per_s > 0) {
-    tenants =
-        ",\"tenants\":{\"columns\":[\"name\",\"api_keys\",\"priority\","
-        "\"rate_per_s\",\"burst\"],\"rows\":[[\"agency\",[\"key-1\"],1," +
-        std::to_string(config.tenant.rate_per_s) + "," +
-        std::to_string(config.tenant.burst) + "]]}";
-  }
   return "{\"version\":" + std::to_string(config.version) +
          ",\"routes\":{\"columns\":[\"name\",\"hostname\",\"path_prefix\","
          "\"route_type\",\"timeout_ms\",\"target_latency_ms\",\"priority\","
@@ -71,8 +56,7 @@
          std::to_string(config.max_header_bytes) +
          ",\"max_body_bytes\":67108864,\"header_timeout_ms\":3000,"
          "\"idle_timeout_ms\":15000}" +
-         tenants + ",\"base_version\":" + std::to_string(config.base_version) +
-         "}";
+         ",\"base_version\":" + std::to_string(config.base_version) + "}";
 }
 
 /// A safe route to the service `svc`.
@@ -115,99 +99,6 @@
   return true;
 }
 
-/// Rule DRAIN: a request reaches a server later than drain_ms after its leave
-/// was acknowledged.
-int LeavingServer(const Context& context) {
-  constexpr int64_t kDrainMs = 2000;
-  constexpr int64_t kWorkMs = 2500;
-  constexpr int kTimeoutMs = 4000;
-  constexpr int kWarmOnes = 8;
-  Deployment deployment(context.daemon, context.folder, {"svc", "front"},
-                        context.record);
-  Server leaving("i-1", deployment.Sidecars()[0], deployment.PortNumbers(),
-                 context.record);
-  Server front("i-2", deployment.Sidecars()[1], deployment.PortNumbers(),
-               context.record);
-  std::mutex mutex;
-  std::map<std::string, std::vector<int64_t>> arrivals;
-  const auto is_long = [](const Message& request) {
-    return request.first_line.find("/long") != std::string::npos;
-  };
-  leaving.on_run = [&](const Message& request) {
-    const std::lock_guard lock(mutex);
-    arrivals[request.Field("attempt-id")].push_back(NowMs());
-  };
-  leaving.work = [&](const Message& request) {
-    return is_long(request) ? kWorkMs : int64_t{50};
-  };
-  leaving.ending = [&](const Message& request) {
-    const std::lock_guard lock(mutex);
-    const bool first = arrivals[request.Field("attempt-id")].size() == 1;
-    return context.trouble && is_long(request) && first ? Outcome::kReset
-                                                        : Outcome::kAnswer;
-  };
-  Config config{1, 0, SafeRoute("shop", kTimeoutMs, 2)};
-  config.services =
-      "[[\"svc\",\"/health\",130,\"h1\",false],"
-      "[\"front\",\"/health\",130,\"h1\",false]]";
-  if (!deployment.Start() || !leaving.Start() || !front.Start()) {
-    return kCouldNotRun;
-  }
-  SleepMs(3000);
-  if (deployment.SendConfig(TextOf(config)) != 200 ||
-      !deployment.WaitUntilReady(10'000)) {
-    return kCouldNotRun;
-  }
-  SleepMs(3000);
-  const auto send = [&](const std::string& id, const std::string& path) {
-    const Message answer =
-        Call(deployment.Sidecars()[1].ip, deployment.PortNumbers().outbound,
-             RequestText("GET /shop/" + path, HeadOf(id, kTimeoutMs), ""),
-             kTimeoutMs + 1000);
-    context.record.Line("the requester gets " +
-                        std::to_string(answer.Status()) + " for " + id);
-    return answer.Status();
-  };
-  // Requests before it, so that connections to the server are kept open.
-  std::vector<std::thread> requesters;
-  std::atomic<int> warmed{0};
-  for (int i = 0; i < kWarmOnes; ++i) {
-    requesters.emplace_back([&, i] {
-      if (send("warm-" + std::to_string(i), "short") == 200) ++warmed;
-    });
-  }
-  for (std::thread& requester : requesters) requester.join();
-  requesters.clear();
-  if (warmed != kWarmOnes) return kCouldNotRun;
-  constexpr int kLongOnes = 3;
-  for (int i = 0; i < kLongOnes; ++i) {
-    requesters.emplace_back(
-        [&, i] { send("long-" + std::to_string(i), "long"); });
-  }
-  SleepMs(200);
-  const bool acknowledged = leaving.CheckIn("draining");
-  const int64_t acknowledged_ms = NowMs();
-  context.record.Line(acknowledged ? "the leave of i-1 is acknowledged"
-                                   : "the leave of i-1 is not acknowledged");
-  for (std::thread& requester : requesters) requester.join();
-  if (!acknowledged) return kCouldNotRun;
-  SleepMs(500);
-  const std::lock_guard lock(mutex);
-  int late = 0;
-  for (const auto& [id, times] : arrivals) {
-    for (const int64_t at : times) {
-      if (at <= acknowledged_ms + kDrainMs) continue;
-      ++late;
-      context.record.Line(id + " reached i-1 " +
-                          std::to_string(at - acknowledged_ms) +
-                          " ms after its leave was acknowledged");
-    }
-  }
-  context.record.Line(std::to_string(late) +
-                      " requests reached the server later than drain_ms");
-  return late > 0 ? kBroken : kHeld;
-}
-
 /// Rule CONFIG: after the planned replacement of a core machine and the loss of
 /// another one's disk, the configuration can't be read any more.
 int ReplacedCore(const Context& context) {
@@ -475,112 +366,6 @@
   return broken() >= 2 ? kBroken : kHeld;
 }
 
-/// Rule QUOTA: runs of a tenant's requests in a window, while its limit is
-/// lowered, or around a loss of all processes.
-int Quota(const Context& context, bool lowered) {
-  constexpr int64_t kWindowMs = 5000;
-  constexpr Tenant kBefore{60, 100};
-  constexpr Tenant kAfter{59, 100};
-  constexpr int kTimeoutMs = 1000;
-  constexpr int kPauseMs = 10;
-  constexpr double kOverage = 0.1;
-  constexpr double kSlack = 20;
-  Deployment deployment(context.daemon, context.folder, {"svc", "svc", "svc"},
-                        context.record);
-  auto servers = ServersOf(deployment, context.record);
-  std::mutex mutex;
-  std::vector<int64_t> runs;
-  for (const auto& server : servers) {
-    server->logs_runs = false;
-    server->on_run = [&](const Message&) {
-      const std::lock_guard lock(mutex);
-      runs.push_back(NowMs());
-    };
-  }
-  Config config{1, 0, SafeRoute("shop", kTimeoutMs, 2)};
-  config.tenant = kBefore;
-  if (!Begin(deployment, config, servers)) return kCouldNotRun;
-  std::atomic<bool> stop{false};
-  std::atomic<int> sent{0};
-  std::vector<std::thread> requesters;
-  for (const Machine& machine : deployment.Sidecars()) {
-    requesters.emplace_back([&, ip = machine.ip] {
-      int descriptor = ConnectTo(ip, deployment.PortNumbers().outbound, 1000);
-      Stream stream(descriptor);
-      while (!stop) {
-        const std::string id = ip + "-" + std::to_string(sent++);
-        const std::string head =
-            HeadOf(id, kTimeoutMs) + "Authorization: Bearer key-1\r\n";
-        if (descriptor >= 0) {
-          SendAll(descriptor, RequestText("GET /shop/" + id, head, ""));
-        }
-        if (descriptor < 0 ||
-            !stream.Read(NowMs() + kTimeoutMs + 500).has_value()) {
-          close(descriptor);
-          descriptor = ConnectTo(ip, deployment.PortNumbers().outbound, 200);
-          stream = Stream(descriptor);
-        }
-        SleepMs(kPauseMs);
-      }
-      close(descriptor);
-    });
-  }
-  SleepMs(2000);
-  if (context.trouble && lowered) {
-    config.version = 2;
-    config.base_version = 1;
-    config.tenant = kAfter;
-    deployment.SendConfig(TextOf(config));
-  } else if (context.trouble) {
-    if (!deployment.RestartAll(300)) return kCouldNotRun;
-  }
-  SleepMs(4000);
-  stop = true;
-  for (std::thread& requester : requesters) requester.join();
-  const std::lock_guard lock(mutex);
-  std::sort(runs.begin(), runs.end());
-  size_t most = 0;
-  int64_t most_at = 0;
-  for (size_t first = 0, last = 0; first < runs.size(); ++first) {
-    while (last < runs.size() && runs[last] < runs[first] + kWindowMs) ++last;
-    if (last - first > most) {
-      most = last - first;
-      most_at = runs[first];
-    }
-  }
-  const double allowed =
-      (kBefore.rate_per_s * kWindowMs / 1000.0 + kBefore.burst) *
-          (1 + kOverage) +
-      kSlack;
-  context.record.Line(std::to_string(sent) + " requests sent; at most " +
-                      std::to_string(most) + " of them ran within 5 s, from " +
-                      std::to_string(most_at) + " ms; " +
-                      std::to_string(static_cast<int>(allowed)) +
-                      " allowed by the higher of the two limits");
-  return static_cast<double>(most) > allowed ? kBroken : kHeld;
-}
-
-/// Rule CONFIG: an invalid configuration is acknowledged.
-int UnknownService(const Context& context) {
-  Deployment deployment(context.daemon, context.folder, {"svc", "svc", "svc"},
-                        context.record);
-  auto servers = ServersOf(deployment, context.record);
-  Config config{1, 0, SafeRoute("shop", 1000, 2)};
-  if (!Begin(deployment, config, servers)) return kCouldNotRun;
-  config.version = 2;
-  config.base_version = 1;
-  const std::string named = context.trouble ? "\"ghost\"" : "null";
-  config.route_rows = "[\"r-shop\",\"" + std::string(kHost) +
-                      "\",\"/shop/\",\"safe\",1000,500,1,"
-                      "[{\"service\":\"svc\",\"weight\":100}],2," +
-                      named + "]";
-  const int status = deployment.SendConfig(TextOf(config));
-  if (!context.trouble) return status == 200 ? kHeld : kCouldNotRun;
-  const Message read = deployment.ReadConfig(deployment.Core().front());
-  context.record.Line("read back: " + read.body);
-  return status == 200 ? kBroken : kHeld;
-}
-
 /// Rule DENIED: proper requests end with a 4xx of the system's own.
 int SlowHeads(const Context& context) {
   constexpr int kRequests = 30;
@@ -636,12 +421,8 @@
 int RunCase(const std::string& name, const Context& context) {
   if (name == "replaced-core") return ReplacedCore(context);
   if (name == "stop") return Stop(context);
-  if (name == "leaving-server") return LeavingServer(context);
   if (name == "repeats") return Repeats(context);
   if (name == "uploads") return Uploads(context);
-  if (name == "lowered-limit") return Quota(context, true);
-  if (name == "forgotten-use") return Quota(context, false);
-  if (name == "unknown-service") return UnknownService(context);
   if (name == "slow-heads") return SlowHeads(context);
   return kCouldNotRun;
 }
--- a/review/second/deployment.cc
+++ b/review/6/deployment.cc
@@ -1,4 +1,4 @@
-#include "review/second/deployment.h"
+#include "review/6/deployment.h"
 
 #include <fcntl.h>
 #include <poll.h>
@@ -118,26 +118,6 @@
   record_.Line("the daemon of " + machine.ip + " was killed");
 }
 
-bool Deployment::RestartAll(int64_t down_ms) {
-  record_.Line("all daemons are killed");
-  for (std::vector<Machine>* machines : {&core_, &sidecars_}) {
-    for (Machine& machine : *machines) kill(machine.process, SIGKILL);
-  }
-  for (std::vector<Machine>* machines : {&core_, &sidecars_}) {
-    for (Machine& machine : *machines) {
-      EndProcess(std::exchange(machine.process, -1));
-      machine.first_start = false;
-    }
-  }
-  SleepMs(down_ms);
-  for (std::vector<Machine>* machines : {&core_, &sidecars_}) {
-    for (Machine& machine : *machines) {
-      if (!Begin(machine)) return false;
-    }
-  }
-  return true;
-}
-
 uint64_t Deployment::RestartThoseAbove(uint64_t max_bytes) {
   const auto page = static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
   uint64_t most = 0;
@@ -287,21 +267,19 @@
   return true;
 }
 
-bool Server::CheckIn(const std::string& state) {
-  draining_ = state == "draining";
+void Server::CheckIn() {
   const std::string address = machine_.ip + ":" + std::to_string(ports_.app);
   const std::string body =
       "{\"service\":" + Quoted(machine_.service) +
       ",\"address\":" + Quoted(address) + ",\"zone\":" + Quoted(machine_.zone) +
-      ",\"version\":\"v1\",\"slots\":13,\"state\":" + Quoted(state) +
-      ",\"cold_remaining_ms\":0,\"sequence\":" + std::to_string(++sequence_) +
-      ",\"born\":" + std::to_string(born_ms_) + "}";
-  const Message answer = Call(
-      machine_.ip, ports_.control,
-      RequestText("POST /-/instances/" + id_ + "/heartbeat",
-                  "Host: control\r\nContent-Type: application/json\r\n", body),
-      kCheckInTimeoutMs);
-  return answer.Status() == 200;
+      ",\"version\":\"v1\",\"slots\":13,\"state\":\"ready\""
+      ",\"cold_remaining_ms\":0,\"sequence\":" +
+      std::to_string(++sequence_) + ",\"born\":" + std::to_string(born_ms_) +
+      "}";
+  Call(machine_.ip, ports_.control,
+       RequestText("POST /-/instances/" + id_ + "/heartbeat",
+                   "Host: control\r\nContent-Type: application/json\r\n", body),
+       kCheckInTimeoutMs);
 }
 
 void Server::Beat() {
@@ -309,7 +287,7 @@
   while (!stopping_) {
     if (NowMs() >= next) {
       next = NowMs() + kBeatMs;
-      CheckIn(draining_ ? "draining" : "ready");
+      CheckIn();
     }
     SleepMs(20);
   }
@@ -355,11 +333,9 @@
             "\r\nAttempt-Id: " + attempt + "\r\nInstance-Id: " + id_ +
             "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
   }
-  if (logs_runs) {
-    record_.Line("server " + id_ + " begins " + attempt + " (" +
-                 request.first_line + ", Timeout-Ms " +
-                 request.Field("timeout-ms") + ")");
-  }
+  record_.Line("server " + id_ + " begins " + attempt + " (" +
+               request.first_line + ", Timeout-Ms " +
+               request.Field("timeout-ms") + ")");
   on_run(request);
   SleepMs(work(request));
   if (ending(request) == Outcome::kReset) {
--- a/review/second/deployment.h
+++ b/review/6/deployment.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_REVIEW_SECOND_DEPLOYMENT_H_
-#define HIBISCUSGLADE_REVIEW_SECOND_DEPLOYMENT_H_
+#ifndef HIBISCUSGLADE_REVIEW_6_DEPLOYMENT_H_
+#define HIBISCUSGLADE_REVIEW_6_DEPLOYMENT_H_
 
 #include <sys/types.h>
 
@@ -10,7 +10,7 @@
 #include <thread>
 #include <vector>
 
-#include "review/second/net.h"
+#include "review/6/net.h"
 
 namespace hibiscusglade::review {
 
@@ -63,9 +63,6 @@
   /// @return the most that one has used, in bytes.
   uint64_t RestartThoseAbove(uint64_t max_bytes);
 
-  /// Kills all daemons at one moment and starts them again.
-  bool RestartAll(int64_t down_ms);
-
   /// Starts a daemon again at its address, with an empty disk.
   bool RestartWithoutDisk(Machine& machine);
   const Ports& PortNumbers() const { return ports_; }
@@ -117,18 +114,14 @@
   Work work = [](const Message&) { return 1; };
   Ending ending = [](const Message&) { return Outcome::kAnswer; };
   std::function<void(const Message&)> on_run = [](const Message&) {};
-  bool logs_runs = true;
 
   bool Start();
 
-  /// Says that it is `ready` or `draining`.
-  /// @return whether that was acknowledged.
-  bool CheckIn(const std::string& state);
-
  private:
   void Accept();
   void Serve(int descriptor);
   bool Answer(int descriptor, const Message& request);
+  void CheckIn();
   void Beat();
 
   std::string id_;
@@ -137,7 +130,6 @@
   Record& record_;
   int64_t born_ms_;
   std::atomic<int> sequence_{0};
-  std::atomic<bool> draining_{false};
   std::atomic<bool> stopping_{false};
   int listener_ = -1;
   std::vector<std::thread> threads_;
@@ -145,4 +137,4 @@
 
 }  // namespace hibiscusglade::review
 
-#endif  // HIBISCUSGLADE_REVIEW_SECOND_DEPLOYMENT_H_
+#endif  // HIBISCUSGLADE_REVIEW_6_DEPLOYMENT_H_
--- a/review/second/net.cc
+++ b/review/6/net.cc
@@ -1,4 +1,4 @@
-#include "review/second/net.h"
+#include "review/6/net.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/second/net.h
+++ b/review/6/net.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_REVIEW_SECOND_NET_H_
-#define HIBISCUSGLADE_REVIEW_SECOND_NET_H_
+#ifndef HIBISCUSGLADE_REVIEW_6_NET_H_
+#define HIBISCUSGLADE_REVIEW_6_NET_H_
 
 #include <cstdint>
 #include <map>
@@ -76,4 +76,4 @@
 
 }  // namespace hibiscusglade::review
 
-#endif  // HIBISCUSGLADE_REVIEW_SECOND_NET_H_
+#endif  // HIBISCUSGLADE_REVIEW_6_NET_H_
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 g++ -std=c++20 -O2 -Wall -Wextra -Werror -pthread -I. -o target/review-2/cases \
-  review/second/cases.cc review/second/deployment.cc review/second/net.cc
+  review/6/cases.cc review/6/deployment.cc review/6/net.cc
