--- a/review/stand-ins-3/installation.h
+++ b/review/stand-ins-3/installation.h
@@ -30,22 +30,32 @@
 inline constexpr int kInternalPort = 7620;
 inline constexpr int kLastInternalPort = 7635;
 
-/// What was sent, answered and run; one line each.
+/// What was sent, answered and run; one line each. Several processes may add
+/// lines to one file.
 class Record {
  public:
-  explicit Record(const std::string& path) : out_(path), began_(Clock::now()) {}
+  Record(const std::string& path, Clock::time_point began)
+      : file_(open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                   0644)),
+        began_(began) {}
+  /// Begins a new file.
+  explicit Record(const std::string& path) : Record(path, Clock::now()) {
+    if (ftruncate(file_.Fd(), 0) != 0) file_.Close();
+  }
 
-  void Line(const std::string& text) {
+  void Line(const std::string& text) const {
     const auto at =
         std::chrono::duration_cast<milliseconds>(Clock::now() - began_);
-    const std::lock_guard<std::mutex> lock(mutex_);
-    out_ << at.count() << " ms  " << text << std::endl;
+    const std::string line = std::to_string(at.count()) + " ms  " + text + "\n";
+    [[maybe_unused]] const ssize_t written =
+        write(file_.Fd(), line.data(), line.size());
   }
 
+  Clock::time_point Began() const { return began_; }
+
  private:
-  std::ofstream out_;
+  Socket file_;
   Clock::time_point began_;
-  std::mutex mutex_;
 };
 
 /// What a server does with a request.
@@ -68,14 +78,14 @@
   using Handler = std::function<Reaction(const Message&)>;
 
   Server(std::string ip, std::string zone, std::string service, int slots,
-         Handler handler, Record& record)
+         Handler handler, Record& record, const std::string& id_end = "")
       : ip_(std::move(ip)),
         zone_(std::move(zone)),
         service_(std::move(service)),
         slots_(slots),
         handler_(std::move(handler)),
         record_(record),
-        id_("i-" + service_ + "-" + ip_.substr(ip_.rfind('.') + 1)),
+        id_("i-" + service_ + "-" + ip_.substr(ip_.rfind('.') + 1) + id_end),
         born_(std::chrono::duration_cast<milliseconds>(
                   std::chrono::system_clock::now().time_since_epoch())
                   .count()),
@@ -200,8 +210,11 @@
 /// command of the deploy file, with the settings that its template gives.
 class Installation {
  public:
-  Installation(std::string program, std::string folder)
-      : program_(std::move(program)), folder_(std::move(folder)) {
+  Installation(std::string program, std::string folder,
+               std::string link_mbps = "1000.0")
+      : program_(std::move(program)),
+        folder_(std::move(folder)),
+        link_mbps_(std::move(link_mbps)) {
     const auto salt = static_cast<unsigned>(getpid());
     for (unsigned i = 0; i < 200; ++i) {
       const unsigned number = salt + i * 7919;
@@ -317,9 +330,8 @@
              << ",\n    \"seed_hosts\": [\"" << Core(0) << ":" << kControlPort
              << "\",\"" << Core(1) << ":" << kControlPort << "\",\"" << Core(2)
              << ":" << kControlPort << "\"]\n  },\n"
-             << role
-             << "  \"link_mbps\": 1000.0,\n  \"metrics\": {\"address\": \""
-             << ip
+             << role << "  \"link_mbps\": " << link_mbps_
+             << ",\n  \"metrics\": {\"address\": \"" << ip
              << "\", \"port\": 9464},\n  \"max_descriptors\": 4100,\n"
                 "  \"kill_after_s\": 6,\n  \"stop_notice_ms\": 2500\n}\n";
     settings.close();
@@ -340,6 +352,7 @@
 
   const std::string program_;
   const std::string folder_;
+  const std::string link_mbps_;
   std::string prefix_;
   std::map<std::string, pid_t> processes_;
 };
