--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-driver=target/review-3/broken_front
+driver=target/review-3/late_resend
 [ -x target/bin/hibiscusgladed ] && [ -x "$driver" ] || exit 2
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
--- a/review/stand-ins-3/installation.h
+++ b/review/stand-ins-3/installation.h
@@ -66,8 +66,10 @@
   /// Bytes of the body that are sent before the server breaks off; all if
   /// negative.
   int64_t sent = -1;
-  /// Pause before the bytes after the head of a broken answer.
+  /// Pause between the last byte of a broken answer and its end.
   milliseconds before_end{0};
+  /// Whether the connection is reset after the work, without an answer.
+  bool lost = false;
 };
 
 /// An application server as the platform's pages describe it: it checks in
@@ -106,6 +108,18 @@
 
   bool Ok() const { return listener_.Ok(); }
 
+  /// Tells that it drains, until that is acknowledged.
+  /// @return whether it was, in ten check-ins.
+  bool Drain() {
+    draining_ = true;
+    for (int i = 0; i < 10; ++i) {
+      if (!Tell()) continue;
+      record_.Line("the leave of server " + id_ + " is acknowledged");
+      return true;
+    }
+    return false;
+  }
+
   /// @return how often the server began to run a request.
   int RunsOf(const std::string& attempt) {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -153,6 +167,11 @@
                  request.first_line + ")");
     const Reaction reaction = handler_(request);
     std::this_thread::sleep_for(reaction.work);
+    if (reaction.lost) {
+      record_.Line("server " + id_ + " loses its answer to " + attempt);
+      connection.Reset();
+      return false;
+    }
     const std::string head =
         "HTTP/1.1 " + std::to_string(reaction.status) +
         " OK\r\nAttempt-Id: " + attempt +
@@ -168,27 +187,35 @@
   }
 
   void CheckIn() {
-    uint64_t sequence = 0;
     while (!stopping_) {
-      const std::string body =
-          "{\"service\":\"" + service_ + "\",\"address\":\"" + ip_ + ":" +
-          std::to_string(kAppPort) + "\",\"zone\":\"" + zone_ +
-          "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots_) +
-          ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":" +
-          std::to_string(++sequence) + ",\"born\":" + std::to_string(born_) +
-          "}";
-      Call(ip_, kControlPort,
-           "POST /-/instances/" + id_ +
-               "/heartbeat HTTP/1.1\r\nHost: control\r\nContent-Type: "
-               "application/json\r\nContent-Length: " +
-               std::to_string(body.size()) + "\r\n\r\n" + body,
-           milliseconds(1000));
+      Tell();
       for (int i = 0; i < 15 && !stopping_; ++i) {
         std::this_thread::sleep_for(milliseconds(100));
       }
     }
   }
 
+  /// @return whether the daemon acknowledged the check-in.
+  bool Tell() {
+    const std::lock_guard<std::mutex> lock(telling_);
+    const std::string body =
+        "{\"service\":\"" + service_ + "\",\"address\":\"" + ip_ + ":" +
+        std::to_string(kAppPort) + "\",\"zone\":\"" + zone_ +
+        "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots_) +
+        ",\"state\":\"" + (draining_ ? "draining" : "ready") +
+        "\",\"cold_remaining_ms\":0,\"sequence\":" +
+        std::to_string(++sequence_) + ",\"born\":" + std::to_string(born_) +
+        "}";
+    const Message answer =
+        Call(ip_, kControlPort,
+             "POST /-/instances/" + id_ +
+                 "/heartbeat HTTP/1.1\r\nHost: control\r\nContent-Type: "
+                 "application/json\r\nContent-Length: " +
+                 std::to_string(body.size()) + "\r\n\r\n" + body,
+             milliseconds(1000));
+    return answer.Status() == 200;
+  }
+
   const std::string ip_;
   const std::string zone_;
   const std::string service_;
@@ -198,6 +225,9 @@
   const std::string id_;
   const int64_t born_;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> draining_{false};
+  std::mutex telling_;
+  uint64_t sequence_ = 0;
   std::mutex mutex_;
   std::map<std::string, int> runs_;  ///< By Attempt-Id.
   std::list<std::thread> connections_;
