--- a/review/stand-ins-3/net.h
+++ b/review/11/net.h
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSGLADE_REVIEW_STAND_INS_3_NET_H_
-#define HIBISCUSGLADE_REVIEW_STAND_INS_3_NET_H_
+#ifndef HIBISCUSGLADE_REVIEW_11_NET_H_
+#define HIBISCUSGLADE_REVIEW_11_NET_H_
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -196,4 +196,4 @@
 
 }  // namespace review
 
-#endif  // HIBISCUSGLADE_REVIEW_STAND_INS_3_NET_H_
+#endif  // HIBISCUSGLADE_REVIEW_11_NET_H_
