Log the outcome of each examination of lost connections

Callers saw: nothing new; this is the evidence that the next change needs.

Two explanations would give the same record: the examination finds no death, or the suspicion is found and lost on its way to other owners. The outcome of each examination, with the runs that lost their connections and those that are left, tells them apart.

--- a/src/owner/internal/upstream_death_detector.h
+++ b/src/owner/internal/upstream_death_detector.h
@@ -34,6 +34,7 @@
   std::vector<Digest> TakeSuspects(Instant now);
 
  private:
+  void LogVerdict(const char* verdict) const;
   void Clear();
 
   Instant first_loss_;
