Take a refused connection as the proof of an upstream's death

Cause: an upstream counted as dead only if all its runs lost their connections within 30 ms. What a process has written is read after its death, at the pace of the callers: the run of a download isn't lost with the others, or ends well, which acquitted the upstream. A run that was cancelled or timed out in that time was waited for as well.

Ruled out: that a suspicion arose and was lost on its way to other owners.

Change: a lost connection is the reason to ask. A refused connection, or another process announced in the same place, proves the death; an open connection with nothing to read, or an accepted one, disproves it; other runs prove nothing. Runs under way at the death are suspects only if they break off later, and none is condemned while the cause may be another one. An upstream that drains or has left is no death. Found on the way: a caller whose connection was lost just before the upstream left was not answered, since no probe was sent for the examination that it waited for.

Why it works: the verdict needs one proof in place of the agreement of all witnesses, and no longer depends on how fast callers read.

--- a/src/admission/internal/quarantine.cc
+++ b/src/admission/internal/quarantine.cc
@@ -26,13 +26,14 @@
   }
 
   std::vector<QuarantineNotice> OnUpstreamDeath(
-      const std::vector<Digest>& running, Instant now) override {
+      const std::vector<Digest>& suspects, size_t candidates,
+      Instant now) override {
     std::vector<QuarantineNotice> notices;
-    for (Digest fingerprint : running) {
+    for (Digest fingerprint : suspects) {
       Suspect& suspect = suspects_[fingerprint];
       // Of several running requests at most one killed the upstream, and it is
       // not known which: such deaths make suspects, but quarantine none.
-      const uint32_t limit = running.size() == 1 ? kBlamesToQuarantine : 1;
+      const uint32_t limit = candidates == 1 ? kBlamesToQuarantine : 1;
       suspect.blames =
           std::max(suspect.blames, std::min(suspect.blames + 1, limit));
       suspect.expires = now + kSuspicionLifetime;
--- a/src/admission/quarantine.h
+++ b/src/admission/quarantine.h
@@ -37,10 +37,12 @@
   virtual QuarantineDecision Decide(Digest fingerprint, Instant now) = 0;
 
   /// The upstream died.
-  /// @param running fingerprints of the requests that were running.
+  /// @param suspects fingerprints of requests that may have caused it.
+  /// @param candidates number of runs among which the cause is, with those of
+  /// the suspects.
   /// @return the resulting suspicions, for other daemons.
   virtual std::vector<QuarantineNotice> OnUpstreamDeath(
-      const std::vector<Digest>& running, Instant now) = 0;
+      const std::vector<Digest>& suspects, size_t candidates, Instant now) = 0;
 
   /// A run of the request ended and the upstream is alive. Clears a suspicion
   /// that has not led to quarantine.
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -178,17 +178,17 @@
 };
 
 TEST_F(ARequestThatKillsUpstreams, RunsAloneBeforeItIsQuarantined) {
-  quarantine_->OnUpstreamDeath({1, 2}, now_);
-  quarantine_->OnUpstreamDeath({1, 3}, now_);
+  quarantine_->OnUpstreamDeath({1, 2}, 2, now_);
+  quarantine_->OnUpstreamDeath({1, 3}, 2, now_);
   EXPECT_EQ(quarantine_->Decide(1, now_), QuarantineDecision::kRunAlone);
-  quarantine_->OnUpstreamDeath({1}, now_);
+  quarantine_->OnUpstreamDeath({1}, 1, now_);
   EXPECT_EQ(quarantine_->Decide(1, now_), QuarantineDecision::kRefuse);
   quarantine_->OnRunSurvived(2, now_);
   EXPECT_EQ(quarantine_->Decide(2, now_), QuarantineDecision::kRun);
 }
 
 TEST_F(ARequestThatKillsUpstreams, IsNoSuspectAfterTheSuspicionExpires) {
-  quarantine_->OnUpstreamDeath({1}, now_);
+  quarantine_->OnUpstreamDeath({1}, 1, now_);
   EXPECT_EQ(quarantine_->Decide(1, now_ + std::chrono::hours(1)),
             QuarantineDecision::kRun);
 }
--- a/src/admission/tests/suspicions_test.cc
+++ b/src/admission/tests/suspicions_test.cc
@@ -89,9 +89,9 @@
 };
 
 TEST_F(ADaemonThatWasRestarted, LearnsWhatOthersSuspect) {
-  other_->OnUpstreamDeath({1}, now_);
-  other_->OnUpstreamDeath({2}, now_);
-  other_->OnUpstreamDeath({1}, now_);
+  other_->OnUpstreamDeath({1}, 1, now_);
+  other_->OnUpstreamDeath({2}, 1, now_);
+  other_->OnUpstreamDeath({1}, 1, now_);
   now_ += minutes(6);
   const auto suspicions = other_->Suspicions(now_);
   EXPECT_EQ(suspicions, (std::vector<QuarantineNotice>{{1, 2, minutes(4)},
@@ -107,9 +107,9 @@
 }
 
 TEST_F(ADaemonThatWasRestarted, IsToldMoreThanItReports) {
-  other_->OnUpstreamDeath({1}, now_);
-  other_->OnUpstreamDeath({1}, now_);
-  const auto reported = restarted_->OnUpstreamDeath({1}, now_);
+  other_->OnUpstreamDeath({1}, 1, now_);
+  other_->OnUpstreamDeath({1}, 1, now_);
+  const auto reported = restarted_->OnUpstreamDeath({1}, 1, now_);
   const auto more = other_->OnNotice(reported.at(0), now_);
   ASSERT_TRUE(more.has_value());
   EXPECT_FALSE(restarted_->OnNotice(*more, now_).has_value());
--- a/src/calls/call_links.h
+++ b/src/calls/call_links.h
@@ -109,6 +109,12 @@
   /// Tries to connect, then calls RunEvents::OnProbed().
   virtual void Probe(const std::string& address) = 0;
 
+  /// @param address "ip:port".
+  /// @return whether a connection to the address is open with nothing to read,
+  /// so that the process at its other end lives. A dead process's connections
+  /// may have bytes left to read.
+  virtual bool IsConnected(const std::string& address) const { return false; }
+
   /// Aborts a run; RunEvents is not notified of it any more.
   virtual void Cancel(RunId run) = 0;
 
--- a/src/owner/internal/owner.cc
+++ b/src/owner/internal/owner.cc
@@ -121,7 +121,7 @@
     CheckJobs(now);
     sender_.SendQueued(now);
     receiver_.SendGrants(now);
-    upstream_.FindSuspects(now);
+    upstream_.Examine(now);
     if (!upstream_.MayHaveDied()) closer_.RefuseConnectionLost();
     upstream_.SendProbe(now);
   }
@@ -129,7 +129,7 @@
   void SetUpstream(const std::optional<UpstreamAnnouncement>& upstream,
                    const AdmissionConfig& config, Instant now) override {
     limits_ = config;
-    upstream_.Set(upstream);
+    upstream_.Set(upstream, gate_.Running(), now);
     ConfigureAdmission(now);
   }
 
@@ -214,7 +214,6 @@
     if (job == nullptr) return;
     parts_.quarantine.OnRunSurvived(job->fingerprint, now);
     begun_work_.OnRunEnded(*job, now);
-    upstream_.OnRunEnded(run);
     if (job->attempt.NeedsClaim()) {
       closer_.FinishClaim(run, now);
       ReleaseSlot(run, now);
@@ -263,7 +262,7 @@
   }
 
   void OnProbed(bool reachable, Instant now) override {
-    if (upstream_.OnProbed(reachable, now)) {
+    if (upstream_.OnProbed(reachable, gate_.Running(), now)) {
       waiting_.RefuseQueued(AdmissionCode::kNotServing);
     }
     if (!upstream_.MayHaveDied()) closer_.RefuseConnectionLost();
@@ -468,6 +467,7 @@
     const Duration service_time = started ? now - job->run_started : Duration{};
     if (started) ++completed_;
     gate_.Remove(id);
+    upstream_.OnRunEnded(id);
     Apply(admission_->OnFinished(id, service_time, now), now);
   }
 
--- a/src/owner/internal/run_reporter.cc
+++ b/src/owner/internal/run_reporter.cc
@@ -17,9 +17,20 @@
         std::to_string(log_rate_limiter_.TakeSuppressedCount())}});
 }
 
-void RunReporter::LogDeath(size_t running) {
-  Log(LogLevel::kWarning, "owner",
-      "The upstream died while " + std::to_string(running) + " requests ran.");
+void RunReporter::LogAlive(std::string_view evidence, Instant now) {
+  if (!log_rate_limiter_.AllowLine(now)) return;
+  Log(LogLevel::kInfo, "owner", "Lost connections show no death.",
+      {{"evidence", std::string(evidence)},
+       {"lines_left_out",
+        std::to_string(log_rate_limiter_.TakeSuppressedCount())}});
+}
+
+void RunReporter::LogDeath(std::string_view evidence,
+                           const DeathSuspects& suspects) {
+  Log(LogLevel::kWarning, "owner", "The upstream died under requests.",
+      {{"evidence", std::string(evidence)},
+       {"suspects", std::to_string(suspects.fingerprints.size())},
+       {"candidates", std::to_string(suspects.candidates)}});
 }
 
 }  // namespace hibiscusglade
--- a/src/owner/internal/run_reporter.h
+++ b/src/owner/internal/run_reporter.h
@@ -1,11 +1,12 @@
 #ifndef HIBISCUSGLADE_OWNER_INTERNAL_RUN_REPORTER_H_
 #define HIBISCUSGLADE_OWNER_INTERNAL_RUN_REPORTER_H_
 
-#include <cstddef>
+#include <string_view>
 
 #include "base/log.h"
 #include "calls/call_links.h"
 #include "owner/internal/job.h"
+#include "owner/internal/upstream_death_detector.h"
 
 namespace hibiscusglade {
 
@@ -16,8 +17,13 @@
   /// Logs a failed run, within a limit of lines per second.
   void LogFailure(const Job& job, const RunFailure& failure, Instant now);
 
-  /// @param running requests that ran when the upstream died.
-  static void LogDeath(size_t running);
+  /// Logs that lost connections do not show a death, within the limit.
+  /// @param evidence why not.
+  void LogAlive(std::string_view evidence, Instant now);
+
+  /// @param evidence what proves the death.
+  static void LogDeath(std::string_view evidence,
+                       const DeathSuspects& suspects);
 
  private:
   static constexpr uint32_t kLogLinesPerSecond = 10;
--- a/src/owner/internal/upstream_death_detector.cc
+++ b/src/owner/internal/upstream_death_detector.cc
@@ -1,57 +1,65 @@
 #include "owner/internal/upstream_death_detector.h"
 
-#include <string>
-
-#include "base/log.h"
-
 namespace hibiscusglade {
 namespace {
 
-/// Time in which all connections of a dead process are reported as lost.
+/// Time in which the connections of a dead process are reported as lost, apart
+/// from those with bytes left to read.
 constexpr Duration kLossWindow = std::chrono::milliseconds(30);
+/// How long a lost connection may be due to a death that is proved later.
+constexpr Duration kLossMemory = std::chrono::seconds(1);
 
 }  // namespace
 
-void UpstreamDeathDetector::OnConnectionLost(RunId run, Digest fingerprint,
-                                             const std::set<RunId>& others,
+bool UpstreamDeathDetector::OnConnectionLost(RunId run, Digest fingerprint,
+                                             const std::set<RunId>& running,
                                              Instant now) {
-  if (lost_runs_.empty()) {
+  if (undecided_.erase(run) > 0) return true;
+  if (!Examining()) {
     first_loss_ = now;
-    remaining_ = others;
+    remaining_ = running;
   }
   remaining_.erase(run);
-  lost_runs_[run] = fingerprint;
+  DropOldLosses(now);
+  lost_runs_.push_back({run, fingerprint, now});
+  return false;
 }
 
 void UpstreamDeathDetector::OnRunEnded(RunId run) {
-  if (!remaining_.contains(run)) return;
-  LogVerdict("a run ended well");
-  Clear();
-}
-
-std::vector<Digest> UpstreamDeathDetector::TakeSuspects(Instant now) {
-  if (lost_runs_.empty() || now - first_loss_ < kLossWindow) return {};
-  std::vector<Digest> fingerprints;
-  LogVerdict(remaining_.empty() ? "probe" : "runs are left");
-  if (remaining_.empty()) {
-    for (const auto& [run, fingerprint] : lost_runs_) {
-      fingerprints.push_back(fingerprint);
-    }
-  }
-  Clear();
-  return fingerprints;
+  remaining_.erase(run);
+  undecided_.erase(run);
 }
 
-void UpstreamDeathDetector::LogVerdict(const char* verdict) const {
-  Log(LogLevel::kInfo, "owner", "Lost connections were examined.",
-      {{"lost", std::to_string(lost_runs_.size())},
-       {"left", std::to_string(remaining_.size())},
-       {"verdict", verdict}});
+bool UpstreamDeathDetector::NeedsProof(Instant now) const {
+  return Examining() && now - *first_loss_ >= kLossWindow;
 }
 
-void UpstreamDeathDetector::Clear() {
+DeathSuspects UpstreamDeathDetector::OnDeath(const std::set<RunId>& running,
+                                             Instant now) {
+  DropOldLosses(now);
+  // Whether it is still dead is asked again and again.
+  if (lost_runs_.empty() && !undecided_.empty()) {
+    first_loss_.reset();
+    return {};
+  }
+  undecided_ = Examining() ? remaining_ : running;
+  DeathSuspects suspects;
+  for (const LostRun& lost : lost_runs_) {
+    undecided_.erase(lost.run);
+    suspects.fingerprints.push_back(lost.fingerprint);
+  }
+  candidates_ = lost_runs_.size() + undecided_.size();
+  suspects.candidates = candidates_;
+  first_loss_.reset();
   remaining_.clear();
   lost_runs_.clear();
+  return suspects;
+}
+
+void UpstreamDeathDetector::DropOldLosses(Instant now) {
+  std::erase_if(lost_runs_, [now](const LostRun& lost) {
+    return now - lost.at > kLossMemory;
+  });
 }
 
 }  // namespace hibiscusglade
--- a/src/owner/internal/upstream_death_detector.h
+++ b/src/owner/internal/upstream_death_detector.h
@@ -1,7 +1,7 @@
 #ifndef HIBISCUSGLADE_OWNER_INTERNAL_UPSTREAM_DEATH_DETECTOR_H_
 #define HIBISCUSGLADE_OWNER_INTERNAL_UPSTREAM_DEATH_DETECTOR_H_
 
-#include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -11,35 +11,69 @@
 
 namespace hibiscusglade {
 
-/// Distinguishes the death of an upstream from the loss of single connections:
-/// when an upstream dies, all runs that were under way at the first loss lose
-/// their connections within a short time. The owner then confirms the death by
-/// a probe, whose connection must be refused.
+/// Requests that may have caused the death of an upstream.
+struct DeathSuspects {
+  std::vector<Digest> fingerprints;
+  /// Runs among which the cause is: those of the fingerprints, and those whose
+  /// outcome was not known yet.
+  size_t candidates = 0;
+
+  friend bool operator==(const DeathSuspects&, const DeathSuspects&) = default;
+};
+
+/// Keeps which runs may have caused the death of an upstream. A lost connection
+/// is the reason to examine whether it died; a refused connection or another
+/// process in its place proves it. Other runs prove nothing: what a process had
+/// written before its death is still read from its connections, for as long as
+/// callers take to receive it.
 class UpstreamDeathDetector {
  public:
   /// @param run lost its connection.
-  /// @param others runs under way, with or without the given one.
-  void OnConnectionLost(RunId run, Digest fingerprint,
-                        const std::set<RunId>& others, Instant now);
+  /// @param running runs under way, with or without the given one.
+  /// @return whether the run was under way at a death that is already proved:
+  /// it is a suspect, and nothing is to be examined.
+  bool OnConnectionLost(RunId run, Digest fingerprint,
+                        const std::set<RunId>& running, Instant now);
 
-  /// A run ended without losing its connection. If it was under way at the
-  /// first loss, the upstream did not die then.
+  /// A run ended. If its connection was not lost, it caused no death.
   void OnRunEnded(RunId run);
 
-  /// @return whether no lost connection is being examined.
-  bool Idle() const { return lost_runs_.empty(); }
+  /// @return whether it is being examined if the upstream died.
+  bool Examining() const { return first_loss_.has_value(); }
+
+  /// @return whether a proof is needed: all other connections that a death
+  /// closes at once have been reported as lost.
+  bool NeedsProof(Instant now) const;
 
-  /// @return fingerprints of the runs during which the upstream seems to have
-  /// died; empty while this is undecided and when it did not die.
-  std::vector<Digest> TakeSuspects(Instant now);
+  /// The upstream is alive. This ends the examination. Lost runs are kept for a
+  /// while, as a process that is ending may still seem alive.
+  void OnAlive() { first_loss_.reset(); }
+
+  /// The upstream has died. This ends the examination.
+  /// @param running runs under way.
+  /// @return the suspects; without a fingerprint when no connection was lost
+  /// lately.
+  DeathSuspects OnDeath(const std::set<RunId>& running, Instant now);
+
+  /// @return runs among which the cause of the last death is.
+  size_t Candidates() const { return candidates_; }
 
  private:
-  void LogVerdict(const char* verdict) const;
-  void Clear();
+  struct LostRun {
+    RunId run = 0;
+    Digest fingerprint = 0;
+    Instant at;
+  };
+
+  void DropOldLosses(Instant now);
 
-  Instant first_loss_;
-  std::set<RunId> remaining_;  ///< Runs under way at the first loss, not ended.
-  std::map<RunId, Digest> lost_runs_;
+  std::optional<Instant> first_loss_;  ///< Of the examination.
+  /// Runs under way at the first loss that have not ended.
+  std::set<RunId> remaining_;
+  std::vector<LostRun> lost_runs_;
+  /// Runs under way at the last death whose outcome is not known yet.
+  std::set<RunId> undecided_;
+  size_t candidates_ = 0;
 };
 
 }  // namespace hibiscusglade
--- a/src/owner/internal/upstream_watch.h
+++ b/src/owner/internal/upstream_watch.h
@@ -3,9 +3,11 @@
 
 #include <optional>
 #include <set>
-#include <vector>
+#include <string>
+#include <string_view>
 
 #include "owner/internal/job.h"
+#include "owner/internal/run_reporter.h"
 #include "owner/internal/upstream_death_detector.h"
 #include "owner/owner.h"
 
@@ -21,7 +23,9 @@
 
   /// Sets the latest announcement, if there is one. That of an upstream that
   /// was found to be replaced is ignored.
-  void Set(const std::optional<UpstreamAnnouncement>& upstream);
+  /// @param running runs under way.
+  void Set(const std::optional<UpstreamAnnouncement>& upstream,
+           const std::set<RunId>& running, Instant now);
 
   /// @return the announcement of the upstream in use; nullopt: there is none.
   const std::optional<UpstreamAnnouncement>& Current() const {
@@ -41,30 +45,33 @@
   /// A run could not be sent, as the upstream accepted no connection.
   void OnConnectionRefused() { down_ = true; }
 
-  /// See UpstreamDeathDetector.
+  /// A run lost its connection. Reports it as a suspect if it was under way at
+  /// a death that is already known.
+  /// @param running runs under way, with or without the given one.
   void OnConnectionLost(RunId run, Digest fingerprint,
-                        const std::set<RunId>& others, Instant now) {
-    death_detector_.OnConnectionLost(run, fingerprint, others, now);
-  }
+                        const std::set<RunId>& running, Instant now);
+
+  /// A run ended, or its lost connection was reported.
   void OnRunEnded(RunId run) { death_detector_.OnRunEnded(run); }
 
-  /// Looks for suspects, unless a probe must confirm a death already.
-  void FindSuspects(Instant now);
+  /// Ends the examination of lost connections if no probe is needed for it.
+  void Examine(Instant now);
 
-  /// @return whether lost connections are being examined or a probe must
-  /// confirm a death.
-  bool MayHaveDied() const {
-    return !suspects_.empty() || !death_detector_.Idle();
-  }
+  /// @return whether lost connections are being examined.
+  bool MayHaveDied() const { return death_detector_.Examining(); }
 
   /// Probes the upstream if it is down or may have died.
   void SendProbe(Instant now);
 
-  /// The probe ended. Reports a death that it confirms.
+  /// The probe ended. Reports a death that it proves.
+  /// @param running runs under way.
   /// @return whether it finds the upstream in use to be down.
-  bool OnProbed(bool reachable, Instant now);
+  bool OnProbed(bool reachable, const std::set<RunId>& running, Instant now);
 
  private:
+  /// @return whether an announcement is of the process that is in use.
+  bool IsSameProcess(const UpstreamAnnouncement& upstream) const;
+
   /// @return whether an announcement is of the upstream that is in use.
   bool IsCurrent(const UpstreamAnnouncement& upstream) const;
 
@@ -73,10 +80,16 @@
   bool IsReplaced(const UpstreamAnnouncement& upstream) const;
 
   void SetReachable(bool reachable);
-  void ReportDeath(const std::vector<Digest>& running, Instant now);
+  /// The examination has shown that the upstream did not die.
+  void EndExamination(std::string_view evidence, Instant now);
+
+  /// The upstream in use has died.
+  void OnDeath(std::string_view evidence, const std::set<RunId>& running,
+               Instant now);
 
   const OwnerParts& parts_;
   UpstreamDeathDetector death_detector_;
+  RunReporter reporter_;
   std::optional<UpstreamAnnouncement> current_;
   /// The upstream whose announcement was ended, as another one answers at its
   /// address.
@@ -85,8 +98,9 @@
   bool down_notified_ = false;  ///< The listener was notified of it.
   bool probing_ = false;
   bool probe_outdated_ = false;  ///< The probe is of the upstream before.
+  bool probe_examines_ = false;  ///< It began after a connection was lost.
   Instant next_probe_;
-  std::vector<Digest> suspects_;  ///< Of a death that a probe must confirm.
+  std::string service_of_dead_;  ///< Of the last upstream that died.
 };
 
 }  // namespace hibiscusglade
--- a/src/owner/tests/owner_drain_test.cc
+++ b/src/owner/tests/owner_drain_test.cc
@@ -16,7 +16,7 @@
     harness_.Start("running", "", true, "harmless");
     const Digest suspect =
         FingerprintOf(harness_.recorder.started.at(1).request);
-    harness_.quarantine->OnUpstreamDeath({suspect, 0}, harness_.clock.now);
+    harness_.quarantine->OnUpstreamDeath({suspect, 0}, 2, harness_.clock.now);
     harness_.Start("suspect", "", true, "harmless");
     harness_.Start("next", "", true, "another");
   }
--- a/src/owner/tests/owner_fixture.h
+++ b/src/owner/tests/owner_fixture.h
@@ -97,6 +97,7 @@
          std::to_string(run));
   }
   void Probe(const std::string&) override { Note("upstream is probed"); }
+  bool IsConnected(const std::string&) const override { return connected; }
   void Cancel(RunId run) override {
     started.erase(run);
     Note("upstream cancels run " + std::to_string(run));
@@ -121,7 +122,8 @@
   std::map<AttemptId, Certainty> refused;
   std::map<AttemptId, Duration> retry_after;  ///< Of refusals.
   std::map<AttemptId, uint64_t> granted;
-  LoadReport load;  ///< Of the last refusal.
+  LoadReport load;         ///< Of the last refusal.
+  bool connected = false;  ///< Another connection to the upstream is open.
 };
 
 /// An owner with its fakes. Several owners may share one ledger.
--- a/src/owner/tests/owner_stop_test.cc
+++ b/src/owner/tests/owner_stop_test.cc
@@ -85,7 +85,7 @@
   OwnerHarness harness("o2", ledger_, 4);
   harness.Start("running", "", true, "harmless");
   const Digest suspect = FingerprintOf(harness.recorder.started.at(1).request);
-  harness.quarantine->OnUpstreamDeath({suspect, 0}, harness.clock.now);
+  harness.quarantine->OnUpstreamDeath({suspect, 0}, 2, harness.clock.now);
   harness.Start("suspect", "", true, "harmless");
   harness.Start("next", "", true, "another");
   harness.owner->BeginStop(harness.clock.now + seconds(1), harness.clock.now);
--- a/src/requests/tests/suspicion_exchange_test.cc
+++ b/src/requests/tests/suspicion_exchange_test.cc
@@ -85,7 +85,7 @@
 
   void Crash(const std::string& name) {
     daemons_[name]->exchange.Spread(
-        "orders", daemons_[name]->quarantine->OnUpstreamDeath({kBad}, now_));
+        "orders", daemons_[name]->quarantine->OnUpstreamDeath({kBad}, 1, now_));
     Deliver();
   }
 
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -100,6 +100,10 @@
     runs_[run->id] = std::move(run);
   }
 
+  bool IsConnected(const std::string& address) const override {
+    return connections_.AnyIsClean(address);
+  }
+
   UpstreamClientUsage Usage() const override {
     return {runs_.size(), idle_handles_.size()};
   }
--- a/src/upstream/internal/open_connections.h
+++ b/src/upstream/internal/open_connections.h
@@ -3,6 +3,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <map>
 #include <string>
@@ -26,13 +27,26 @@
   /// @return whether no bytes wait on a connection, and it is open.
   bool IsClean(const ConnectionEnds& ends) const {
     const auto found = sockets_.find(ends);
-    if (found == sockets_.end()) return false;
+    return found != sockets_.end() && IsOpenAndEmpty(found->second);
+  }
+
+  /// @param remote "ip:port".
+  /// @return whether any connection to an address is clean.
+  bool AnyIsClean(const std::string& remote) const {
+    return std::ranges::any_of(sockets_, [&](const auto& entry) {
+      const auto& [local_ip, local_port, ip, port] = entry.first;
+      return ip + ":" + std::to_string(port) == remote &&
+             IsOpenAndEmpty(entry.second);
+    });
+  }
+
+ private:
+  static bool IsOpenAndEmpty(int socket) {
     char byte = 0;
-    return recv(found->second, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
            (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
- private:
   std::map<ConnectionEnds, int> sockets_;
 };
 
--- a/src/upstream/tests/kept_connection_test.cc
+++ b/src/upstream/tests/kept_connection_test.cc
@@ -94,5 +94,24 @@
   }
 }
 
+TEST_F(AKeptConnection, ShowsThatItsUpstreamLivesWhileNothingWaitsOnIt) {
+  AScriptedUpstream upstream({{{Answer("r1")}, {Answer("r2")}}});
+  const AScriptedUpstream other({});
+  EXPECT_FALSE(client_->IsConnected(upstream.Address()));
+  ExpectAnswered(upstream, "r1");
+  EXPECT_TRUE(client_->IsConnected(upstream.Address()));
+  EXPECT_FALSE(client_->IsConnected(other.Address()));
+  upstream.SendNow(0, "#");
+  EXPECT_TRUE(
+      WaitUntil([&] { return !client_->IsConnected(upstream.Address()); }));
+}
+
+TEST_F(AKeptConnection, ShowsNothingOnceItsUpstreamHasClosedIt) {
+  AScriptedUpstream upstream({{{Answer("r1"), ConnectionEnd::kClosed}}});
+  ExpectAnswered(upstream, "r1");
+  EXPECT_TRUE(
+      WaitUntil([&] { return !client_->IsConnected(upstream.Address()); }));
+}
+
 }  // namespace
 }  // namespace hibiscusglade
--- a/tests/processes/answers_whole_test.cc
+++ b/tests/processes/answers_whole_test.cc
@@ -1,13 +1,11 @@
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <csignal>
 #include <thread>
 
 #include "tests/harness/mesh.h"
 #include "tests/harness/process_cost.h"
+#include "tests/harness/slow_caller.h"
 #include "tests/processes/claims_mesh.h"
 
 namespace hibiscusglade {
@@ -18,40 +16,6 @@
 
 constexpr uint64_t kArchiveBytes = uint64_t{200} * 1000 * 1000;
 
-/// A caller that reads its answer only when the test calls Read().
-class SlowCaller {
- public:
-  SlowCaller(const std::string& ip, const std::string& port,
-             const std::string& target) {
-    socket_ = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<uint16_t>(std::stoi(port)));
-    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-    EXPECT_EQ(connect(socket_, reinterpret_cast<sockaddr*>(&address),
-                      sizeof(address)),
-              0);
-    Send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
-  }
-  ~SlowCaller() { close(socket_); }
-  SlowCaller(const SlowCaller&) = delete;
-  SlowCaller& operator=(const SlowCaller&) = delete;
-
-  /// @return bytes read; 0 at the end of the answer.
-  size_t Read(size_t max_bytes) {
-    std::string data(max_bytes, ' ');
-    const ssize_t count = recv(socket_, data.data(), max_bytes, 0);
-    return count > 0 ? static_cast<size_t>(count) : 0;
-  }
-
- private:
-  void Send(const std::string& text) const {
-    send(socket_, text.data(), text.size(), MSG_NOSIGNAL);
-  }
-
-  int socket_ = -1;
-};
-
 class AMeshWithArchives : public ClaimsMesh {
  protected:
   AMeshWithArchives()
