Judge a request by the limits in force while it is read

Cause: a connection took the limits for its next request when it had read the request before, however long before the next one began. A lowered limit was kept out in the same way.

Ruled out: that the daemon still used the older version: the new connection was judged by the new one.

Change: the connection takes the limits in force whenever it reads. A request that began under a looser limit keeps it, as do input that waits behind other requests, the time for a head and the idle time, which a lowered limit cut short.

Test: caller_test, AKeptConnectionWhoseLimitsChange: six of its eight tests fail with the former code.

Why it works: the decision and the value that it uses are of the same moment, or of the one at which the caller had to decide.

--- a/src/caller/internal/caller_connection.cc
+++ b/src/caller/internal/caller_connection.cc
@@ -58,8 +58,9 @@
     : descriptor_(descriptor),
       caller_(std::move(caller)),
       parts_(parts),
-      parser_(parts.dialect),
-      wait_start_(parts.clock.Now()) {}
+      parser_(parts.dialect) {
+  BeginWait();
+}
 
 CallerConnection::~CallerConnection() {
   *alive_ = false;
@@ -71,7 +72,6 @@
 }
 
 void CallerConnection::Start() {
-  parser_.SetLimits(parts_.limits().request);
   parts_.loop.Watch(descriptor_, EPOLLIN | EPOLLRDHUP,
                     [this](uint32_t events) { OnEvents(events); });
 }
@@ -85,15 +85,21 @@
     return;
   }
   if (!exchanges_.empty()) return;
+  const ConnectionLimits allowed = LooserOf(wait_limits_, limits);
   if (parser_.State() == ParseState::kInHead) {
-    if (now - wait_start_ > limits.head_timeout) {
+    if (now - wait_start_ > allowed.head_timeout) {
       RefuseInput(CallerCode::kHeadTooSlow);
     }
-  } else if (now - wait_start_ > limits.idle_timeout) {
+  } else if (now - wait_start_ > allowed.idle_timeout) {
     End(ConnectionEnd::kIdleTimeout);
   }
 }
 
+void CallerConnection::BeginWait() {
+  wait_start_ = parts_.clock.Now();
+  wait_limits_ = parts_.limits();
+}
+
 void CallerConnection::AddUsage(CallerGatewayUsage& usage) const {
   ++usage.connections;
   usage.exchanges += exchanges_.size();
@@ -125,27 +131,33 @@
   }
   if (input_ended_) return;
   const std::string_view bytes(buffer.data(), static_cast<size_t>(received));
+  const RequestLimits limits = parts_.limits().request;
   if (unparsed_.empty()) {
-    Parse(bytes);
+    Parse(bytes, limits);
   } else {
     unparsed_.append(bytes);
+    unparsed_limits_ = LooserOf(unparsed_limits_, limits);
   }
 }
 
-void CallerConnection::Parse(std::string_view bytes) {
+/// @param limits for these bytes.
+void CallerConnection::Parse(std::string_view bytes,
+                             const RequestLimits& limits) {
   while (!bytes.empty() && !input_ended_ && !ended_) {
     if (exchanges_.size() >= kMaxExchanges) {
       unparsed_.assign(bytes);
+      unparsed_limits_ = limits;
       WatchSocket(false);
       return;
     }
-    if (parser_.State() == ParseState::kIdle) wait_start_ = parts_.clock.Now();
+    if (parser_.State() == ParseState::kIdle) BeginWait();
+    parser_.SetLimits(limits);
     const ParseState state = parser_.Read(bytes);
     if (parser_.TakeExpectsContinue() && state == ParseState::kInBody &&
         exchanges_.empty()) {
       send(descriptor_, kContinue, sizeof(kContinue) - 1, MSG_NOSIGNAL);
     }
-    if (state == ParseState::kInBody) wait_start_ = parts_.clock.Now();
+    if (state == ParseState::kInBody) BeginWait();
     if (state == ParseState::kComplete) EnqueueRequest();
     if (state == ParseState::kFailed) RefuseInput(parser_.Error());
     CountBodyBytes();
@@ -158,7 +170,6 @@
 
 void CallerConnection::EnqueueRequest() {
   ParsedRequest parsed = parser_.TakeRequest();
-  parser_.SetLimits(parts_.limits().request);
   CallRequest& request = parsed.request;
   const size_t body_bytes = request.body.size();
   if (request.caller.empty()) request.caller = caller_;
@@ -239,7 +250,7 @@
   WatchSocket(false);
   if (!unparsed_.empty() && exchanges_.size() < kMaxExchanges) {
     const std::string bytes = std::exchange(unparsed_, {});
-    Parse(bytes);
+    Parse(bytes, LooserOf(unparsed_limits_, parts_.limits().request));
     if (!ended_ && unparsed_.empty()) WatchSocket(false);
   }
 }
@@ -306,7 +317,7 @@
   exchanges_.pop_front();
   if (front->body_bytes > 0) CountBodyBytes();
   front->on_output = nullptr;
-  wait_start_ = parts_.clock.Now();
+  BeginWait();
   if (!front->KeepsAlive()) {
     Linger();
   } else {
@@ -326,7 +337,7 @@
   shutdown(descriptor_, SHUT_WR);
   lingering_ = true;
   input_ended_ = true;
-  wait_start_ = parts_.clock.Now();
+  BeginWait();
   CancelExchanges(ConnectionEnd::kClosedAfterAnswer);
 }
 
--- a/src/caller/internal/caller_connection.h
+++ b/src/caller/internal/caller_connection.h
@@ -25,6 +25,14 @@
                          const ConnectionLimits&) = default;
 };
 
+/// @return limits that allow what either of them allows.
+inline ConnectionLimits LooserOf(const ConnectionLimits& a,
+                                 const ConnectionLimits& b) {
+  return {LooserOf(a.request, b.request),
+          std::max(a.head_timeout, b.head_timeout),
+          std::max(a.idle_timeout, b.idle_timeout)};
+}
+
 /// Why a connection ended.
 enum class ConnectionEnd {
   kCallerClosed,       ///< The caller closed it, or its side of it.
@@ -84,7 +92,9 @@
   /// Requests that were read before are still answered.
   void CloseAfterAnswer() { closing_ = true; }
 
-  /// Ends the connection, or refuses an incomplete head, after a timeout.
+  /// Ends the connection, or refuses an incomplete head, after a timeout. A
+  /// timeout that was lowered meanwhile doesn't shorten a wait.
+  /// @param limits in force.
   void CheckTimeouts(const ConnectionLimits& limits, Instant now);
 
   /// Adds what this connection holds.
@@ -93,7 +103,8 @@
  private:
   void OnEvents(uint32_t events);
   void Read();
-  void Parse(std::string_view bytes);
+  void Parse(std::string_view bytes, const RequestLimits& limits);
+  void BeginWait();
   void EnqueueRequest();
   void RefuseInput(CallerCode code, Duration retry_after = {});
   void CountBodyBytes();
@@ -117,10 +128,12 @@
   Parts parts_;
   RequestParser parser_;
   std::deque<std::shared_ptr<Exchange>> exchanges_;  ///< Oldest first.
-  std::string unparsed_;   ///< Input received beyond kMaxExchanges requests.
-  Instant wait_start_;     ///< Start of the wait that CheckTimeouts() bounds.
-  size_t body_bytes_ = 0;  ///< Counted in the body memory.
-  size_t held_bytes_ = 0;  ///< Counted in the memory of held answers.
+  std::string unparsed_;  ///< Input received beyond kMaxExchanges requests.
+  RequestLimits unparsed_limits_;  ///< In force when that was received.
+  Instant wait_start_;  ///< Start of the wait that CheckTimeouts() bounds.
+  ConnectionLimits wait_limits_;  ///< In force then.
+  size_t body_bytes_ = 0;         ///< Counted in the body memory.
+  size_t held_bytes_ = 0;         ///< Counted in the memory of held answers.
   bool closing_ = false;
   bool input_ended_ = false;  ///< Further input is discarded.
   bool lingering_ = false;    ///< Shut down for sending; awaits the caller.
--- a/src/caller/internal/request_parser.h
+++ b/src/caller/internal/request_parser.h
@@ -3,6 +3,7 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,6 +23,12 @@
   friend bool operator==(const RequestLimits&, const RequestLimits&) = default;
 };
 
+/// @return limits that allow what either of them allows.
+inline RequestLimits LooserOf(const RequestLimits& a, const RequestLimits& b) {
+  return {std::max(a.max_head_bytes, b.max_head_bytes),
+          std::max(a.max_body_bytes, b.max_body_bytes)};
+}
+
 /// One complete request.
 struct ParsedRequest {
   CallRequest request;
@@ -44,8 +51,11 @@
   RequestParser(const RequestParser&) = delete;
   RequestParser& operator=(const RequestParser&) = delete;
 
-  /// Sets the limits for the next request.
-  void SetLimits(const RequestLimits& limits) { limits_ = limits; }
+  /// Sets the limits in force; to be called before each Read(). A request may
+  /// be as large as any of those allow that were in force since its first byte.
+  void SetLimits(const RequestLimits& limits) {
+    limits_ = state_ == ParseState::kIdle ? limits : LooserOf(limits_, limits);
+  }
 
   /// Parses input up to the end of a request.
   /// @param bytes input; the parsed part is removed from its front.
--- a/src/caller/tests/caller_connection_test.cc
+++ b/src/caller/tests/caller_connection_test.cc
@@ -412,6 +412,105 @@
   EXPECT_EQ(body_memory_.Bytes(), 0u);
 }
 
+/// Its first request has been answered under the first limits.
+class AKeptConnectionWhoseLimitsChange : public CallerConnectionTest {
+ protected:
+  AKeptConnectionWhoseLimitsChange() {
+    Send(Get("/first"));
+    calls_.Answer("/first", "answered");
+    Received();
+  }
+
+  static std::string Head(const std::string& target, size_t body_bytes,
+                          size_t field_bytes = 1) {
+    return "POST " + target +
+           " HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(field_bytes, 'x') +
+           "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+  }
+  static std::string Post(const std::string& target, size_t body_bytes,
+                          size_t field_bytes = 1) {
+    return Head(target, body_bytes, field_bytes) + std::string(body_bytes, 'b');
+  }
+  bool Began(const std::string& target) const {
+    return !calls_.begun.empty() && calls_.begun.back() == target;
+  }
+};
+
+// Guards against a request judged by the version that was in use when its
+// connection was last used.
+TEST_F(AKeptConnectionWhoseLimitsChange, TakesALargerBodyOnceItIsAllowed) {
+  limits_.request.max_body_bytes = 5000;
+  Send(Post("/2", 4000));
+  EXPECT_TRUE(Began("/2")) << Received();
+}
+
+TEST_F(AKeptConnectionWhoseLimitsChange, TakesALargerHeadOnceItIsAllowed) {
+  limits_.request.max_head_bytes = 5000;
+  Send(Post("/2", 1, 4000));
+  EXPECT_TRUE(Began("/2")) << Received();
+}
+
+TEST_F(AKeptConnectionWhoseLimitsChange, TakesNoLargerRequestThanIsAllowed) {
+  limits_.request = {200, 200};
+  Send(Post("/2", 300));
+  EXPECT_TRUE(Received().starts_with("HTTP/1.1 413 "));
+  Reconnect();
+  limits_.request.max_head_bytes = 200;
+  Send(Post("/3", 1, 300));
+  EXPECT_TRUE(Received().starts_with("HTTP/1.1 431 "));
+}
+
+TEST_F(AKeptConnectionWhoseLimitsChange, TakesWhatBeganUnderALooserLimit) {
+  const std::string request = Post("/2", 900, 500);
+  Send(request.substr(0, 100));
+  limits_.request = {200, 200};
+  Send(request.substr(100, 700));
+  Send(request.substr(800));
+  EXPECT_TRUE(Began("/2")) << Received();
+}
+
+TEST_F(AKeptConnectionWhoseLimitsChange, TakesWhatIsAllowedBeforeItIsRead) {
+  const std::string request = Post("/2", 4000, 4000);
+  Send(request.substr(0, 100));
+  limits_.request = {5000, 5000};
+  Send(request.substr(100));
+  EXPECT_TRUE(Began("/2")) << Received();
+}
+
+// Guards against pipelined requests judged by a version that came after them.
+TEST_F(AKeptConnectionWhoseLimitsChange, TakesWhatWaitedBehindOtherRequests) {
+  std::string input;
+  for (int i = 0; i < 32; ++i) input += Get("/" + std::to_string(i));
+  Send(input + Post("/last", 900));
+  limits_.request = {200, 200};
+  for (int i = 0; i < 32; ++i) calls_.Answer("/" + std::to_string(i), "a");
+  RunLoop();
+  EXPECT_TRUE(Began("/last")) << Received();
+}
+
+// Guards against connections that end sooner than their callers could know.
+TEST_F(AKeptConnectionWhoseLimitsChange, KeepsTheTimeoutsOfABegunWait) {
+  limits_.idle_timeout = std::chrono::seconds(5);
+  connection_->CheckTimeouts(limits_, clock_.Now() + std::chrono::seconds(14));
+  RunLoop();
+  EXPECT_FALSE(ended_);
+  Send(Get("/2"));
+  calls_.Answer("/2", "answered");
+  RunLoop();
+  connection_->CheckTimeouts(limits_, clock_.Now() + std::chrono::seconds(6));
+  RunLoop();
+  EXPECT_TRUE(ended_);
+}
+
+TEST_F(AKeptConnectionWhoseLimitsChange, KeepsTheTimeoutOfABegunHead) {
+  Send("GET /2 HTTP/1.1\r\n");
+  limits_.head_timeout = std::chrono::seconds(1);
+  connection_->CheckTimeouts(limits_, clock_.Now() + std::chrono::seconds(2));
+  EXPECT_EQ(Received(), "");
+  connection_->CheckTimeouts(limits_, clock_.Now() + std::chrono::seconds(4));
+  EXPECT_TRUE(Received().starts_with("HTTP/1.1 408 "));
+}
+
 class InvalidInput : public CallerConnectionTest {};
 
 TEST_F(InvalidInput, IsRefusedWithTheStatusOfItsFault) {
