Send a request to an upstream only when the policy has decided to

Cause: libcurl sends a request again by itself, up to five times, when a reused connection ends before a byte of the answer. The client stopped that only for requests that may not be repeated. Leave, retry budget, max_attempts and deadline were not asked, and nothing counted these sends.

Ruled out: that the entry's retry policy chose the leaving server again: its log line says attempts=1, and the owner logs no failed run at the time of the loss.

Change: a run is sent once, whatever its method. The repetition that libcurl attempts opens no connection and closes no sound one. A run that was not sent within 500 ms of its decision, as it waited for a connection or its process was paused, is refused as not run. The lost answer reaches the policy as sent, with an unknown outcome.

Test: upstream_test, AKeptConnection: IsLostWithItsRequestWhichIsSentOnce, StaysWhenAnotherOneIsLost and CarriesNoRequestThatWasDecidedLongAgo fail with the former code.

Why it works: each send is an attempt that was counted, dated and checked against the leave.

--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -28,6 +28,10 @@
 /// Limits what an upstream can store in this machine's memory on a connection
 /// that nobody reads.
 constexpr int kReceiveBufferBytes = 256 << 10U;
+/// From the decision to send a request until it is sent. Later, the upstream
+/// may have reported that it leaves, and the time stated in the request is no
+/// longer true.
+constexpr Duration kMaxSendDelay = std::chrono::milliseconds(500);
 
 /// A run or probe of a client.
 struct Run : UpstreamRun {
@@ -63,7 +67,8 @@
     auto run = std::make_unique<Run>();
     run->id = id;
     run->client = this;
-    run->deadline = clock_.Now() + attempt.remaining;
+    run->started = clock_.Now();
+    run->deadline = run->started + attempt.remaining;
     run->remaining_credit = static_cast<int64_t>(attempt.credit_bytes);
     run->attempt = std::move(attempt);
     run->easy = TakeHandle();
@@ -250,7 +255,7 @@
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Client::OnCloseSocket);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     // When a reused connection turns out to be closed by the upstream, the
-    // outcome of a request that may not be repeated is unknown. libcurl checks
+    // outcome of the request is unknown. libcurl checks
     // whether it is closed before it reuses it, but the upstream may close it
     // right after that. Only connections that were idle for less than the
     // upstream's keep-alive timeout are safe from this.
@@ -262,6 +267,7 @@
   static curl_socket_t OnOpenSocket(void* cls, curlsocktype,
                                     curl_sockaddr* address) {
     auto* run = static_cast<Run*>(cls);
+    if (run->sent) return CURL_SOCKET_BAD;  // See OnBeforeSend().
     run->opened_socket = socket(
         address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
     setsockopt(run->opened_socket, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
@@ -275,13 +281,17 @@
     return close(socket);
   }
 
-  /// Callback of libcurl before it sends a request. libcurl sends a request
-  /// again by itself when a reused connection is lost; this prevents it for
-  /// requests that may not be repeated.
+  /// Callback of libcurl before it sends a request. libcurl sends any request
+  /// again by itself when a reused connection is lost before a byte of the
+  /// answer. Whether one is sent again is not its decision.
   static int OnBeforeSend(void* cls, char* remote_address, char* local_address,
                           int remote_port, int local_port) {
     auto* run = static_cast<Run*>(cls);
-    if (run->sent && !run->attempt.repeatable) return CURL_PREREQFUNC_ABORT;
+    if (run->sent) return CURL_PREREQFUNC_ABORT;
+    if (run->client->clock_.Now() - run->started > kMaxSendDelay) {
+      run->fault = "it could not be sent in time";
+      return CURL_PREREQFUNC_ABORT;
+    }
     const ConnectionEnds ends{local_address, local_port, remote_address,
                               remote_port};
     if (!run->client->IsClean(*run, ends)) {
@@ -290,6 +300,9 @@
     }
     run->sent = true;
     run->in_head = false;
+    // If the connection is lost, libcurl closes no other one for the repetition
+    // that it then attempts.
+    curl_easy_setopt(run->easy, CURLOPT_FRESH_CONNECT, 1L);
     return CURL_PREREQFUNC_OK;
   }
 
--- a/src/upstream/internal/upstream_run.cc
+++ b/src/upstream/internal/upstream_run.cc
@@ -38,7 +38,7 @@
   if (result == CURLE_OK) {
     return {progress, true, "the head of its answer broke off"};
   }
-  // OnBeforeSend() aborts when a reused connection was lost.
+  // OnBeforeSend() aborts the repetition after a reused connection was lost.
   const bool lost =
       result == CURLE_COULDNT_CONNECT || result == CURLE_SEND_ERROR ||
       result == CURLE_RECV_ERROR || result == CURLE_GOT_NOTHING ||
--- a/src/upstream/internal/upstream_run.h
+++ b/src/upstream/internal/upstream_run.h
@@ -31,6 +31,7 @@
   FramingLimit framing;
   /// What the upstream did wrong, if it isn't an error of libcurl.
   std::string fault;
+  Instant started;  ///< When it was decided to send the request.
   Instant deadline;
 
   /// Begins a head with its status line, without the end of the line.
--- a/src/upstream/tests/kept_connection_test.cc
+++ b/src/upstream/tests/kept_connection_test.cc
@@ -94,6 +94,59 @@
   }
 }
 
+// Guards against a request that the HTTP library sends again by itself.
+TEST_F(AKeptConnection, IsLostWithItsRequestWhichIsSentOnce) {
+  for (const bool repeatable : {false, true}) {
+    for (const ConnectionEnd end :
+         {ConnectionEnd::kClosed, ConnectionEnd::kReset}) {
+      for (const char* method : {"GET", "POST", "PUT"}) {
+        SCOPED_TRACE(method);
+        AScriptedUpstream upstream(
+            {{{Answer("r1")}, {"", end}}, {{Answer("r2")}, {Answer("r3")}}});
+        ExpectAnswered(upstream, "r1");
+        Start(upstream.Address(), "r2", method, repeatable);
+        ASSERT_TRUE(Finished());
+        ASSERT_TRUE(failure_.has_value()) << "the run ended";
+        EXPECT_EQ(failure_->progress, RunProgress::kSent);
+        EXPECT_TRUE(failure_->connection_lost);
+        EXPECT_EQ(upstream.Requests(), Counts({2}));
+      }
+    }
+  }
+}
+
+// Guards against a sound connection that is closed for a repetition that the
+// HTTP library attempts.
+TEST_F(AKeptConnection, StaysWhenAnotherOneIsLost) {
+  AScriptedUpstream upstream({{{""}, {"", ConnectionEnd::kClosed}},
+                              {{Answer("r2")}, {"", ConnectionEnd::kClosed}}});
+  Start(upstream.Address(), "r1");
+  ASSERT_TRUE(WaitUntil([&] { return upstream.Requests() == Counts({1}); }));
+  ExpectAnswered(upstream, "r2");
+  upstream.SendNow(0, Answer("r1"));
+  ASSERT_TRUE(WaitUntil([&] { return client_->Usage().runs == 0; }));
+  for (const char* id : {"r3", "r4"}) {
+    Start(upstream.Address(), id, "GET", true);
+    ASSERT_TRUE(Finished());
+    ASSERT_TRUE(failure_.has_value());
+  }
+  EXPECT_EQ(upstream.Requests(), Counts({2, 2}));
+}
+
+// Guards against a process that was paused and then sends what was decided
+// before.
+TEST_F(AKeptConnection, CarriesNoRequestThatWasDecidedLongAgo) {
+  AScriptedUpstream upstream({{{Answer("r1")}, {Answer("r2")}}});
+  ExpectAnswered(upstream, "r1");
+  Start(upstream.Address(), "r2");
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  ASSERT_TRUE(Finished());
+  ASSERT_TRUE(failure_.has_value()) << "the run ended";
+  EXPECT_EQ(failure_->progress, RunProgress::kNotSent);
+  EXPECT_FALSE(failure_->connection_lost);
+  EXPECT_EQ(upstream.Requests(), Counts({1}));
+}
+
 TEST_F(AKeptConnection, ShowsThatItsUpstreamLivesWhileNothingWaitsOnIt) {
   AScriptedUpstream upstream({{{Answer("r1")}, {Answer("r2")}}});
   const AScriptedUpstream other({});
