--- a/src/limits/tests/changed_limit_test.cc
+++ b/src/limits/tests/changed_limit_test.cc
@@ -104,7 +104,6 @@
 
 // Guards against use under the higher limit that is a debt under the lower one.
 TEST_F(ALimitThatChanges, RefusesNobodyWhoSendsLessThanTheLowerOne) {
-  LimitWorld world = Sending(0);
   CustomerLoad load;
   load.config.name = "agency";
   load.config.rate_per_s = 600;
