Hold each window to the loosest limit since its begin, and forget changes after it

Cause: a change was kept until the next one of any customer, so that a customer whose limit was raised went on to be held to the former one in what it may send before a report.

From each change on, what was used is held to the loosest terms from then on.

The log line of a death names its evidence as it is: no connection accepted."

--- a/src/limits/internal/customer_limits.cc
+++ b/src/limits/internal/customer_limits.cc
@@ -62,7 +62,7 @@
         parts_(parts),
         holder_(config.identity.instance),
         coordinator_([this](const std::string& customer) {
-          return TermsOfCustomer(customer);
+          return TermsOfCustomer(customer, Time());
         }) {}
 
   std::optional<Duration> Take(const CustomerConfig& customer,
@@ -70,7 +70,7 @@
     if (customer.rate_per_s == 0) return std::nullopt;
     Refresh();
     const Instant now = Time();
-    const LimitTerms terms = history_.Of(customer, domains_);
+    const LimitTerms terms = history_.Of(customer, domains_, now);
     const LimitVerdict verdict =
         holder_.Take(customer.name, terms, daemons_, now);
     if (verdict < LimitVerdict::kOver) {
@@ -92,7 +92,7 @@
     Refresh();
     const Instant now = Time();
     LimitStatus status;
-    const auto terms = TermsOfCustomer(customer);
+    const auto terms = TermsOfCustomer(customer, now);
     if (!terms.has_value()) return status;
     const CustomerConfig& config = table_->Document().customers.at(customer);
     status.limited = true;
@@ -163,14 +163,15 @@
   /// Counts pauses of the machine, during which credit runs out.
   Instant Time() const { return Instant(parts_.clock.SinceBoot()); }
 
-  std::optional<LimitTerms> TermsOfCustomer(const std::string& customer) const {
+  std::optional<LimitTerms> TermsOfCustomer(const std::string& customer,
+                                            Instant now) const {
     if (table_ == nullptr) return std::nullopt;
     const auto& customers = table_->Document().customers;
     const auto found = customers.find(customer);
     if (found == customers.end() || found->second.rate_per_s == 0) {
       return std::nullopt;
     }
-    return history_.Of(found->second, domains_);
+    return history_.Of(found->second, domains_, now);
   }
 
   /// Takes over what depends on the route table, when there is another one.
--- a/src/limits/internal/terms_history.cc
+++ b/src/limits/internal/terms_history.cc
@@ -15,6 +15,10 @@
   return a.rate_per_s == b.rate_per_s && a.burst == b.burst;
 }
 
+bool IsInWindow(const TermsChange& change, Instant now) {
+  return now - change.at <= WindowUse::kWindow;
+}
+
 }  // namespace
 
 void TermsHistory::OnChange(const ConfigDocument& before,
@@ -22,7 +26,7 @@
                             const ConfigDocument& after, uint32_t domains_after,
                             Instant now) {
   std::erase_if(changes_, [now](const auto& item) {
-    return now - item.second.back().at > WindowUse::kWindow;
+    return !IsInWindow(item.second.back(), now);
   });
   for (const auto& [name, customer] : before.customers) {
     const auto found = after.customers.find(name);
@@ -32,7 +36,7 @@
     }
     std::vector<TermsChange>& changes = changes_[name];
     std::erase_if(changes, [now](const TermsChange& change) {
-      return now - change.at > WindowUse::kWindow;
+      return !IsInWindow(change, now);
     });
     const DomainTerms terms = TermsOrUnlimited(customer, domains_before);
     if (!changes.empty() && WindowUse::InOneSlot(changes.back().at, now)) {
@@ -43,11 +47,15 @@
   }
 }
 
-LimitTerms TermsHistory::Of(const CustomerConfig& customer,
-                            uint32_t domains) const {
+LimitTerms TermsHistory::Of(const CustomerConfig& customer, uint32_t domains,
+                            Instant now) const {
+  LimitTerms terms{TermsOf(customer, domains), {}};
   const auto found = changes_.find(customer.name);
-  return {TermsOf(customer, domains),
-          found == changes_.end() ? std::vector<TermsChange>{} : found->second};
+  if (found == changes_.end()) return terms;
+  for (const TermsChange& change : found->second) {
+    if (IsInWindow(change, now)) terms.changes.push_back(change);
+  }
+  return terms;
 }
 
 }  // namespace hibiscusglade
--- a/src/limits/internal/terms_history.h
+++ b/src/limits/internal/terms_history.h
@@ -25,7 +25,8 @@
 
   /// @param customer as in the document in force; with a limit.
   /// @param domains number of failure domains.
-  LimitTerms Of(const CustomerConfig& customer, uint32_t domains) const;
+  LimitTerms Of(const CustomerConfig& customer, uint32_t domains,
+                Instant now) const;
 
  private:
   std::map<std::string, std::vector<TermsChange>> changes_;  ///< Oldest first.
--- a/src/limits/internal/window_use.cc
+++ b/src/limits/internal/window_use.cc
@@ -1,6 +1,7 @@
 #include "limits/internal/window_use.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace hibiscusglade {
 namespace {
@@ -73,13 +74,28 @@
     const double gain = terms.rate * Seconds(age == 0 ? begun : kSlot);
     level = std::min(terms.capacity, level + gain) - SlotOf(age);
   }
-  if (bucket.changes.empty()) return level;
-  // The rate of one and the capacity of another allow more than any of them.
+  return std::min(level, RoomBesideEarlierUse(bucket));
+}
+
+double WindowUse::RoomBesideEarlierUse(const ChangedBucket& bucket) {
+  double room = std::numeric_limits<double>::infinity();
+  if (bucket.changes.empty()) return room;
   double allowed = AllowedInWindow(bucket.terms);
-  for (const BucketChange& change : bucket.changes) {
-    allowed = std::max(allowed, AllowedInWindow(change.before));
+  for (auto change = bucket.changes.rbegin(); change != bucket.changes.rend();
+       ++change) {
+    room = std::min(room, allowed - UseSince(change->at));
+    allowed = std::max(allowed, AllowedInWindow(change->before));
+  }
+  return std::min(room, allowed - UseSince({}));
+}
+
+double WindowUse::UseSince(Instant since) {
+  double use = 0;
+  for (size_t age = 0; age < kSlots; ++age) {
+    const auto slot = static_cast<int64_t>(newest_ - age);
+    if (slot * kSlot >= since.time_since_epoch()) use += SlotOf(age);
   }
-  return std::min(level, allowed - static_cast<double>(Sum(now)));
+  return use;
 }
 
 uint64_t WindowUse::Sum(Instant now) {
--- a/src/limits/internal/window_use.h
+++ b/src/limits/internal/window_use.h
@@ -87,6 +87,16 @@
 
  private:
   void Advance(Instant now);
+
+  /// The rate of one version and the capacity of another allow more than any of
+  /// them alone.
+  /// @return what may be used so that from each change on, no window holds more
+  /// than the loosest terms from then on allow; infinite without a change.
+  double RoomBesideEarlierUse(const ChangedBucket& bucket);
+
+  /// @return requests in the slots that began at a time or later.
+  double UseSince(Instant since);
+
   /// @param age in slots.
   uint32_t& SlotOf(size_t age) {
     return slots_[static_cast<size_t>(newest_ + kSlots - age) % kSlots];
--- a/src/limits/tests/changed_limit_test.cc
+++ b/src/limits/tests/changed_limit_test.cc
@@ -135,6 +135,24 @@
   EXPECT_GE(world.OutcomeOf(0).ran.size() - before, 5U * 300);
 }
 
+// Guards against a customer that is held to an earlier limit for good.
+TEST(TheHistoryOfTerms, ForgetsAChangeAfterTheWindow) {
+  const Instant start{1000s};
+  const CustomerConfig before{"agency", {}, {}, 60, 60};
+  const CustomerConfig after{"agency", {}, {}, 600, 600};
+  ConfigDocument old_document, new_document;
+  old_document.customers["agency"] = before;
+  new_document.customers["agency"] = after;
+  TermsHistory history;
+  history.OnChange(old_document, 3, new_document, 3, start);
+  const LimitTerms changed = history.Of(after, 3, start + 5s);
+  ASSERT_EQ(changed.changes.size(), 1U);
+  EXPECT_EQ(changed.changes[0].before, TermsOf(before, 3));
+  EXPECT_LT(changed.Strictest().rate, changed.current.rate);
+  EXPECT_EQ(history.Of(after, 3, start + 6s),
+            (LimitTerms{TermsOf(after, 3), {}}));
+}
+
 /// Any changes of the limit and of the demand, while daemons are frozen, so
 /// that others coordinate, and cut off.
 RC_GTEST_PROP(ALimitThatChangesAtRandom, NoWindowHoldsMoreThanIsAllowed, ()) {
--- a/src/owner/internal/upstream_watch.cc
+++ b/src/owner/internal/upstream_watch.cc
@@ -93,7 +93,7 @@
   probing_ = false;
   if (std::exchange(probe_outdated_, false)) return false;
   if (!reachable && current_.has_value()) {
-    OnDeath("refused connection", running, now);
+    OnDeath("no connection accepted", running, now);
   } else if (reachable && probe_examines_) {
     EndExamination("accepted connection", now);
   }
