Share the steps of two tests of changed limits, and wrap a comment evenly

Cause: the tests of a limit lowered by one and of a burst that is lowered alone had the same five lines; a comment in the HTTP client was left with a short line by an edit.

No code of the product is changed.

--- a/src/limits/tests/changed_limit_test.cc
+++ b/src/limits/tests/changed_limit_test.cc
@@ -24,6 +24,15 @@
     return {shape, {load}};
   }
 
+  /// A customer far above its limit, which changes two seconds later.
+  static void ExpectHeldInASurge(uint32_t rate, uint32_t burst) {
+    LimitWorld world = Sending(270);
+    world.RunUntil(6s);
+    world.SetLimit(0, rate, burst);
+    world.RunUntil(16s);
+    ExpectHeld(world);
+  }
+
   static void ExpectHeld(const LimitWorld& world, Duration spread = {}) {
     EXPECT_LE(world.FullestWindow(0, spread), 1);
   }
@@ -36,11 +45,7 @@
 
 // Guards against a limit lowered by a little that gives the window again.
 TEST_F(ALimitThatChanges, HoldsWhenItIsLoweredByOneInASurge) {
-  LimitWorld world = Sending(270);
-  world.RunUntil(6s);
-  world.SetLimit(0, kRate - 1, kBurst);
-  world.RunUntil(16s);
-  ExpectHeld(world);
+  ExpectHeldInASurge(kRate - 1, kBurst);
 }
 
 TEST_F(ALimitThatChanges, HoldsWhenItIsLoweredAgainAndAgain) {
@@ -64,11 +69,7 @@
 }
 
 TEST_F(ALimitThatChanges, HoldsWhenTheBurstAloneIsLowered) {
-  LimitWorld world = Sending(270);
-  world.RunUntil(6s);
-  world.SetLimit(0, kRate, 10);
-  world.RunUntil(16s);
-  ExpectHeld(world);
+  ExpectHeldInASurge(kRate, 10);
 }
 
 TEST_F(ALimitThatChanges, HoldsWhenTheCustomerIsRemovedAndBroughtBack) {
--- a/src/upstream/internal/http_upstream_client.cc
+++ b/src/upstream/internal/http_upstream_client.cc
@@ -255,10 +255,10 @@
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Client::OnCloseSocket);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     // When a reused connection turns out to be closed by the upstream, the
-    // outcome of the request is unknown. libcurl checks
-    // whether it is closed before it reuses it, but the upstream may close it
-    // right after that. Only connections that were idle for less than the
-    // upstream's keep-alive timeout are safe from this.
+    // outcome of the request is unknown. libcurl checks whether it is closed
+    // before it reuses it, but the upstream may close it right after that. Only
+    // connections that were idle for less than the upstream's keep-alive
+    // timeout are safe from this.
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, keep_alive_s_);
     if (attempt.NeedsClaim()) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &run);
